--- /dev/null
+++ b/src/egretlatch/cli/daemon_command.cpp
@@ -0,0 +1,68 @@
+#include <egretlatch/cli/daemon_command.hpp>
+
+#include <csignal>
+#include <cstdint>
+
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <QCoreApplication>
+#include <QSocketNotifier>
+
+#include <fmt/format.h>
+
+#include <egretlatch/cli/documents.hpp>
+#include <egretlatch/cli/exit_code.hpp>
+#include <egretlatch/daemon/daemon.hpp>
+
+namespace egretlatch::cli
+{
+
+namespace internal
+{
+
+// Signals are read from a descriptor, on the main thread: a handler may call next to nothing. All threads inherit the
+// mask, so none is interrupted.
+[[nodiscard]] static int openSignals()
+{
+    sigset_t signalSet;
+    sigemptyset(&signalSet);
+    sigaddset(&signalSet, SIGTERM);
+    sigaddset(&signalSet, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signalSet, nullptr);
+    return signalfd(-1, &signalSet, SFD_NONBLOCK | SFD_CLOEXEC);
+}
+
+} // namespace internal
+
+int runDaemon(const std::string &settingsPath, int argc, char **argv)
+{
+    const std::optional<settings::DaemonSettings> settings = readSettings(settingsPath);
+    if (!settings.has_value()) {
+        return ExitCode::badInput;
+    }
+    std::shared_ptr<const manifest::Manifest> manifest;
+    if (!settings->manifestFile.empty()) {
+        manifest = readManifest(settings->manifestFile);
+        if (manifest == nullptr) {
+            return ExitCode::badInput;
+        }
+    }
+    const int signalDescriptor = internal::openSignals();
+    QCoreApplication application{argc, argv};
+    daemon::Daemon daemon{*settings, std::move(manifest)};
+    QSocketNotifier notifier{signalDescriptor, QSocketNotifier::Read};
+    QObject::connect(&notifier, &QSocketNotifier::activated, &application, [&daemon, signalDescriptor] {
+        signalfd_siginfo info{};
+        static_cast<void>(::read(signalDescriptor, &info, sizeof info));
+        daemon.drain();
+    });
+    const Result<void> started = daemon.start();
+    if (!started.has_value()) {
+        fmt::print(stderr, "egretlatch: {}\n", started.error().message);
+        return ExitCode::unavailable;
+    }
+    return QCoreApplication::exec();
+}
+
+} // namespace egretlatch::cli
--- /dev/null
+++ b/src/egretlatch/cli/fwd.hpp
@@ -0,0 +1,11 @@
+#ifndef EGRETLATCH_CLI_FWD_HPP
+#define EGRETLATCH_CLI_FWD_HPP
+
+namespace egretlatch::cli
+{
+
+enum ExitCode : int;
+
+} // namespace egretlatch::cli
+
+#endif
--- /dev/null
+++ b/src/egretlatch/daemon/backend_client.hpp
@@ -0,0 +1,53 @@
+#ifndef EGRETLATCH_DAEMON_BACKEND_CLIENT_HPP
+#define EGRETLATCH_DAEMON_BACKEND_CLIENT_HPP
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include <QObject>
+
+#include <egretlatch/daemon/http_client_pool.hpp>
+#include <egretlatch/decision/action.hpp>
+#include <egretlatch/decision/event.hpp>
+
+namespace egretlatch::daemon
+{
+
+/*! @brief Hands runs to the backend server over HTTP. Lives on the thread for that duty. */
+class BackendClient final : public QObject
+{
+public:
+    using EndHandler = std::function<void(decision::RunEnded)>;
+
+    /**
+     * @brief Builds a client.
+     * @param baseUrl Base URL of the backend server.
+     * @param onEnd Called once for each run that was started and not aborted.
+     */
+    BackendClient(std::string baseUrl, EndHandler onEnd);
+
+    /**
+     * @brief Starts a run.
+     * @param run The run.
+     */
+    void start(const decision::StartRun &run);
+
+    /**
+     * @brief Closes the connection of a run; no end is reported for it.
+     * @param execution The run.
+     */
+    void abort(ExecutionId execution);
+
+private:
+    void handleFinished(ExecutionId execution, QNetworkReply *reply);
+
+    std::string m_baseUrl;
+    EndHandler m_onEnd;
+    HttpClientPool m_pool;
+    std::map<ExecutionId, QNetworkReply *> m_running;
+};
+
+} // namespace egretlatch::daemon
+
+#endif
--- /dev/null
+++ b/src/egretlatch/daemon/caller_server.cpp
@@ -0,0 +1,312 @@
+#include <egretlatch/daemon/caller_server.hpp>
+
+#include <QHostAddress>
+#include <QUrl>
+
+#include <fmt/format.h>
+
+#include <egretlatch/daemon/http_headers.hpp>
+#include <egretlatch/daemon/problem_document.hpp>
+#include <egretlatch/settings/json_object_reader.hpp>
+
+namespace egretlatch::daemon
+{
+
+namespace internal
+{
+
+using StatusCode = QHttpServerResponder::StatusCode;
+
+constexpr QLatin1String callPrefix{"/call/"};
+constexpr QLatin1String backendPrefix{"/backend/"};
+constexpr settings::Range<std::int64_t> slotsRange{.least = 1, .most = 10'000};
+constexpr settings::Range<std::int64_t> connectionsRange{.least = 1, .most = 100'000};
+
+[[nodiscard]] static std::string methodName(const QHttpServerRequest::Method method)
+{
+    switch (method) {
+    case QHttpServerRequest::Method::Get:
+        return "GET";
+    case QHttpServerRequest::Method::Put:
+        return "PUT";
+    case QHttpServerRequest::Method::Delete:
+        return "DELETE";
+    case QHttpServerRequest::Method::Post:
+        return "POST";
+    case QHttpServerRequest::Method::Head:
+        return "HEAD";
+    case QHttpServerRequest::Method::Options:
+        return "OPTIONS";
+    case QHttpServerRequest::Method::Patch:
+        return "PATCH";
+    default:
+        return {};
+    }
+}
+
+/*! @brief The parts of `/call/{service}/{kind}/{path...}`. */
+struct CallPath
+{
+    std::string service;
+    std::string kind;
+    std::string path;
+};
+
+[[nodiscard]] static std::optional<CallPath> parseCallPath(const QUrl &url)
+{
+    const QString path = url.path(QUrl::FullyEncoded);
+    const qsizetype serviceStart = callPrefix.size();
+    const qsizetype serviceEnd = path.indexOf(u'/', serviceStart);
+    if (serviceEnd < 0) {
+        return std::nullopt;
+    }
+    const qsizetype kindEnd = path.indexOf(u'/', serviceEnd + 1);
+    CallPath parts;
+    parts.service = path.mid(serviceStart, serviceEnd - serviceStart).toStdString();
+    parts.kind = path.mid(serviceEnd + 1, kindEnd < 0 ? -1 : kindEnd - serviceEnd - 1).toStdString();
+    parts.path = kindEnd < 0 ? std::string{"/"} : path.mid(kindEnd).toStdString();
+    if (url.hasQuery()) {
+        parts.path.push_back('?');
+        parts.path.append(url.query(QUrl::FullyEncoded).toStdString());
+    }
+    if (parts.service.empty() || parts.kind.empty()) {
+        return std::nullopt;
+    }
+    return parts;
+}
+
+[[nodiscard]] static Headers endToEndHeaders(const QHttpServerRequest &request)
+{
+    Headers headers;
+    for (const auto &[name, value] : request.headers()) {
+        if (isEndToEnd(name)) {
+            headers.push_back({.name = name.toStdString(), .value = value.toStdString()});
+        }
+    }
+    return headers;
+}
+
+[[nodiscard]] static tl::expected<decision::CallerCall, std::string> parseCall(const QHttpServerRequest &request)
+{
+    const std::optional<CallPath> path = parseCallPath(request.url());
+    if (!path.has_value()) {
+        return tl::unexpected<std::string>{"the path is not /call/{service}/{kind}/{path}"};
+    }
+    decision::CallerCall call;
+    call.method = methodName(request.method());
+    if (call.method.empty()) {
+        return tl::unexpected<std::string>{"the method is not one that is passed on"};
+    }
+    call.service = path->service;
+    call.kind = path->kind;
+    call.path = path->path;
+    call.headers = endToEndHeaders(request);
+    call.body = request.body();
+    call.key = request.value(keyHeader).toStdString();
+    call.runToken = request.value(callHeader).toStdString();
+    const QByteArray timeout = request.value(timeoutHeader);
+    if (!timeout.isEmpty()) {
+        bool isNumber = false;
+        const int milliseconds = timeout.toInt(&isNumber);
+        if (!isNumber || milliseconds <= 0) {
+            return tl::unexpected<std::string>{"Request-Timeout-Ms is a whole number above zero"};
+        }
+        call.timeout = std::chrono::milliseconds{milliseconds};
+    }
+    // W3C Trace Context: a malformed header is treated as if there were none.
+    call.trace = account::parseTraceParent(request.value(traceHeader).toStdString());
+    return call;
+}
+
+static void write(QHttpServerResponder &responder, const int status, const Headers &headers, const QByteArray &body)
+{
+    responder.writeStatusLine(static_cast<StatusCode>(status));
+    for (const Header &header : headers) {
+        responder.writeHeader(QByteArray::fromStdString(header.name), QByteArray::fromStdString(header.value));
+    }
+    responder.writeHeader("Content-Length", QByteArray::number(body.size()));
+    responder.writeBody(body);
+}
+
+static void writeMistake(QHttpServerResponder responder, const StatusCode status, const std::string &mistake)
+{
+    decision::CallerAnswer answer;
+    answer.status = static_cast<int>(status);
+    answer.mistake = mistake;
+    write(responder, answer.status, problemHeaders(answer), problemBody(answer));
+}
+
+} // namespace internal
+
+CallerServer::CallerServer(const std::int64_t maxBodyBytes, EventHandler onEvent)
+    : m_maxBodyBytes{maxBodyBytes}
+    , m_onEvent{std::move(onEvent)}
+{
+}
+
+void CallerServer::addReport(const QString &path, const QByteArray &contentType, Report report)
+{
+    m_pages.insert_or_assign(path.toStdString(), Page{.contentType = contentType, .report = std::move(report)});
+}
+
+Result<void> CallerServer::start(const std::string &address, const std::uint16_t port)
+{
+    if (listen(QHostAddress{QString::fromStdString(address)}, port) == 0) {
+        return tl::unexpected{Error{ErrorCode::unavailable, fmt::format("cannot listen on {}:{}", address, port)}};
+    }
+    return {};
+}
+
+void CallerServer::setReady(const bool isReady)
+{
+    m_isReady = isReady;
+}
+
+void CallerServer::answer(const decision::AnswerCaller &answer)
+{
+    const auto found = m_exchanges.find(answer.exchange);
+    if (found == m_exchanges.end()) {
+        return;
+    }
+    Exchange exchange = std::move(found->second);
+    m_exchanges.erase(found);
+    if (exchange.socket.isNull()) {
+        return;
+    }
+    m_bySocket.erase(exchange.socket.data());
+    const decision::CallerAnswer &given = answer.answer;
+    if (given.verdict == Verdict::completed) {
+        Headers headers = given.headers;
+        headers.push_back({.name = verdictHeader, .value = std::string{toString(given.verdict)}});
+        internal::write(exchange.responder, given.status, headers, given.body);
+        return;
+    }
+    internal::write(exchange.responder, given.status, problemHeaders(given), problemBody(given));
+}
+
+bool CallerServer::handleRequest(const QHttpServerRequest &request, QTcpSocket *const socket)
+{
+    const QString path = request.url().path();
+    if (path.startsWith(internal::callPrefix)) {
+        handleCall(request, socket);
+        return true;
+    }
+    if (path.startsWith(internal::backendPrefix)) {
+        handleBackend(request, socket);
+        return true;
+    }
+    if (path == QLatin1String{"/healthz"}) {
+        makeResponder(request, socket).write("alive\n", "text/plain");
+        return true;
+    }
+    if (path == QLatin1String{"/readyz"}) {
+        makeResponder(request, socket)
+            .write(m_isReady ? "ready\n" : "not ready\n", "text/plain", m_isReady ? internal::StatusCode::Ok : internal::StatusCode::ServiceUnavailable);
+        return true;
+    }
+    const auto page = m_pages.find(path.toStdString());
+    if (page == m_pages.end()) {
+        return false;
+    }
+    makeResponder(request, socket).write(QByteArray::fromStdString(page->second.report()), page->second.contentType);
+    return true;
+}
+
+void CallerServer::missingHandler(const QHttpServerRequest &request, QTcpSocket *const socket)
+{
+    internal::writeMistake(makeResponder(request, socket), internal::StatusCode::NotFound, "there is nothing at this path");
+}
+
+void CallerServer::handleCall(const QHttpServerRequest &request, QTcpSocket *const socket)
+{
+    if (request.body().size() > m_maxBodyBytes) {
+        const std::string mistake = fmt::format("the body is larger than {} bytes", m_maxBodyBytes);
+        internal::writeMistake(makeResponder(request, socket), internal::StatusCode::PayloadTooLarge, mistake);
+        return;
+    }
+    tl::expected<decision::CallerCall, std::string> call = internal::parseCall(request);
+    if (!call.has_value()) {
+        internal::writeMistake(makeResponder(request, socket), internal::StatusCode::BadRequest, call.error());
+        return;
+    }
+    const ExchangeId exchange{++m_lastExchange};
+    m_exchanges.emplace(exchange, Exchange{.responder = makeResponder(request, socket), .socket = socket});
+    watch(socket, exchange);
+    decision::CallerAnswer busy;
+    busy.service = call->service;
+    busy.kind = call->kind;
+    if (m_onEvent(decision::CallArrived{.exchange = exchange, .call = std::move(*call)})) {
+        return;
+    }
+    account::Refusal refusal;
+    refusal.reason = account::RefusalReason::daemonBusy;
+    refusal.rule = "the daemon has more calls waiting than it can look at";
+    refusal.retryAfter = std::chrono::seconds{1};
+    busy.verdict = Verdict::notRun;
+    busy.status = account::httpStatus(refusal.reason);
+    busy.refusal = refusal;
+    answer({.exchange = exchange, .answer = busy});
+}
+
+void CallerServer::handleBackend(const QHttpServerRequest &request, QTcpSocket *const socket)
+{
+    const QString verb = request.url().path().mid(internal::backendPrefix.size());
+    if (request.method() != QHttpServerRequest::Method::Post) {
+        internal::writeMistake(makeResponder(request, socket), internal::StatusCode::MethodNotAllowed, "only POST is allowed here");
+        return;
+    }
+    bool isTaken = false;
+    if (verb == QLatin1String{"announce"}) {
+        settings::Problems problems;
+        settings::JsonObjectReader reader{settings::parseJson(request.body(), problems), "", problems};
+        decision::ServerAnnounced announced;
+        announced.service = reader.text("service");
+        announced.slots = static_cast<int>(reader.integer("slots", internal::slotsRange));
+        announced.connections = static_cast<int>(reader.integer("connections", internal::connectionsRange));
+        reader.finish();
+        if (settings::hasError(problems)) {
+            std::string lines;
+            for (const settings::Problem &problem : problems) {
+                lines += settings::toLine("announcement", problem) + "; ";
+            }
+            internal::writeMistake(makeResponder(request, socket), internal::StatusCode::BadRequest, lines);
+            return;
+        }
+        isTaken = m_onEvent(announced);
+    } else if (verb == QLatin1String{"drain"}) {
+        isTaken = m_onEvent(decision::ServerDraining{});
+    } else if (verb == QLatin1String{"leave"}) {
+        isTaken = m_onEvent(decision::ServerLeft{});
+    } else {
+        internal::writeMistake(makeResponder(request, socket), internal::StatusCode::NotFound, "the paths are /backend/announce, drain and leave");
+        return;
+    }
+    makeResponder(request, socket).write(isTaken ? internal::StatusCode::NoContent : internal::StatusCode::ServiceUnavailable);
+}
+
+void CallerServer::watch(QTcpSocket *const socket, const ExchangeId exchange)
+{
+    const bool isNew = !m_bySocket.contains(socket);
+    m_bySocket[socket] = exchange;
+    if (isNew && !socket->property("egretlatchWatched").toBool()) {
+        socket->setProperty("egretlatchWatched", true);
+        connect(socket, &QTcpSocket::disconnected, this, [this, socket] {
+            handleDisconnected(socket);
+        });
+    }
+}
+
+void CallerServer::handleDisconnected(QTcpSocket *const socket)
+{
+    const auto found = m_bySocket.find(socket);
+    if (found == m_bySocket.end()) {
+        return;
+    }
+    const ExchangeId exchange = found->second;
+    m_bySocket.erase(found);
+    m_exchanges.erase(exchange);
+    // A full ring loses only the cancel: the call then ends at its deadline.
+    static_cast<void>(m_onEvent(decision::CallerGone{.exchange = exchange}));
+}
+
+} // namespace egretlatch::daemon
--- /dev/null
+++ b/src/egretlatch/daemon/core_options.hpp
@@ -0,0 +1,21 @@
+#ifndef EGRETLATCH_DAEMON_CORE_OPTIONS_HPP
+#define EGRETLATCH_DAEMON_CORE_OPTIONS_HPP
+
+#include <egretlatch/core/random_source.hpp>
+#include <egretlatch/decision/core.hpp>
+#include <egretlatch/settings/daemon_settings.hpp>
+
+namespace egretlatch::daemon
+{
+
+/**
+ * @brief Gives a core the gate, entry control and router of a policy.
+ * @param policy The policy of the settings.
+ * @param random Source of random numbers; must outlive the core.
+ * @param builder The builder to set them on.
+ */
+void applyPolicy(settings::Policy policy, RandomSource &random, decision::CoreBuilder &builder);
+
+} // namespace egretlatch::daemon
+
+#endif
--- /dev/null
+++ b/src/egretlatch/daemon/daemon.cpp
@@ -0,0 +1,200 @@
+#include <egretlatch/daemon/daemon.hpp>
+
+#include <random>
+
+#include <QCoreApplication>
+
+#include <fmt/format.h>
+
+#include <egretlatch/daemon/core_options.hpp>
+
+namespace egretlatch::daemon
+{
+
+namespace internal
+{
+
+[[nodiscard]] static std::uint64_t freshSeed()
+{
+    std::random_device device;
+    constexpr int halfBits = 32;
+    return (static_cast<std::uint64_t>(device()) << halfBits) | device();
+}
+
+[[nodiscard]] static Incarnation incarnationOf(const Clock &clock)
+{
+    // Calendar time, so that the next life of this daemon has a higher number without anything being kept.
+    return {static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count())};
+}
+
+// Runs a step on a thread with an event loop and waits for it.
+template<typename Step>
+static void runOn(QObject &object, Step step)
+{
+    QMetaObject::invokeMethod(&object, std::move(step), Qt::BlockingQueuedConnection);
+}
+
+} // namespace internal
+
+Daemon::Daemon(settings::DaemonSettings settings, std::shared_ptr<const manifest::Manifest> manifest)
+    : m_settings{std::move(settings)}
+    , m_manifest{std::move(manifest)}
+    , m_logger{m_settings.logLevel, m_settings.id.value}
+    , m_random{m_settings.seed.value_or(internal::freshSeed())}
+    , m_incarnation{internal::incarnationOf(m_clock)}
+    , m_inward{m_decideWaker}
+    , m_peer{m_settings.id, m_incarnation, m_inward.fromPeer, m_metrics}
+    , m_frontWaker{[this] {
+        drainFront();
+    }}
+    , m_backWaker{[this] {
+        drainBack();
+    }}
+    , m_accountWaker{[this] {
+        drainAccount();
+    }}
+    , m_outward{m_frontWaker, m_peer.waker(), m_backWaker, m_accountWaker}
+{
+    m_frontWaker.moveToThread(&m_frontThread);
+    m_backWaker.moveToThread(&m_backThread);
+    m_accountWaker.moveToThread(&m_accountThread);
+}
+
+Daemon::~Daemon()
+{
+    m_decide.reset();
+    for (QThread *const thread : {&m_frontThread, &m_backThread, &m_accountThread}) {
+        if (!thread->isRunning()) {
+            continue;
+        }
+        // What lives on a thread is destroyed there.
+        QObject &onThread = thread == &m_frontThread ? m_frontWaker : (thread == &m_backThread ? m_backWaker : m_accountWaker);
+        internal::runOn(onThread, [this, thread] {
+            if (thread == &m_frontThread) {
+                m_front.reset();
+            } else if (thread == &m_backThread) {
+                m_back.reset();
+            } else {
+                m_spans.reset();
+            }
+        });
+        thread->quit();
+        thread->wait();
+    }
+}
+
+Result<void> Daemon::start()
+{
+    m_decide = std::make_unique<DecideThread>(makeCore(), m_inward, m_outward, m_decideWaker, m_metrics, m_logger, [] {
+        QMetaObject::invokeMethod(QCoreApplication::instance(), &QCoreApplication::quit, Qt::QueuedConnection);
+    });
+    m_frontThread.start();
+    m_backThread.start();
+    m_accountThread.start();
+    internal::runOn(m_accountWaker, [this] {
+        m_spans = std::make_unique<SpanExporter>(m_settings.collectorUrl, m_settings.id.value, m_metrics);
+    });
+    internal::runOn(m_backWaker, [this] {
+        m_back = std::make_unique<BackendClient>(m_settings.backendUrl, [this](decision::RunEnded ended) {
+            if (!m_inward.fromBack.tryPush(std::move(ended))) {
+                m_metrics.count("events_dropped", "ring-full");
+            }
+        });
+    });
+    const std::string peerEndpoint = fmt::format("tcp://{}:{}", m_settings.listenAddress, m_settings.peerPort);
+    if (Result<void> bound = m_peer.start(peerEndpoint, m_outward.toPeer); !bound.has_value()) {
+        return bound;
+    }
+    m_decide->start();
+    Result<void> listening;
+    internal::runOn(m_frontWaker, [this, &listening] {
+        m_front = std::make_unique<CallerServer>(m_settings.maxBodyBytes, [this](decision::Event event) {
+            return m_inward.fromFront.tryPush(std::move(event));
+        });
+        addReports();
+        listening = m_front->start(m_settings.listenAddress, m_settings.callerPort);
+    });
+    if (!listening.has_value()) {
+        return listening;
+    }
+    if (m_manifest != nullptr) {
+        static_cast<void>(m_inward.fromPlatform.tryPush(decision::ManifestChanged{.version = 1, .manifest = m_manifest}));
+    }
+    m_logger.info("started", {{"callers", m_settings.callerPort}, {"peers", m_settings.peerPort}, {"backend", m_settings.backendUrl}});
+    return {};
+}
+
+void Daemon::drain()
+{
+    m_logger.info("draining");
+    QMetaObject::invokeMethod(
+        &m_frontWaker,
+        [this] {
+            m_front->setReady(false);
+            static_cast<void>(m_inward.fromFront.tryPush(decision::ServerDraining{}));
+        },
+        Qt::QueuedConnection);
+}
+
+std::unique_ptr<decision::Core> Daemon::makeCore()
+{
+    membership::Member self;
+    self.id = m_settings.id;
+    self.incarnation = m_incarnation;
+    self.endpoint = fmt::format("tcp://{}:{}", m_settings.listenAddress, m_settings.peerPort);
+    self.region = m_settings.region;
+    self.dataCentre = m_settings.dataCentre;
+    decision::CoreBuilder builder{m_clock, m_random, m_metrics};
+    builder.setSelf(self);
+    for (const settings::PeerSettings &peer : m_settings.peers) {
+        membership::Member contact;
+        contact.id = peer.id;
+        contact.endpoint = peer.endpoint;
+        builder.addContact(contact);
+    }
+    applyPolicy(m_settings.policy, m_random, builder);
+    return builder.build();
+}
+
+void Daemon::addReports()
+{
+    m_front->addReport(QStringLiteral("/metrics"), "text/plain; version=0.0.4", [this] {
+        return m_metrics.toPrometheus();
+    });
+    m_front->addReport(QStringLiteral("/status"), "application/json", [this] {
+        return m_decide->status();
+    });
+}
+
+void Daemon::drainFront()
+{
+    while (const std::unique_ptr<FrontOrder> order = m_outward.toFront.tryPop()) {
+        if (const auto *const answer = std::get_if<decision::AnswerCaller>(order.get())) {
+            m_front->answer(*answer);
+        } else {
+            m_front->setReady(std::get<ReadyChanged>(*order).isReady);
+        }
+    }
+}
+
+void Daemon::drainBack()
+{
+    while (const std::unique_ptr<BackOrder> order = m_outward.toBack.tryPop()) {
+        if (const auto *const start = std::get_if<decision::StartRun>(order.get())) {
+            m_back->start(*start);
+        } else {
+            m_back->abort(std::get<decision::AbortRun>(*order).execution);
+        }
+    }
+}
+
+void Daemon::drainAccount()
+{
+    while (const std::unique_ptr<AccountOrder> order = m_outward.toAccount.tryPop()) {
+        if (auto *const span = std::get_if<decision::RecordSpan>(order.get())) {
+            m_spans->add(std::move(span->span));
+        }
+    }
+}
+
+} // namespace egretlatch::daemon
--- /dev/null
+++ b/src/egretlatch/daemon/daemon.hpp
@@ -0,0 +1,86 @@
+#ifndef EGRETLATCH_DAEMON_DAEMON_HPP
+#define EGRETLATCH_DAEMON_DAEMON_HPP
+
+#include <memory>
+
+#include <QThread>
+
+#include <egretlatch/account/metrics_registry.hpp>
+#include <egretlatch/core/error.hpp>
+#include <egretlatch/core/logger.hpp>
+#include <egretlatch/core/random_source.hpp>
+#include <egretlatch/daemon/backend_client.hpp>
+#include <egretlatch/daemon/caller_server.hpp>
+#include <egretlatch/daemon/condition_waker.hpp>
+#include <egretlatch/daemon/decide_thread.hpp>
+#include <egretlatch/daemon/event_loop_waker.hpp>
+#include <egretlatch/daemon/peer_thread.hpp>
+#include <egretlatch/daemon/rings.hpp>
+#include <egretlatch/daemon/span_exporter.hpp>
+#include <egretlatch/settings/daemon_settings.hpp>
+
+namespace egretlatch::daemon
+{
+
+/*! @brief The threads of one daemon, joined by rings. */
+class Daemon
+{
+public:
+    /**
+     * @brief Builds a daemon that has not started.
+     * @param settings Checked settings.
+     * @param manifest Configuration to start with; null to start without.
+     */
+    Daemon(settings::DaemonSettings settings, std::shared_ptr<const manifest::Manifest> manifest);
+    Daemon(const Daemon &) = delete;
+    Daemon &operator=(const Daemon &) = delete;
+
+    /*! @brief Stops all threads; what is in flight then is cut off, so drain first. */
+    ~Daemon();
+
+    /**
+     * @brief Takes the ports and starts all threads.
+     * @return Nothing, or `unavailable` if a port cannot be had.
+     */
+    [[nodiscard]] Result<void> start();
+
+    /**
+     * @brief Refuses new work; once nothing is in flight, ends the application's event loop.
+     *
+     * Called on the application's thread, more than once if need be.
+     */
+    void drain();
+
+private:
+    [[nodiscard]] std::unique_ptr<decision::Core> makeCore();
+    void addReports();
+    void drainFront();
+    void drainBack();
+    void drainAccount();
+
+    settings::DaemonSettings m_settings;
+    std::shared_ptr<const manifest::Manifest> m_manifest;
+    Logger m_logger;
+    account::MetricsRegistry m_metrics;
+    SystemClock m_clock;
+    SeededRandom m_random;
+    Incarnation m_incarnation;
+    ConditionWaker m_decideWaker;
+    InwardRings m_inward;
+    PeerThread m_peer;
+    EventLoopWaker m_frontWaker;
+    EventLoopWaker m_backWaker;
+    EventLoopWaker m_accountWaker;
+    OutwardRings m_outward;
+    QThread m_frontThread;
+    QThread m_backThread;
+    QThread m_accountThread;
+    std::unique_ptr<CallerServer> m_front;
+    std::unique_ptr<BackendClient> m_back;
+    std::unique_ptr<SpanExporter> m_spans;
+    std::unique_ptr<DecideThread> m_decide;
+};
+
+} // namespace egretlatch::daemon
+
+#endif
--- /dev/null
+++ b/src/egretlatch/daemon/decide_thread.hpp
@@ -0,0 +1,82 @@
+#ifndef EGRETLATCH_DAEMON_DECIDE_THREAD_HPP
+#define EGRETLATCH_DAEMON_DECIDE_THREAD_HPP
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include <egretlatch/account/metrics_sink.hpp>
+#include <egretlatch/core/logger.hpp>
+#include <egretlatch/daemon/condition_waker.hpp>
+#include <egretlatch/daemon/rings.hpp>
+#include <egretlatch/decision/core.hpp>
+
+namespace egretlatch::daemon
+{
+
+/*! @brief Runs the decision core: reads the inward rings, writes the outward ones. */
+class DecideThread
+{
+public:
+    using DrainedHandler = std::function<void()>;
+
+    /**
+     * @brief Builds the thread without starting it.
+     * @param core The decision core; touched by this thread only, once it runs.
+     * @param inward Rings that it reads; must outlive it.
+     * @param outward Rings that it writes; must outlive it.
+     * @param waker The waker of the inward rings; must outlive it.
+     * @param metrics Takes counts of dropped orders; must outlive it.
+     * @param logger Takes what people should know; must outlive it.
+     * @param onDrained Called once nothing is in flight after a drain.
+     */
+    DecideThread(std::unique_ptr<decision::Core> core,
+                 InwardRings &inward,
+                 OutwardRings &outward,
+                 ConditionWaker &waker,
+                 account::MetricsSink &metrics,
+                 const Logger &logger,
+                 DrainedHandler onDrained);
+    DecideThread(const DecideThread &) = delete;
+    DecideThread &operator=(const DecideThread &) = delete;
+
+    /*! @brief Stops the thread and waits for it. */
+    ~DecideThread();
+
+    /*! @brief Starts the thread. */
+    void start();
+
+    /**
+     * @brief Describes what this daemon knows, for `/status`; may be called from any thread.
+     * @return A JSON document, at most a second old.
+     */
+    [[nodiscard]] std::string status() const;
+
+private:
+    void run();
+    [[nodiscard]] bool drainRings();
+    [[nodiscard]] bool drainRing(Ring<decision::Event> &ring);
+    void handle(const decision::Event &event);
+    void carryOut(decision::Action action);
+    void publishStatus();
+
+    std::unique_ptr<decision::Core> m_core;
+    InwardRings &m_inward;
+    OutwardRings &m_outward;
+    ConditionWaker &m_waker;
+    account::MetricsSink &m_metrics;
+    const Logger &m_logger;
+    DrainedHandler m_onDrained;
+    std::atomic<bool> m_isStopping{false};
+    SteadyTime m_lastStatus;
+    mutable std::mutex m_statusMutex;
+    std::string m_status{"{}"};
+    std::thread m_thread;
+};
+
+} // namespace egretlatch::daemon
+
+#endif
--- /dev/null
+++ b/src/egretlatch/daemon/fwd.hpp
@@ -0,0 +1,21 @@
+#ifndef EGRETLATCH_DAEMON_FWD_HPP
+#define EGRETLATCH_DAEMON_FWD_HPP
+
+namespace egretlatch::daemon
+{
+
+struct InwardRings;
+struct OutwardRings;
+
+class CallerServer;
+class PeerThread;
+class DecideThread;
+class BackendClient;
+class HttpClientPool;
+class SpanExporter;
+class EventLoopWaker;
+class Daemon;
+
+} // namespace egretlatch::daemon
+
+#endif
--- /dev/null
+++ b/src/egretlatch/daemon/status_document.cpp
@@ -0,0 +1,59 @@
+#include <egretlatch/daemon/status_document.hpp>
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+namespace egretlatch::daemon
+{
+
+namespace internal
+{
+
+[[nodiscard]] static QString toQt(const std::string_view text)
+{
+    return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
+}
+
+[[nodiscard]] static QJsonObject describe(const membership::Member &member)
+{
+    QJsonObject object;
+    object[u"id"] = toQt(member.id.value);
+    object[u"state"] = toQt(membership::toString(member.state));
+    object[u"service"] = toQt(member.service);
+    object[u"dataCentre"] = toQt(member.dataCentre);
+    object[u"endpoint"] = toQt(member.endpoint);
+    object[u"slots"] = member.slots;
+    return object;
+}
+
+[[nodiscard]] static QJsonObject describe(const admission::LoadReport &load)
+{
+    QJsonObject object;
+    object[u"inFlight"] = load.inFlight;
+    object[u"limit"] = load.limit;
+    object[u"queued"] = load.queued;
+    object[u"levelPriority"] = load.level.priority;
+    object[u"levelFraction"] = load.level.fraction;
+    object[u"queueDelayMs"] = std::chrono::duration<double, std::milli>{load.queueDelay}.count();
+    object[u"draining"] = load.draining;
+    return object;
+}
+
+} // namespace internal
+
+std::string statusDocument(const membership::Roster &roster, const std::uint64_t manifestVersion, const admission::LoadReport &load)
+{
+    QJsonArray members;
+    for (const membership::Member &member : roster.members()) {
+        members.append(internal::describe(member));
+    }
+    QJsonObject document;
+    document[u"id"] = internal::toQt(roster.self().id.value);
+    document[u"configurationVersion"] = static_cast<qint64>(manifestVersion);
+    document[u"load"] = internal::describe(load);
+    document[u"members"] = members;
+    return QJsonDocument{document}.toJson(QJsonDocument::Compact).toStdString();
+}
+
+} // namespace egretlatch::daemon
--- /dev/null
+++ b/src/egretlatch/decision/action.hpp
@@ -0,0 +1,134 @@
+#ifndef EGRETLATCH_DECISION_ACTION_HPP
+#define EGRETLATCH_DECISION_ACTION_HPP
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <QByteArray>
+
+#include <egretlatch/account/refusal.hpp>
+#include <egretlatch/account/span.hpp>
+#include <egretlatch/core/clock.hpp>
+#include <egretlatch/core/header.hpp>
+#include <egretlatch/core/ids.hpp>
+#include <egretlatch/core/verdict.hpp>
+#include <egretlatch/protocol/messages.hpp>
+
+namespace egretlatch::decision
+{
+
+/*! @brief What a caller is answered. */
+struct CallerAnswer
+{
+    Verdict verdict{Verdict::notRun};
+    int status{};
+    Headers headers;
+    QByteArray body;
+    /*! @brief Set where the system, not the backend server, answers. */
+    std::optional<account::Refusal> refusal;
+    std::string service;
+    std::string kind;
+    /*! @brief Text for people where the request itself was wrong; empty otherwise. */
+    std::string mistake;
+
+    friend bool operator==(const CallerAnswer &, const CallerAnswer &) = default;
+};
+
+/*! @brief Answer an exchange; nothing more is said on it. */
+struct AnswerCaller
+{
+    ExchangeId exchange;
+    CallerAnswer answer;
+};
+
+/*! @brief Send a message to another daemon. */
+struct SendToPeer
+{
+    DaemonId to;
+    /*! @brief Address of its peer socket. */
+    std::string endpoint;
+    protocol::Message message;
+};
+
+/*! @brief A request as the backend server gets it. */
+struct RunRequest
+{
+    std::string method;
+    std::string path;
+    Headers headers;
+    QByteArray body;
+    /*! @brief Request kind; sent as `Egretlatch-Kind`. */
+    std::string kind;
+    /*! @brief Time that the run has; sent as `Request-Timeout-Ms`. */
+    Duration remaining{};
+    /*! @brief Sent as `Egretlatch-Call`, for the run's own calls. */
+    std::string runToken;
+    /*! @brief Sent as `Idempotency-Key` if not empty. */
+    std::string key;
+    account::TraceContext trace;
+    /*! @brief Whether the transport may send it again by itself; only where the kind is declared idempotent. */
+    bool mayRepeat{};
+};
+
+/*! @brief Hand a request to the backend server beside this daemon. */
+struct StartRun
+{
+    ExecutionId execution;
+    RunRequest request;
+};
+
+/*! @brief Close the connection of a run whose answer nobody waits for. */
+struct AbortRun
+{
+    ExecutionId execution;
+};
+
+/*! @brief One refusal with what the account keeps of its request. */
+struct RefusalRecord
+{
+    account::Refusal refusal;
+    Verdict verdict{};
+    Uuid root;
+    /*! @brief xxHash of the request key; zero without one. The key itself is not kept. */
+    std::uint64_t keyFingerprint{};
+    std::string service;
+    std::string kind;
+    int priority{};
+    double worth{};
+    WallTime time;
+
+    friend bool operator==(const RefusalRecord &, const RefusalRecord &) = default;
+};
+
+/*! @brief Enter a refusal into the account. */
+struct RecordRefusal
+{
+    RefusalRecord record;
+};
+
+/*! @brief Export a finished span. */
+struct RecordSpan
+{
+    account::Span span;
+};
+
+/*! @brief A configuration has been put in force. */
+struct ManifestInForce
+{
+    std::uint64_t version{};
+    std::string hash;
+};
+
+/*! @brief Nothing is in flight any more at a daemon that drains. */
+struct Drained
+{
+};
+
+using Action = std::variant<AnswerCaller, SendToPeer, StartRun, AbortRun, RecordRefusal, RecordSpan, ManifestInForce, Drained>;
+using Actions = std::vector<Action>;
+
+} // namespace egretlatch::decision
+
+#endif
--- /dev/null
+++ b/src/egretlatch/decision/event.hpp
@@ -0,0 +1,131 @@
+#ifndef EGRETLATCH_DECISION_EVENT_HPP
+#define EGRETLATCH_DECISION_EVENT_HPP
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include <QByteArray>
+
+#include <egretlatch/account/trace_context.hpp>
+#include <egretlatch/core/clock.hpp>
+#include <egretlatch/core/header.hpp>
+#include <egretlatch/core/ids.hpp>
+#include <egretlatch/manifest/manifest.hpp>
+#include <egretlatch/protocol/messages.hpp>
+
+namespace egretlatch::decision
+{
+
+/*! @brief A call as a caller, or a backend server's run, made it over HTTP. */
+struct CallerCall
+{
+    std::string service;
+    std::string kind;
+    std::string method;
+    /*! @brief Path and query that the backend server is to see. */
+    std::string path;
+    /*! @brief End-to-end headers only. */
+    Headers headers;
+    QByteArray body;
+    /*! @brief Value of `Idempotency-Key`; empty if there was none. */
+    std::string key;
+    /*! @brief Value of `Request-Timeout-Ms`. */
+    std::optional<std::chrono::milliseconds> timeout;
+    std::optional<account::TraceContext> trace;
+    /*! @brief Value of `Egretlatch-Call`: the run that makes this call; empty for a root. */
+    std::string runToken;
+
+    friend bool operator==(const CallerCall &, const CallerCall &) = default;
+};
+
+/*! @brief A call came in over HTTP. */
+struct CallArrived
+{
+    ExchangeId exchange;
+    CallerCall call;
+};
+
+/*! @brief The caller of an exchange closed its connection. */
+struct CallerGone
+{
+    ExchangeId exchange;
+};
+
+/*! @brief Another daemon, or this one, sent a message. */
+struct PeerMessage
+{
+    protocol::Envelope envelope;
+};
+
+/*! @brief A message could not be handed to the transport; it has not left this daemon. */
+struct SendFailed
+{
+    DaemonId to;
+    CallId call;
+};
+
+/*! @brief What a backend server answered. */
+struct RunAnswer
+{
+    int status{};
+    Headers headers;
+    QByteArray body;
+
+    friend bool operator==(const RunAnswer &, const RunAnswer &) = default;
+};
+
+/*! @brief Why a run gave no answer. */
+enum class RunFailure {
+    /*! @brief No connection could be opened; nothing was sent. */
+    neverConnected,
+    /*! @brief The backend server said, with 503 and `Egretlatch-Verdict: not-run`, that it did not start. */
+    rejected,
+    /*! @brief The connection was lost after the request was sent. */
+    lost,
+};
+
+/*! @brief A run at the backend server ended. */
+struct RunEnded
+{
+    ExecutionId execution;
+    std::variant<RunAnswer, RunFailure> result;
+};
+
+/*! @brief The backend server beside this daemon announced itself. */
+struct ServerAnnounced
+{
+    std::string service;
+    int slots{};
+    int connections{};
+};
+
+/*! @brief The backend server, or an operator's signal, asks to take no new work. */
+struct ServerDraining
+{
+};
+
+/*! @brief The backend server has gone. */
+struct ServerLeft
+{
+};
+
+/*! @brief A configuration is to be put in force. */
+struct ManifestChanged
+{
+    std::uint64_t version{};
+    std::shared_ptr<const manifest::Manifest> manifest;
+};
+
+/*! @brief Time passed. */
+struct Tick
+{
+};
+
+using Event = std::variant<CallArrived, CallerGone, PeerMessage, SendFailed, RunEnded, ServerAnnounced, ServerDraining, ServerLeft, ManifestChanged, Tick>;
+
+} // namespace egretlatch::decision
+
+#endif
--- /dev/null
+++ b/src/egretlatch/decision/fwd.hpp
@@ -0,0 +1,23 @@
+#ifndef EGRETLATCH_DECISION_FWD_HPP
+#define EGRETLATCH_DECISION_FWD_HPP
+
+namespace egretlatch::decision
+{
+
+struct CallerCall;
+struct CallerAnswer;
+struct RunRequest;
+struct RunAnswer;
+struct RefusalRecord;
+struct Surroundings;
+
+enum class RunFailure;
+
+class EntryHandler;
+class ServingHandler;
+class Core;
+class CoreBuilder;
+
+} // namespace egretlatch::decision
+
+#endif
--- /dev/null
+++ b/src/egretlatch/decision/serving_handler.cpp
@@ -0,0 +1,352 @@
+#include <egretlatch/decision/serving_handler.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+#include <fmt/format.h>
+
+namespace egretlatch::decision
+{
+
+namespace internal
+{
+
+constexpr int firstServerError = 500;
+
+[[nodiscard]] static admission::RunOutcome outcomeOf(const std::variant<RunAnswer, RunFailure> &result)
+{
+    if (const auto *const answer = std::get_if<RunAnswer>(&result)) {
+        return answer->status >= firstServerError ? admission::RunOutcome::failed : admission::RunOutcome::succeeded;
+    }
+    return std::get<RunFailure>(result) == RunFailure::rejected ? admission::RunOutcome::rejected : admission::RunOutcome::lost;
+}
+
+[[nodiscard]] static protocol::CallAnswer answerOf(const std::variant<RunAnswer, RunFailure> &result, Surroundings &surroundings)
+{
+    protocol::CallAnswer answer;
+    if (const auto *const given = std::get_if<RunAnswer>(&result)) {
+        answer.verdict = Verdict::completed;
+        answer.status = given->status;
+        answer.headers = given->headers;
+        answer.body = given->body;
+        return answer;
+    }
+    switch (std::get<RunFailure>(result)) {
+    case RunFailure::neverConnected:
+        answer.verdict = Verdict::notRun;
+        answer.refusal = surroundings.refuse(account::RefusalReason::serverLost, "the backend server took no connection");
+        break;
+    case RunFailure::rejected:
+        answer.verdict = Verdict::notRun;
+        answer.refusal = surroundings.refuse(account::RefusalReason::overloadAtServer, "the backend server said that it did not start the request");
+        break;
+    case RunFailure::lost:
+        answer.verdict = Verdict::mayHaveRun;
+        answer.refusal = surroundings.refuse(account::RefusalReason::serverLost, "the connection to the backend server was lost before it answered");
+        break;
+    }
+    answer.status = account::httpStatus(answer.refusal->reason);
+    return answer;
+}
+
+} // namespace internal
+
+ServingHandler::ServingHandler(Surroundings &surroundings, std::unique_ptr<admission::Gate> gate)
+    : m_surroundings{surroundings}
+    , m_gate{std::move(gate)}
+{
+}
+
+void ServingHandler::handleRequest(const DaemonId &from, const Incarnation incarnation, const protocol::CallRequest &request, const SteadyTime now)
+{
+    const Origin origin{from, incarnation, request.call};
+    // A transport that delivers a message twice would start a request twice. The second copy names the same call of the
+    // same incarnation, so it is told from a retry, which has a call id of its own.
+    if (m_byOrigin.contains(origin)) {
+        m_surroundings.metrics.count("messages_dropped", "duplicate-request");
+        return;
+    }
+    if (!m_hasServer) {
+        refuseAtOnce(origin, request, {.execution = {}, .reason = account::RefusalReason::noServer, .rule = "no backend server is here", .figures = {}}, now);
+        return;
+    }
+    if (m_isDraining) {
+        refuseAtOnce(
+            origin, request, {.execution = {}, .reason = account::RefusalReason::draining, .rule = "the backend server is leaving", .figures = {}}, now);
+        return;
+    }
+    const ExecutionId execution{++m_lastExecution};
+    Attempt attempt;
+    attempt.origin = origin;
+    attempt.request = request;
+    attempt.trace = account::childOf(request.trace, m_surroundings.random);
+    attempt.arrived = now;
+    attempt.deadline = now + request.remaining;
+    attempt.attemptsLeft = request.attemptsLent;
+    const admission::Ticket ticket{
+        .execution = execution,
+        .root = request.root,
+        .rank = request.rank,
+        .isInner = request.depth > 0,
+        .arrived = now,
+        .deadline = attempt.deadline,
+    };
+    m_byOrigin.emplace(origin, execution);
+    m_attempts.emplace(execution, std::move(attempt));
+    apply(m_gate->offer(ticket, now), now);
+}
+
+void ServingHandler::handleCancel(const DaemonId &from, const Incarnation incarnation, const CallId call, const SteadyTime now)
+{
+    const auto found = m_byOrigin.find({from, incarnation, call});
+    if (found == m_byOrigin.end()) {
+        m_surroundings.metrics.count("messages_dropped", "late-cancel");
+        return;
+    }
+    abandon(found->second, now);
+}
+
+void ServingHandler::handleRunEnded(const RunEnded &ended, const SteadyTime now)
+{
+    const auto found = m_attempts.find(ended.execution);
+    if (found == m_attempts.end() || !found->second.started.has_value()) {
+        m_surroundings.metrics.count("messages_dropped", "late-run-end");
+        return;
+    }
+    const Attempt &attempt = found->second;
+    const admission::Observation observation{
+        .outcome = internal::outcomeOf(ended.result),
+        .latency = now - *attempt.started,
+        .waitedForInner = attempt.innerWait,
+    };
+    const admission::GateRelease release = m_gate->finish(ended.execution, observation, now);
+    answer(ended.execution, internal::answerOf(ended.result, m_surroundings), now);
+    apply(release, now);
+}
+
+void ServingHandler::tick(const SteadyTime now)
+{
+    apply(m_gate->tick(now), now);
+    abandonExpired(now);
+}
+
+void ServingHandler::setServer(const int slots)
+{
+    m_hasServer = slots > 0;
+    m_isDraining = false;
+    if (m_hasServer) {
+        m_gate->setSlots(slots);
+    }
+}
+
+void ServingHandler::drain()
+{
+    m_isDraining = true;
+}
+
+std::optional<InnerContext> ServingHandler::findRun(const std::string &token) const
+{
+    const std::size_t dash = token.find('-');
+    if (dash == std::string::npos) {
+        return std::nullopt;
+    }
+    std::uint64_t number = 0;
+    const char *const begin = token.data() + dash + 1;
+    const char *const end = token.data() + token.size();
+    const auto parsed = std::from_chars(begin, end, number, 16);
+    const ExecutionId execution{number};
+    if (parsed.ec != std::errc{} || parsed.ptr != end || token != tokenOf(execution)) {
+        return std::nullopt;
+    }
+    const auto found = m_attempts.find(execution);
+    if (found == m_attempts.end() || !found->second.started.has_value()) {
+        return std::nullopt;
+    }
+    const Attempt &attempt = found->second;
+    admission::Rank rank = attempt.request.rank;
+    rank.invested += m_surroundings.clock.steadyNow() - *attempt.started;
+    return InnerContext{
+        .execution = execution,
+        .root = attempt.request.root,
+        .rank = rank,
+        .deadline = attempt.deadline,
+        .trace = attempt.trace,
+        .depth = attempt.request.depth,
+    };
+}
+
+int ServingHandler::lendAttempts(const ExecutionId execution)
+{
+    const auto found = m_attempts.find(execution);
+    if (found == m_attempts.end()) {
+        return 0;
+    }
+    Attempt &attempt = found->second;
+    const int lent = (attempt.attemptsLeft + 1) / 2;
+    attempt.attemptsLeft -= lent;
+    if (attempt.innerOpen == 0) {
+        attempt.innerSince = m_surroundings.clock.steadyNow();
+    }
+    ++attempt.innerOpen;
+    return lent;
+}
+
+void ServingHandler::noteInnerEnded(const ExecutionId execution, const int attempts, const Duration slotTime, const SteadyTime now)
+{
+    const auto found = m_attempts.find(execution);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    Attempt &attempt = found->second;
+    attempt.attemptsLeft += attempts;
+    attempt.innerSlotTime += slotTime;
+    --attempt.innerOpen;
+    if (attempt.innerOpen == 0) {
+        attempt.innerWait += now - attempt.innerSince;
+    }
+}
+
+admission::LoadReport ServingHandler::load(const SteadyTime now) const
+{
+    admission::LoadReport report = m_gate->load(now);
+    report.draining = m_isDraining;
+    return report;
+}
+
+void ServingHandler::apply(const admission::GateRelease &release, const SteadyTime now)
+{
+    for (const admission::GateRefusal &refusal : release.refused) {
+        refuse(refusal.execution, refusal, now);
+    }
+    for (const ExecutionId execution : release.started) {
+        start(execution, now);
+    }
+}
+
+void ServingHandler::start(const ExecutionId execution, const SteadyTime now)
+{
+    Attempt &attempt = m_attempts.at(execution);
+    attempt.started = now;
+    const protocol::CallRequest &request = attempt.request;
+    const manifest::KindSpec *const kind = m_surroundings.manifest == nullptr ? nullptr : m_surroundings.manifest->findKind(request.service, request.kind);
+    m_surroundings.metrics.observe("queue_delay", request.service, now - attempt.arrived);
+    m_surroundings.actions.emplace_back(StartRun{
+        .execution = execution,
+        .request = {.method = request.method,
+                    .path = request.path,
+                    .headers = request.headers,
+                    .body = request.body,
+                    .kind = request.kind,
+                    .remaining = attempt.deadline - now,
+                    .runToken = tokenOf(execution),
+                    .key = request.key,
+                    .trace = attempt.trace,
+                    .mayRepeat = kind != nullptr && kind->idempotent},
+    });
+}
+
+void ServingHandler::answer(const ExecutionId execution, protocol::CallAnswer answer, const SteadyTime now)
+{
+    const auto found = m_attempts.find(execution);
+    const Attempt &attempt = found->second;
+    answer.attemptsReturned = attempt.attemptsLeft;
+    answer.slotTime = attempt.innerSlotTime;
+    if (attempt.started.has_value()) {
+        answer.slotTime += now - *attempt.started;
+    }
+    recordSpan(attempt, answer, now);
+    const Origin origin = attempt.origin;
+    m_byOrigin.erase(origin);
+    m_attempts.erase(found);
+    send(origin, std::move(answer), now);
+}
+
+void ServingHandler::refuse(const ExecutionId execution, const admission::GateRefusal &refusal, const SteadyTime now)
+{
+    protocol::CallAnswer refused;
+    refused.verdict = Verdict::notRun;
+    refused.refusal = m_surroundings.refuse(refusal.reason, refusal.rule, refusal.figures);
+    refused.status = account::httpStatus(refusal.reason);
+    answer(execution, std::move(refused), now);
+}
+
+void ServingHandler::refuseAtOnce(const Origin &origin, const protocol::CallRequest &request, const admission::GateRefusal &refusal, const SteadyTime now)
+{
+    protocol::CallAnswer refused;
+    refused.verdict = Verdict::notRun;
+    refused.refusal = m_surroundings.refuse(refusal.reason, refusal.rule, refusal.figures);
+    refused.status = account::httpStatus(refusal.reason);
+    refused.attemptsReturned = request.attemptsLent;
+    send(origin, std::move(refused), now);
+}
+
+void ServingHandler::send(const Origin &origin, protocol::CallAnswer answer, const SteadyTime now)
+{
+    const auto &[daemon, incarnation, call] = origin;
+    answer.call = call;
+    answer.receiver = incarnation;
+    answer.load = load(now);
+    // The way back is the connection that the request came by, so an unknown endpoint does not matter.
+    m_surroundings.actions.emplace_back(SendToPeer{.to = daemon, .endpoint = {}, .message = std::move(answer)});
+}
+
+void ServingHandler::recordSpan(const Attempt &attempt, const protocol::CallAnswer &answer, const SteadyTime now)
+{
+    if (!attempt.trace.sampled) {
+        return;
+    }
+    account::Span span;
+    span.context = attempt.trace;
+    span.parentSpanId = attempt.request.trace.spanId;
+    span.hop = account::Hop::serving;
+    span.service = attempt.request.service;
+    span.kind = attempt.request.kind;
+    span.started = attempt.arrived;
+    span.ended = now;
+    span.verdict = answer.verdict;
+    span.status = answer.status;
+    if (answer.refusal.has_value()) {
+        span.refusal = answer.refusal->reason;
+    }
+    m_surroundings.actions.emplace_back(RecordSpan{.span = std::move(span)});
+}
+
+void ServingHandler::abandonExpired(const SteadyTime now)
+{
+    std::vector<ExecutionId> expired;
+    for (const auto &[execution, attempt] : m_attempts) {
+        if (attempt.deadline <= now) {
+            expired.push_back(execution);
+        }
+    }
+    for (const ExecutionId execution : expired) {
+        abandon(execution, now);
+    }
+}
+
+void ServingHandler::abandon(const ExecutionId execution, const SteadyTime now)
+{
+    const Attempt &attempt = m_attempts.at(execution);
+    protocol::CallAnswer abandoned;
+    abandoned.refusal = m_surroundings.refuse(account::RefusalReason::cancelled, "the caller went away or its deadline passed");
+    abandoned.status = account::httpStatus(abandoned.refusal->reason);
+    if (!attempt.started.has_value()) {
+        abandoned.verdict = m_gate->withdraw(execution) ? Verdict::notRun : Verdict::mayHaveRun;
+        answer(execution, std::move(abandoned), now);
+        return;
+    }
+    abandoned.verdict = Verdict::mayHaveRun;
+    m_surroundings.actions.emplace_back(AbortRun{.execution = execution});
+    const admission::Observation observation{
+        .outcome = admission::RunOutcome::abandoned, .latency = now - *attempt.started, .waitedForInner = attempt.innerWait};
+    const admission::GateRelease release = m_gate->finish(execution, observation, now);
+    answer(execution, std::move(abandoned), now);
+    apply(release, now);
+}
+
+std::string ServingHandler::tokenOf(const ExecutionId execution) const
+{
+    return fmt::format("{:016x}-{:x}", m_surroundings.incarnation.value, execution.value);
+}
+
+} // namespace egretlatch::decision
--- /dev/null
+++ b/src/egretlatch/decision/serving_handler.hpp
@@ -0,0 +1,149 @@
+#ifndef EGRETLATCH_DECISION_SERVING_HANDLER_HPP
+#define EGRETLATCH_DECISION_SERVING_HANDLER_HPP
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <tuple>
+
+#include <egretlatch/admission/gate.hpp>
+#include <egretlatch/decision/event.hpp>
+#include <egretlatch/decision/surroundings.hpp>
+#include <egretlatch/protocol/messages.hpp>
+
+namespace egretlatch::decision
+{
+
+/*! @brief What an inner call takes over from the run that makes it. */
+struct InnerContext
+{
+    ExecutionId execution;
+    Uuid root;
+    admission::Rank rank;
+    SteadyTime deadline;
+    account::TraceContext trace;
+    int depth{};
+};
+
+/*! @brief Runs attempts at the backend server beside this daemon. */
+class ServingHandler
+{
+public:
+    /**
+     * @brief Builds the handler.
+     * @param surroundings What it shares with the rest of the core; must outlive it.
+     * @param gate Decides what runs, and when.
+     */
+    ServingHandler(Surroundings &surroundings, std::unique_ptr<admission::Gate> gate);
+
+    /**
+     * @brief Takes an attempt.
+     * @param from The daemon that makes it.
+     * @param incarnation Its life.
+     * @param request The attempt.
+     * @param now Current time.
+     */
+    void handleRequest(const DaemonId &from, Incarnation incarnation, const protocol::CallRequest &request, SteadyTime now);
+
+    /**
+     * @brief Gives up an attempt that nobody waits for.
+     * @param from The daemon that made it.
+     * @param incarnation Its life.
+     * @param call The attempt.
+     * @param now Current time.
+     */
+    void handleCancel(const DaemonId &from, Incarnation incarnation, CallId call, SteadyTime now);
+
+    /**
+     * @brief Takes the end of a run.
+     * @param ended The run and its result; unknown runs are counted and dropped.
+     * @param now Current time.
+     */
+    void handleRunEnded(const RunEnded &ended, SteadyTime now);
+
+    /**
+     * @brief Lets time pass.
+     * @param now Current time.
+     */
+    void tick(SteadyTime now);
+
+    /**
+     * @brief Takes the backend server's announcement, or the end of it.
+     * @param slots Slots of the backend server; zero if there is none.
+     */
+    void setServer(int slots);
+
+    /*! @brief Refuses all new attempts from now on; what runs or waits goes on. */
+    void drain();
+
+    /**
+     * @brief Finds the run that an inner call names.
+     * @param token Value of `Egretlatch-Call`.
+     * @return What the call inherits, or nothing if no such run is running here.
+     */
+    [[nodiscard]] std::optional<InnerContext> findRun(const std::string &token) const;
+
+    /**
+     * @brief Takes attempts for an inner call out of what its run was lent.
+     * @param execution The run.
+     * @return How many attempts the call may spend beyond its first.
+     */
+    [[nodiscard]] int lendAttempts(ExecutionId execution);
+
+    /**
+     * @brief Ends an inner call.
+     * @param execution The run that made it; may have ended.
+     * @param attempts Attempts that were not spent.
+     * @param slotTime Slot time that the call took.
+     */
+    void noteInnerEnded(ExecutionId execution, int attempts, Duration slotTime, SteadyTime now);
+
+    [[nodiscard]] bool isIdle() const noexcept
+    {
+        return m_attempts.empty();
+    }
+
+    [[nodiscard]] admission::LoadReport load(SteadyTime now) const;
+
+private:
+    using Origin = std::tuple<DaemonId, Incarnation, CallId>;
+
+    struct Attempt
+    {
+        Origin origin;
+        protocol::CallRequest request;
+        account::TraceContext trace;
+        SteadyTime arrived;
+        SteadyTime deadline;
+        std::optional<SteadyTime> started;
+        int attemptsLeft{};
+        int innerOpen{};
+        SteadyTime innerSince;
+        Duration innerWait{};
+        Duration innerSlotTime{};
+    };
+
+    void apply(const admission::GateRelease &release, SteadyTime now);
+    void start(ExecutionId execution, SteadyTime now);
+    void answer(ExecutionId execution, protocol::CallAnswer answer, SteadyTime now);
+    void refuse(ExecutionId execution, const admission::GateRefusal &refusal, SteadyTime now);
+    void refuseAtOnce(const Origin &origin, const protocol::CallRequest &request, const admission::GateRefusal &refusal, SteadyTime now);
+    void send(const Origin &origin, protocol::CallAnswer answer, SteadyTime now);
+    void recordSpan(const Attempt &attempt, const protocol::CallAnswer &answer, SteadyTime now);
+    void abandonExpired(SteadyTime now);
+    void abandon(ExecutionId execution, SteadyTime now);
+    [[nodiscard]] std::string tokenOf(ExecutionId execution) const;
+
+    Surroundings &m_surroundings;
+    std::unique_ptr<admission::Gate> m_gate;
+    std::map<ExecutionId, Attempt> m_attempts;
+    std::map<Origin, ExecutionId> m_byOrigin;
+    std::uint64_t m_lastExecution{};
+    bool m_hasServer{};
+    bool m_isDraining{};
+};
+
+} // namespace egretlatch::decision
+
+#endif
--- /dev/null
+++ b/src/egretlatch/decision/surroundings.hpp
@@ -0,0 +1,51 @@
+#ifndef EGRETLATCH_DECISION_SURROUNDINGS_HPP
+#define EGRETLATCH_DECISION_SURROUNDINGS_HPP
+
+#include <memory>
+
+#include <egretlatch/account/metrics_sink.hpp>
+#include <egretlatch/admission/entry_control.hpp>
+#include <egretlatch/core/clock.hpp>
+#include <egretlatch/core/ids.hpp>
+#include <egretlatch/core/random_source.hpp>
+#include <egretlatch/core/uuid.hpp>
+#include <egretlatch/decision/action.hpp>
+#include <egretlatch/manifest/manifest.hpp>
+#include <egretlatch/membership/roster.hpp>
+#include <egretlatch/routing/router.hpp>
+
+namespace egretlatch::decision
+{
+
+/*! @brief What both halves of the decision core share; owned by the core. */
+struct Surroundings
+{
+    const Clock &clock;
+    RandomSource &random;
+    account::MetricsSink &metrics;
+    UuidMint mint;
+    DaemonId self;
+    Incarnation incarnation;
+    membership::Roster roster;
+    std::unique_ptr<routing::Router> router;
+    std::unique_ptr<admission::EntryControl> entryControl;
+    std::shared_ptr<const manifest::Manifest> manifest;
+    std::uint64_t manifestVersion{};
+    /*! @brief What the event at hand has led to so far. */
+    Actions actions;
+
+    /**
+     * @brief Mints a refusal in the name of this daemon.
+     * @param reason Why.
+     * @param rule The rule that refused.
+     * @param figures The observed numbers that it rests on.
+     * @param retryAfter When to come back.
+     * @return The refusal, with an id of its own.
+     */
+    [[nodiscard]] account::Refusal
+    refuse(account::RefusalReason reason, const std::string &rule, std::vector<account::Figure> figures = {}, std::chrono::milliseconds retryAfter = {});
+};
+
+} // namespace egretlatch::decision
+
+#endif
--- /dev/null
+++ b/src/egretlatch/manifest/manifest.hpp
@@ -0,0 +1,112 @@
+#ifndef EGRETLATCH_MANIFEST_MANIFEST_HPP
+#define EGRETLATCH_MANIFEST_MANIFEST_HPP
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <QByteArray>
+
+#include <tl/expected.hpp>
+
+#include <egretlatch/manifest/service_spec.hpp>
+#include <egretlatch/settings/problem.hpp>
+
+namespace egretlatch::manifest
+{
+
+/*! @brief A checked set of services and request kinds; never changes once built. */
+class Manifest
+{
+public:
+    /**
+     * @brief Gives the declared services.
+     * @return The services, in the order of the document.
+     */
+    [[nodiscard]] const std::vector<ServiceSpec> &services() const noexcept
+    {
+        return m_services;
+    }
+
+    /**
+     * @brief Finds a service by name.
+     * @param service Name of the service.
+     * @return The service, or null; valid as long as the manifest.
+     */
+    [[nodiscard]] const ServiceSpec *findService(std::string_view service) const noexcept;
+
+    /**
+     * @brief Finds a request kind by name.
+     * @param service Name of its service.
+     * @param kind Name of the kind.
+     * @return The kind, or null; valid as long as the manifest.
+     */
+    [[nodiscard]] const KindSpec *findKind(std::string_view service, std::string_view kind) const noexcept;
+
+    /**
+     * @brief Gives the hash of the document that the manifest was read from.
+     * @return 16 hexadecimal digits of xxHash; the same text gives the same hash.
+     */
+    [[nodiscard]] const std::string &hash() const noexcept
+    {
+        return m_hash;
+    }
+
+    friend bool operator==(const Manifest &, const Manifest &) = default;
+
+private:
+    friend class ManifestBuilder;
+    Manifest() = default;
+
+    std::vector<ServiceSpec> m_services;
+    std::string m_hash;
+};
+
+/*! @brief Puts a manifest together in code, as tests and tools do. */
+class ManifestBuilder
+{
+public:
+    /**
+     * @brief Adds a service.
+     * @param service The service with its kinds.
+     * @return This builder.
+     */
+    ManifestBuilder &addService(ServiceSpec service);
+
+    /**
+     * @brief Sets the hash of the document.
+     * @param hash 16 hexadecimal digits.
+     * @return This builder.
+     */
+    ManifestBuilder &setHash(std::string hash);
+
+    /**
+     * @brief Builds the manifest.
+     * @return The manifest; it is not checked.
+     */
+    [[nodiscard]] std::shared_ptr<const Manifest> build() const;
+
+private:
+    std::vector<ServiceSpec> m_services;
+    std::string m_hash;
+};
+
+/*! @brief A manifest together with the warnings that its document gave. */
+struct ParsedManifest
+{
+    std::shared_ptr<const Manifest> manifest;
+    settings::Problems warnings;
+};
+
+/**
+ * @brief Reads and checks a manifest.
+ * @param json Text of the document.
+ * @return The manifest with its warnings, or every problem found in the text.
+ */
+[[nodiscard]] tl::expected<ParsedManifest, settings::Problems> parseManifest(const QByteArray &json);
+
+} // namespace egretlatch::manifest
+
+#endif
--- /dev/null
+++ b/src/egretlatch/membership/member.hpp
@@ -0,0 +1,56 @@
+#ifndef EGRETLATCH_MEMBERSHIP_MEMBER_HPP
+#define EGRETLATCH_MEMBERSHIP_MEMBER_HPP
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <egretlatch/core/ids.hpp>
+
+namespace egretlatch::membership
+{
+
+/*! @brief What a daemon is known to be doing. */
+enum class MemberState {
+    /*! @brief It runs, but its backend server has not announced itself. */
+    idle,
+    /*! @brief Its backend server takes work. */
+    serving,
+    /*! @brief Its backend server finishes what runs and takes nothing new. */
+    draining,
+    /*! @brief It has not been heard of; it may be down or cut off. */
+    suspect,
+    /*! @brief It left, or has been a suspect for too long. */
+    gone,
+};
+
+/**
+ * @brief Gives the name used in reports.
+ * @param state The state to name.
+ * @return The name of the enumerator.
+ */
+[[nodiscard]] std::string_view toString(MemberState state) noexcept;
+
+/*! @brief A daemon and the backend server beside it, as last heard. */
+struct Member
+{
+    DaemonId id;
+    Incarnation incarnation;
+    /*! @brief Grows with each change that the daemon makes to its own entry. */
+    std::uint64_t revision{};
+    MemberState state{MemberState::idle};
+    /*! @brief Address of its peer socket, as `tcp://ADDRESS:PORT`. */
+    std::string endpoint;
+    std::string region;
+    std::string dataCentre;
+    /*! @brief Service of its backend server; empty while idle. */
+    std::string service;
+    int slots{};
+    int connections{};
+
+    friend bool operator==(const Member &, const Member &) = default;
+};
+
+} // namespace egretlatch::membership
+
+#endif
--- /dev/null
+++ b/src/egretlatch/protocol/codec.cpp
@@ -0,0 +1,338 @@
+#include <egretlatch/protocol/codec.hpp>
+
+#include <cmath>
+
+#include <fmt/format.h>
+
+#include <wire.pb.h>
+
+namespace egretlatch::protocol
+{
+
+namespace internal
+{
+
+[[nodiscard]] static Duration toDuration(const std::int64_t nanoseconds)
+{
+    return Duration{nanoseconds};
+}
+
+[[nodiscard]] static std::string toBytes(const QByteArray &body)
+{
+    return {body.constData(), static_cast<std::size_t>(body.size())};
+}
+
+[[nodiscard]] static QByteArray toBody(const std::string &bytes)
+{
+    return {bytes.data(), static_cast<qsizetype>(bytes.size())};
+}
+
+template<typename Wire>
+static void writeHeaders(const Headers &headers, Wire &wire)
+{
+    for (const Header &header : headers) {
+        auto *const added = wire.add_headers();
+        added->set_name(header.name);
+        added->set_value(header.value);
+    }
+}
+
+template<typename Wire>
+[[nodiscard]] static Headers readHeaders(const Wire &wire)
+{
+    Headers headers;
+    headers.reserve(static_cast<std::size_t>(wire.headers_size()));
+    for (const auto &header : wire.headers()) {
+        headers.push_back({.name = header.name(), .value = header.value()});
+    }
+    return headers;
+}
+
+static void write(const CallRequest &request, wire::CallRequest &wire)
+{
+    wire.set_call(request.call.value);
+    wire.set_root(request.root.toBytes());
+    wire.set_service(request.service);
+    wire.set_kind(request.kind);
+    wire.set_method(request.method);
+    wire.set_path(request.path);
+    writeHeaders(request.headers, wire);
+    wire.set_body(toBytes(request.body));
+    wire.set_key(request.key);
+    wire.set_remaining_ns(request.remaining.count());
+    wire.mutable_trace()->set_trace_id(request.trace.traceId);
+    wire.mutable_trace()->set_span_id(request.trace.spanId);
+    wire.mutable_trace()->set_sampled(request.trace.sampled);
+    wire.mutable_rank()->set_priority(request.rank.priority);
+    wire.mutable_rank()->set_worth_density(request.rank.worthDensity);
+    wire.mutable_rank()->set_invested_ns(request.rank.invested.count());
+    wire.set_attempts_lent(request.attemptsLent);
+    wire.set_depth(request.depth);
+}
+
+[[nodiscard]] static Result<Message> read(const wire::CallRequest &wire)
+{
+    const auto root = Uuid::fromBytes(wire.root());
+    if (!root.has_value()) {
+        return tl::unexpected{Error{ErrorCode::malformed, "a call without a root"}};
+    }
+    if (wire.attempts_lent() < 0 || wire.depth() < 0 || !std::isfinite(wire.rank().worth_density())) {
+        return tl::unexpected{Error{ErrorCode::malformed, "a call with a number out of range"}};
+    }
+    CallRequest request;
+    request.call = {wire.call()};
+    request.root = *root;
+    request.service = wire.service();
+    request.kind = wire.kind();
+    request.method = wire.method();
+    request.path = wire.path();
+    request.headers = readHeaders(wire);
+    request.body = toBody(wire.body());
+    request.key = wire.key();
+    request.remaining = toDuration(wire.remaining_ns());
+    request.trace = {.traceId = wire.trace().trace_id(), .spanId = wire.trace().span_id(), .sampled = wire.trace().sampled()};
+    request.rank = {.priority = wire.rank().priority(), .worthDensity = wire.rank().worth_density(), .invested = toDuration(wire.rank().invested_ns())};
+    request.attemptsLent = wire.attempts_lent();
+    request.depth = wire.depth();
+    return request;
+}
+
+static void write(const account::Refusal &refusal, wire::Refusal &wire)
+{
+    wire.set_id(refusal.id.toBytes());
+    wire.set_reason(std::string{account::toString(refusal.reason)});
+    wire.set_rule(refusal.rule);
+    for (const account::Figure &figure : refusal.figures) {
+        auto *const added = wire.add_figures();
+        added->set_name(figure.name);
+        added->set_value(figure.value);
+    }
+    wire.set_retry_after_ms(refusal.retryAfter.count());
+    wire.set_configuration_version(refusal.configurationVersion);
+}
+
+[[nodiscard]] static Result<account::Refusal> read(const wire::Refusal &wire)
+{
+    const auto id = Uuid::fromBytes(wire.id());
+    const auto reason = account::refusalReasonFromString(wire.reason());
+    if (!id.has_value() || !reason.has_value()) {
+        return tl::unexpected{Error{ErrorCode::malformed, "a refusal without an id or a known reason"}};
+    }
+    account::Refusal refusal;
+    refusal.id = *id;
+    refusal.reason = *reason;
+    refusal.rule = wire.rule();
+    for (const auto &figure : wire.figures()) {
+        refusal.figures.push_back({.name = figure.name(), .value = figure.value()});
+    }
+    refusal.retryAfter = std::chrono::milliseconds{wire.retry_after_ms()};
+    refusal.configurationVersion = wire.configuration_version();
+    return refusal;
+}
+
+static void write(const admission::LoadReport &load, wire::Load &wire)
+{
+    wire.set_in_flight(load.inFlight);
+    wire.set_limit(load.limit);
+    wire.set_queued(load.queued);
+    wire.mutable_level()->set_priority(load.level.priority);
+    wire.mutable_level()->set_fraction(load.level.fraction);
+    wire.set_queue_delay_ns(load.queueDelay.count());
+    wire.set_draining(load.draining);
+}
+
+[[nodiscard]] static admission::LoadReport read(const wire::Load &wire)
+{
+    return {
+        .inFlight = wire.in_flight(),
+        .limit = wire.limit(),
+        .queued = wire.queued(),
+        .level = {.priority = wire.level().priority(), .fraction = wire.level().fraction()},
+        .queueDelay = toDuration(wire.queue_delay_ns()),
+        .draining = wire.draining(),
+    };
+}
+
+[[nodiscard]] static wire::Verdict toWire(const Verdict verdict)
+{
+    switch (verdict) {
+    case Verdict::completed:
+        return wire::VERDICT_COMPLETED;
+    case Verdict::notRun:
+        return wire::VERDICT_NOT_RUN;
+    case Verdict::mayHaveRun:
+        break;
+    }
+    return wire::VERDICT_MAY_HAVE_RUN;
+}
+
+// A verdict that this version does not know is read as the one that promises nothing.
+[[nodiscard]] static Verdict fromWire(const wire::Verdict verdict)
+{
+    if (verdict == wire::VERDICT_COMPLETED) {
+        return Verdict::completed;
+    }
+    return verdict == wire::VERDICT_NOT_RUN ? Verdict::notRun : Verdict::mayHaveRun;
+}
+
+static void write(const CallAnswer &answer, wire::CallAnswer &wire)
+{
+    wire.set_call(answer.call.value);
+    wire.set_receiver_incarnation(answer.receiver.value);
+    wire.set_verdict(toWire(answer.verdict));
+    wire.set_status(answer.status);
+    writeHeaders(answer.headers, wire);
+    wire.set_body(toBytes(answer.body));
+    if (answer.refusal.has_value()) {
+        write(*answer.refusal, *wire.mutable_refusal());
+    }
+    write(answer.load, *wire.mutable_load());
+    wire.set_attempts_returned(answer.attemptsReturned);
+    wire.set_slot_time_ns(answer.slotTime.count());
+}
+
+[[nodiscard]] static Result<Message> read(const wire::CallAnswer &wire)
+{
+    CallAnswer answer;
+    answer.call = {wire.call()};
+    answer.receiver = {wire.receiver_incarnation()};
+    answer.verdict = fromWire(wire.verdict());
+    answer.status = wire.status();
+    answer.headers = readHeaders(wire);
+    answer.body = toBody(wire.body());
+    if (wire.has_refusal()) {
+        Result<account::Refusal> refusal = read(wire.refusal());
+        if (!refusal.has_value()) {
+            return tl::unexpected{refusal.error()};
+        }
+        answer.refusal = std::move(*refusal);
+    }
+    answer.load = read(wire.load());
+    answer.attemptsReturned = wire.attempts_returned();
+    answer.slotTime = toDuration(wire.slot_time_ns());
+    return answer;
+}
+
+static void write(const membership::Member &member, wire::Member &wire)
+{
+    wire.set_id(member.id.value);
+    wire.set_incarnation(member.incarnation.value);
+    wire.set_revision(member.revision);
+    wire.set_state(static_cast<wire::MemberState>(member.state));
+    wire.set_endpoint(member.endpoint);
+    wire.set_region(member.region);
+    wire.set_data_centre(member.dataCentre);
+    wire.set_service(member.service);
+    wire.set_slots(member.slots);
+    wire.set_connections(member.connections);
+}
+
+[[nodiscard]] static Result<membership::Member> read(const wire::Member &wire)
+{
+    if (wire.id().empty() || !wire::MemberState_IsValid(wire.state())) {
+        return tl::unexpected{Error{ErrorCode::malformed, "a member without an id or with an unknown state"}};
+    }
+    return membership::Member{
+        .id = {wire.id()},
+        .incarnation = {wire.incarnation()},
+        .revision = wire.revision(),
+        .state = static_cast<membership::MemberState>(wire.state()),
+        .endpoint = wire.endpoint(),
+        .region = wire.region(),
+        .dataCentre = wire.data_centre(),
+        .service = wire.service(),
+        .slots = wire.slots(),
+        .connections = wire.connections(),
+    };
+}
+
+[[nodiscard]] static Result<Message> read(const wire::Gossip &wire)
+{
+    Gossip gossip;
+    for (const auto &member : wire.members()) {
+        Result<membership::Member> read = internal::read(member);
+        if (!read.has_value()) {
+            return tl::unexpected{read.error()};
+        }
+        gossip.members.push_back(std::move(*read));
+    }
+    return gossip;
+}
+
+struct MessageWriter
+{
+    wire::Envelope &wire;
+
+    void operator()(const CallRequest &request) const
+    {
+        write(request, *wire.mutable_request());
+    }
+
+    void operator()(const CallAnswer &answer) const
+    {
+        write(answer, *wire.mutable_answer());
+    }
+
+    void operator()(const CallCancel &cancel) const
+    {
+        wire.mutable_cancel()->set_call(cancel.call.value);
+    }
+
+    void operator()(const Gossip &gossip) const
+    {
+        auto *const added = wire.mutable_gossip();
+        for (const membership::Member &member : gossip.members) {
+            write(member, *added->add_members());
+        }
+    }
+};
+
+[[nodiscard]] static Result<Message> readBody(const wire::Envelope &wire)
+{
+    switch (wire.body_case()) {
+    case wire::Envelope::kRequest:
+        return read(wire.request());
+    case wire::Envelope::kAnswer:
+        return read(wire.answer());
+    case wire::Envelope::kCancel:
+        return CallCancel{.call = {wire.cancel().call()}};
+    case wire::Envelope::kGossip:
+        return read(wire.gossip());
+    case wire::Envelope::BODY_NOT_SET:
+        break;
+    }
+    return tl::unexpected{Error{ErrorCode::malformed, "an envelope without a message"}};
+}
+
+} // namespace internal
+
+std::string encode(const Envelope &envelope)
+{
+    wire::Envelope wire;
+    wire.set_protocol_version(protocolVersion);
+    wire.set_sender(envelope.sender.value);
+    wire.set_sender_incarnation(envelope.incarnation.value);
+    std::visit(internal::MessageWriter{wire}, envelope.message);
+    return wire.SerializeAsString();
+}
+
+Result<Envelope> decode(const std::string_view bytes)
+{
+    wire::Envelope wire;
+    if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return tl::unexpected{Error{ErrorCode::malformed, "bytes that are not an envelope"}};
+    }
+    if (wire.protocol_version() != protocolVersion) {
+        return tl::unexpected{Error{ErrorCode::wrongVersion, fmt::format("protocol version {}, not {}", wire.protocol_version(), protocolVersion)}};
+    }
+    if (wire.sender().empty()) {
+        return tl::unexpected{Error{ErrorCode::malformed, "an envelope without a sender"}};
+    }
+    Result<Message> message = internal::readBody(wire);
+    if (!message.has_value()) {
+        return tl::unexpected{message.error()};
+    }
+    return Envelope{.sender = {wire.sender()}, .incarnation = {wire.sender_incarnation()}, .message = std::move(*message)};
+}
+
+} // namespace egretlatch::protocol
--- /dev/null
+++ b/src/egretlatch/protocol/fwd.hpp
@@ -0,0 +1,15 @@
+#ifndef EGRETLATCH_PROTOCOL_FWD_HPP
+#define EGRETLATCH_PROTOCOL_FWD_HPP
+
+namespace egretlatch::protocol
+{
+
+struct CallRequest;
+struct CallAnswer;
+struct CallCancel;
+struct Gossip;
+struct Envelope;
+
+} // namespace egretlatch::protocol
+
+#endif
--- /dev/null
+++ b/src/egretlatch/routing/fwd.hpp
@@ -0,0 +1,17 @@
+#ifndef EGRETLATCH_ROUTING_FWD_HPP
+#define EGRETLATCH_ROUTING_FWD_HPP
+
+namespace egretlatch::routing
+{
+
+enum class AttemptOutcome;
+
+struct RouteRequest;
+struct AttemptResult;
+
+class Router;
+class LeastLoadedRouter;
+
+} // namespace egretlatch::routing
+
+#endif
--- /dev/null
+++ b/src/egretlatch/settings/daemon_settings.cpp
@@ -0,0 +1,115 @@
+#include <egretlatch/settings/daemon_settings.hpp>
+
+#include <QHostAddress>
+#include <QUrl>
+
+#include <egretlatch/settings/json_object_reader.hpp>
+
+namespace egretlatch::settings
+{
+
+namespace internal
+{
+
+constexpr Range<std::int64_t> portRange{.least = 1, .most = 65535};
+constexpr Range<std::int64_t> bodyRange{.least = 1, .most = 64 * 1024 * 1024};
+constexpr std::int64_t defaultMaxBody = 8 * 1024 * 1024;
+constexpr Range<std::int64_t> seedRange{.least = 0, .most = 9007199254740991};
+
+[[nodiscard]] static PeerSettings readPeer(const QJsonValue &value, const std::string &pointer, Problems &problems)
+{
+    JsonObjectReader reader{value, pointer, problems};
+    PeerSettings peer;
+    peer.id = {reader.text("id")};
+    peer.endpoint = reader.text("endpoint");
+    if (!peer.endpoint.empty() && !peer.endpoint.starts_with("tcp://")) {
+        reader.report("endpoint", "\"" + peer.endpoint + "\"", "tcp://ADDRESS:PORT");
+    }
+    reader.finish();
+    return peer;
+}
+
+[[nodiscard]] static std::string readAddress(JsonObjectReader &reader)
+{
+    std::string address = reader.text("listenAddress", "127.0.0.1");
+    if (QHostAddress{QString::fromStdString(address)}.isNull()) {
+        reader.report("listenAddress", "\"" + address + "\"", "an IP number");
+    }
+    return address;
+}
+
+[[nodiscard]] static std::string readUrl(JsonObjectReader &reader, const std::string &key, const std::optional<std::string> &fallback)
+{
+    std::string text = reader.text(key, fallback);
+    const QUrl url{QString::fromStdString(text), QUrl::StrictMode};
+    const bool isUsable = url.isValid() && url.scheme() == QLatin1String{"http"} && !url.host().isEmpty();
+    if (!text.empty() && !isUsable) {
+        reader.report(key, "\"" + text + "\"", "http://ADDRESS:PORT");
+    }
+    return text;
+}
+
+[[nodiscard]] static Policy readPolicy(JsonObjectReader &reader)
+{
+    const std::string word = reader.word("policy", {"adaptive", "none", "static-limit", "priority-only"}, "adaptive");
+    if (word == "none") {
+        return Policy::none;
+    }
+    if (word == "static-limit") {
+        return Policy::staticLimit;
+    }
+    return word == "priority-only" ? Policy::priorityOnly : Policy::adaptive;
+}
+
+[[nodiscard]] static LogLevel readLogLevel(JsonObjectReader &reader)
+{
+    const std::string word = reader.word("logLevel", {"debug", "info", "warning", "error"}, "info");
+    return logLevelFromString(word).value_or(LogLevel::info);
+}
+
+[[nodiscard]] static std::optional<std::uint64_t> readSeed(JsonObjectReader &reader)
+{
+    constexpr std::int64_t noSeed = -1;
+    const std::int64_t seed = reader.integer("seed", seedRange, noSeed);
+    return seed == noSeed ? std::nullopt : std::optional{static_cast<std::uint64_t>(seed)};
+}
+
+} // namespace internal
+
+tl::expected<DaemonSettings, Problems> parseDaemonSettings(const QByteArray &json)
+{
+    Problems problems;
+    const QJsonValue document = parseJson(json, problems);
+    if (hasError(problems)) {
+        return tl::unexpected{problems};
+    }
+    JsonObjectReader reader{document, "", problems};
+    DaemonSettings settings;
+    settings.id = {reader.text("id")};
+    settings.region = reader.text("region", "");
+    settings.dataCentre = reader.text("dataCentre");
+    settings.listenAddress = internal::readAddress(reader);
+    settings.callerPort = static_cast<std::uint16_t>(reader.integer("callerPort", internal::portRange));
+    settings.peerPort = static_cast<std::uint16_t>(reader.integer("peerPort", internal::portRange));
+    settings.backendUrl = internal::readUrl(reader, "backendUrl", std::nullopt);
+    reader.list("peers", false, [&](const QJsonValue &element, const std::string &pointer) {
+        settings.peers.push_back(internal::readPeer(element, pointer, problems));
+    });
+    settings.manifestFile = reader.text("manifestFile", "");
+    settings.platformUrl = internal::readUrl(reader, "platformUrl", "");
+    settings.collectorUrl = internal::readUrl(reader, "collectorUrl", "");
+    settings.maxBodyBytes = reader.integer("maxBodyBytes", internal::bodyRange, internal::defaultMaxBody);
+    settings.policy = internal::readPolicy(reader);
+    settings.logLevel = internal::readLogLevel(reader);
+    settings.seed = internal::readSeed(reader);
+    if (settings.callerPort == settings.peerPort) {
+        reader.report("peerPort", "the same port as callerPort", "a port of its own");
+    }
+    reader.finish();
+    if (hasError(problems)) {
+        return tl::unexpected{problems};
+    }
+    return settings;
+}
+
+} // namespace egretlatch::settings
--- /dev/null
+++ b/src/egretlatch/settings/fwd.hpp
@@ -0,0 +1,15 @@
+#ifndef EGRETLATCH_SETTINGS_FWD_HPP
+#define EGRETLATCH_SETTINGS_FWD_HPP
+
+namespace egretlatch::settings
+{
+
+struct Problem;
+struct DaemonSettings;
+struct PeerSettings;
+
+class JsonObjectReader;
+
+} // namespace egretlatch::settings
+
+#endif
--- /dev/null
+++ b/standin/main.cpp
@@ -0,0 +1,26 @@
+#include <CLI/CLI.hpp>
+
+#include <backend_server.hpp>
+
+int main(int argc, char **argv)
+{
+    CLI::App app{"Small stand-ins for the systems around the daemons; for tests only."};
+    app.require_subcommand(1);
+
+    standin::BackendOptions backendOptions;
+    CLI::App *const backend = app.add_subcommand("backend", "A backend server that holds slots, makes its declared inner calls and can be told to misbehave.");
+    backend->add_option("--port", backendOptions.port, "Port to listen on")->required();
+    backend->add_option("--daemon", backendOptions.daemonUrl, "Base URL of the daemon beside it")->required();
+    backend->add_option("--service", backendOptions.service, "Service that it serves")->required();
+    backend->add_option("--manifest", backendOptions.manifestPath, "Manifest with its kinds")->required();
+    backend->add_option("--slots", backendOptions.slots, "Slots; by default those of the manifest");
+    backend->add_option("--seed", backendOptions.seed, "Seed of its random choices");
+    backend->footer(
+        "Example: egretlatch-standin backend --port 9000 --daemon http://127.0.0.1:8000 --service launch-log --manifest examples/gliding-union.json");
+
+    CLI11_PARSE(app, argc, argv);
+    if (backend->parsed()) {
+        return standin::runBackend(backendOptions, argc, argv);
+    }
+    return 0;
+}
--- /dev/null
+++ b/test/egretlatch/core/uuid.cpp
@@ -0,0 +1,35 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <egretlatch/core/uuid.hpp>
+
+using namespace egretlatch;
+
+TEST_CASE("a minted UUID carries its time to the millisecond")
+{
+    SeededRandom random{7};
+    UuidMint mint{random};
+    const WallTime now{std::chrono::milliseconds{1'790'000'000'123}};
+
+    const Uuid uuid = mint.mint(now);
+
+    CHECK(uuid.mintedAt() == now);
+    CHECK(uuid.toString()[14] == '7');
+}
+
+TEST_CASE("text of any other form is no UUID")
+{
+    CHECK_FALSE(Uuid::parse(""));
+    CHECK_FALSE(Uuid::parse("0190a6f0-0000-7000-8000-00000000000"));
+    CHECK_FALSE(Uuid::parse("0190a6f0-0000-7000-8000-00000000000g"));
+    CHECK_FALSE(Uuid::parse("0190a6f000000-7000-8000-000000000000"));
+}
+
+TEST_CASE("any 16 bytes survive the way through text")
+{
+    CHECK(rc::check([](const std::array<std::uint8_t, Uuid::size> &bytes) {
+        const Uuid uuid{bytes};
+        RC_ASSERT(Uuid::parse(uuid.toString()) == uuid);
+        RC_ASSERT(Uuid::fromBytes(uuid.toBytes()) == uuid);
+    }));
+}
