--- a/src/egretlatch/decision/action.hpp
+++ b/src/egretlatch/decision/action.hpp
@@ -14,6 +14,7 @@
 #include <egretlatch/core/header.hpp>
 #include <egretlatch/core/ids.hpp>
 #include <egretlatch/core/verdict.hpp>
+#include <egretlatch/platform/requests.hpp>
 #include <egretlatch/protocol/messages.hpp>
 
 namespace egretlatch::decision
@@ -114,6 +115,13 @@
     account::Span span;
 };
 
+/*! @brief Ask the platform; a PlatformAnswered with the same id follows. */
+struct AskPlatform
+{
+    platform::RequestId id;
+    platform::Request request;
+};
+
 /*! @brief A configuration has been put in force. */
 struct ManifestInForce
 {
@@ -126,7 +134,7 @@
 {
 };
 
-using Action = std::variant<AnswerCaller, SendToPeer, StartRun, AbortRun, RecordRefusal, RecordSpan, ManifestInForce, Drained>;
+using Action = std::variant<AnswerCaller, SendToPeer, StartRun, AbortRun, RecordRefusal, RecordSpan, AskPlatform, ManifestInForce, Drained>;
 using Actions = std::vector<Action>;
 
 } // namespace egretlatch::decision
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -76,6 +76,9 @@
                    [&](const ManifestChanged &changed) {
                        handleManifest(changed);
                    },
+                   [&](const PlatformAnswered &) {
+                       m_surroundings->metrics.count("messages_dropped", "late-platform-answer");
+                   },
                    [&](const Tick &) {
                        handleTick(now);
                    },
--- a/src/egretlatch/decision/event.hpp
+++ b/src/egretlatch/decision/event.hpp
@@ -14,6 +14,7 @@
 #include <egretlatch/core/header.hpp>
 #include <egretlatch/core/ids.hpp>
 #include <egretlatch/manifest/manifest.hpp>
+#include <egretlatch/platform/requests.hpp>
 #include <egretlatch/protocol/messages.hpp>
 
 namespace egretlatch::decision
@@ -119,12 +120,20 @@
     std::shared_ptr<const manifest::Manifest> manifest;
 };
 
+/*! @brief The platform answered, or did not in time. */
+struct PlatformAnswered
+{
+    platform::RequestId id;
+    platform::Outcome outcome;
+};
+
 /*! @brief Time passed. */
 struct Tick
 {
 };
 
-using Event = std::variant<CallArrived, CallerGone, PeerMessage, SendFailed, RunEnded, ServerAnnounced, ServerDraining, ServerLeft, ManifestChanged, Tick>;
+using Event = std::
+    variant<CallArrived, CallerGone, PeerMessage, SendFailed, RunEnded, ServerAnnounced, ServerDraining, ServerLeft, ManifestChanged, PlatformAnswered, Tick>;
 
 } // namespace egretlatch::decision
 
--- /dev/null
+++ b/src/egretlatch/platform/fwd.hpp
@@ -0,0 +1,19 @@
+#ifndef EGRETLATCH_PLATFORM_FWD_HPP
+#define EGRETLATCH_PLATFORM_FWD_HPP
+
+namespace egretlatch::platform
+{
+
+struct Row;
+struct TableRead;
+struct TableScan;
+struct RowCondition;
+struct RowWrite;
+struct TableWrite;
+struct ObjectPut;
+struct ObjectGet;
+struct ObjectList;
+
+} // namespace egretlatch::platform
+
+#endif
--- a/src/egretlatch/settings/daemon_settings.cpp
+++ b/src/egretlatch/settings/daemon_settings.cpp
@@ -11,9 +11,10 @@
 namespace internal
 {
 
+constexpr std::int64_t mebibyte = 1024LL * 1024LL;
 constexpr Range<std::int64_t> portRange{.least = 1, .most = 65535};
-constexpr Range<std::int64_t> bodyRange{.least = 1, .most = 64 * 1024 * 1024};
-constexpr std::int64_t defaultMaxBody = 8 * 1024 * 1024;
+constexpr Range<std::int64_t> bodyRange{.least = 1, .most = 64 * mebibyte};
+constexpr std::int64_t defaultMaxBody = 8 * mebibyte;
 constexpr Range<std::int64_t> seedRange{.least = 0, .most = 9007199254740991};
 
 [[nodiscard]] static PeerSettings readPeer(const QJsonValue &value, const std::string &pointer, Problems &problems)
--- /dev/null
+++ b/test/fakes/manual_clock.hpp
@@ -0,0 +1,40 @@
+#ifndef TEST_FAKES_MANUAL_CLOCK_HPP
+#define TEST_FAKES_MANUAL_CLOCK_HPP
+
+#include <egretlatch/core/clock.hpp>
+
+namespace fakes
+{
+
+/*! @brief A clock that stands still until it is told to go on. */
+class ManualClock final : public egretlatch::Clock
+{
+public:
+    [[nodiscard]] egretlatch::SteadyTime steadyNow() const override
+    {
+        return m_steady;
+    }
+
+    [[nodiscard]] egretlatch::WallTime wallNow() const override
+    {
+        return m_wall;
+    }
+
+    /**
+     * @brief Moves both times.
+     * @param span How far.
+     */
+    void advance(const egretlatch::Duration span)
+    {
+        m_steady += span;
+        m_wall += std::chrono::duration_cast<egretlatch::WallTime::duration>(span);
+    }
+
+private:
+    egretlatch::SteadyTime m_steady{std::chrono::hours{1}};
+    egretlatch::WallTime m_wall{std::chrono::milliseconds{1'790'000'000'000}};
+};
+
+} // namespace fakes
+
+#endif
