Open-loop load tool: callers that resend hard, cancels, faults, goodput by second, recovery

Cause: no claim about overload can be repeated without a tool that keeps sending at the intended times. Change: egretlatch-standin load. Requests go over Boost.Beast connections, not QNetworkAccessManager: that one queues beyond six requests a manager, starts a thread for each manager and sends a POST again by itself.

--- /dev/null
+++ b/standin/load/http_reply.hpp
@@ -0,0 +1,37 @@
+#ifndef STANDIN_LOAD_HTTP_REPLY_HPP
+#define STANDIN_LOAD_HTTP_REPLY_HPP
+
+#include <chrono>
+#include <string>
+
+namespace standin::load
+{
+
+/*! @brief How an HTTP exchange ended. */
+enum class HttpEnd {
+    answered,
+    /*! @brief No connection could be opened; nothing was sent. */
+    neverConnected,
+    /*! @brief The connection broke before the whole answer. */
+    lost,
+    timedOut,
+};
+
+/*! @brief What came back on an exchange. */
+struct HttpReply
+{
+    HttpEnd end{HttpEnd::lost};
+    int status{};
+    /*! @brief Value of `Egretlatch-Verdict`. */
+    std::string verdict;
+    /*! @brief Value of `Retry-After`; zero without one. */
+    std::chrono::seconds retryAfter{};
+    std::string body;
+    bool keepsConnection{};
+
+    friend bool operator==(const HttpReply &, const HttpReply &) = default;
+};
+
+} // namespace standin::load
+
+#endif
--- /dev/null
+++ b/standin/load/load_worker.cpp
@@ -0,0 +1,193 @@
+#include <load/load_worker.hpp>
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include <egretlatch/daemon/http_headers.hpp>
+
+namespace standin::load
+{
+
+namespace internal
+{
+
+/*! @brief Time beyond the timeout in which a caller still hears that its time has passed. */
+constexpr std::chrono::milliseconds grace{250};
+/*! @brief Open exchanges of one worker; more would run out of ports before they measured anything. */
+constexpr int mostOpen = 6'000;
+constexpr double jitterLow = 0.8;
+constexpr double jitterSpan = 0.4;
+constexpr unsigned httpVersion = 11;
+
+} // namespace internal
+
+LoadWorker::LoadWorker(const RunPlan &plan, Schedule schedule, const std::uint64_t seed, const int number)
+    : m_plan{plan}
+    , m_schedule{std::move(schedule)}
+    , m_number{number}
+    , m_random{seed}
+    , m_mint{m_random}
+    , m_context{1}
+    , m_timer{m_context}
+{
+    for (const std::string &entry : m_plan.entries) {
+        m_pools.push_back(std::make_unique<ConnectionPool>(m_context, entry));
+    }
+    m_result.kinds.resize(m_plan.kinds.size());
+}
+
+void LoadWorker::run()
+{
+    waitForNext();
+    m_context.run();
+}
+
+void LoadWorker::waitForNext()
+{
+    if (m_next >= m_schedule.size()) {
+        return;
+    }
+    m_timer.expires_at(m_plan.start + m_schedule[m_next].at);
+    m_timer.async_wait([this](const boost::system::error_code error) {
+        if (!error) {
+            sendDue();
+        }
+    });
+}
+
+void LoadWorker::sendDue()
+{
+    const egretlatch::SteadyTime now = std::chrono::steady_clock::now();
+    while (m_next < m_schedule.size() && m_plan.start + m_schedule[m_next].at <= now) {
+        begin(m_schedule[m_next]);
+        ++m_next;
+    }
+    waitForNext();
+}
+
+void LoadWorker::begin(const PlannedRequest &planned)
+{
+    if (m_open >= internal::mostOpen) {
+        ++m_result.leftOut;
+        return;
+    }
+    ++m_open;
+    const RunKind &kind = m_plan.kinds[planned.kind];
+    const auto request = std::make_shared<Request>();
+    request->kind = planned.kind;
+    request->isCancelled = planned.isCancelled;
+    request->key = kind.idempotent ? std::string{} : m_mint.mint(std::chrono::system_clock::now()).toString();
+    request->body = bodyOf(planned);
+    request->intended = m_plan.start + planned.at;
+    request->resendAfter = m_plan.callers.resendAfter;
+    KindResult &result = m_result.kinds[planned.kind];
+    ++result.sent;
+    result.sentBySecond.add(secondOf(request->intended));
+    m_result.sendLag.add(std::chrono::steady_clock::now() - request->intended);
+    attempt(request);
+}
+
+void LoadWorker::attempt(const RequestPtr &request)
+{
+    const egretlatch::SteadyTime now = std::chrono::steady_clock::now();
+    ++request->attempts;
+    ++m_result.kinds[request->kind].attempts;
+    m_result.attemptsBySecond.add(secondOf(now));
+    ConnectionPool &pool = *m_pools[m_random.below(m_pools.size())];
+    const std::chrono::milliseconds timeout = request->isCancelled ? m_plan.callers.cancelAfter : m_plan.kinds[request->kind].timeout + internal::grace;
+    pool.exchange(makeRequest(*request, pool.authority()), timeout, [this, request, now](const HttpReply &reply) {
+        handleReply(request, now, reply);
+    });
+}
+
+void LoadWorker::handleReply(const RequestPtr &request, const egretlatch::SteadyTime sentAt, const HttpReply &reply)
+{
+    AttemptOutcome outcome = judge(reply, request->body);
+    if (request->isCancelled && reply.end == HttpEnd::timedOut) {
+        outcome = {.outcomeClass = OutcomeClass::cancelled, .cause = "cancelled-by-caller"};
+    }
+    record(*request, sentAt, outcome, reply.status);
+    const bool isFinal = outcome.outcomeClass == OutcomeClass::completed || outcome.outcomeClass == OutcomeClass::cancelled;
+    if (!isFinal && request->attempts <= m_plan.callers.resends) {
+        resendLater(request, reply.retryAfter);
+        return;
+    }
+    end(*request, outcome);
+}
+
+void LoadWorker::record(const Request &request, const egretlatch::SteadyTime sentAt, const AttemptOutcome &outcome, const int status)
+{
+    const egretlatch::SteadyTime now = std::chrono::steady_clock::now();
+    if (outcome.outcomeClass != OutcomeClass::completed) {
+        ++m_result.kinds[request.kind].attemptCauses[outcome.cause];
+        m_result.causesBySecond[outcome.cause].add(secondOf(now));
+    }
+    if (m_plan.keepsHistory) {
+        m_history.push_back({.kind = request.kind,
+                             .key = request.key,
+                             .attempt = request.attempts,
+                             .sent = sentAt - m_plan.start,
+                             .ended = now - m_plan.start,
+                             .status = status,
+                             .outcome = outcome});
+    }
+}
+
+void LoadWorker::resendLater(const RequestPtr &request, const std::chrono::seconds retryAfter)
+{
+    std::chrono::duration<double, std::milli> wait = request->resendAfter * (internal::jitterLow + internal::jitterSpan * m_random.fraction());
+    request->resendAfter *= m_plan.callers.backoff;
+    if (m_plan.callers.honoursRetryAfter) {
+        wait = std::max<std::chrono::duration<double, std::milli>>(wait, retryAfter);
+    }
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, std::chrono::duration_cast<egretlatch::Duration>(wait));
+    timer->async_wait([this, request, timer](const boost::system::error_code error) {
+        if (!error) {
+            attempt(request);
+        }
+    });
+}
+
+void LoadWorker::end(const Request &request, const AttemptOutcome &outcome)
+{
+    --m_open;
+    const egretlatch::SteadyTime now = std::chrono::steady_clock::now();
+    KindResult &result = m_result.kinds[request.kind];
+    ++result.requests[outcome.outcomeClass][outcome.cause];
+    if (outcome.outcomeClass == OutcomeClass::completed) {
+        result.latency.add(now - request.intended);
+        result.completedBySecond.add(secondOf(now));
+    }
+}
+
+HttpRequest LoadWorker::makeRequest(const Request &request, const std::string &authority) const
+{
+    const RunKind &kind = m_plan.kinds[request.kind];
+    HttpRequest http{boost::beast::http::verb::post, fmt::format("/call/{}/", kind.name), internal::httpVersion};
+    http.set(boost::beast::http::field::host, authority);
+    http.set(egretlatch::daemon::timeoutHeader, fmt::format("{}", kind.timeout.count()));
+    if (!request.key.empty()) {
+        http.set(egretlatch::daemon::keyHeader, request.key);
+    }
+    http.body() = request.body;
+    http.prepare_payload();
+    return http;
+}
+
+std::string LoadWorker::bodyOf(const PlannedRequest &planned)
+{
+    if (!planned.body.empty()) {
+        return planned.body;
+    }
+    std::string body = fmt::format("request {} of worker {} ", ++m_lastBody, m_number);
+    body.resize(std::max(body.size(), static_cast<std::size_t>(m_plan.callers.bodyBytes)), '.');
+    return body;
+}
+
+std::int64_t LoadWorker::secondOf(const egretlatch::SteadyTime time) const
+{
+    return std::chrono::floor<std::chrono::seconds>(time - m_plan.start).count();
+}
+
+} // namespace standin::load
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -1,6 +1,7 @@
 #include <CLI/CLI.hpp>
 
 #include <backend_server.hpp>
+#include <load/load_command.hpp>
 
 int main(int argc, char **argv)
 {
@@ -18,7 +19,22 @@
     backend->footer(
         "Example: egretlatch-standin backend --port 9000 --daemon http://127.0.0.1:8000 --service launch-log --manifest examples/gliding-union.json");
 
+    standin::load::LoadOptions loadOptions;
+    CLI::App *const load = app.add_subcommand("load", "Callers that send at intended times, resend and cancel, and count what they were answered.");
+    load->add_option("--scenario", loadOptions.scenarioPath, "Scenario to run")->required();
+    load->add_option("--mesh", loadOptions.meshPath, "File with the line that scripts/mesh prints")->required();
+    load->add_option("--out", loadOptions.outPath, "File for the result")->required();
+    load->add_option("--manifest", loadOptions.manifestPath, "Manifest in force; by default the one that the mesh names");
+    load->add_option("--history", loadOptions.historyPath, "File for one line an attempt");
+    load->add_option("--seed", loadOptions.seed, "Seed in place of the scenario's");
+    load->add_option("--workers", loadOptions.workers, "Threads")->check(CLI::Range(1, 16));
+    load->add_option("--start-at", loadOptions.startAtMs, "Calendar time of the start, in milliseconds since 1970");
+    load->footer("Example: egretlatch-standin load --scenario scenarios/gliding-union-surge-5x.json --mesh mesh.json --out result.json");
+
     CLI11_PARSE(app, argc, argv);
+    if (load->parsed()) {
+        return standin::load::runLoad(loadOptions);
+    }
     if (backend->parsed()) {
         return standin::runBackend(backendOptions, argc, argv);
     }
