--- a/standin/load/latency_histogram.cpp
+++ b/standin/load/latency_histogram.cpp
@@ -18,7 +18,7 @@
     if (microseconds < subBuckets) {
         return microseconds;
     }
-    const int shift = std::bit_width(microseconds) - 1 - subBucketBits;
+    const int shift = static_cast<int>(std::bit_width(microseconds)) - 1 - subBucketBits;
     return (static_cast<std::uint64_t>(shift) + 1) * subBuckets + ((microseconds >> shift) - subBuckets);
 }
 
