--- a/test/egretlatch/protocol/codec.cpp
+++ b/test/egretlatch/protocol/codec.cpp
@@ -75,6 +75,7 @@
 {
     std::vector<Envelope> messages;
     const std::vector<Message> bodies{someRequest(), someAnswer(), CallCancel{.call = {3}}, someGossip()};
+    messages.reserve(bodies.size());
     for (const Message &body : bodies) {
         messages.push_back({.sender = {"duty-roster-0"}, .incarnation = {11}, .message = body});
     }
