--- /dev/null
+++ b/scripts/experiments/checks.py
@@ -0,0 +1,71 @@
+"""Checks of the invariants after a run, from the callers' history and from what each backend server says it ran.
+
+They are counts, not a proof: a backend server that crashed takes the list of its runs with it.
+"""
+
+import collections
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class Checks:
+    """How much was checked, and the violations with an example each."""
+
+    keys: int
+    attempts: int
+    wrong_answers: int
+    run_twice: list
+    ran_though_not_run: list
+    lost: list
+
+    def violations(self):
+        return self.wrong_answers + len(self.run_twice) + len(self.ran_though_not_run) + len(self.lost)
+
+
+def repeatable_inner_keys(manifest):
+    """Give the endings of the keys of inner calls that may run twice, by the kind at the root."""
+    kinds = {(service["name"], kind["name"]): kind for service in manifest["services"] for kind in service["kinds"]}
+    endings = {}
+    for (service, name), kind in kinds.items():
+        calls = enumerate(kind.get("calls", []), start=1)
+        endings[f"{service}/{name}"] = {str(number) for number, call in calls if kinds[call["service"], call["kind"]].get("idempotent", True)}
+    return endings
+
+
+def is_counted(key, kind_of_key, repeatable):
+    """Tell whether a key may run once only: a root's, or that of an inner call of a kind that is not idempotent."""
+    root, *steps = key.split(".")
+    if root not in kind_of_key:
+        return False
+    if not steps:
+        return True
+    is_direct_call = len(steps) == 2
+    return is_direct_call and steps[0] not in repeatable[kind_of_key[root]]
+
+
+def check(manifest, history, executions, crashed):
+    """Check a run.
+
+    history: the attempts in the order in which they ended; executions: what each backend server ran; crashed: whether
+    a backend server crashed or was killed, after which a completed request need not be on any list.
+    """
+    runs = collections.Counter()
+    for server in executions:
+        runs.update(server["runs"])
+    kind_of_key, last, completed = {}, {}, set()
+    for attempt in history:
+        key = attempt["key"]
+        if key:
+            kind_of_key[key] = attempt["kind"]
+            last[key] = attempt
+            if attempt["outcome"] == "completed":
+                completed.add(key)
+    repeatable = repeatable_inner_keys(manifest)
+    return Checks(
+        keys=len(kind_of_key),
+        attempts=len(history),
+        wrong_answers=sum(1 for attempt in history if attempt["cause"] == "wrong-answer"),
+        run_twice=sorted(key for key, count in runs.items() if count > 1 and is_counted(key, kind_of_key, repeatable)),
+        ran_though_not_run=sorted(key for key, attempt in last.items() if attempt["outcome"] == "refused" and runs[key] > 0),
+        lost=[] if crashed else sorted(key for key in completed if runs[key] == 0),
+    )
--- /dev/null
+++ b/scripts/experiments/possible.py
@@ -0,0 +1,119 @@
+"""Possible weighted goodput: what a deployment could earn at most from the requests that it was offered.
+
+A run of a kind holds a slot of its backend server for its own cost and for as long as its inner calls run. So one
+request of a kind needs, at each service that its call graph reaches, a time of slots; a service has servers x slots
+seconds of slots a second. The kinds are served greedily by worth per bottleneck cost, which is the largest part of a
+service's slots that one request a second takes. Greedy is the optimum for one bottleneck and within a few per cent of
+it for several; waits, hops and processor time count as nothing, so the figure is a ceiling that no policy reaches.
+"""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class Service:
+    """A service as far as capacity goes."""
+
+    servers: float  # those that take work
+    slots: int
+    slowdown: float  # factor on the cost of its kinds
+
+
+def kinds_of(manifest):
+    """Give {(service, kind): declaration} of a manifest."""
+    return {(service["name"], kind["name"]): kind for service in manifest["services"] for kind in service["kinds"]}
+
+
+def hold_seconds(kinds, services, name):
+    """Give the time that one run of a kind holds its slot: its cost and its inner calls, one after the other."""
+    kind = kinds[name]
+    inner = sum(call.get("count", 1) * hold_seconds(kinds, services, (call["service"], call["kind"])) for call in kind.get("calls", []))
+    return kind.get("costMs", 10) / 1000 * services[name[0]].slowdown + inner
+
+
+def slot_seconds(kinds, services, name):
+    """Give {service: seconds of slots} that one request of a kind takes over its whole call graph."""
+    needed = {name[0]: hold_seconds(kinds, services, name)}
+    for call in kinds[name].get("calls", []):
+        for service, seconds in slot_seconds(kinds, services, (call["service"], call["kind"])).items():
+            needed[service] = needed.get(service, 0) + call.get("count", 1) * seconds
+    return needed
+
+
+def possible_worth(kinds, services, offered):
+    """Give the worth a second that `offered`, {(service, kind): requests a second}, can earn at most."""
+    free = {name: service.servers * service.slots for name, service in services.items()}
+    total = dict(free)
+    costs = {name: slot_seconds(kinds, services, name) for name in offered}
+
+    def worth_per_bottleneck_cost(name):
+        parts = [seconds / total[service] if total[service] else float("inf") for service, seconds in costs[name].items()]
+        return kinds[name].get("worth", 0) / max(parts)
+
+    earned = 0.0
+    for name in sorted(offered, key=worth_per_bottleneck_cost, reverse=True):
+        rate = min([offered[name]] + [free[service] / seconds for service, seconds in costs[name].items() if seconds > 0])
+        for service, seconds in costs[name].items():
+            free[service] -= rate * seconds
+        earned += rate * kinds[name].get("worth", 0)
+    return earned
+
+
+def utilization(kinds, services, offered):
+    """Give {service: part of its slots} that `offered` takes where nothing is refused."""
+    used = {name: 0.0 for name in services}
+    for name, rate in offered.items():
+        for service, seconds in slot_seconds(kinds, services, name).items():
+            used[service] += rate * seconds
+    return {name: used[name] / max(service.servers * service.slots, 1e-9) for name, service in services.items()}
+
+
+def _state_at(scenario, second):
+    """Give {(service, server): slowdown, or None for a server that takes no work} at the start of a second."""
+    states = {}
+    for fault in sorted(scenario.get("faults", []), key=lambda fault: fault["atMs"]):
+        if fault["atMs"] > second * 1000:
+            break
+        servers = range(scenario.get("servers", 2)) if fault.get("server", -1) < 0 else [fault["server"]]
+        for server in servers:
+            if fault["do"] == "control":
+                behaviour = fault.get("behaviour", {})
+                states[fault.get("service"), server] = None if behaviour.get("hangs") else behaviour.get("slowdown", 1.0)
+            elif fault["do"] in ("stop", "kill"):
+                states[fault.get("service"), server] = None
+            elif fault["do"] in ("continue", "restart"):
+                states[fault.get("service"), server] = 1.0
+    return states
+
+
+def services_at(scenario, manifest, second):
+    """Give {service: Service} in a second of a scenario, with its slow, paused and killed servers."""
+    states = _state_at(scenario, second)
+    services = {}
+    for declared in manifest["services"]:
+        name = declared["name"]
+        slowdowns = [states.get((name, server), 1.0) for server in range(scenario.get("servers", 2))]
+        working = [slowdown for slowdown in slowdowns if slowdown is not None]
+        # Work spread in proportion to speed: the harmonic mean.
+        mean = len(working) / sum(1 / slowdown for slowdown in working) if working else 1.0
+        services[name] = Service(len(working), scenario.get("slots") or declared["slots"], mean)
+    return services
+
+
+def offered_at(scenario, second):
+    """Give {(service, kind): new requests a second} in a second of a scenario."""
+    rate = 0
+    for phase in scenario["phases"]:
+        if second < phase["seconds"]:
+            rate = phase["rate"]
+            break
+        second -= phase["seconds"]
+    total = sum(kind["share"] for kind in scenario["kinds"])
+    return {(kind["service"], kind["kind"]): rate * kind["share"] / total for kind in scenario["kinds"]}
+
+
+def possible_by_second(scenario, manifest):
+    """Give the possible weighted goodput of each second of a scenario."""
+    kinds = kinds_of(manifest)
+    seconds = sum(phase["seconds"] for phase in scenario["phases"])
+    return [possible_worth(kinds, services_at(scenario, manifest, second), offered_at(scenario, second)) for second in range(seconds)]
--- a/standin/load/parse_scenario.cpp
+++ b/standin/load/parse_scenario.cpp
@@ -89,7 +89,7 @@
     JsonObjectReader reader{value, pointer, problems};
     FaultStep step;
     step.at = reader.milliseconds("atMs", timeRange);
-    const std::string action = reader.word("do", {"control", "stop", "continue", "kill", "restart", "drain"});
+    const std::string action = reader.word("do", {"control", "stop", "continue", "kill", "restart", "drain", "replace"});
     step.action = action == "control" ? FaultAction::control : FaultAction::process;
     step.service = reader.text("service", "");
     step.server = static_cast<int>(reader.integer("server", serverRange, -1));
