The platform: client, stand-in, rate shares, writes that survive a lost answer

Cause: what must last lives in the platform's table and object store, which go down, limit the rate and lose answers after a write has taken effect; nothing spoke to them yet.

Change: a client on a thread of its own, with an outward ring for requests and fromPlatform for outcomes; an HTTP form in platform/http_codec; egretlatch-standin platform with latency, outage, lost answers and rate limits; a share of the fleet's rate for each daemon; IdentifiedWrite, which reads back one's own write id. scripts/mesh starts a stand-in and prints its URL.

--- a/src/egretlatch/daemon/daemon.cpp
+++ b/src/egretlatch/daemon/daemon.cpp
@@ -53,34 +53,43 @@
     , m_accountWaker{[this] {
         drainAccount();
     }}
-    , m_outward{m_frontWaker, m_peer.waker(), m_backWaker, m_accountWaker}
+    , m_platformWaker{[this] {
+        drainPlatform();
+    }}
+    , m_outward{m_frontWaker, m_peer.waker(), m_backWaker, m_accountWaker, m_platformWaker}
 {
     m_frontWaker.moveToThread(&m_frontThread);
     m_backWaker.moveToThread(&m_backThread);
     m_accountWaker.moveToThread(&m_accountThread);
+    m_platformWaker.moveToThread(&m_platformThread);
 }
 
 Daemon::~Daemon()
 {
     m_decide.reset();
-    for (QThread *const thread : {&m_frontThread, &m_backThread, &m_accountThread}) {
-        if (!thread->isRunning()) {
-            continue;
-        }
-        // What lives on a thread is destroyed there.
-        QObject &onThread = thread == &m_frontThread ? m_frontWaker : (thread == &m_backThread ? m_backWaker : m_accountWaker);
-        internal::runOn(onThread, [this, thread] {
-            if (thread == &m_frontThread) {
-                m_front.reset();
-            } else if (thread == &m_backThread) {
-                m_back.reset();
-            } else {
-                m_spans.reset();
-            }
-        });
-        thread->quit();
-        thread->wait();
+    stopThread(m_frontThread, m_frontWaker, [this] {
+        m_front.reset();
+    });
+    stopThread(m_backThread, m_backWaker, [this] {
+        m_back.reset();
+    });
+    stopThread(m_accountThread, m_accountWaker, [this] {
+        m_spans.reset();
+    });
+    stopThread(m_platformThread, m_platformWaker, [this] {
+        m_platform.reset();
+    });
+}
+
+void Daemon::stopThread(QThread &thread, QObject &onThread, const std::function<void()> &destroy)
+{
+    if (!thread.isRunning()) {
+        return;
     }
+    // What lives on a thread is destroyed there.
+    internal::runOn(onThread, destroy);
+    thread.quit();
+    thread.wait();
 }
 
 Result<void> Daemon::start()
@@ -91,6 +100,10 @@
     m_frontThread.start();
     m_backThread.start();
     m_accountThread.start();
+    m_platformThread.start();
+    internal::runOn(m_platformWaker, [this] {
+        m_platform = std::make_unique<PlatformClient>(PlatformAccess{.url = m_settings.platformUrl, .token = {}});
+    });
     internal::runOn(m_accountWaker, [this] {
         m_spans = std::make_unique<SpanExporter>(m_settings.collectorUrl, m_settings.id.value, m_metrics);
     });
@@ -118,7 +131,10 @@
         return listening;
     }
     if (m_manifest != nullptr) {
-        static_cast<void>(m_inward.fromPlatform.tryPush(decision::ManifestChanged{.version = 1, .manifest = m_manifest}));
+        // Pushed on the thread that writes this ring: it has room for one writer.
+        internal::runOn(m_platformWaker, [this] {
+            static_cast<void>(m_inward.fromPlatform.tryPush(decision::ManifestChanged{.version = 1, .manifest = m_manifest}));
+        });
     }
     m_logger.info("started", {{"callers", m_settings.callerPort}, {"peers", m_settings.peerPort}, {"backend", m_settings.backendUrl}});
     return {};
@@ -188,6 +204,22 @@
     }
 }
 
+void Daemon::drainPlatform()
+{
+    while (const std::unique_ptr<PlatformOrder> order = m_outward.toPlatform.tryPop()) {
+        if (const auto *const size = std::get_if<FleetSizeChanged>(order.get())) {
+            m_platform->setFleetSize(size->daemons);
+            continue;
+        }
+        const auto &ask = std::get<decision::AskPlatform>(*order);
+        m_platform->ask(ask.request, [this, id = ask.id](platform::Outcome outcome) {
+            if (!m_inward.fromPlatform.tryPush(decision::PlatformAnswered{.id = id, .outcome = std::move(outcome)})) {
+                m_metrics.count("events_dropped", "ring-full");
+            }
+        });
+    }
+}
+
 void Daemon::drainAccount()
 {
     while (const std::unique_ptr<AccountOrder> order = m_outward.toAccount.tryPop()) {
--- a/src/egretlatch/daemon/daemon.hpp
+++ b/src/egretlatch/daemon/daemon.hpp
@@ -15,6 +15,7 @@
 #include <egretlatch/daemon/decide_thread.hpp>
 #include <egretlatch/daemon/event_loop_waker.hpp>
 #include <egretlatch/daemon/peer_thread.hpp>
+#include <egretlatch/daemon/platform_client.hpp>
 #include <egretlatch/daemon/rings.hpp>
 #include <egretlatch/daemon/span_exporter.hpp>
 #include <egretlatch/settings/daemon_settings.hpp>
@@ -57,6 +58,8 @@
     void drainFront();
     void drainBack();
     void drainAccount();
+    void drainPlatform();
+    void stopThread(QThread &thread, QObject &onThread, const std::function<void()> &destroy);
 
     settings::DaemonSettings m_settings;
     std::shared_ptr<const manifest::Manifest> m_manifest;
@@ -71,13 +74,16 @@
     EventLoopWaker m_frontWaker;
     EventLoopWaker m_backWaker;
     EventLoopWaker m_accountWaker;
+    EventLoopWaker m_platformWaker;
     OutwardRings m_outward;
     QThread m_frontThread;
     QThread m_backThread;
     QThread m_accountThread;
+    QThread m_platformThread;
     std::unique_ptr<CallerServer> m_front;
     std::unique_ptr<BackendClient> m_back;
     std::unique_ptr<SpanExporter> m_spans;
+    std::unique_ptr<PlatformClient> m_platform;
     std::unique_ptr<DecideThread> m_decide;
 };
 
--- a/src/egretlatch/daemon/decide_thread.cpp
+++ b/src/egretlatch/daemon/decide_thread.cpp
@@ -116,6 +116,12 @@
         isTaken = m_outward.toAccount.tryPush(std::move(*refusal));
     } else if (auto *const span = std::get_if<decision::RecordSpan>(&action)) {
         isTaken = m_outward.toAccount.tryPush(std::move(*span));
+    } else if (auto *const ask = std::get_if<decision::AskPlatform>(&action)) {
+        const platform::RequestId id = ask->id;
+        isTaken = m_outward.toPlatform.tryPush(std::move(*ask));
+        if (!isTaken) {
+            handle(decision::PlatformAnswered{.id = id, .outcome = tl::unexpected{Error{ErrorCode::unavailable, "the ring to the platform is full"}}});
+        }
     } else if (const auto *const inForce = std::get_if<decision::ManifestInForce>(&action)) {
         m_logger.info("configuration in force", {{"version", inForce->version}, {"hash", inForce->hash}});
         isTaken = m_outward.toFront.tryPush(ReadyChanged{.isReady = true});
@@ -127,6 +133,14 @@
     }
 }
 
+void DecideThread::announceFleetSize()
+{
+    const int daemons = static_cast<int>(m_core->roster().members().size());
+    if (daemons != m_fleetSize && m_outward.toPlatform.tryPush(FleetSizeChanged{.daemons = daemons})) {
+        m_fleetSize = daemons;
+    }
+}
+
 void DecideThread::publishStatus()
 {
     const SteadyTime now = std::chrono::steady_clock::now();
@@ -134,6 +148,7 @@
         return;
     }
     m_lastStatus = now;
+    announceFleetSize();
     const admission::LoadReport load = m_core->load();
     m_metrics.set("in_flight", load.inFlight);
     m_metrics.set("concurrency_limit", load.limit);
--- a/src/egretlatch/daemon/decide_thread.hpp
+++ b/src/egretlatch/daemon/decide_thread.hpp
@@ -62,6 +62,7 @@
     void handle(const decision::Event &event);
     void carryOut(decision::Action action);
     void publishStatus();
+    void announceFleetSize();
 
     std::unique_ptr<decision::Core> m_core;
     InwardRings &m_inward;
@@ -72,6 +73,7 @@
     DrainedHandler m_onDrained;
     std::atomic<bool> m_isStopping{false};
     SteadyTime m_lastStatus;
+    int m_fleetSize{};
     mutable std::mutex m_statusMutex;
     std::string m_status{"{}"};
     std::thread m_thread;
--- a/src/egretlatch/daemon/fwd.hpp
+++ b/src/egretlatch/daemon/fwd.hpp
@@ -12,6 +12,7 @@
 class DecideThread;
 class BackendClient;
 class HttpClientPool;
+class PlatformClient;
 class SpanExporter;
 class EventLoopWaker;
 class Daemon;
--- /dev/null
+++ b/src/egretlatch/daemon/platform_client.cpp
@@ -0,0 +1,87 @@
+#include <egretlatch/daemon/platform_client.hpp>
+
+#include <QUrl>
+
+#include <egretlatch/platform/http_codec.hpp>
+
+namespace egretlatch::daemon
+{
+
+namespace internal
+{
+
+// Below what the platform carries, so that the operators' tools and a fleet that miscounts itself still find room.
+constexpr double fleetReadsPerSecond = 1500.0;
+constexpr double fleetWritesPerSecond = 200.0;
+constexpr double burst = 16.0;
+
+[[nodiscard]] static QNetworkRequest toQt(const PlatformAccess &access, const platform::HttpRequest &http)
+{
+    QNetworkRequest request{QUrl::fromEncoded(QByteArray::fromStdString(access.url + http.target))};
+    request.setTransferTimeout(static_cast<int>(access.timeout.count()));
+    request.setAttribute(QNetworkRequest::CacheLoadControlAttribute, QNetworkRequest::AlwaysNetwork);
+    request.setHeader(QNetworkRequest::ContentTypeHeader, QByteArray{"application/json"});
+    request.setRawHeader("Accept-Encoding", "identity");
+    if (!access.token.empty()) {
+        request.setRawHeader("Authorization", QByteArray::fromStdString("Bearer " + access.token));
+    }
+    return request;
+}
+
+[[nodiscard]] static bool isAnsweredWhole(const QNetworkReply &reply, const int status)
+{
+    // Qt reports a status of 400 and above as an error of the content, the server or the protocol, and gives the body.
+    constexpr int firstError = 400;
+    return status != 0 && (reply.error() == QNetworkReply::NoError || (status >= firstError && reply.error() >= QNetworkReply::ContentAccessDenied));
+}
+
+[[nodiscard]] static platform::Outcome outcomeOf(const platform::Request &request, QNetworkReply &reply)
+{
+    const int status = reply.attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+    if (isAnsweredWhole(reply, status)) {
+        return platform::decodeOutcome(request, status, reply.readAll());
+    }
+    if (reply.error() == QNetworkReply::ConnectionRefusedError) {
+        // No connection was ever open, so no byte of the request has left.
+        return tl::unexpected{Error{ErrorCode::unavailable, "the platform cannot be reached"}};
+    }
+    return tl::unexpected{Error{ErrorCode::timedOut, "the platform did not answer"}};
+}
+
+} // namespace internal
+
+PlatformClient::PlatformClient(PlatformAccess access)
+    : m_access{std::move(access)}
+    , m_reads{internal::fleetReadsPerSecond, internal::burst}
+    , m_writes{internal::fleetWritesPerSecond, internal::burst}
+{
+}
+
+void PlatformClient::setFleetSize(const int daemons)
+{
+    m_reads.setFleetSize(daemons);
+    m_writes.setFleetSize(daemons);
+}
+
+void PlatformClient::ask(const platform::Request &request, OutcomeHandler onOutcome)
+{
+    if (m_access.url.empty()) {
+        onOutcome(tl::unexpected{Error{ErrorCode::unavailable, "the settings name no platform"}});
+        return;
+    }
+    platform::RateCap &cap = platform::isWrite(request) ? m_writes : m_reads;
+    if (!cap.tryTake(std::chrono::steady_clock::now())) {
+        onOutcome(tl::unexpected{Error{ErrorCode::rateLimited, "this daemon's share of the platform is used up"}});
+        return;
+    }
+    const platform::HttpRequest http = platform::encodeRequest(request);
+    // A read may reach the platform twice; a write that Qt sends again would find its own first effect as a conflict.
+    const Resend resend = platform::isWrite(request) ? Resend::never : Resend::allowed;
+    QNetworkReply *const reply = m_pool.send(http.method, internal::toQt(m_access, http), http.body, resend);
+    connect(reply, &QNetworkReply::finished, this, [request, reply, handler = std::move(onOutcome)] {
+        reply->deleteLater();
+        handler(internal::outcomeOf(request, *reply));
+    });
+}
+
+} // namespace egretlatch::daemon
--- a/src/egretlatch/daemon/rings.hpp
+++ b/src/egretlatch/daemon/rings.hpp
@@ -16,6 +16,13 @@
     bool isReady{};
 };
 
+/*! @brief How many daemons share the platform now. */
+struct FleetSizeChanged
+{
+    int daemons{};
+};
+
+using PlatformOrder = std::variant<decision::AskPlatform, FleetSizeChanged>;
 using FrontOrder = std::variant<decision::AnswerCaller, ReadyChanged>;
 using BackOrder = std::variant<decision::StartRun, decision::AbortRun>;
 using AccountOrder = std::variant<decision::RecordRefusal, decision::RecordSpan>;
@@ -47,12 +54,14 @@
     Ring<decision::SendToPeer> toPeer;
     Ring<BackOrder> toBack;
     Ring<AccountOrder> toAccount;
+    Ring<PlatformOrder> toPlatform;
 
-    OutwardRings(Waker &frontWaker, Waker &peerWaker, Waker &backWaker, Waker &accountWaker)
+    OutwardRings(Waker &frontWaker, Waker &peerWaker, Waker &backWaker, Waker &accountWaker, Waker &platformWaker)
         : toFront{ringCapacity, frontWaker}
         , toPeer{ringCapacity, peerWaker}
         , toBack{ringCapacity, backWaker}
         , toAccount{ringCapacity, accountWaker}
+        , toPlatform{ringCapacity, platformWaker}
     {
     }
 };
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -262,6 +262,7 @@
         .manifest = nullptr,
         .manifestVersion = 0,
         .actions = {},
+        .lastPlatformRequest = {},
     });
     core->m_serving = std::make_unique<ServingHandler>(*core->m_surroundings, std::move(m_gate));
     core->m_entry = std::make_unique<EntryHandler>(*core->m_surroundings, *core->m_serving);
--- a/src/egretlatch/decision/surroundings.cpp
+++ b/src/egretlatch/decision/surroundings.cpp
@@ -20,4 +20,11 @@
     };
 }
 
+platform::RequestId Surroundings::askPlatform(platform::Request request)
+{
+    ++lastPlatformRequest.value;
+    actions.emplace_back(AskPlatform{.id = lastPlatformRequest, .request = std::move(request)});
+    return lastPlatformRequest;
+}
+
 } // namespace egretlatch::decision
--- a/src/egretlatch/decision/surroundings.hpp
+++ b/src/egretlatch/decision/surroundings.hpp
@@ -33,6 +33,7 @@
     std::uint64_t manifestVersion{};
     /*! @brief What the event at hand has led to so far. */
     Actions actions;
+    platform::RequestId lastPlatformRequest;
 
     /**
      * @brief Mints a refusal in the name of this daemon.
@@ -44,6 +45,13 @@
      */
     [[nodiscard]] account::Refusal
     refuse(account::RefusalReason reason, const std::string &rule, std::vector<account::Figure> figures = {}, std::chrono::milliseconds retryAfter = {});
+
+    /**
+     * @brief Asks the platform.
+     * @param request What is asked.
+     * @return The id that the answer will carry.
+     */
+    platform::RequestId askPlatform(platform::Request request);
 };
 
 } // namespace egretlatch::decision
--- /dev/null
+++ b/src/egretlatch/platform/backoff.hpp
@@ -0,0 +1,57 @@
+#ifndef EGRETLATCH_PLATFORM_BACKOFF_HPP
+#define EGRETLATCH_PLATFORM_BACKOFF_HPP
+
+#include <algorithm>
+
+#include <egretlatch/core/clock.hpp>
+#include <egretlatch/core/random_source.hpp>
+
+namespace egretlatch::platform
+{
+
+/*! @brief Waits between attempts: doubled with each failure up to a bound, each drawn from the upper half. */
+class Backoff
+{
+public:
+    /**
+     * @brief Builds a backoff without failures.
+     * @param first Longest wait after the first failure.
+     * @param most Longest wait of all.
+     */
+    Backoff(const Duration first, const Duration most)
+        : m_first{first}
+        , m_most{most}
+        , m_next{first}
+    {
+    }
+
+    /**
+     * @brief Gives the wait after one more failure.
+     *
+     * All daemons see an outage begin and end at the same time; the jitter keeps them from coming back together.
+     * @param random Source of the jitter.
+     * @return Between half of the longest wait now and all of it.
+     */
+    [[nodiscard]] Duration next(RandomSource &random)
+    {
+        const Duration longest = m_next;
+        m_next = std::min(m_most, m_next * 2);
+        const Duration half = longest / 2;
+        return half + Duration{static_cast<Duration::rep>(random.below(static_cast<std::uint64_t>((longest - half).count()) + 1))};
+    }
+
+    /*! @brief Starts again from the first wait, after a success. */
+    void reset() noexcept
+    {
+        m_next = m_first;
+    }
+
+private:
+    Duration m_first;
+    Duration m_most;
+    Duration m_next;
+};
+
+} // namespace egretlatch::platform
+
+#endif
--- a/src/egretlatch/platform/fwd.hpp
+++ b/src/egretlatch/platform/fwd.hpp
@@ -13,6 +13,10 @@
 struct ObjectPut;
 struct ObjectGet;
 struct ObjectList;
+struct HttpRequest;
+class Backoff;
+class IdentifiedWrite;
+class RateCap;
 
 } // namespace egretlatch::platform
 
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -1,6 +1,7 @@
 #include <CLI/CLI.hpp>
 
 #include <backend_server.hpp>
+#include <platform_server.hpp>
 
 int main(int argc, char **argv)
 {
@@ -18,9 +19,19 @@
     backend->footer(
         "Example: egretlatch-standin backend --port 9000 --daemon http://127.0.0.1:8000 --service launch-log --manifest examples/gliding-union.json");
 
+    standin::PlatformOptions platformOptions;
+    CLI::App *const platform = app.add_subcommand("platform", "A transactional table and an object store in memory that can be told to misbehave.");
+    platform->add_option("--port", platformOptions.port, "Port to listen on")->required();
+    platform->add_option("--token-file", platformOptions.tokenFile, "File with the bearer token to ask for; by default none");
+    platform->add_option("--seed", platformOptions.seed, "Seed of its random choices");
+    platform->footer("Example: egretlatch-standin platform --port 9500");
+
     CLI11_PARSE(app, argc, argv);
     if (backend->parsed()) {
         return standin::runBackend(backendOptions, argc, argv);
     }
+    if (platform->parsed()) {
+        return standin::runPlatform(platformOptions, argc, argv);
+    }
     return 0;
 }
--- /dev/null
+++ b/standin/platform_store.cpp
@@ -0,0 +1,111 @@
+#include <platform_store.hpp>
+
+namespace standin
+{
+
+using namespace egretlatch;
+
+namespace internal
+{
+
+template<typename Map>
+[[nodiscard]] static auto firstAfter(const Map &map, const std::string &prefix, const std::string &after)
+{
+    return after < prefix ? map.lower_bound(prefix) : map.upper_bound(after);
+}
+
+template<typename Map, typename Visitor>
+static void visitPrefix(const Map &map, const std::string &prefix, const std::string &after, const int limit, const Visitor &visit)
+{
+    int count = 0;
+    for (auto entry = firstAfter(map, prefix, after); entry != map.end() && entry->first.starts_with(prefix) && count < limit; ++entry) {
+        visit(*entry);
+        ++count;
+    }
+}
+
+} // namespace internal
+
+platform::Outcome PlatformStore::apply(const platform::Request &request)
+{
+    if (const auto *const asked = std::get_if<platform::TableRead>(&request)) {
+        return read(*asked);
+    }
+    if (const auto *const asked = std::get_if<platform::TableScan>(&request)) {
+        return scan(*asked);
+    }
+    if (const auto *const asked = std::get_if<platform::TableWrite>(&request)) {
+        return write(*asked);
+    }
+    if (const auto *const asked = std::get_if<platform::ObjectPut>(&request)) {
+        return put(*asked);
+    }
+    if (const auto *const asked = std::get_if<platform::ObjectGet>(&request)) {
+        return get(*asked);
+    }
+    return list(std::get<platform::ObjectList>(request));
+}
+
+platform::Outcome PlatformStore::read(const platform::TableRead &read) const
+{
+    platform::RowsReply reply;
+    const auto found = m_rows.find(read.key);
+    if (found != m_rows.end()) {
+        reply.rows.push_back(found->second);
+    }
+    return reply;
+}
+
+platform::Outcome PlatformStore::scan(const platform::TableScan &scan) const
+{
+    platform::RowsReply reply;
+    internal::visitPrefix(m_rows, scan.prefix, scan.after, scan.limit, [&reply](const auto &entry) {
+        reply.rows.push_back(entry.second);
+    });
+    return reply;
+}
+
+platform::Outcome PlatformStore::write(const platform::TableWrite &write)
+{
+    for (const platform::RowCondition &condition : write.conditions) {
+        const auto found = m_rows.find(condition.key);
+        const std::uint64_t version = found == m_rows.end() ? 0 : found->second.version;
+        if (version != condition.version) {
+            return tl::unexpected{Error{ErrorCode::conflict, "a condition did not hold"}};
+        }
+    }
+    for (const platform::RowWrite &row : write.writes) {
+        if (row.value.has_value()) {
+            m_rows[row.key] = {.key = row.key, .value = *row.value, .version = ++m_lastVersion};
+        } else {
+            m_rows.erase(row.key);
+        }
+    }
+    return platform::WrittenReply{};
+}
+
+platform::Outcome PlatformStore::put(const platform::ObjectPut &put)
+{
+    m_objects[put.name] = put.bytes;
+    return platform::WrittenReply{};
+}
+
+platform::Outcome PlatformStore::get(const platform::ObjectGet &get) const
+{
+    const auto found = m_objects.find(get.name);
+    if (found == m_objects.end()) {
+        return tl::unexpected{Error{ErrorCode::notFound, "no such object"}};
+    }
+    return platform::ObjectReply{.bytes = found->second};
+}
+
+platform::Outcome PlatformStore::list(const platform::ObjectList &list) const
+{
+    platform::NamesReply reply;
+    internal::visitPrefix(m_objects, list.prefix, list.after, list.limit, [&reply](const auto &entry) {
+        reply.names.push_back(entry.first);
+    });
+    return reply;
+}
+
+} // namespace standin
--- /dev/null
+++ b/test/egretlatch/platform/rate_cap.cpp
@@ -0,0 +1,38 @@
+#include <doctest/doctest.h>
+
+#include <egretlatch/platform/backoff.hpp>
+#include <egretlatch/platform/rate_cap.hpp>
+
+using namespace egretlatch;
+using namespace egretlatch::platform;
+
+TEST_CASE("a fleet that asks as fast as it can stays under its rate")
+{
+    // All daemons lose their rows at once and write without end. Each takes its share, so the platform sees the rate of
+    // the fleet and not the rate times the daemons.
+    constexpr int daemons = 750;
+    constexpr int seconds = 60;
+    constexpr double fleetRate = 200.0;
+    RateCap cap{fleetRate, 1.0};
+    cap.setFleetSize(daemons);
+    int taken = 0;
+    for (int millisecond = 0; millisecond < seconds * 1000; ++millisecond) {
+        taken += cap.tryTake(SteadyTime{std::chrono::milliseconds{millisecond}}) ? 1 : 0;
+    }
+    CHECK(taken * daemons <= (fleetRate * seconds) + daemons);
+    CHECK(taken * daemons >= fleetRate * seconds * 0.9);
+}
+
+TEST_CASE("waits grow to their bound, differ from one another and start again after a success")
+{
+    SeededRandom random{5};
+    Backoff backoff{std::chrono::milliseconds{100}, std::chrono::seconds{2}};
+    Duration longest{};
+    for (int failure = 0; failure < 20; ++failure) {
+        longest = std::max(longest, backoff.next(random));
+    }
+    CHECK(longest > std::chrono::seconds{1});
+    CHECK(longest <= std::chrono::seconds{2});
+    backoff.reset();
+    CHECK(backoff.next(random) <= std::chrono::milliseconds{100});
+}
