--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -3,6 +3,7 @@
 #include <backend_server.hpp>
 #include <latency_probe.hpp>
 #include <load/load_command.hpp>
+#include <platform_server.hpp>
 
 int main(int argc, char **argv)
 {
@@ -41,6 +42,12 @@
     probe->add_option("--seconds", probeOptions.seconds, "Length of the run")->required()->check(CLI::Range(1, 120));
     probe->add_option("--connections", probeOptions.connections, "Connections")->check(CLI::Range(1, 1000));
     probe->footer("Example: egretlatch-standin probe --port 8000 --path /call/echo/fast/ --rate 500 --seconds 4");
+    standin::PlatformOptions platformOptions;
+    CLI::App *const platform = app.add_subcommand("platform", "A transactional table and an object store in memory that can be told to misbehave.");
+    platform->add_option("--port", platformOptions.port, "Port to listen on")->required();
+    platform->add_option("--token-file", platformOptions.tokenFile, "File with the bearer token to ask for; by default none");
+    platform->add_option("--seed", platformOptions.seed, "Seed of its random choices");
+    platform->footer("Example: egretlatch-standin platform --port 9500");
 
     CLI11_PARSE(app, argc, argv);
     if (load->parsed()) {
@@ -52,5 +59,8 @@
     if (probe->parsed()) {
         return standin::runProbe(probeOptions);
     }
+    if (platform->parsed()) {
+        return standin::runPlatform(platformOptions, argc, argv);
+    }
     return 0;
 }
