--- a/src/egretlatch/daemon/caller_server.cpp
+++ b/src/egretlatch/daemon/caller_server.cpp
@@ -263,6 +263,7 @@
         announced.service = reader.text("service");
         announced.slots = static_cast<int>(reader.integer("slots", internal::slotsRange));
         announced.connections = static_cast<int>(reader.integer("connections", internal::connectionsRange));
+        announced.instance = reader.text("instance", "");
         reader.finish();
         if (settings::hasError(problems)) {
             std::string lines;
--- a/src/egretlatch/daemon/daemon.cpp
+++ b/src/egretlatch/daemon/daemon.cpp
@@ -131,7 +131,7 @@
         &m_frontWaker,
         [this] {
             m_front->setReady(false);
-            static_cast<void>(m_inward.fromFront.tryPush(decision::ServerDraining{}));
+            static_cast<void>(m_inward.fromFront.tryPush(decision::ServerDraining{.isShutdown = true}));
         },
         Qt::QueuedConnection);
 }
@@ -147,10 +147,7 @@
     decision::CoreBuilder builder{m_clock, m_random, m_metrics};
     builder.setSelf(self);
     for (const settings::PeerSettings &peer : m_settings.peers) {
-        membership::Member contact;
-        contact.id = peer.id;
-        contact.endpoint = peer.endpoint;
-        builder.addContact(contact);
+        builder.addContact({.id = peer.id, .endpoint = peer.endpoint});
     }
     applyPolicy(m_settings.policy, m_random, builder);
     return builder.build();
--- a/src/egretlatch/daemon/decide_thread.cpp
+++ b/src/egretlatch/daemon/decide_thread.cpp
@@ -1,5 +1,7 @@
 #include <egretlatch/daemon/decide_thread.hpp>
 
+#include <algorithm>
+
 #include <egretlatch/daemon/status_document.hpp>
 
 namespace egretlatch::daemon
@@ -63,7 +65,10 @@
             publishStatus();
             nextTick = m_core->nextTick();
         }
-        if (!hadEvents) {
+        if (hadEvents) {
+            // An idle core ticks seldom; the events may have brought a deadline that is nearer than its next tick.
+            nextTick = std::min(nextTick, m_core->nextTick());
+        } else {
             m_waker.waitUntil(nextTick);
         }
     }
--- a/src/egretlatch/daemon/peer_thread.cpp
+++ b/src/egretlatch/daemon/peer_thread.cpp
@@ -183,7 +183,11 @@
 void PeerThread::send(const decision::SendToPeer &order)
 {
     if (const auto *const given = std::get_if<protocol::CallAnswer>(&order.message)) {
-        answer(order, *given);
+        answer(order, given->receiver);
+        return;
+    }
+    if (const auto *const gossip = std::get_if<protocol::Gossip>(&order.message); gossip != nullptr && membership::isReply(gossip->purpose)) {
+        answer(order, gossip->receiver);
         return;
     }
     Link *const link = linkTo(order);
@@ -199,9 +203,9 @@
     }
 }
 
-void PeerThread::answer(const decision::SendToPeer &order, const protocol::CallAnswer &answer)
+void PeerThread::answer(const decision::SendToPeer &order, const Incarnation receiver)
 {
-    const std::string routingId = internal::routingId(order.to, answer.receiver);
+    const std::string routingId = internal::routingId(order.to, receiver);
     const std::string bytes = encode(order.message);
     try {
         const std::array<zmq::const_buffer, 2> parts{zmq::buffer(routingId), zmq::buffer(bytes)};
--- a/src/egretlatch/daemon/peer_thread.hpp
+++ b/src/egretlatch/daemon/peer_thread.hpp
@@ -95,7 +95,7 @@
     void receiveFrom(zmq::socket_t &socket, bool isRouter);
     void take(std::string_view bytes, const std::string *routingId);
     void send(const decision::SendToPeer &order);
-    void answer(const decision::SendToPeer &order, const protocol::CallAnswer &answer);
+    void answer(const decision::SendToPeer &order, Incarnation receiver);
     [[nodiscard]] Link *linkTo(const decision::SendToPeer &order);
     [[nodiscard]] std::string encode(const protocol::Message &message) const;
 
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -13,7 +13,9 @@
 {
 
 constexpr std::chrono::milliseconds tickInterval{10};
-constexpr std::chrono::milliseconds spreadInterval{500};
+constexpr std::chrono::milliseconds idleTickInterval{100};
+constexpr std::chrono::seconds announcementTimeout{5};
+constexpr std::chrono::milliseconds leaveSpreadTime{500};
 constexpr std::size_t defaultQueueCapacity = 1000;
 
 template<typename... Handlers>
@@ -37,7 +39,8 @@
 
 SteadyTime Core::nextTick() const
 {
-    const SteadyTime latest = m_surroundings->clock.steadyNow() + internal::tickInterval;
+    const Duration interval = isIdle() ? internal::idleTickInterval : internal::tickInterval;
+    const SteadyTime latest = m_surroundings->clock.steadyNow() + interval;
     return std::min(latest, m_entry->nextDeadline().value_or(latest));
 }
 
@@ -61,14 +64,17 @@
                    [&](const SendFailed &failed) {
                        m_entry->handleSendFailed(failed, now);
                    },
+                   [&](const PeerLost &lost) {
+                       handlePeerLost(lost, now);
+                   },
                    [&](const RunEnded &ended) {
                        m_serving->handleRunEnded(ended, now);
                    },
                    [&](const ServerAnnounced &announced) {
                        handleAnnounced(announced, now);
                    },
-                   [&](const ServerDraining &) {
-                       handleDraining(now);
+                   [&](const ServerDraining &draining) {
+                       handleDraining(draining, now);
                    },
                    [&](const ServerLeft &) {
                        handleLeft(now);
@@ -99,7 +105,8 @@
                        m_serving->handleCancel(envelope.sender, envelope.incarnation, cancel.call, now);
                    },
                    [&](const protocol::Gossip &gossip) {
-                       handleGossip(gossip, now);
+                       m_gossip->handle(envelope.sender, envelope.incarnation, gossip, now);
+                       applyGossip(now);
                    },
                },
                envelope.message);
@@ -107,14 +114,28 @@
 
 void Core::handleAnnounced(const ServerAnnounced &announced, const SteadyTime now)
 {
+    m_lastAnnounced = now;
+    // A server goes on announcing itself while it drains, which must not put it back to work. Another process in its
+    // place is a server of its own; it is known by its instance name.
+    const bool isSameProcess = m_server.has_value() && m_server->instance == announced.instance;
+    if (m_isShuttingDown || (m_isDraining && isSameProcess) || m_server == announced) {
+        return;
+    }
+    m_server = announced;
     m_isDraining = false;
-    m_hasReportedDrained = false;
     m_serving->setServer(announced.slots);
     updateSelf(membership::MemberState::serving, announced.service, announced.slots, announced.connections, now);
 }
 
-void Core::handleDraining(const SteadyTime now)
+void Core::handleDraining(const ServerDraining &draining, const SteadyTime now)
 {
+    if (draining.isShutdown) {
+        m_isShuttingDown = true;
+        m_entry->drain();
+    }
+    if (m_isDraining) {
+        return;
+    }
     m_isDraining = true;
     m_serving->drain();
     const membership::Member &self = m_surroundings->roster.self();
@@ -123,10 +144,23 @@
 
 void Core::handleLeft(const SteadyTime now)
 {
+    m_server.reset();
+    m_isDraining = m_isShuttingDown;
     m_serving->setServer(0);
     updateSelf(membership::MemberState::idle, {}, 0, 0, now);
 }
 
+void Core::handlePeerLost(const PeerLost &lost, const SteadyTime now)
+{
+    m_gossip->noteUnreachable(lost.daemon);
+    m_entry->handlePeerLost(lost, now);
+}
+
+void Core::handleRumour(const membership::Rumour &rumour, const SteadyTime /*now*/)
+{
+    m_surroundings->metrics.count("rumours", rumour.key.kind == membership::RumourKind::quarantine ? "quarantine" : "configuration");
+}
+
 void Core::handleManifest(const ManifestChanged &changed)
 {
     // A configuration that arrives late, or again, must not undo a newer one, so only a higher version is taken.
@@ -143,26 +177,37 @@
 {
     m_entry->tick(now);
     m_serving->tick(now);
-    if (m_surroundings->roster.tick(now)) {
-        m_surroundings->router->setMembers(m_surroundings->roster.members(), now);
-    }
-    if (now - m_lastSpread >= internal::spreadInterval) {
-        spreadSelf(now);
-    }
-    if (m_isDraining && !m_hasReportedDrained && m_serving->isIdle() && m_entry->isIdle()) {
-        m_hasReportedDrained = true;
-        m_surroundings->actions.emplace_back(Drained{});
+    tickServer(now);
+    m_gossip->tick(now);
+    tickLeaving(now);
+    applyGossip(now);
+}
+
+void Core::tickServer(const SteadyTime now)
+{
+    // A backend server that dies says nothing, and its daemon would go on offering its slots: callers would see one
+    // refused connection after the other. It is taken for gone once its announcements stop.
+    if (m_server.has_value() && now - m_lastAnnounced >= internal::announcementTimeout) {
+        m_surroundings->metrics.count("membership", "server-silent");
+        handleLeft(now);
     }
 }
 
-void Core::handleGossip(const protocol::Gossip &gossip, const SteadyTime now)
+void Core::tickLeaving(const SteadyTime now)
 {
-    bool hasChanged = false;
-    for (const membership::Member &member : gossip.members) {
-        hasChanged = m_surroundings->roster.merge(member, now) || hasChanged;
+    if (!m_isShuttingDown || m_hasReportedDrained || !m_serving->isIdle() || !m_entry->isIdle()) {
+        m_leftAt.reset();
+        return;
     }
-    if (hasChanged) {
-        m_surroundings->router->setMembers(m_surroundings->roster.members(), now);
+    if (!m_leftAt.has_value()) {
+        m_leftAt = now;
+        updateSelf(membership::MemberState::gone, {}, 0, 0, now);
+    }
+    // The process ends at once when it is told to, and what has not left it by then is lost with it. Others would then
+    // take a daemon that left for one that died, so its word gets time to leave.
+    if (now - *m_leftAt >= internal::leaveSpreadTime) {
+        m_hasReportedDrained = true;
+        m_surroundings->actions.emplace_back(Drained{});
     }
 }
 
@@ -170,18 +215,29 @@
 {
     m_surroundings->roster.updateSelf(state, service, slots, connections);
     m_surroundings->router->setMembers(m_surroundings->roster.members(), now);
-    spreadSelf(now);
+    m_gossip->announceSelf(now);
+    applyGossip(now);
 }
 
-void Core::spreadSelf(const SteadyTime now)
+void Core::applyGossip(const SteadyTime now)
 {
-    m_lastSpread = now;
-    for (const membership::Member &contact : m_contacts) {
-        protocol::Gossip gossip{.members = {m_surroundings->roster.self()}};
-        m_surroundings->actions.emplace_back(SendToPeer{.to = contact.id, .endpoint = contact.endpoint, .message = std::move(gossip)});
+    membership::GossipEffects effects = m_gossip->takeEffects();
+    if (effects.haveMembersChanged) {
+        m_surroundings->router->setMembers(m_surroundings->roster.members(), now);
+    }
+    for (membership::OutgoingGossip &outgoing : effects.messages) {
+        m_surroundings->actions.emplace_back(SendToPeer{.to = outgoing.to.id, .endpoint = outgoing.to.endpoint, .message = std::move(outgoing.message)});
+    }
+    for (const membership::Rumour &rumour : effects.rumours) {
+        handleRumour(rumour, now);
     }
 }
 
+bool Core::isIdle() const noexcept
+{
+    return m_serving->isIdle() && m_entry->isIdle();
+}
+
 Actions Core::deliverToSelf(const SteadyTime now)
 {
     Actions outward;
@@ -213,7 +269,7 @@
     return *this;
 }
 
-CoreBuilder &CoreBuilder::addContact(membership::Member contact)
+CoreBuilder &CoreBuilder::addContact(membership::Contact contact)
 {
     m_contacts.push_back(std::move(contact));
     return *this;
@@ -265,8 +321,7 @@
     });
     core->m_serving = std::make_unique<ServingHandler>(*core->m_surroundings, std::move(m_gate));
     core->m_entry = std::make_unique<EntryHandler>(*core->m_surroundings, *core->m_serving);
-    core->m_contacts = std::move(m_contacts);
-    core->m_lastSpread = m_clock.steadyNow();
+    core->m_gossip = std::make_unique<membership::Gossip>(core->m_surroundings->roster, m_random, m_metrics, std::move(m_contacts));
     return core;
 }
 
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -9,6 +9,7 @@
 #include <egretlatch/decision/event.hpp>
 #include <egretlatch/decision/serving_handler.hpp>
 #include <egretlatch/decision/surroundings.hpp>
+#include <egretlatch/membership/gossip.hpp>
 
 namespace egretlatch::decision
 {
@@ -58,21 +59,29 @@
     void dispatch(const Event &event, SteadyTime now);
     void handleMessage(const protocol::Envelope &envelope, SteadyTime now);
     void handleAnnounced(const ServerAnnounced &announced, SteadyTime now);
-    void handleDraining(SteadyTime now);
+    void handleDraining(const ServerDraining &draining, SteadyTime now);
     void handleLeft(SteadyTime now);
     void handleManifest(const ManifestChanged &changed);
     void handleTick(SteadyTime now);
-    void handleGossip(const protocol::Gossip &gossip, SteadyTime now);
+    void handlePeerLost(const PeerLost &lost, SteadyTime now);
+    void handleRumour(const membership::Rumour &rumour, SteadyTime now);
+    void tickServer(SteadyTime now);
+    void tickLeaving(SteadyTime now);
     void updateSelf(membership::MemberState state, const std::string &service, int slots, int connections, SteadyTime now);
-    void spreadSelf(SteadyTime now);
+    void applyGossip(SteadyTime now);
+    [[nodiscard]] bool isIdle() const noexcept;
     [[nodiscard]] Actions deliverToSelf(SteadyTime now);
 
     std::unique_ptr<Surroundings> m_surroundings;
     std::unique_ptr<ServingHandler> m_serving;
     std::unique_ptr<EntryHandler> m_entry;
-    std::vector<membership::Member> m_contacts;
-    SteadyTime m_lastSpread;
+    std::unique_ptr<membership::Gossip> m_gossip;
+    /*! @brief What the backend server said last; nothing if there is none. */
+    std::optional<ServerAnnounced> m_server;
+    SteadyTime m_lastAnnounced;
     bool m_isDraining{};
+    bool m_isShuttingDown{};
+    std::optional<SteadyTime> m_leftAt;
     bool m_hasReportedDrained{};
 };
 
@@ -100,7 +109,7 @@
      * @param contact Its id and endpoint.
      * @return This builder.
      */
-    CoreBuilder &addContact(membership::Member contact);
+    CoreBuilder &addContact(membership::Contact contact);
 
     /**
      * @brief Sets how servers are chosen.
@@ -134,7 +143,7 @@
     RandomSource &m_random;
     account::MetricsSink &m_metrics;
     membership::Member m_self;
-    std::vector<membership::Member> m_contacts;
+    std::vector<membership::Contact> m_contacts;
     std::unique_ptr<routing::Router> m_router;
     std::unique_ptr<admission::EntryControl> m_entryControl;
     std::unique_ptr<admission::Gate> m_gate;
--- a/src/egretlatch/decision/entry_handler.cpp
+++ b/src/egretlatch/decision/entry_handler.cpp
@@ -1,6 +1,7 @@
 #include <egretlatch/decision/entry_handler.hpp>
 
 #include <algorithm>
+#include <vector>
 
 #include <fmt/format.h>
 #include <xxhash.h>
@@ -93,6 +94,10 @@
         }
     }
     Pending pending = begin(arrived, *kind, inner, now);
+    if (m_isDraining && !inner.has_value()) {
+        finishRefused(pending, m_surroundings.refuse(account::RefusalReason::draining, "the entry daemon is leaving"), now);
+        return;
+    }
     if (!inner.has_value()) {
         const admission::EntryRequest request{.service = call.service, .kind = call.kind, .root = pending.root, .rank = pending.rank};
         if (auto refusal = m_surroundings.entryControl->check(request, now)) {
@@ -228,6 +233,31 @@
     }
 }
 
+void EntryHandler::handlePeerLost(const PeerLost &lost, const SteadyTime now)
+{
+    // The answer to an attempt comes back by the connection that the attempt left by. Once that is lost no answer can
+    // come, and the caller would wait for its whole deadline in vain.
+    std::vector<CallId> calls;
+    for (const auto &[call, pending] : m_pending) {
+        if (pending.server == lost.daemon && lost.daemon != m_surroundings.self) {
+            calls.push_back(call);
+        }
+    }
+    for (const CallId call : calls) {
+        if (!lost.wasConnected) {
+            handleSendFailed({.to = lost.daemon, .call = call}, now);
+            continue;
+        }
+        protocol::CallAnswer answer;
+        answer.call = call;
+        answer.receiver = m_surroundings.incarnation;
+        answer.verdict = Verdict::mayHaveRun;
+        answer.refusal = m_surroundings.refuse(account::RefusalReason::serverLost, "the connection to the serving daemon was lost before it answered");
+        answer.status = account::httpStatus(answer.refusal->reason);
+        handleAnswer(lost.daemon, answer, now);
+    }
+}
+
 void EntryHandler::tick(const SteadyTime now)
 {
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
@@ -235,6 +265,11 @@
     }
 }
 
+void EntryHandler::drain()
+{
+    m_isDraining = true;
+}
+
 std::optional<SteadyTime> EntryHandler::nextDeadline() const
 {
     return m_deadlines.empty() ? std::nullopt : std::optional{m_deadlines.begin()->first};
--- a/src/egretlatch/decision/entry_handler.hpp
+++ b/src/egretlatch/decision/entry_handler.hpp
@@ -55,12 +55,22 @@
      */
     void handleSendFailed(const SendFailed &failed, SteadyTime now);
 
+    /**
+     * @brief Ends all attempts at a daemon whose connection is lost.
+     * @param lost The daemon, and whether an attempt can have reached it.
+     * @param now Current time.
+     */
+    void handlePeerLost(const PeerLost &lost, SteadyTime now);
+
     /**
      * @brief Lets time pass: answers what is past its deadline.
      * @param now Current time.
      */
     void tick(SteadyTime now);
 
+    /*! @brief Refuses all new roots from now on; calls that are under way, and the inner calls of runs, go on. */
+    void drain();
+
     /**
      * @brief Gives the time at which a call passes its deadline.
      * @return The earliest one, or nothing if no call is pending.
@@ -115,6 +125,7 @@
     std::map<ExchangeId, CallId> m_byExchange;
     std::set<std::pair<SteadyTime, CallId>> m_deadlines;
     std::uint64_t m_lastCall{};
+    bool m_isDraining{};
 };
 
 } // namespace egretlatch::decision
--- a/src/egretlatch/decision/event.hpp
+++ b/src/egretlatch/decision/event.hpp
@@ -68,6 +68,14 @@
     CallId call;
 };
 
+/*! @brief The connection to a daemon ended, or could not be opened. */
+struct PeerLost
+{
+    DaemonId daemon;
+    /*! @brief False where no message on it can have left this daemon. */
+    bool wasConnected{};
+};
+
 /*! @brief What a backend server answered. */
 struct RunAnswer
 {
@@ -101,11 +109,17 @@
     std::string service;
     int slots{};
     int connections{};
+    /*! @brief Names the process, so that a new one is told from one that drains; may be empty. */
+    std::string instance;
+
+    friend bool operator==(const ServerAnnounced &, const ServerAnnounced &) = default;
 };
 
 /*! @brief The backend server, or an operator's signal, asks to take no new work. */
 struct ServerDraining
 {
+    /*! @brief Whether the daemon itself is to end once nothing is in flight. */
+    bool isShutdown{};
 };
 
 /*! @brief The backend server has gone. */
@@ -132,8 +146,18 @@
 {
 };
 
-using Event = std::
-    variant<CallArrived, CallerGone, PeerMessage, SendFailed, RunEnded, ServerAnnounced, ServerDraining, ServerLeft, ManifestChanged, PlatformAnswered, Tick>;
+using Event = std::variant<CallArrived,
+                           CallerGone,
+                           PeerMessage,
+                           SendFailed,
+                           PeerLost,
+                           RunEnded,
+                           ServerAnnounced,
+                           ServerDraining,
+                           ServerLeft,
+                           ManifestChanged,
+                           PlatformAnswered,
+                           Tick>;
 
 } // namespace egretlatch::decision
 
--- a/src/egretlatch/membership/fwd.hpp
+++ b/src/egretlatch/membership/fwd.hpp
@@ -4,11 +4,26 @@
 namespace egretlatch::membership
 {
 
+enum class GossipPurpose;
 enum class MemberState;
+enum class MergeOutcome;
+enum class NewsSource;
 
+struct Contact;
+struct GossipMessage;
 struct Member;
+struct OutgoingGossip;
+struct Rumour;
+struct RumourKey;
+struct Suspicion;
 
+class ContactBook;
+class Gossip;
+class NewsQueue;
+class Prober;
 class Roster;
+class RumourStore;
+class StatePull;
 
 } // namespace egretlatch::membership
 
--- /dev/null
+++ b/src/egretlatch/membership/gossip.cpp
@@ -0,0 +1,389 @@
+#include <egretlatch/membership/gossip.hpp>
+
+#include <algorithm>
+#include <bit>
+
+namespace egretlatch::membership
+{
+
+namespace internal
+{
+
+constexpr std::chrono::seconds beatInterval{10};
+constexpr std::chrono::milliseconds spreadInterval{200};
+constexpr std::chrono::seconds unheardInterval{5};
+constexpr std::chrono::seconds joinInterval{1};
+constexpr std::chrono::seconds relayTimeout{1};
+constexpr std::chrono::seconds longestTickGap{2};
+constexpr int spreadTargets = 2;
+constexpr int announceTargets = 4;
+constexpr std::size_t joinTargets = 3;
+constexpr std::size_t indirectHelpers = 3;
+constexpr std::size_t newsInMessage = 12;
+constexpr std::size_t membersInPage = 24;
+constexpr std::size_t rumoursInPage = 8;
+constexpr int sendsPerDoubling = 2;
+constexpr std::size_t drawsForOne = 4;
+
+[[nodiscard]] static int sendsFor(const std::size_t members)
+{
+    return sendsPerDoubling * static_cast<int>(std::bit_width(members));
+}
+
+} // namespace internal
+
+Gossip::Gossip(Roster &roster, RandomSource &random, account::MetricsSink &metrics, std::vector<Contact> contacts)
+    : m_roster{roster}
+    , m_random{random}
+    , m_metrics{metrics}
+    , m_contacts{std::move(contacts)}
+    , m_prober{random}
+    , m_pull{random}
+{
+}
+
+void Gossip::handle(const DaemonId &sender, const Incarnation incarnation, const GossipMessage &message, const SteadyTime now)
+{
+    // Looked at first: the message itself is a sign of life that ends the doubt here, but not that of others.
+    const std::optional<Suspicion> doubt = doubtOf(sender);
+    takeNews(sender, message, now);
+    switch (message.purpose) {
+    case GossipPurpose::news:
+        break;
+    case GossipPurpose::ping:
+        answerPing(sender, incarnation, message, doubt, now);
+        break;
+    case GossipPurpose::ack:
+        m_prober.noteAck(message.sequence);
+        relayAck(message.sequence, now);
+        break;
+    case GossipPurpose::pingRequest:
+        relayPing(sender, incarnation, message, now);
+        break;
+    case GossipPurpose::pullRequest:
+        answerPull(sender, incarnation, message, now);
+        break;
+    case GossipPurpose::pullReply:
+        m_pull.noteReply(sender, message.page, message.hasMore, now);
+        break;
+    }
+}
+
+void Gossip::tick(const SteadyTime now)
+{
+    // A daemon that was paused, or got no processor, finds its probe past its time on waking although the answer may lie
+    // unread. It would then suspect a live member, so a probe that spans such a gap has no verdict.
+    if (m_lastTick.has_value() && now - *m_lastTick > internal::longestTickGap) {
+        m_prober.reset();
+        m_metrics.count("membership", "tick-gap");
+    }
+    m_lastTick = now;
+    if (now >= m_nextBeat) {
+        m_nextBeat = now + internal::beatInterval;
+        m_roster.beat();
+    }
+    m_rumours.expire(now);
+    std::erase_if(m_relays, [now](const auto &item) {
+        return item.second.expires <= now;
+    });
+    m_effects.haveMembersChanged = m_roster.tick(now) || m_effects.haveMembersChanged;
+    const std::vector<DaemonId> &participants = m_roster.participants();
+    for (const ProbeOrder &order : m_prober.tick(participants, now)) {
+        follow(order, now);
+    }
+    if (now >= m_nextUnheard) {
+        m_nextUnheard = now + (participants.empty() ? internal::joinInterval : internal::unheardInterval);
+        pingUnheard(now);
+    }
+    pull(now);
+    if (now >= m_nextSpread && !m_news.isEmpty()) {
+        spreadNews(internal::spreadTargets, now);
+    }
+}
+
+void Gossip::announceSelf(const SteadyTime now)
+{
+    queue(m_roster.self().id);
+    spreadNews(internal::announceTargets, now);
+}
+
+void Gossip::spread(const Rumour &rumour, const SteadyTime now)
+{
+    if (m_rumours.add(rumour, now)) {
+        queue(rumour.key);
+    }
+}
+
+void Gossip::addContacts(const std::vector<Contact> &contacts)
+{
+    for (const Contact &contact : contacts) {
+        if (contact.id != m_roster.self().id && std::find(m_contacts.begin(), m_contacts.end(), contact) == m_contacts.end()) {
+            m_contacts.push_back(contact);
+        }
+    }
+}
+
+void Gossip::noteUnreachable(const DaemonId &daemon)
+{
+    m_prober.noteUnreachable(daemon);
+}
+
+GossipEffects Gossip::takeEffects()
+{
+    GossipEffects effects;
+    std::swap(effects, m_effects);
+    return effects;
+}
+
+void Gossip::takeNews(const DaemonId &sender, const GossipMessage &message, const SteadyTime now)
+{
+    for (const Member &member : message.members) {
+        NewsSource source = message.purpose == GossipPurpose::pullReply ? NewsSource::pull : NewsSource::rumour;
+        if (member.id == sender) {
+            source = NewsSource::member;
+        }
+        takeOutcome(m_roster.merge(member, source, now), member.id, source);
+    }
+    for (const Suspicion &suspicion : message.suspicions) {
+        takeOutcome(m_roster.suspect(suspicion, now), suspicion.id, NewsSource::rumour);
+    }
+    for (const Rumour &rumour : message.rumours) {
+        if (m_rumours.add(rumour, now)) {
+            m_effects.rumours.push_back(rumour);
+            queue(rumour.key);
+        }
+    }
+}
+
+void Gossip::takeOutcome(const MergeOutcome outcome, const DaemonId &id, const NewsSource source)
+{
+    if (outcome == MergeOutcome::known) {
+        return;
+    }
+    m_effects.haveMembersChanged = true;
+    if (outcome == MergeOutcome::refuted) {
+        m_metrics.count("membership", "refuted");
+    }
+    // What a pull brings is old news: passed on, a newcomer would spread the whole fleet anew.
+    if (outcome == MergeOutcome::refuted || source != NewsSource::pull) {
+        queue(id);
+    }
+}
+
+void Gossip::answerPing(
+    const DaemonId &sender, const Incarnation incarnation, const GossipMessage &message, const std::optional<Suspicion> &doubt, const SteadyTime now)
+{
+    GossipMessage answer = makeMessage(GossipPurpose::ack, now);
+    answer.sequence = message.sequence;
+    answer.receiver = incarnation;
+    if (doubt.has_value()) {
+        answer.suspicions.push_back(*doubt);
+    }
+    sendTo(sender, std::move(answer));
+}
+
+void Gossip::relayPing(const DaemonId &sender, const Incarnation incarnation, const GossipMessage &message, const SteadyTime now)
+{
+    const std::uint64_t sequence = m_prober.nextSequence();
+    m_relays.insert_or_assign(sequence,
+                              Relay{.requester = sender, .incarnation = incarnation, .sequence = message.sequence, .expires = now + internal::relayTimeout});
+    GossipMessage ping = makeMessage(GossipPurpose::ping, now);
+    ping.sequence = sequence;
+    m_effects.messages.push_back({.to = message.subject, .message = std::move(ping)});
+}
+
+void Gossip::relayAck(const std::uint64_t sequence, const SteadyTime now)
+{
+    const auto found = m_relays.find(sequence);
+    if (found == m_relays.end()) {
+        return;
+    }
+    const Relay relay = found->second;
+    m_relays.erase(found);
+    GossipMessage answer = makeMessage(GossipPurpose::ack, now);
+    answer.sequence = relay.sequence;
+    answer.receiver = relay.incarnation;
+    sendTo(relay.requester, std::move(answer));
+}
+
+void Gossip::answerPull(const DaemonId &sender, const Incarnation incarnation, const GossipMessage &message, const SteadyTime now)
+{
+    GossipMessage answer = makeMessage(GossipPurpose::pullReply, now);
+    answer.sequence = message.sequence;
+    answer.receiver = incarnation;
+    answer.page = message.page;
+    answer.digest = digest();
+    if (answer.digest != message.digest) {
+        const std::vector<Member> members = m_roster.announcedPage(message.page, internal::membersInPage);
+        const std::vector<Rumour> rumours = m_rumours.page(message.page, internal::rumoursInPage, now);
+        answer.hasMore = members.size() == internal::membersInPage || rumours.size() == internal::rumoursInPage;
+        answer.members.insert(answer.members.end(), members.begin(), members.end());
+        answer.rumours.insert(answer.rumours.end(), rumours.begin(), rumours.end());
+        // The other side may know things that this one does not.
+        if (m_pull.mayFollow(now)) {
+            m_pull.begin(sender, now);
+        }
+    }
+    sendTo(sender, std::move(answer));
+}
+
+void Gossip::follow(const ProbeOrder &order, const SteadyTime now)
+{
+    switch (order.step) {
+    case ProbeStep::direct:
+        pingDirectly(order, now);
+        break;
+    case ProbeStep::indirect:
+        pingIndirectly(order, now);
+        break;
+    case ProbeStep::failed:
+        if (const Member *const member = m_roster.find(order.target)) {
+            const Suspicion suspicion{.id = member->id, .incarnation = member->incarnation, .revision = member->revision};
+            takeOutcome(m_roster.suspect(suspicion, now), order.target, NewsSource::rumour);
+            m_metrics.count("membership", "probe-failed");
+        }
+        break;
+    }
+}
+
+void Gossip::pingDirectly(const ProbeOrder &order, const SteadyTime now)
+{
+    GossipMessage ping = makeMessage(GossipPurpose::ping, now);
+    ping.sequence = order.sequence;
+    if (const std::optional<Suspicion> doubt = doubtOf(order.target)) {
+        ping.suspicions.push_back(*doubt);
+    }
+    sendTo(order.target, std::move(ping));
+}
+
+void Gossip::pingIndirectly(const ProbeOrder &order, const SteadyTime now)
+{
+    const Member *const target = m_roster.find(order.target);
+    if (target == nullptr) {
+        return;
+    }
+    const Contact subject{.id = target->id, .endpoint = target->endpoint};
+    for (const DaemonId &helper : chooseParticipants(internal::indirectHelpers, order.target)) {
+        GossipMessage request = makeMessage(GossipPurpose::pingRequest, now);
+        request.sequence = order.sequence;
+        request.subject = subject;
+        sendTo(helper, std::move(request));
+    }
+}
+
+void Gossip::pingUnheard(const SteadyTime now)
+{
+    std::vector<Contact> unheard;
+    for (const DaemonId &id : m_roster.aged()) {
+        unheard.push_back({.id = id, .endpoint = m_roster.find(id)->endpoint});
+    }
+    for (const Contact &contact : m_contacts) {
+        if (m_roster.find(contact.id) == nullptr) {
+            unheard.push_back(contact);
+        }
+    }
+    const std::size_t count = m_roster.participants().empty() ? internal::joinTargets : 1;
+    for (std::size_t sent = 0; sent < count && !unheard.empty(); ++sent) {
+        const std::size_t index = m_random.below(unheard.size());
+        GossipMessage ping = makeMessage(GossipPurpose::ping, now);
+        ping.sequence = m_prober.nextSequence();
+        if (const std::optional<Suspicion> doubt = doubtOf(unheard[index].id)) {
+            ping.suspicions.push_back(*doubt);
+        }
+        m_effects.messages.push_back({.to = unheard[index], .message = std::move(ping)});
+        unheard.erase(unheard.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+}
+
+void Gossip::pull(const SteadyTime now)
+{
+    if (m_pull.isDue(now)) {
+        for (const DaemonId &from : chooseParticipants(1, m_roster.self().id)) {
+            m_pull.begin(from, now);
+        }
+    }
+    if (const std::optional<PullOrder> order = m_pull.tick(now)) {
+        GossipMessage request = makeMessage(GossipPurpose::pullRequest, now);
+        request.page = order->page;
+        request.digest = digest();
+        sendTo(order->from, std::move(request));
+    }
+}
+
+void Gossip::spreadNews(const int targets, const SteadyTime now)
+{
+    m_nextSpread = now + internal::spreadInterval;
+    for (const DaemonId &target : chooseParticipants(static_cast<std::size_t>(targets), m_roster.self().id)) {
+        sendTo(target, makeMessage(GossipPurpose::news, now));
+    }
+}
+
+void Gossip::queue(const NewsSubject &subject)
+{
+    m_news.add(subject, internal::sendsFor(m_roster.participants().size() + 1));
+}
+
+GossipMessage Gossip::makeMessage(const GossipPurpose purpose, const SteadyTime now)
+{
+    GossipMessage message;
+    message.purpose = purpose;
+    message.members.push_back(m_roster.self());
+    addNews(message, now);
+    return message;
+}
+
+void Gossip::addNews(GossipMessage &message, const SteadyTime now)
+{
+    for (const NewsSubject &subject : m_news.take(internal::newsInMessage)) {
+        if (const auto *const key = std::get_if<RumourKey>(&subject)) {
+            if (const std::optional<Rumour> rumour = m_rumours.find(*key, now)) {
+                message.rumours.push_back(*rumour);
+            }
+            continue;
+        }
+        const DaemonId &id = std::get<DaemonId>(subject);
+        if (const std::optional<Suspicion> doubt = doubtOf(id)) {
+            message.suspicions.push_back(*doubt);
+        } else if (const Member *const member = m_roster.findAnnounced(id); member != nullptr && id != m_roster.self().id) {
+            message.members.push_back(*member);
+        }
+    }
+}
+
+std::optional<Suspicion> Gossip::doubtOf(const DaemonId &id) const
+{
+    const Member *const member = m_roster.find(id);
+    // Without an entry to tell, the state is this daemon's verdict and not the member's own word.
+    if (member == nullptr || m_roster.findAnnounced(id) != nullptr) {
+        return std::nullopt;
+    }
+    return Suspicion{.id = id, .incarnation = member->incarnation, .revision = member->revision};
+}
+
+std::vector<DaemonId> Gossip::chooseParticipants(const std::size_t count, const DaemonId &except)
+{
+    const std::vector<DaemonId> &candidates = m_roster.participants();
+    std::vector<DaemonId> chosen;
+    // Draws with few repeats: a handful out of many, or all of a few.
+    const std::size_t mostDraws = count * internal::drawsForOne;
+    for (std::size_t draw = 0; draw < mostDraws && chosen.size() < count && !candidates.empty(); ++draw) {
+        const DaemonId &candidate = candidates[m_random.below(candidates.size())];
+        if (candidate != except && std::find(chosen.begin(), chosen.end(), candidate) == chosen.end()) {
+            chosen.push_back(candidate);
+        }
+    }
+    return chosen;
+}
+
+std::uint64_t Gossip::digest() const
+{
+    return m_roster.digest() + m_rumours.digest();
+}
+
+void Gossip::sendTo(const DaemonId &to, GossipMessage message)
+{
+    const Member *const member = m_roster.find(to);
+    m_effects.messages.push_back({.to = {.id = to, .endpoint = member == nullptr ? std::string{} : member->endpoint}, .message = std::move(message)});
+}
+
+} // namespace egretlatch::membership
--- a/src/egretlatch/membership/member.hpp
+++ b/src/egretlatch/membership/member.hpp
@@ -38,6 +38,8 @@
     Incarnation incarnation;
     /*! @brief Grows with each change that the daemon makes to its own entry. */
     std::uint64_t revision{};
+    /*! @brief Grows slowly while the daemon lives, so that later signs of life are told from earlier ones. */
+    std::uint64_t beat{};
     MemberState state{MemberState::idle};
     /*! @brief Address of its peer socket, as `tcp://ADDRESS:PORT`. */
     std::string endpoint;
@@ -51,6 +53,27 @@
     friend bool operator==(const Member &, const Member &) = default;
 };
 
+/*! @brief A daemon's doubt about another one, refuted by an entry with a higher revision. */
+struct Suspicion
+{
+    DaemonId id;
+    Incarnation incarnation;
+    /*! @brief The revision that the doubt is about. */
+    std::uint64_t revision{};
+
+    friend bool operator==(const Suspicion &, const Suspicion &) = default;
+};
+
+/*! @brief A daemon to turn to, of which no more is known. */
+struct Contact
+{
+    DaemonId id;
+    /*! @brief Address of its peer socket, as `tcp://ADDRESS:PORT`. */
+    std::string endpoint;
+
+    friend bool operator==(const Contact &, const Contact &) = default;
+};
+
 } // namespace egretlatch::membership
 
 #endif
--- /dev/null
+++ b/src/egretlatch/membership/news_queue.cpp
@@ -0,0 +1,36 @@
+#include <egretlatch/membership/news_queue.hpp>
+
+#include <algorithm>
+
+namespace egretlatch::membership
+{
+
+void NewsQueue::add(const NewsSubject &subject, const int sends)
+{
+    m_sendsLeft.insert_or_assign(subject, sends);
+}
+
+std::vector<NewsSubject> NewsQueue::take(const std::size_t limit)
+{
+    using Item = std::map<NewsSubject, int>::iterator;
+    std::vector<Item> items;
+    items.reserve(m_sendsLeft.size());
+    for (auto item = m_sendsLeft.begin(); item != m_sendsLeft.end(); ++item) {
+        items.push_back(item);
+    }
+    std::stable_sort(items.begin(), items.end(), [](const Item left, const Item right) {
+        return left->second > right->second;
+    });
+    items.resize(std::min(items.size(), limit));
+    std::vector<NewsSubject> subjects;
+    for (const Item item : items) {
+        subjects.push_back(item->first);
+        --item->second;
+        if (item->second <= 0) {
+            m_sendsLeft.erase(item);
+        }
+    }
+    return subjects;
+}
+
+} // namespace egretlatch::membership
--- /dev/null
+++ b/src/egretlatch/membership/prober.cpp
@@ -0,0 +1,87 @@
+#include <egretlatch/membership/prober.hpp>
+
+#include <algorithm>
+
+namespace egretlatch::membership
+{
+
+namespace internal
+{
+
+constexpr std::chrono::milliseconds probeInterval{1000};
+constexpr std::chrono::milliseconds directTimeout{300};
+
+} // namespace internal
+
+Prober::Prober(RandomSource &random)
+    : m_random{random}
+{
+}
+
+std::vector<ProbeOrder> Prober::tick(const std::vector<DaemonId> &participants, const SteadyTime now)
+{
+    std::vector<ProbeOrder> orders;
+    if (m_probe.has_value() && !m_probe->isIndirect && (m_probe->isUnreachable || now - m_probe->sent >= internal::directTimeout)) {
+        m_probe->isIndirect = true;
+        orders.push_back({.step = ProbeStep::indirect, .target = m_probe->target, .sequence = m_probe->sequence});
+    }
+    if (!m_nextProbe.has_value()) {
+        // Daemons that start together must not probe together.
+        m_nextProbe = now + std::chrono::duration_cast<Duration>(internal::probeInterval * m_random.fraction());
+    }
+    if (now < *m_nextProbe) {
+        return orders;
+    }
+    m_nextProbe = now + internal::probeInterval;
+    if (m_probe.has_value()) {
+        orders.push_back({.step = ProbeStep::failed, .target = m_probe->target, .sequence = m_probe->sequence});
+        m_probe.reset();
+    }
+    if (const std::optional<DaemonId> target = chooseTarget(participants)) {
+        m_probe = Probe{.target = *target, .sequence = nextSequence(), .sent = now};
+        orders.push_back({.step = ProbeStep::direct, .target = *target, .sequence = m_probe->sequence});
+    }
+    return orders;
+}
+
+void Prober::noteAck(const std::uint64_t sequence)
+{
+    if (m_probe.has_value() && m_probe->sequence == sequence) {
+        m_probe.reset();
+    }
+}
+
+void Prober::noteUnreachable(const DaemonId &target)
+{
+    if (m_probe.has_value() && m_probe->target == target) {
+        m_probe->isUnreachable = true;
+    }
+}
+
+void Prober::reset()
+{
+    m_probe.reset();
+}
+
+std::optional<DaemonId> Prober::chooseTarget(const std::vector<DaemonId> &participants)
+{
+    while (!m_round.empty()) {
+        const DaemonId target = m_round.back();
+        m_round.pop_back();
+        if (std::binary_search(participants.begin(), participants.end(), target)) {
+            return target;
+        }
+    }
+    m_round = participants;
+    for (std::size_t left = m_round.size(); left > 1; --left) {
+        std::swap(m_round[left - 1], m_round[m_random.below(left)]);
+    }
+    if (m_round.empty()) {
+        return std::nullopt;
+    }
+    const DaemonId target = m_round.back();
+    m_round.pop_back();
+    return target;
+}
+
+} // namespace egretlatch::membership
--- a/src/egretlatch/membership/roster.cpp
+++ b/src/egretlatch/membership/roster.cpp
@@ -1,19 +1,37 @@
 #include <egretlatch/membership/roster.hpp>
 
+#include <algorithm>
+#include <cmath>
 #include <tuple>
 
+#include <fmt/format.h>
+#include <xxhash.h>
+
 namespace egretlatch::membership
 {
 
 namespace internal
 {
 
-constexpr std::chrono::seconds suspectAfter{3};
-constexpr std::chrono::seconds goneAfter{60};
+// A suspect needs time to hear of the doubt and to refute it, and the spread of both grows with the logarithm of the fleet.
+constexpr std::chrono::seconds suspicionUnit{4};
+constexpr std::chrono::hours forgetAfter{6};
+
+[[nodiscard]] static auto rankOf(const Member &member)
+{
+    return std::tie(member.incarnation, member.revision);
+}
+
+[[nodiscard]] static bool isDoubted(const MemberState state)
+{
+    return state == MemberState::suspect || state == MemberState::gone;
+}
 
-[[nodiscard]] static bool isNewer(const Member &news, const Member &known)
+[[nodiscard]] static std::uint64_t digestOf(const Member &member)
 {
-    return std::tie(news.incarnation, news.revision) > std::tie(known.incarnation, known.revision);
+    const std::string text = fmt::format(
+        "{}\n{}\n{}\n{}\n{}\n{}", member.id.value, member.incarnation.value, static_cast<int>(member.state), member.endpoint, member.service, member.slots);
+    return XXH64(text.data(), text.size(), 0);
 }
 
 } // namespace internal
@@ -23,22 +41,83 @@
 {
 }
 
-bool Roster::merge(const Member &member, const SteadyTime now)
+MergeOutcome Roster::merge(const Member &member, const NewsSource source, const SteadyTime now)
 {
     if (member.id == m_self.id) {
-        return false;
+        return mergeSelf(member);
     }
-    const auto [entry, isNew] = m_others.try_emplace(member.id, Entry{.member = member, .heard = now});
+    const auto [found, isNew] = m_others.try_emplace(member.id, Entry{.announced = member, .shown = member, .since = now});
     if (isNew) {
-        return true;
+        ++m_version;
+        return MergeOutcome::changed;
+    }
+    Entry &entry = found->second;
+    if (internal::rankOf(member) > internal::rankOf(entry.announced)) {
+        return replace(entry, member, now);
+    }
+    if (internal::rankOf(member) < internal::rankOf(entry.announced)) {
+        return MergeOutcome::known;
+    }
+    const bool hasLaterBeat = member.beat > entry.announced.beat;
+    entry.announced.beat = std::max(entry.announced.beat, member.beat);
+    const bool isAged = entry.shown.state == MemberState::gone && entry.announced.state != MemberState::gone;
+    const bool isDoubted = isAged || entry.shown.state == MemberState::suspect;
+    // Two regions that were cut off hold each other for gone at the revision that is still in force, and a verdict
+    // overrules an entry of its own revision. Without a way back each member would have to be told and to refute. The
+    // member's own word is such a way, and so is a beat from after the verdict: a daemon that is dead makes none.
+    if ((source == NewsSource::member && isDoubted) || (isAged && hasLaterBeat)) {
+        return replace(entry, member, now);
+    }
+    return MergeOutcome::known;
+}
+
+MergeOutcome Roster::suspect(const Suspicion &suspicion, const SteadyTime now)
+{
+    if (suspicion.id == m_self.id) {
+        if (suspicion.incarnation != m_self.incarnation || suspicion.revision < m_self.revision) {
+            return MergeOutcome::known;
+        }
+        m_self.revision = suspicion.revision + 1;
+        ++m_version;
+        return MergeOutcome::refuted;
+    }
+    const auto found = m_others.find(suspicion.id);
+    if (found == m_others.end()) {
+        return MergeOutcome::known;
     }
-    entry->second.heard = now;
-    const bool wasAged = entry->second.member.state == MemberState::suspect;
-    if (!wasAged && !internal::isNewer(member, entry->second.member)) {
-        return false;
+    Entry &entry = found->second;
+    const bool isAboutThePast = std::tie(suspicion.incarnation, suspicion.revision) < internal::rankOf(entry.announced);
+    if (isAboutThePast || internal::isDoubted(entry.shown.state)) {
+        return MergeOutcome::known;
     }
-    entry->second.member = member;
-    return true;
+    entry.shown.state = MemberState::suspect;
+    entry.since = now;
+    ++m_version;
+    return MergeOutcome::changed;
+}
+
+MergeOutcome Roster::mergeSelf(const Member &member)
+{
+    // A higher incarnation is the next life of this daemon on another VM: the older life must not overrule it.
+    const bool isOfThisLife = member.incarnation == m_self.incarnation;
+    const bool isOverruled = member.revision > m_self.revision;
+    if (!isOfThisLife || !isOverruled) {
+        return MergeOutcome::known;
+    }
+    m_self.revision = member.revision + 1;
+    ++m_version;
+    return MergeOutcome::refuted;
+}
+
+MergeOutcome Roster::replace(Entry &entry, const Member &member, const SteadyTime now)
+{
+    const std::uint64_t latestBeat = std::max(member.beat, member.incarnation == entry.announced.incarnation ? entry.announced.beat : 0);
+    entry.announced = member;
+    entry.announced.beat = latestBeat;
+    entry.shown = entry.announced;
+    entry.since = now;
+    ++m_version;
+    return MergeOutcome::changed;
 }
 
 void Roster::updateSelf(const MemberState state, const std::string &service, const int slots, const int connections)
@@ -48,22 +127,30 @@
     m_self.slots = slots;
     m_self.connections = connections;
     ++m_self.revision;
+    ++m_version;
+}
+
+void Roster::beat() noexcept
+{
+    ++m_self.beat;
 }
 
 bool Roster::tick(const SteadyTime now)
 {
     bool hasChanged = false;
+    const Duration timeout = suspicionTimeout();
     for (auto &[id, entry] : m_others) {
-        const Duration silence = now - entry.heard;
-        MemberState state = entry.member.state;
-        if (silence > internal::goneAfter) {
-            state = MemberState::gone;
-        } else if (silence > internal::suspectAfter && state != MemberState::gone) {
-            state = MemberState::suspect;
+        if (entry.shown.state == MemberState::suspect && now - entry.since >= timeout) {
+            entry.shown.state = MemberState::gone;
+            entry.since = now;
+            hasChanged = true;
         }
-        hasChanged = hasChanged || state != entry.member.state;
-        entry.member.state = state;
     }
+    const auto forgotten = std::erase_if(m_others, [now](const auto &item) {
+        return item.second.shown.state == MemberState::gone && now - item.second.since >= internal::forgetAfter;
+    });
+    hasChanged = hasChanged || forgotten > 0;
+    m_version += hasChanged ? 1 : 0;
     return hasChanged;
 }
 
@@ -73,7 +160,21 @@
         return &m_self;
     }
     const auto found = m_others.find(id);
-    return found == m_others.end() ? nullptr : &found->second.member;
+    return found == m_others.end() ? nullptr : &found->second.shown;
+}
+
+const Member *Roster::findAnnounced(const DaemonId &id) const noexcept
+{
+    if (id == m_self.id) {
+        return &m_self;
+    }
+    const auto found = m_others.find(id);
+    if (found == m_others.end()) {
+        return nullptr;
+    }
+    const Entry &entry = found->second;
+    const bool isTold = !internal::isDoubted(entry.shown.state) || entry.announced.state == MemberState::gone;
+    return isTold ? &entry.announced : nullptr;
 }
 
 std::vector<Member> Roster::members() const
@@ -81,9 +182,70 @@
     std::vector<Member> all{m_self};
     all.reserve(m_others.size() + 1);
     for (const auto &[id, entry] : m_others) {
-        all.push_back(entry.member);
+        all.push_back(entry.shown);
     }
     return all;
 }
 
+const std::vector<DaemonId> &Roster::participants() const
+{
+    // Asked for many times a second and changed seldom.
+    if (m_participantsVersion != m_version) {
+        m_participantsVersion = m_version;
+        m_participants.clear();
+        for (const auto &[id, entry] : m_others) {
+            if (entry.shown.state != MemberState::gone) {
+                m_participants.push_back(id);
+            }
+        }
+    }
+    return m_participants;
+}
+
+std::vector<DaemonId> Roster::aged() const
+{
+    std::vector<DaemonId> ids;
+    for (const auto &[id, entry] : m_others) {
+        if (entry.shown.state == MemberState::gone && entry.announced.state != MemberState::gone) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+std::vector<Member> Roster::announcedPage(const std::size_t page, const std::size_t pageSize) const
+{
+    std::vector<Member> entries;
+    std::size_t index = 0;
+    for (const auto &[id, entry] : m_others) {
+        const Member *const member = findAnnounced(id);
+        if (member == nullptr) {
+            continue;
+        }
+        if (index >= page * pageSize && entries.size() < pageSize) {
+            entries.push_back(*member);
+        }
+        ++index;
+    }
+    return entries;
+}
+
+std::uint64_t Roster::digest() const
+{
+    std::uint64_t sum = internal::digestOf(m_self);
+    for (const auto &[id, entry] : m_others) {
+        // What is not told in a pull must not count, or two rosters would never agree.
+        if (findAnnounced(id) != nullptr && entry.announced.state != MemberState::gone) {
+            sum += internal::digestOf(entry.announced);
+        }
+    }
+    return sum;
+}
+
+Duration Roster::suspicionTimeout() const
+{
+    const double scale = std::max(1.0, std::log10(static_cast<double>(m_others.size() + 1)));
+    return std::chrono::duration_cast<Duration>(internal::suspicionUnit * scale);
+}
+
 } // namespace egretlatch::membership
--- /dev/null
+++ b/src/egretlatch/membership/rumour_store.cpp
@@ -0,0 +1,86 @@
+#include <egretlatch/membership/rumour_store.hpp>
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+namespace egretlatch::membership
+{
+
+namespace internal
+{
+
+constexpr std::size_t mostRumours = 512;
+
+} // namespace internal
+
+bool RumourStore::add(const Rumour &rumour, const SteadyTime now)
+{
+    if (rumour.payload.size() > largestRumour || rumour.key.key.size() > largestRumour || rumour.remaining < Duration::zero()) {
+        return false;
+    }
+    const auto found = m_rumours.find(rumour.key);
+    if (found != m_rumours.end() && found->second.rumour.version >= rumour.version) {
+        return false;
+    }
+    if (found == m_rumours.end() && m_rumours.size() >= internal::mostRumours) {
+        return false;
+    }
+    std::optional<SteadyTime> expires;
+    if (rumour.remaining > Duration::zero()) {
+        expires = now + rumour.remaining;
+    }
+    m_rumours.insert_or_assign(rumour.key, Entry{.rumour = rumour, .expires = expires});
+    return true;
+}
+
+std::optional<Rumour> RumourStore::find(const RumourKey &key, const SteadyTime now) const
+{
+    const auto found = m_rumours.find(key);
+    if (found == m_rumours.end() || found->second.expires.value_or(now + Duration{1}) <= now) {
+        return std::nullopt;
+    }
+    return withTimeLeft(found->second, now);
+}
+
+std::vector<Rumour> RumourStore::page(const std::size_t page, const std::size_t pageSize, const SteadyTime now) const
+{
+    std::vector<Rumour> rumours;
+    std::size_t index = 0;
+    for (const auto &[key, entry] : m_rumours) {
+        const bool isInPage = index / pageSize == page;
+        const bool holds = entry.expires.value_or(now + Duration{1}) > now;
+        if (isInPage && holds) {
+            rumours.push_back(withTimeLeft(entry, now));
+        }
+        ++index;
+    }
+    return rumours;
+}
+
+void RumourStore::expire(const SteadyTime now)
+{
+    std::erase_if(m_rumours, [now](const auto &item) {
+        return item.second.expires.has_value() && *item.second.expires <= now;
+    });
+}
+
+std::uint64_t RumourStore::digest() const
+{
+    std::uint64_t sum = 0;
+    for (const auto &[key, entry] : m_rumours) {
+        const std::string text = fmt::format("{}\n{}\n{}", static_cast<int>(key.kind), key.key, entry.rumour.version);
+        sum += XXH64(text.data(), text.size(), 1);
+    }
+    return sum;
+}
+
+Rumour RumourStore::withTimeLeft(const Entry &entry, const SteadyTime now)
+{
+    Rumour rumour = entry.rumour;
+    if (entry.expires.has_value()) {
+        rumour.remaining = *entry.expires - now;
+    }
+    return rumour;
+}
+
+} // namespace egretlatch::membership
--- /dev/null
+++ b/src/egretlatch/membership/state_pull.cpp
@@ -0,0 +1,76 @@
+#include <egretlatch/membership/state_pull.hpp>
+
+namespace egretlatch::membership
+{
+
+namespace internal
+{
+
+constexpr std::chrono::seconds pullInterval{30};
+constexpr std::chrono::seconds followInterval{10};
+constexpr std::chrono::milliseconds pageInterval{200};
+constexpr std::chrono::seconds replyTimeout{2};
+
+} // namespace internal
+
+StatePull::StatePull(RandomSource &random)
+    : m_random{random}
+{
+}
+
+bool StatePull::isDue(const SteadyTime now) const
+{
+    return !m_pull.has_value() && now >= m_nextPull;
+}
+
+bool StatePull::mayFollow(const SteadyTime now) const
+{
+    return !m_pull.has_value() && now - m_lastBegin >= internal::followInterval;
+}
+
+void StatePull::begin(const DaemonId &from, const SteadyTime now)
+{
+    m_pull = Pull{.from = from, .page = 0, .nextRequest = now, .asked = std::nullopt};
+    m_lastBegin = now;
+}
+
+std::optional<PullOrder> StatePull::tick(const SteadyTime now)
+{
+    if (!m_pull.has_value()) {
+        return std::nullopt;
+    }
+    if (m_pull->asked.has_value()) {
+        if (now - *m_pull->asked >= internal::replyTimeout) {
+            end(now);
+        }
+        return std::nullopt;
+    }
+    if (now < m_pull->nextRequest) {
+        return std::nullopt;
+    }
+    m_pull->asked = now;
+    return PullOrder{.from = m_pull->from, .page = m_pull->page};
+}
+
+void StatePull::noteReply(const DaemonId &from, const std::uint32_t page, const bool hasMore, const SteadyTime now)
+{
+    if (!m_pull.has_value() || m_pull->from != from || m_pull->page != page || !m_pull->asked.has_value()) {
+        return;
+    }
+    if (!hasMore) {
+        end(now);
+        return;
+    }
+    ++m_pull->page;
+    m_pull->asked.reset();
+    m_pull->nextRequest = now + internal::pageInterval;
+}
+
+void StatePull::end(const SteadyTime now)
+{
+    m_pull.reset();
+    // Between half and one and a half of the interval, so that daemons started together drift apart.
+    m_nextPull = now + std::chrono::duration_cast<Duration>(internal::pullInterval * (0.5 + m_random.fraction()));
+}
+
+} // namespace egretlatch::membership
--- /dev/null
+++ b/src/egretlatch/membership/state_pull.hpp
@@ -0,0 +1,91 @@
+#ifndef EGRETLATCH_MEMBERSHIP_STATE_PULL_HPP
+#define EGRETLATCH_MEMBERSHIP_STATE_PULL_HPP
+
+#include <cstdint>
+#include <optional>
+
+#include <egretlatch/core/clock.hpp>
+#include <egretlatch/core/ids.hpp>
+#include <egretlatch/core/random_source.hpp>
+
+namespace egretlatch::membership
+{
+
+/*! @brief Ask a member for a part of its state. */
+struct PullOrder
+{
+    DaemonId from;
+    std::uint32_t page{};
+};
+
+/**
+ * @brief Fetches the state of one other member now and then, part by part at a bounded rate.
+ *
+ * It repairs what the spread of news missed, and is how a newcomer learns the fleet.
+ */
+class StatePull
+{
+public:
+    /**
+     * @brief Builds it; the first pull is due at once.
+     * @param random Source of random numbers; must outlive it.
+     */
+    explicit StatePull(RandomSource &random);
+
+    /**
+     * @brief Says whether a new pull should begin.
+     * @param now Current time.
+     * @return True if none is under way and the time has come.
+     */
+    [[nodiscard]] bool isDue(SteadyTime now) const;
+
+    /**
+     * @brief Says whether a pull from a member that is known to differ may begin.
+     * @param now Current time.
+     * @return True if none is under way and the last one is some time ago.
+     */
+    [[nodiscard]] bool mayFollow(SteadyTime now) const;
+
+    /**
+     * @brief Begins a pull.
+     * @param from The member to ask.
+     * @param now Current time.
+     */
+    void begin(const DaemonId &from, SteadyTime now);
+
+    /**
+     * @brief Lets time pass.
+     * @param now Current time.
+     * @return The part to ask for now, if any.
+     */
+    [[nodiscard]] std::optional<PullOrder> tick(SteadyTime now);
+
+    /**
+     * @brief Takes a part.
+     * @param from Who sent it.
+     * @param page Which part it is; an unexpected one changes nothing.
+     * @param hasMore Whether further parts follow.
+     * @param now Current time.
+     */
+    void noteReply(const DaemonId &from, std::uint32_t page, bool hasMore, SteadyTime now);
+
+private:
+    struct Pull
+    {
+        DaemonId from;
+        std::uint32_t page{};
+        SteadyTime nextRequest;
+        std::optional<SteadyTime> asked;
+    };
+
+    void end(SteadyTime now);
+
+    RandomSource &m_random;
+    std::optional<Pull> m_pull;
+    SteadyTime m_nextPull;
+    SteadyTime m_lastBegin;
+};
+
+} // namespace egretlatch::membership
+
+#endif
--- a/src/egretlatch/protocol/fwd.hpp
+++ b/src/egretlatch/protocol/fwd.hpp
@@ -7,7 +7,6 @@
 struct CallRequest;
 struct CallAnswer;
 struct CallCancel;
-struct Gossip;
 struct Envelope;
 
 } // namespace egretlatch::protocol
--- a/src/egretlatch/protocol/messages.hpp
+++ b/src/egretlatch/protocol/messages.hpp
@@ -4,7 +4,6 @@
 #include <optional>
 #include <string>
 #include <variant>
-#include <vector>
 
 #include <QByteArray>
 
@@ -17,7 +16,7 @@
 #include <egretlatch/core/ids.hpp>
 #include <egretlatch/core/uuid.hpp>
 #include <egretlatch/core/verdict.hpp>
-#include <egretlatch/membership/member.hpp>
+#include <egretlatch/membership/gossip_message.hpp>
 
 namespace egretlatch::protocol
 {
@@ -78,13 +77,8 @@
     friend bool operator==(const CallCancel &, const CallCancel &) = default;
 };
 
-/*! @brief News of members. */
-struct Gossip
-{
-    std::vector<membership::Member> members;
-
-    friend bool operator==(const Gossip &, const Gossip &) = default;
-};
+/*! @brief News of members and of other small facts. */
+using Gossip = membership::GossipMessage;
 
 using Message = std::variant<CallRequest, CallAnswer, CallCancel, Gossip>;
 
--- /dev/null
+++ b/test/egretlatch/membership/gossip.cpp
@@ -0,0 +1,294 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include <fakes/gossip_network.hpp>
+
+using namespace std::chrono_literals;
+using egretlatch::Duration;
+using egretlatch::membership::MemberState;
+using egretlatch::membership::Rumour;
+using egretlatch::membership::RumourKind;
+using fakes::GossipNetwork;
+
+namespace
+{
+
+constexpr std::uint64_t seed = 20261202;
+
+void gather(GossipNetwork &network)
+{
+    INFO("seed ", seed);
+    const bool isGathered = network
+                                .runUntil(
+                                    [&network] {
+                                        return network.isWhole();
+                                    },
+                                    60s)
+                                .has_value();
+    REQUIRE(isGathered);
+    network.run(15s);
+}
+
+// Whether a daemon still holds a member for one that takes work; a suspect gets none either.
+[[nodiscard]] bool sendsWorkTo(const GossipNetwork &network, const std::size_t subject)
+{
+    for (std::size_t observer = 0; observer < network.size(); ++observer) {
+        if (observer != subject && network.seen(observer, subject) == MemberState::serving) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void setDraining(GossipNetwork &network, const std::size_t index)
+{
+    network.node(index).roster.updateSelf(MemberState::draining, "launch-log", 35, 300);
+    network.node(index).gossip.announceSelf(network.now());
+}
+
+} // namespace
+
+TEST_CASE("daemons that start together, knowing three of them, find one another")
+{
+    GossipNetwork network{40, seed};
+    gather(network);
+    CHECK(network.isWhole());
+}
+
+TEST_CASE("a newcomer is known everywhere and knows everyone")
+{
+    GossipNetwork network{40, seed};
+    gather(network);
+    const std::size_t newcomer = network.add();
+    const auto took = network.runUntil(
+        [&network] {
+            return network.isWhole();
+        },
+        15s);
+    CHECK(took.has_value());
+    CHECK((network.seen(newcomer, 0) == MemberState::serving));
+}
+
+TEST_CASE("a drain is known everywhere within seconds, with a third of the messages lost")
+{
+    // Callers are refused again and again by a backend server that is being replaced. It said that it drains, but the
+    // network loses messages, and daemons that missed the word go on sending it work.
+    GossipNetwork network{40, seed};
+    gather(network);
+    network.setLoss(0.3);
+    setDraining(network, 7);
+    const auto took = network.runUntil(
+        [&network] {
+            return !sendsWorkTo(network, 7);
+        },
+        5s);
+    CHECK(took.has_value());
+}
+
+TEST_CASE("a dead daemon is a suspect everywhere within seconds and gone soon after")
+{
+    // Calls time out at one server of several. Its VM failed without a word, and nobody may go on sending work there.
+    GossipNetwork network{40, seed};
+    gather(network);
+    network.kill(5);
+    const auto suspected = network.runUntil(
+        [&network] {
+            return network.allSee(5, MemberState::suspect);
+        },
+        6s);
+    CHECK(suspected.has_value());
+    const auto aged = network.runUntil(
+        [&network] {
+            return network.allSee(5, MemberState::gone);
+        },
+        12s);
+    CHECK(aged.has_value());
+}
+
+TEST_CASE("a rack that fails at once leaves the rest whole")
+{
+    // Eight of forty VMs go with a switch. The rest must find all eight dead, and must not suspect one another although
+    // many of their helpers for indirect probes are among the dead.
+    GossipNetwork network{40, seed};
+    gather(network);
+    for (std::size_t index = 8; index < 16; ++index) {
+        network.kill(index);
+    }
+    const auto found = network.runUntil(
+        [&network] {
+            bool areGone = true;
+            for (std::size_t index = 8; index < 16; ++index) {
+                areGone = areGone && network.allSee(index, MemberState::gone);
+            }
+            return areGone;
+        },
+        40s);
+    CHECK(found.has_value());
+    CHECK(network.isWhole());
+}
+
+TEST_CASE("a live daemon refutes a doubt that one lossy link raised")
+{
+    // A server vanishes from the routing of the whole fleet because one daemon has a bad link to it. The doubt spreads,
+    // the suspect hears of it, raises its revision, and is served again.
+    GossipNetwork network{20, seed};
+    gather(network);
+    const auto *const member = network.node(0).roster.find({"d009"});
+    egretlatch::membership::GossipMessage doubt;
+    doubt.members = {network.node(0).roster.self()};
+    doubt.suspicions = {{.id = member->id, .incarnation = member->incarnation, .revision = member->revision}};
+    network.node(1).gossip.handle({"d000"}, {1}, doubt, network.now());
+    CHECK((network.seen(1, 9) == MemberState::suspect));
+    const auto took = network.runUntil(
+        [&network] {
+            return network.isWhole();
+        },
+        15s);
+    CHECK(took.has_value());
+    CHECK(network.node(9).roster.self().revision > 0);
+}
+
+TEST_CASE("nobody dies of losing a third of all messages")
+{
+    // With a third of all messages lost many probes fail. Daemons are suspected and refute; none may be left for gone.
+    GossipNetwork network{30, seed};
+    gather(network);
+    network.setLoss(0.3);
+    network.run(60s);
+    network.setLoss(0);
+    const auto took = network.runUntil(
+        [&network] {
+            return network.isWhole();
+        },
+        20s);
+    CHECK(took.has_value());
+}
+
+TEST_CASE("a paused daemon that wakes learns that it was suspected, and refutes")
+{
+    // A VM is paused for half a minute and then reads what was sent meanwhile. The fleet holds it for gone and sends it
+    // no work, while it believes that all is well; it must also not suspect others for the answers that it slept through.
+    GossipNetwork network{20, seed};
+    gather(network);
+    network.setRunning(4, false);
+    network.run(30s);
+    CHECK(network.allSee(4, MemberState::gone));
+    network.setRunning(4, true);
+    const auto took = network.runUntil(
+        [&network] {
+            return network.isWhole();
+        },
+        10s);
+    CHECK(took.has_value());
+    CHECK(network.node(4).roster.self().revision > 0);
+    CHECK(network.node(4).metrics.value("membership/probe-failed") <= 1);
+}
+
+TEST_CASE("a VM replaced under its id takes the place of its earlier life")
+{
+    // A VM is replaced while the fleet still believes in the old one. The new life starts at revision zero and must
+    // overrule what is known; the old one, if it was only paused, must not overrule the new one when it wakes.
+    GossipNetwork network{20, seed};
+    gather(network);
+    setDraining(network, 6);
+    network.run(5s);
+    const egretlatch::membership::Member oldLife = network.node(6).roster.self();
+    network.kill(6);
+    network.replace(6);
+    const auto took = network.runUntil(
+        [&network] {
+            return network.isWhole();
+        },
+        15s);
+    CHECK(took.has_value());
+    egretlatch::membership::GossipMessage late;
+    late.members = {oldLife};
+    network.node(3).gossip.handle(oldLife.id, oldLife.incarnation, late, network.now());
+    CHECK((network.seen(3, 6) == MemberState::serving));
+}
+
+TEST_CASE("regions that were cut off from each other serve inside and meet again without a storm")
+{
+    // Two regions lose each other for three minutes. Each must stay whole for itself. After the cut both hold each other
+    // for gone at the revisions still in force; they must meet again on their own, within the bytes a daemon may send.
+    GossipNetwork network{40, seed};
+    gather(network);
+    const auto isEast = [](const std::size_t index) {
+        return index % 2 == 0;
+    };
+    network.setCut([isEast](const std::size_t from, const std::size_t to) {
+        return isEast(from) != isEast(to);
+    });
+    network.run(60s);
+    for (std::size_t index = 0; index < network.size(); ++index) {
+        CHECK((network.seen(index, (index + 2) % network.size()) == MemberState::serving));
+        CHECK((network.seen(index, (index + 1) % network.size()) == MemberState::gone));
+    }
+    network.run(120s);
+    network.setCut(nullptr);
+    network.resetCounts();
+    const egretlatch::SteadyTime healed = network.now();
+    const auto took = network.runUntil(
+        [&network] {
+            return network.isWhole();
+        },
+        60s);
+    REQUIRE(took.has_value());
+    const double seconds = std::chrono::duration<double>{network.now() - healed}.count();
+    constexpr double bytesAllowed = 27'000;
+    CHECK(static_cast<double>(network.bytesSent()) / static_cast<double>(network.size()) / seconds < bytesAllowed);
+}
+
+TEST_CASE("a rumour reaches everyone once, and an older version replaces nothing")
+{
+    GossipNetwork network{30, seed};
+    gather(network);
+    const Rumour head{.key = {.kind = RumourKind::configuration, .key = "head"}, .version = 8, .payload = "hash", .remaining = {}};
+    network.node(2).gossip.spread(head, network.now());
+    network.run(10s);
+    Rumour older = head;
+    older.version = 7;
+    network.node(3).gossip.spread(older, network.now());
+    network.run(10s);
+    for (std::size_t index = 0; index < network.size(); ++index) {
+        const std::size_t expected = index == 2 ? 0 : 1;
+        CHECK(network.node(index).rumours.size() == expected);
+        CHECK(network.node(index).gossip.rumours().find(head.key, network.now())->version == 8);
+    }
+}
+
+TEST_CASE("a rumour ends with its time, also for those that hear of it late")
+{
+    // A request that crashed servers stays refused although its quarantine has passed: a daemon that hears of it late
+    // would start its time anew and pass it on, and so it would go round for ever.
+    GossipNetwork network{20, seed};
+    gather(network);
+    const Rumour quarantine{.key = {.kind = RumourKind::quarantine, .key = "fingerprint"}, .version = 1, .payload = {}, .remaining = 8s};
+    network.node(2).gossip.spread(quarantine, network.now());
+    network.run(7s);
+    CHECK(network.node(11).gossip.rumours().find(quarantine.key, network.now()).has_value());
+    network.run(3s);
+    static_cast<void>(network.add());
+    network.run(10s);
+    for (std::size_t index = 0; index < network.size(); ++index) {
+        CHECK(network.node(index).gossip.rumours().size() == 0);
+    }
+}
+
+TEST_CASE("the bytes that a daemon sends at rest do not grow with the fleet")
+{
+    constexpr std::size_t small = 10;
+    constexpr std::size_t large = 80;
+    const auto bytesAtRest = [](const std::size_t count) {
+        GossipNetwork network{count, seed};
+        gather(network);
+        network.resetCounts();
+        network.run(60s);
+        return static_cast<double>(network.bytesSent()) / static_cast<double>(count) / 60;
+    };
+    const double few = bytesAtRest(small);
+    const double many = bytesAtRest(large);
+    MESSAGE("bytes a second at 10 daemons ", few, ", at 80 daemons ", many);
+    CHECK(many < 1.5 * few);
+}
--- /dev/null
+++ b/test/egretlatch/membership/roster.cpp
@@ -0,0 +1,89 @@
+#include <doctest/doctest.h>
+
+#include <egretlatch/membership/roster.hpp>
+
+using namespace std::chrono_literals;
+using egretlatch::SteadyTime;
+using egretlatch::membership::Member;
+using egretlatch::membership::MemberState;
+using egretlatch::membership::MergeOutcome;
+using egretlatch::membership::NewsSource;
+using egretlatch::membership::Roster;
+
+namespace
+{
+
+[[nodiscard]] Member makeMember(const char *const id, const std::uint64_t incarnation, const std::uint64_t revision)
+{
+    Member member;
+    member.id = {id};
+    member.incarnation = {incarnation};
+    member.revision = revision;
+    member.state = MemberState::serving;
+    return member;
+}
+
+} // namespace
+
+TEST_CASE("a higher incarnation overrules any revision of a lower one")
+{
+    Roster roster{makeMember("self", 1, 0)};
+    CHECK(roster.merge(makeMember("other", 5, 9), NewsSource::rumour, SteadyTime{}) == MergeOutcome::changed);
+    CHECK(roster.merge(makeMember("other", 4, 99), NewsSource::rumour, SteadyTime{}) == MergeOutcome::known);
+    CHECK(roster.merge(makeMember("other", 6, 0), NewsSource::rumour, SteadyTime{}) == MergeOutcome::changed);
+    CHECK(roster.find({"other"})->incarnation.value == 6);
+}
+
+TEST_CASE("a doubt overrules its own revision and yields to the next")
+{
+    Roster roster{makeMember("self", 1, 0)};
+    roster.merge(makeMember("other", 1, 3), NewsSource::rumour, SteadyTime{});
+    CHECK(roster.suspect({.id = {"other"}, .incarnation = {1}, .revision = 2}, SteadyTime{}) == MergeOutcome::known);
+    CHECK(roster.suspect({.id = {"other"}, .incarnation = {1}, .revision = 3}, SteadyTime{}) == MergeOutcome::changed);
+    CHECK(roster.merge(makeMember("other", 1, 3), NewsSource::rumour, SteadyTime{}) == MergeOutcome::known);
+    CHECK((roster.find({"other"})->state == MemberState::suspect));
+    CHECK(roster.merge(makeMember("other", 1, 4), NewsSource::rumour, SteadyTime{}) == MergeOutcome::changed);
+    CHECK((roster.find({"other"})->state == MemberState::serving));
+}
+
+TEST_CASE("a daemon overrules doubts and wrong entries of itself, but not its next life")
+{
+    Roster roster{makeMember("self", 7, 2)};
+    CHECK(roster.suspect({.id = {"self"}, .incarnation = {7}, .revision = 2}, SteadyTime{}) == MergeOutcome::refuted);
+    CHECK(roster.self().revision == 3);
+    CHECK(roster.suspect({.id = {"self"}, .incarnation = {6}, .revision = 9}, SteadyTime{}) == MergeOutcome::known);
+    CHECK(roster.merge(makeMember("self", 7, 5), NewsSource::rumour, SteadyTime{}) == MergeOutcome::refuted);
+    CHECK(roster.self().revision == 6);
+    CHECK(roster.merge(makeMember("self", 8, 9), NewsSource::rumour, SteadyTime{}) == MergeOutcome::known);
+    CHECK(roster.self().revision == 6);
+}
+
+TEST_CASE("a member taken for gone is kept, and comes back by a later beat but not by an old one")
+{
+    // After a cut between regions each side is told by the other's pulls that its members live. An entry from before the
+    // verdict must not bring back the dead: daemons would go on telling one another of a member that nobody can reach.
+    Roster roster{makeMember("self", 1, 0)};
+    Member other = makeMember("other", 1, 0);
+    other.beat = 4;
+    roster.merge(other, NewsSource::pull, SteadyTime{});
+    roster.suspect({.id = {"other"}, .incarnation = {1}, .revision = 0}, SteadyTime{});
+    CHECK(roster.tick(SteadyTime{} + 60s));
+    CHECK((roster.find({"other"})->state == MemberState::gone));
+    CHECK(roster.findAnnounced({"other"}) == nullptr);
+    CHECK(roster.merge(other, NewsSource::pull, SteadyTime{} + 61s) == MergeOutcome::known);
+    other.beat = 5;
+    CHECK(roster.merge(other, NewsSource::pull, SteadyTime{} + 62s) == MergeOutcome::changed);
+    CHECK((roster.find({"other"})->state == MemberState::serving));
+}
+
+TEST_CASE("members are forgotten only after hours")
+{
+    Roster roster{makeMember("self", 1, 0)};
+    roster.merge(makeMember("other", 1, 0), NewsSource::rumour, SteadyTime{});
+    roster.suspect({.id = {"other"}, .incarnation = {1}, .revision = 0}, SteadyTime{});
+    roster.tick(SteadyTime{} + 1min);
+    roster.tick(SteadyTime{} + 5h);
+    CHECK(roster.find({"other"}) != nullptr);
+    roster.tick(SteadyTime{} + 7h);
+    CHECK(roster.find({"other"}) == nullptr);
+}
