--- a/test/egretlatch/protocol/codec.cpp
+++ b/test/egretlatch/protocol/codec.cpp
@@ -68,7 +68,21 @@
     member.service = "launch-log";
     member.slots = 35;
     member.connections = 300;
-    return {.members = {member}};
+    member.beat = 9;
+    Gossip gossip;
+    gossip.purpose = membership::GossipPurpose::pullReply;
+    gossip.sequence = 12;
+    gossip.receiver = {13};
+    gossip.subject = {.id = {"duty-roster-2"}, .endpoint = "tcp://127.0.0.1:2"};
+    gossip.digest = 14;
+    gossip.page = 15;
+    gossip.hasMore = true;
+    gossip.members = {member};
+    gossip.suspicions = {{.id = {"flight-history-1"}, .incarnation = {16}, .revision = 17}};
+    for (const membership::RumourKind kind : {membership::RumourKind::configuration, membership::RumourKind::quarantine}) {
+        gossip.rumours.push_back({.key = {.kind = kind, .key = "key"}, .version = 18, .payload = "payload", .remaining = std::chrono::seconds{19}});
+    }
+    return gossip;
 }
 
 [[nodiscard]] std::vector<Envelope> allMessages()
