--- a/src/egretlatch/daemon/caller_server.cpp
+++ b/src/egretlatch/daemon/caller_server.cpp
@@ -7,6 +7,7 @@
 
 #include <egretlatch/daemon/http_headers.hpp>
 #include <egretlatch/daemon/problem_document.hpp>
+#include <egretlatch/retry/verdict_rules.hpp>
 #include <egretlatch/settings/json_object_reader.hpp>
 
 namespace egretlatch::daemon
@@ -18,6 +19,7 @@
 using StatusCode = QHttpServerResponder::StatusCode;
 
 constexpr QLatin1String callPrefix{"/call/"};
+constexpr QLatin1String keysPrefix{"/keys/"};
 constexpr QLatin1String backendPrefix{"/backend/"};
 constexpr settings::Range<std::int64_t> slotsRange{.least = 1, .most = 10'000};
 constexpr settings::Range<std::int64_t> connectionsRange{.least = 1, .most = 100'000};
@@ -128,9 +130,10 @@
     responder.writeBody(body);
 }
 
-static void writeMistake(QHttpServerResponder responder, const StatusCode status, const std::string &mistake)
+static void writeMistake(QHttpServerResponder responder, const StatusCode status, const std::string &mistake, const Verdict verdict = Verdict::notRun)
 {
     decision::CallerAnswer answer;
+    answer.verdict = verdict;
     answer.status = static_cast<int>(status);
     answer.mistake = mistake;
     write(responder, answer.status, problemHeaders(answer), problemBody(answer));
@@ -191,6 +194,10 @@
         handleCall(request, socket);
         return true;
     }
+    if (path.startsWith(internal::keysPrefix)) {
+        handleKeys(request, socket);
+        return true;
+    }
     if (path.startsWith(internal::backendPrefix)) {
         handleBackend(request, socket);
         return true;
@@ -219,14 +226,15 @@
 
 void CallerServer::handleCall(const QHttpServerRequest &request, QTcpSocket *const socket)
 {
+    const Verdict verdict = retry::verdictUnread(request.value(keyHeader).toStdString());
     if (request.body().size() > m_maxBodyBytes) {
         const std::string mistake = fmt::format("the body is larger than {} bytes", m_maxBodyBytes);
-        internal::writeMistake(makeResponder(request, socket), internal::StatusCode::PayloadTooLarge, mistake);
+        internal::writeMistake(makeResponder(request, socket), internal::StatusCode::PayloadTooLarge, mistake, verdict);
         return;
     }
     tl::expected<decision::CallerCall, std::string> call = internal::parseCall(request);
     if (!call.has_value()) {
-        internal::writeMistake(makeResponder(request, socket), internal::StatusCode::BadRequest, call.error());
+        internal::writeMistake(makeResponder(request, socket), internal::StatusCode::BadRequest, call.error(), verdict);
         return;
     }
     const ExchangeId exchange{++m_lastExchange};
@@ -242,12 +250,31 @@
     refusal.reason = account::RefusalReason::daemonBusy;
     refusal.rule = "the daemon has more calls waiting than it can look at";
     refusal.retryAfter = std::chrono::seconds{1};
-    busy.verdict = Verdict::notRun;
+    busy.verdict = verdict;
     busy.status = account::httpStatus(refusal.reason);
     busy.refusal = refusal;
     answer({.exchange = exchange, .answer = busy});
 }
 
+void CallerServer::handleKeys(const QHttpServerRequest &request, QTcpSocket *const socket)
+{
+    const QStringList parts = request.url().path().mid(internal::keysPrefix.size()).split(u'/');
+    if (request.method() != QHttpServerRequest::Method::Post || parts.size() != 2) {
+        internal::writeMistake(makeResponder(request, socket), internal::StatusCode::BadRequest, "keys are minted by POST /keys/{service}/{kind}");
+        return;
+    }
+    const ExchangeId exchange{++m_lastExchange};
+    m_exchanges.emplace(exchange, Exchange{.responder = makeResponder(request, socket), .socket = socket});
+    watch(socket, exchange);
+    if (m_onEvent(decision::KeyRequested{.exchange = exchange, .service = parts[0].toStdString(), .kind = parts[1].toStdString()})) {
+        return;
+    }
+    decision::CallerAnswer busy;
+    busy.status = account::httpStatus(account::RefusalReason::daemonBusy);
+    busy.mistake = "the daemon has more calls waiting than it can look at";
+    answer({.exchange = exchange, .answer = busy});
+}
+
 void CallerServer::handleBackend(const QHttpServerRequest &request, QTcpSocket *const socket)
 {
     const QString verb = request.url().path().mid(internal::backendPrefix.size());
--- a/src/egretlatch/daemon/caller_server.hpp
+++ b/src/egretlatch/daemon/caller_server.hpp
@@ -80,6 +80,7 @@
     };
 
     void handleCall(const QHttpServerRequest &request, QTcpSocket *socket);
+    void handleKeys(const QHttpServerRequest &request, QTcpSocket *socket);
     void handleBackend(const QHttpServerRequest &request, QTcpSocket *socket);
     void watch(QTcpSocket *socket, ExchangeId exchange);
     void handleDisconnected(QTcpSocket *socket);
--- a/src/egretlatch/daemon/daemon.cpp
+++ b/src/egretlatch/daemon/daemon.cpp
@@ -120,6 +120,9 @@
     if (m_manifest != nullptr) {
         static_cast<void>(m_inward.fromPlatform.tryPush(decision::ManifestChanged{.version = 1, .manifest = m_manifest}));
     }
+    if (m_settings.ownsUnnamedKeys) {
+        m_logger.warning("keys without an owner are remembered by this entry alone: a resend to another entry, or after a restart, may run twice");
+    }
     m_logger.info("started", {{"callers", m_settings.callerPort}, {"peers", m_settings.peerPort}, {"backend", m_settings.backendUrl}});
     return {};
 }
@@ -152,6 +155,7 @@
         contact.endpoint = peer.endpoint;
         builder.addContact(contact);
     }
+    builder.setUnownedKeys(m_settings.ownsUnnamedKeys ? retry::UnownedKeys::entryMemory : retry::UnownedKeys::refuse);
     applyPolicy(m_settings.policy, m_random, builder);
     return builder.build();
 }
--- a/src/egretlatch/daemon/http_headers.cpp
+++ b/src/egretlatch/daemon/http_headers.cpp
@@ -9,7 +9,7 @@
 namespace internal
 {
 
-constexpr std::array<const char *, 18> hopHeaders{
+constexpr std::array<const char *, 19> hopHeaders{
     "connection",
     "keep-alive",
     "proxy-authenticate",
@@ -23,6 +23,7 @@
     "host",
     "expect",
     keyHeader,
+    nextKeyHeader,
     timeoutHeader,
     callHeader,
     verdictHeader,
--- a/src/egretlatch/daemon/http_headers.hpp
+++ b/src/egretlatch/daemon/http_headers.hpp
@@ -8,6 +8,8 @@
 
 /*! @brief Names a request across resends (draft-ietf-httpapi-idempotency-key-header). */
 constexpr char keyHeader[] = "Idempotency-Key";
+/*! @brief With a refusal as not run: the key to resend with, since the old one is closed. */
+constexpr char nextKeyHeader[] = "Egretlatch-Next-Key";
 /*! @brief Time that the sender waits for an answer, in milliseconds. */
 constexpr char timeoutHeader[] = "Request-Timeout-Ms";
 /*! @brief The run that an inner call belongs to. */
--- a/src/egretlatch/daemon/problem_document.cpp
+++ b/src/egretlatch/daemon/problem_document.cpp
@@ -46,6 +46,9 @@
         {.name = "Content-Type", .value = "application/problem+json"},
         {.name = verdictHeader, .value = std::string{toString(answer.verdict)}},
     };
+    if (!answer.nextKey.empty()) {
+        headers.push_back({.name = nextKeyHeader, .value = answer.nextKey});
+    }
     if (answer.refusal.has_value() && answer.refusal->retryAfter.count() > 0) {
         const std::int64_t seconds = (answer.refusal->retryAfter.count() + millisecondsPerSecond - 1) / millisecondsPerSecond;
         headers.push_back({.name = "Retry-After", .value = fmt::format("{}", seconds)});
--- a/src/egretlatch/decision/action.hpp
+++ b/src/egretlatch/decision/action.hpp
@@ -33,6 +33,8 @@
     std::string kind;
     /*! @brief Text for people where the request itself was wrong; empty otherwise. */
     std::string mistake;
+    /*! @brief Key that a resend after `not-run` is to use; empty where the same key, or none, will do. */
+    std::string nextKey;
 
     friend bool operator==(const CallerAnswer &, const CallerAnswer &) = default;
 };
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -52,6 +52,9 @@
                    [&](const CallArrived &arrived) {
                        m_entry->handleArrived(arrived, now);
                    },
+                   [&](const KeyRequested &requested) {
+                       m_entry->handleKeyRequested(requested, m_isDraining, now);
+                   },
                    [&](const CallerGone &gone) {
                        m_entry->handleCallerGone(gone.exchange, now);
                    },
@@ -90,6 +93,10 @@
 {
     std::visit(internal::Overloaded{
                    [&](const protocol::CallRequest &request) {
+                       if (request.forOwner) {
+                           m_entry->handleForwarded(envelope.sender, envelope.incarnation, request, now);
+                           return;
+                       }
                        m_serving->handleRequest(envelope.sender, envelope.incarnation, request, now);
                    },
                    [&](const protocol::CallAnswer &answer) {
@@ -237,6 +244,18 @@
     return *this;
 }
 
+CoreBuilder &CoreBuilder::setUnownedKeys(const retry::UnownedKeys unownedKeys)
+{
+    m_unownedKeys = unownedKeys;
+    return *this;
+}
+
+CoreBuilder &CoreBuilder::setKeyLedgerLimits(const retry::KeyLedgerLimits limits)
+{
+    m_ledgerLimits = limits;
+    return *this;
+}
+
 std::unique_ptr<Core> CoreBuilder::build()
 {
     if (m_router == nullptr) {
@@ -261,10 +280,12 @@
         .entryControl = std::move(m_entryControl),
         .manifest = nullptr,
         .manifestVersion = 0,
+        .unownedKeys = m_unownedKeys,
+        .born = m_clock.steadyNow(),
         .actions = {},
     });
     core->m_serving = std::make_unique<ServingHandler>(*core->m_surroundings, std::move(m_gate));
-    core->m_entry = std::make_unique<EntryHandler>(*core->m_surroundings, *core->m_serving);
+    core->m_entry = std::make_unique<EntryHandler>(*core->m_surroundings, *core->m_serving, m_ledgerLimits);
     core->m_contacts = std::move(m_contacts);
     core->m_lastSpread = m_clock.steadyNow();
     return core;
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -123,6 +123,20 @@
      */
     CoreBuilder &setGate(std::unique_ptr<admission::Gate> gate);
 
+    /**
+     * @brief Sets what is done with keys that name no owner.
+     * @param unownedKeys The rule; by default they are refused.
+     * @return This builder.
+     */
+    CoreBuilder &setUnownedKeys(retry::UnownedKeys unownedKeys);
+
+    /**
+     * @brief Sets how much is remembered of request keys.
+     * @param limits The bounds.
+     * @return This builder.
+     */
+    CoreBuilder &setKeyLedgerLimits(retry::KeyLedgerLimits limits);
+
     /**
      * @brief Builds the core.
      * @return The core; the builder is used up.
@@ -138,6 +152,8 @@
     std::unique_ptr<routing::Router> m_router;
     std::unique_ptr<admission::EntryControl> m_entryControl;
     std::unique_ptr<admission::Gate> m_gate;
+    retry::UnownedKeys m_unownedKeys{retry::UnownedKeys::refuse};
+    retry::KeyLedgerLimits m_ledgerLimits;
 };
 
 } // namespace egretlatch::decision
--- a/src/egretlatch/decision/entry_handler.cpp
+++ b/src/egretlatch/decision/entry_handler.cpp
@@ -5,6 +5,8 @@
 #include <fmt/format.h>
 #include <xxhash.h>
 
+#include <egretlatch/retry/backoff.hpp>
+
 namespace egretlatch::decision
 {
 
@@ -27,15 +29,14 @@
     });
 }
 
-[[nodiscard]] static CallerAnswer mistakeAnswer(const CallerCall &call, const int status, std::string mistake)
+[[nodiscard]] static CallerAnswer callerAnswerOf(const protocol::CallAnswer &answer)
 {
-    CallerAnswer answer;
-    answer.verdict = Verdict::notRun;
-    answer.status = status;
-    answer.service = call.service;
-    answer.kind = call.kind;
-    answer.mistake = std::move(mistake);
-    return answer;
+    CallerAnswer given;
+    given.verdict = answer.verdict;
+    given.status = answer.status;
+    given.headers = answer.headers;
+    given.body = answer.body;
+    return given;
 }
 
 [[nodiscard]] static routing::AttemptOutcome outcomeOf(const protocol::CallAnswer &answer)
@@ -49,16 +50,17 @@
 
 } // namespace internal
 
-EntryHandler::EntryHandler(Surroundings &surroundings, ServingHandler &serving)
+EntryHandler::EntryHandler(Surroundings &surroundings, ServingHandler &serving, const retry::KeyLedgerLimits ledgerLimits)
     : m_surroundings{surroundings}
     , m_serving{serving}
+    , m_ledger{ledgerLimits}
 {
 }
 
-std::optional<std::string> EntryHandler::mistakeOf(const CallerCall &call) const
+std::optional<std::string> EntryHandler::mistakeOf(const CallerCall &call, const bool isInner) const
 {
     const manifest::KindSpec *const kind = m_surroundings.manifest->findKind(call.service, call.kind);
-    if (!kind->idempotent && call.key.empty()) {
+    if (!kind->idempotent && call.key.empty() && !isInner) {
         return fmt::format("{}/{} is not idempotent: an Idempotency-Key header is required", call.service, call.kind);
     }
     if (call.key.size() > internal::longestKey || !internal::isPrintable(call.key)) {
@@ -70,36 +72,58 @@
     return std::nullopt;
 }
 
+void EntryHandler::answerMistake(const ExchangeId exchange, const CallerCall &call, const int status, std::string mistake)
+{
+    CallerAnswer answer;
+    // An earlier attempt with the key may have been made where the mistake was not one, or not seen.
+    answer.verdict = retry::verdictUnread(call.key);
+    answer.status = status;
+    answer.service = call.service;
+    answer.kind = call.kind;
+    answer.mistake = std::move(mistake);
+    m_surroundings.actions.emplace_back(AnswerCaller{exchange, std::move(answer)});
+}
+
 void EntryHandler::handleArrived(const CallArrived &arrived, const SteadyTime now)
 {
     const CallerCall &call = arrived.call;
     const manifest::KindSpec *const kind = m_surroundings.manifest == nullptr ? nullptr : m_surroundings.manifest->findKind(call.service, call.kind);
     if (kind == nullptr) {
-        const std::string mistake = fmt::format("no service and kind {}/{} is declared", call.service, call.kind);
-        m_surroundings.actions.emplace_back(AnswerCaller{arrived.exchange, internal::mistakeAnswer(call, internal::notFound, mistake)});
+        answerMistake(arrived.exchange, call, internal::notFound, fmt::format("no service and kind {}/{} is declared", call.service, call.kind));
         return;
     }
-    if (const std::optional<std::string> mistake = mistakeOf(call)) {
-        m_surroundings.actions.emplace_back(AnswerCaller{arrived.exchange, internal::mistakeAnswer(call, internal::badRequest, *mistake)});
+    if (const std::optional<std::string> mistake = mistakeOf(call, !call.runToken.empty())) {
+        answerMistake(arrived.exchange, call, internal::badRequest, *mistake);
         return;
     }
     std::optional<InnerContext> inner;
     if (!call.runToken.empty()) {
         inner = m_serving.findRun(call.runToken);
         if (!inner.has_value()) {
-            const std::string mistake = "Egretlatch-Call names no run that is running here; it may have been cancelled";
-            m_surroundings.actions.emplace_back(AnswerCaller{arrived.exchange, internal::mistakeAnswer(call, internal::badRequest, mistake)});
+            answerMistake(arrived.exchange, call, internal::badRequest, "Egretlatch-Call names no run that is running here; it may have been cancelled");
             return;
         }
     }
     Pending pending = begin(arrived, *kind, inner, now);
-    if (!inner.has_value()) {
-        const admission::EntryRequest request{.service = call.service, .kind = call.kind, .root = pending.root, .rank = pending.rank};
+    if (!kind->idempotent) {
+        findOwner(std::move(pending), inner, now);
+        return;
+    }
+    admit(std::move(pending), now);
+}
+
+void EntryHandler::admit(Pending pending, const SteadyTime now)
+{
+    if (pending.depth == 0) {
+        const admission::EntryRequest request{.service = pending.call.service, .kind = pending.call.kind, .root = pending.root, .rank = pending.rank};
         if (auto refusal = m_surroundings.entryControl->check(request, now)) {
-            finishRefused(pending, m_surroundings.refuse(refusal->reason, refusal->rule, refusal->figures, refusal->retryAfter), now);
+            finishRefused(std::move(pending), m_surroundings.refuse(refusal->reason, refusal->rule, refusal->figures, refusal->retryAfter), now);
             return;
         }
     }
+    if (const manifest::ServiceSpec *const service = m_surroundings.manifest->findService(pending.call.service)) {
+        m_ratio.noteFirst(service->name, service->retryRatio);
+    }
     makeAttempt(std::move(pending), now);
 }
 
@@ -108,9 +132,11 @@
 {
     const CallerCall &call = arrived.call;
     Pending pending;
-    pending.exchange = arrived.exchange;
+    pending.requester = arrived.exchange;
     pending.call = call;
     pending.idempotent = kind.idempotent;
+    // Who owns the key of an idempotent kind is not asked, so nothing is known of its other attempts.
+    pending.knowledge = call.key.empty() ? retry::KeyKnowledge::noKey : retry::KeyKnowledge::none;
     pending.arrived = now;
     pending.deadline = now + call.timeout.value_or(kind.deadline);
     if (inner.has_value()) {
@@ -120,6 +146,7 @@
         pending.parent = inner->execution;
         pending.deadline = std::min(pending.deadline, inner->deadline);
         pending.attemptsLeft = m_serving.lendAttempts(inner->execution);
+        pending.scope = innerScope(*inner, call);
         pending.parentSpanId = inner->trace.spanId;
         pending.trace = account::childOf(inner->trace, m_surroundings.random);
         return pending;
@@ -127,6 +154,8 @@
     pending.root = m_surroundings.mint.mint(m_surroundings.clock.wallNow());
     pending.rank = m_surroundings.entryControl->rankOf(call.service, call.kind);
     pending.attemptsLeft = kind.retryBudget;
+    const retry::KeyOwner self{.daemon = m_surroundings.self, .incarnation = m_surroundings.incarnation};
+    pending.scope = retry::RequestKey::mint(self, ageOf(now), m_surroundings.random).text();
     const account::TraceContext above = call.trace.value_or(account::startTrace(m_surroundings.random));
     pending.parentSpanId = call.trace.has_value() ? above.spanId : std::string{};
     pending.trace = account::childOf(above, m_surroundings.random);
@@ -138,17 +167,28 @@
     const routing::RouteRequest route{.service = pending.call.service, .root = pending.root, .excluded = pending.tried};
     const std::optional<DaemonId> server = m_surroundings.router->choose(route, now);
     if (!server.has_value()) {
-        finishRefused(pending, m_surroundings.refuse(account::RefusalReason::noServer, "no backend server is left to try"), now);
+        finishRefused(std::move(pending), m_surroundings.refuse(account::RefusalReason::noServer, "no backend server is left to try"), now);
         return;
     }
-    const CallId call{++m_lastCall};
     const membership::Member *const member = m_surroundings.roster.find(*server);
+    pending.phase = Phase::attempting;
     pending.server = *server;
     pending.tried.insert(*server);
     pending.attemptTrace = account::childOf(pending.trace, m_surroundings.random);
     pending.sentAt = now;
     pending.attemptsOut = pending.attemptsLeft;
     pending.attemptsLeft = 0;
+    protocol::CallRequest request = requestOf(pending, {++m_lastCall}, now);
+    request.receiver = member == nullptr ? Incarnation{} : member->incarnation;
+    const std::string endpoint = member == nullptr ? std::string{} : member->endpoint;
+    m_surroundings.metrics.count("attempts", request.service);
+    const SteadyTime deadline = pending.deadline;
+    keep(request.call, std::move(pending), deadline);
+    m_surroundings.actions.emplace_back(SendToPeer{.to = *server, .endpoint = endpoint, .message = std::move(request)});
+}
+
+protocol::CallRequest EntryHandler::requestOf(const Pending &pending, const CallId call, const SteadyTime now) const
+{
     protocol::CallRequest request;
     request.call = call;
     request.root = pending.root;
@@ -164,20 +204,34 @@
     request.rank = pending.rank;
     request.attemptsLent = pending.attemptsOut;
     request.depth = pending.depth;
-    m_byExchange[pending.exchange] = call;
-    m_deadlines.emplace(pending.deadline, call);
+    request.scope = pending.scope;
+    return request;
+}
+
+void EntryHandler::keep(const CallId call, Pending pending, const SteadyTime wakeAt)
+{
+    pending.wakeAt = wakeAt;
+    if (const auto *const exchange = std::get_if<ExchangeId>(&pending.requester)) {
+        m_byExchange[*exchange] = call;
+    }
+    m_wakes.emplace(wakeAt, call);
     m_pending.emplace(call, std::move(pending));
-    m_surroundings.metrics.count("attempts", request.service);
-    const std::string endpoint = member == nullptr ? std::string{} : member->endpoint;
-    m_surroundings.actions.emplace_back(SendToPeer{.to = *server, .endpoint = endpoint, .message = std::move(request)});
 }
 
 void EntryHandler::handleCallerGone(const ExchangeId exchange, const SteadyTime now)
 {
     const auto found = m_byExchange.find(exchange);
-    if (found != m_byExchange.end()) {
-        giveUp(m_pending.find(found->second), account::RefusalReason::cancelled, "the caller closed its connection", now);
+    if (found == m_byExchange.end()) {
+        return;
+    }
+    const auto pending = m_pending.find(found->second);
+    // A run with a key goes on without its caller: cut off, it would end as may-have-run, and the caller's resend, which
+    // is to be expected, could not be answered with what became of it.
+    if (pending->second.holdsKey) {
+        m_byExchange.erase(found);
+        return;
     }
+    giveUp(pending, account::RefusalReason::cancelled, "the caller closed its connection", now);
 }
 
 void EntryHandler::handleAnswer(const DaemonId &from, const protocol::CallAnswer &answer, const SteadyTime now)
@@ -186,31 +240,29 @@
     // would give one caller another caller's answer. Call ids are unique within an incarnation, and each is expected
     // from one daemon only, so all three must match.
     const auto found = m_pending.find(answer.call);
-    if (answer.receiver != m_surroundings.incarnation || found == m_pending.end() || found->second.server != from) {
+    const bool isExpected = found != m_pending.end() && (found->second.phase == Phase::attempting || found->second.phase == Phase::forwarded);
+    if (answer.receiver != m_surroundings.incarnation || !isExpected || found->second.server != from) {
         m_surroundings.metrics.count("messages_dropped", "late-answer");
         return;
     }
     Pending pending = take(found);
     pending.attemptsLeft = std::clamp(answer.attemptsReturned, 0, pending.attemptsOut);
     pending.slotTime += answer.slotTime;
+    if (pending.phase == Phase::forwarded) {
+        handleOwnerAnswer(std::move(pending), answer, now);
+        return;
+    }
     endAttempt(pending, {.outcome = internal::outcomeOf(answer), .latency = now - pending.sentAt, .load = answer.load}, &answer, now);
     if (answer.verdict == Verdict::completed) {
-        CallerAnswer given;
-        given.verdict = Verdict::completed;
-        given.status = answer.status;
-        given.headers = answer.headers;
-        given.body = answer.body;
-        finish(pending, std::move(given), now);
+        finish(std::move(pending), internal::callerAnswerOf(answer), now);
         return;
     }
-    pending.mayHaveRun = pending.mayHaveRun || answer.verdict == Verdict::mayHaveRun;
+    pending.verdict = retry::combine(pending.verdict, answer.verdict);
     if (mayRetry(pending, answer, now)) {
-        --pending.attemptsLeft;
-        m_surroundings.metrics.count("retries", pending.call.service);
-        makeAttempt(std::move(pending), now);
+        retryLater(std::move(pending), now);
         return;
     }
-    finishRefused(pending, answer.refusal.value_or(m_surroundings.refuse(account::RefusalReason::serverLost, "no answer and no reason")), now);
+    finishRefused(std::move(pending), answer.refusal.value_or(m_surroundings.refuse(account::RefusalReason::serverLost, "no answer and no reason")), now);
 }
 
 void EntryHandler::handleSendFailed(const SendFailed &failed, const SteadyTime now)
@@ -218,11 +270,13 @@
     protocol::CallAnswer answer;
     answer.call = failed.call;
     answer.receiver = m_surroundings.incarnation;
-    answer.verdict = Verdict::notRun;
-    answer.refusal = m_surroundings.refuse(account::RefusalReason::serverLost, "the serving daemon cannot be reached");
+    answer.refusal = m_surroundings.refuse(account::RefusalReason::serverLost, "the daemon chosen for the call cannot be reached");
     answer.status = account::httpStatus(answer.refusal->reason);
     const auto found = m_pending.find(failed.call);
     if (found != m_pending.end()) {
+        // That the owner of a key could not be asked says nothing of the attempts made with the key.
+        const bool isAttempt = found->second.phase == Phase::attempting;
+        answer.verdict = isAttempt ? retry::verdictOf(retry::AttemptEnd::neverSent) : Verdict::mayHaveRun;
         answer.attemptsReturned = found->second.attemptsOut;
         handleAnswer(failed.to, answer, now);
     }
@@ -230,17 +284,22 @@
 
 void EntryHandler::tick(const SteadyTime now)
 {
-    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
-        giveUp(m_pending.find(m_deadlines.begin()->second), account::RefusalReason::deadlinePassed, "no answer came before the deadline", now);
+    while (!m_wakes.empty() && m_wakes.begin()->first <= now) {
+        const auto found = m_pending.find(m_wakes.begin()->second);
+        if (found->second.deadline > now) {
+            makeAttempt(take(found), now);
+            continue;
+        }
+        giveUp(found, account::RefusalReason::deadlinePassed, "no answer came before the deadline", now);
     }
 }
 
 std::optional<SteadyTime> EntryHandler::nextDeadline() const
 {
-    return m_deadlines.empty() ? std::nullopt : std::optional{m_deadlines.begin()->first};
+    return m_wakes.empty() ? std::nullopt : std::optional{m_wakes.begin()->first};
 }
 
-bool EntryHandler::mayRetry(const Pending &pending, const protocol::CallAnswer &answer, const SteadyTime now) const
+bool EntryHandler::mayRetry(const Pending &pending, const protocol::CallAnswer &answer, const SteadyTime now)
 {
     if (pending.attemptsLeft <= 0 || pending.deadline <= now || !answer.refusal.has_value()) {
         return false;
@@ -248,8 +307,23 @@
     if (answer.verdict == Verdict::mayHaveRun && !pending.idempotent) {
         return false;
     }
+    // A refusal for overload is not retried: it would add load where there is too much, and multiply with each hop.
     const account::RefusalReason reason = answer.refusal->reason;
-    return reason == account::RefusalReason::serverLost || reason == account::RefusalReason::draining || reason == account::RefusalReason::noServer;
+    const bool isWorthIt =
+        reason == account::RefusalReason::serverLost || reason == account::RefusalReason::draining || reason == account::RefusalReason::noServer;
+    return isWorthIt && m_ratio.take(pending.call.service);
+}
+
+void EntryHandler::retryLater(Pending pending, const SteadyTime now)
+{
+    const Duration wait = retry::backoff(pending.retries, m_surroundings.random);
+    --pending.attemptsLeft;
+    ++pending.retries;
+    m_surroundings.metrics.count("retries", pending.call.service);
+    pending.phase = Phase::backingOff;
+    // A wait that outlasts the deadline ends there; no attempt is out then, so the verdict stays as it is.
+    const SteadyTime wakeAt = std::min(now + wait, pending.deadline);
+    keep({++m_lastCall}, std::move(pending), wakeAt);
 }
 
 void EntryHandler::endAttempt(const Pending &pending, const routing::AttemptResult &result, const protocol::CallAnswer *const answer, const SteadyTime now)
@@ -278,40 +352,83 @@
     m_surroundings.actions.emplace_back(RecordSpan{.span = std::move(span)});
 }
 
-void EntryHandler::finish(const Pending &pending, CallerAnswer answer, const SteadyTime now)
+void EntryHandler::finish(Pending pending, CallerAnswer answer, const SteadyTime now)
 {
     answer.service = pending.call.service;
     answer.kind = pending.call.kind;
+    if (pending.holdsKey) {
+        releaseKey(pending, answer);
+    }
     if (pending.parent.has_value()) {
         m_serving.noteInnerEnded(*pending.parent, pending.attemptsLeft, pending.slotTime, now);
     }
     m_surroundings.metrics.count("answers", toString(answer.verdict));
     m_surroundings.metrics.observe("call_duration", answer.service, now - pending.arrived);
-    if (pending.trace.sampled) {
-        account::Span span;
-        span.context = pending.trace;
-        span.parentSpanId = pending.parentSpanId;
-        span.hop = account::Hop::entry;
-        span.service = answer.service;
-        span.kind = answer.kind;
-        span.started = pending.arrived;
-        span.ended = now;
-        span.verdict = answer.verdict;
-        span.status = answer.status;
-        if (answer.refusal.has_value()) {
-            span.refusal = answer.refusal->reason;
-        }
-        m_surroundings.actions.emplace_back(RecordSpan{.span = std::move(span)});
+    recordSpan(pending, answer, now);
+    // What is refused on behalf of another daemon is recorded there, where the caller is.
+    if (answer.refusal.has_value() && std::holds_alternative<ExchangeId>(pending.requester)) {
+        recordRefusal(pending, answer);
+    }
+    deliver(pending, answer);
+    if (pending.holdsKey) {
+        finishJoined(pending.call.key, answer, now);
+    }
+}
+
+void EntryHandler::recordSpan(const Pending &pending, const CallerAnswer &answer, const SteadyTime now)
+{
+    if (!pending.trace.sampled) {
+        return;
+    }
+    account::Span span;
+    span.context = pending.trace;
+    span.parentSpanId = pending.parentSpanId;
+    span.hop = account::Hop::entry;
+    span.service = answer.service;
+    span.kind = answer.kind;
+    span.started = pending.arrived;
+    span.ended = now;
+    span.verdict = answer.verdict;
+    span.status = answer.status;
+    if (answer.refusal.has_value()) {
+        span.refusal = answer.refusal->reason;
+    }
+    m_surroundings.actions.emplace_back(RecordSpan{.span = std::move(span)});
+}
+
+void EntryHandler::deliver(const Pending &pending, CallerAnswer answer)
+{
+    if (const auto *const exchange = std::get_if<ExchangeId>(&pending.requester)) {
+        m_surroundings.actions.emplace_back(AnswerCaller{.exchange = *exchange, .answer = std::move(answer)});
+        return;
     }
-    m_surroundings.actions.emplace_back(AnswerCaller{.exchange = pending.exchange, .answer = std::move(answer)});
+    const auto &peer = std::get<PeerCall>(pending.requester);
+    protocol::CallAnswer message;
+    message.call = peer.call;
+    message.receiver = peer.incarnation;
+    message.verdict = answer.verdict;
+    message.status = answer.status;
+    message.headers = std::move(answer.headers);
+    message.body = std::move(answer.body);
+    message.refusal = std::move(answer.refusal);
+    message.attemptsReturned = pending.attemptsLeft;
+    message.slotTime = pending.slotTime;
+    message.nextKey = std::move(answer.nextKey);
+    m_surroundings.actions.emplace_back(SendToPeer{.to = peer.daemon, .endpoint = {}, .message = std::move(message)});
 }
 
-void EntryHandler::finishRefused(const Pending &pending, account::Refusal refusal, const SteadyTime now)
+void EntryHandler::finishRefused(Pending pending, account::Refusal refusal, const SteadyTime now)
 {
     CallerAnswer answer;
-    answer.verdict = pending.mayHaveRun ? Verdict::mayHaveRun : Verdict::notRun;
+    answer.verdict = retry::verdictOnKey(pending.knowledge, pending.verdict);
     answer.status = account::httpStatus(refusal.reason);
     answer.refusal = std::move(refusal);
+    answer.nextKey = pending.nextKey;
+    finish(std::move(pending), std::move(answer), now);
+}
+
+void EntryHandler::recordRefusal(const Pending &pending, const CallerAnswer &answer)
+{
     RefusalRecord record;
     record.refusal = *answer.refusal;
     record.verdict = answer.verdict;
@@ -326,25 +443,30 @@
     record.time = m_surroundings.clock.wallNow();
     m_surroundings.metrics.count("refusals", account::toString(answer.refusal->reason));
     m_surroundings.actions.emplace_back(RecordRefusal{.record = std::move(record)});
-    finish(pending, std::move(answer), now);
 }
 
 void EntryHandler::giveUp(const PendingMap::iterator found, const account::RefusalReason reason, const std::string &rule, const SteadyTime now)
 {
     const CallId call = found->first;
     Pending pending = take(found);
-    // The attempt has been sent and not ended: it may be running now, or may be started by a daemon that reads late.
-    pending.mayHaveRun = true;
-    m_surroundings.actions.emplace_back(SendToPeer{.to = pending.server, .endpoint = {}, .message = protocol::CallCancel{.call = call}});
-    endAttempt(pending, {.outcome = routing::AttemptOutcome::lost, .latency = now - pending.sentAt, .load = std::nullopt}, nullptr, now);
-    finishRefused(pending, m_surroundings.refuse(reason, rule), now);
+    if (pending.phase != Phase::backingOff) {
+        // An attempt has been sent and not ended: it may be running now, or may be started by a daemon that reads late.
+        pending.verdict = retry::combine(pending.verdict, retry::verdictOf(retry::AttemptEnd::unanswered));
+    }
+    if (pending.phase == Phase::attempting) {
+        m_surroundings.actions.emplace_back(SendToPeer{.to = pending.server, .endpoint = {}, .message = protocol::CallCancel{.call = call}});
+        endAttempt(pending, {.outcome = routing::AttemptOutcome::lost, .latency = now - pending.sentAt, .load = std::nullopt}, nullptr, now);
+    }
+    finishRefused(std::move(pending), m_surroundings.refuse(reason, rule), now);
 }
 
 EntryHandler::Pending EntryHandler::take(const PendingMap::iterator found)
 {
     Pending pending = std::move(found->second);
-    m_deadlines.erase({pending.deadline, found->first});
-    m_byExchange.erase(pending.exchange);
+    m_wakes.erase({pending.wakeAt, found->first});
+    if (const auto *const exchange = std::get_if<ExchangeId>(&pending.requester)) {
+        m_byExchange.erase(*exchange);
+    }
     m_pending.erase(found);
     return pending;
 }
--- a/src/egretlatch/decision/entry_handler.hpp
+++ b/src/egretlatch/decision/entry_handler.hpp
@@ -6,11 +6,17 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <egretlatch/decision/event.hpp>
+#include <egretlatch/decision/requester.hpp>
 #include <egretlatch/decision/serving_handler.hpp>
 #include <egretlatch/decision/surroundings.hpp>
 #include <egretlatch/protocol/messages.hpp>
+#include <egretlatch/retry/key_ledger.hpp>
+#include <egretlatch/retry/ratio_budget.hpp>
+#include <egretlatch/retry/request_key.hpp>
+#include <egretlatch/retry/verdict_rules.hpp>
 
 namespace egretlatch::decision
 {
@@ -23,8 +29,9 @@
      * @brief Builds the handler.
      * @param surroundings What it shares with the rest of the core; must outlive it.
      * @param serving Knows the runs that make inner calls; must outlive it.
+     * @param ledgerLimits How much is remembered of request keys.
      */
-    EntryHandler(Surroundings &surroundings, ServingHandler &serving);
+    EntryHandler(Surroundings &surroundings, ServingHandler &serving, retry::KeyLedgerLimits ledgerLimits);
 
     /**
      * @brief Takes a call.
@@ -33,6 +40,23 @@
      */
     void handleArrived(const CallArrived &arrived, SteadyTime now);
 
+    /**
+     * @brief Takes a call that another daemon passes on, since this one owns its key.
+     * @param from The daemon that passes it on.
+     * @param incarnation Its life.
+     * @param request The call.
+     * @param now Current time.
+     */
+    void handleForwarded(const DaemonId &from, Incarnation incarnation, const protocol::CallRequest &request, SteadyTime now);
+
+    /**
+     * @brief Mints a request key for a caller.
+     * @param requested The wish.
+     * @param isDraining Whether this daemon is leaving, so that a key of its own would soon have no owner.
+     * @param now Current time.
+     */
+    void handleKeyRequested(const KeyRequested &requested, bool isDraining, SteadyTime now);
+
     /**
      * @brief Takes it that nobody waits for an answer any more.
      * @param exchange The exchange.
@@ -73,9 +97,29 @@
     }
 
 private:
+    enum class Phase {
+        /*! @brief An attempt is out. */
+        attempting,
+        /*! @brief Waits to make the next attempt; none is out. */
+        backingOff,
+        /*! @brief The owner of the key has been asked; it makes the attempts. */
+        forwarded,
+        /*! @brief The same key is being run for someone else; its end is this call's end, too. */
+        joined,
+    };
+
     struct Pending
     {
-        ExchangeId exchange;
+        Requester requester;
+        Phase phase{Phase::attempting};
+        retry::KeyKnowledge knowledge{};
+        /*! @brief Whether the ledger holds the call's key as running on behalf of this call. */
+        bool holdsKey{};
+        /*! @brief What the keys of inner calls are derived from. */
+        std::string scope;
+        int retries{};
+        /*! @brief Key for a resend, as the owner gave it. */
+        std::string nextKey;
         CallerCall call;
         bool idempotent{};
         Uuid root;
@@ -86,11 +130,12 @@
         std::string parentSpanId;
         SteadyTime arrived;
         SteadyTime deadline;
+        SteadyTime wakeAt;
         int attemptsLeft{};
         Duration slotTime{};
         std::set<DaemonId> tried;
-        /*! @brief Whether an attempt that has ended may have run. */
-        bool mayHaveRun{};
+        /*! @brief Verdict on the attempts that have ended. */
+        Verdict verdict{Verdict::notRun};
         DaemonId server;
         account::TraceContext attemptTrace;
         SteadyTime sentAt;
@@ -99,13 +144,35 @@
 
     using PendingMap = std::map<CallId, Pending>;
 
-    [[nodiscard]] std::optional<std::string> mistakeOf(const CallerCall &call) const;
+    [[nodiscard]] std::optional<std::string> mistakeOf(const CallerCall &call, bool isInner) const;
+    void answerMistake(ExchangeId exchange, const CallerCall &call, int status, std::string mistake);
+    void admit(Pending pending, SteadyTime now);
+    void findOwner(Pending pending, const std::optional<InnerContext> &inner, SteadyTime now);
+    [[nodiscard]] std::optional<retry::RequestKey> keyOf(const Pending &pending, const std::optional<InnerContext> &inner);
+    void own(Pending pending, const retry::RequestKey &key, SteadyTime now);
+    void ownUnnamed(Pending pending, SteadyTime now);
+    void answerFinding(Pending pending, const retry::KeyFinding &finding, SteadyTime now);
+    [[nodiscard]] bool inheritAttempts(Pending &pending, const retry::RequestKey &key, std::uint64_t request);
+    void beginOwned(Pending pending, std::chrono::milliseconds age, std::uint64_t request, SteadyTime now);
+    void forward(Pending pending, const retry::KeyOwner &owner, SteadyTime now);
+    void join(Pending pending);
+    void handleOwnerAnswer(Pending pending, const protocol::CallAnswer &answer, SteadyTime now);
+    void releaseKey(const Pending &pending, CallerAnswer &answer);
+    void finishJoined(const std::string &key, const CallerAnswer &answer, SteadyTime now);
+    [[nodiscard]] protocol::CallRequest requestOf(const Pending &pending, CallId call, SteadyTime now) const;
+    void keep(CallId call, Pending pending, SteadyTime wakeAt);
+    void retryLater(Pending pending, SteadyTime now);
+    void deliver(const Pending &pending, CallerAnswer answer);
+    void recordRefusal(const Pending &pending, const CallerAnswer &answer);
+    void recordSpan(const Pending &pending, const CallerAnswer &answer, SteadyTime now);
+    [[nodiscard]] std::string innerScope(const InnerContext &inner, const CallerCall &call);
+    [[nodiscard]] std::chrono::milliseconds ageOf(SteadyTime now) const;
     [[nodiscard]] Pending begin(const CallArrived &arrived, const manifest::KindSpec &kind, const std::optional<InnerContext> &inner, SteadyTime now);
     void makeAttempt(Pending pending, SteadyTime now);
     void endAttempt(const Pending &pending, const routing::AttemptResult &result, const protocol::CallAnswer *answer, SteadyTime now);
-    [[nodiscard]] bool mayRetry(const Pending &pending, const protocol::CallAnswer &answer, SteadyTime now) const;
-    void finish(const Pending &pending, CallerAnswer answer, SteadyTime now);
-    void finishRefused(const Pending &pending, account::Refusal refusal, SteadyTime now);
+    [[nodiscard]] bool mayRetry(const Pending &pending, const protocol::CallAnswer &answer, SteadyTime now);
+    void finish(Pending pending, CallerAnswer answer, SteadyTime now);
+    void finishRefused(Pending pending, account::Refusal refusal, SteadyTime now);
     void giveUp(PendingMap::iterator found, account::RefusalReason reason, const std::string &rule, SteadyTime now);
     [[nodiscard]] Pending take(PendingMap::iterator found);
 
@@ -113,7 +180,12 @@
     ServingHandler &m_serving;
     PendingMap m_pending;
     std::map<ExchangeId, CallId> m_byExchange;
-    std::set<std::pair<SteadyTime, CallId>> m_deadlines;
+    /*! @brief Calls that wait for the end of a key that is run for another call. */
+    std::map<std::string, std::vector<CallId>> m_joined;
+    retry::KeyLedger m_ledger;
+    retry::RatioBudget m_ratio;
+    /*! @brief When each pending call is to be looked at: its next attempt, or its deadline. */
+    std::set<std::pair<SteadyTime, CallId>> m_wakes;
     std::uint64_t m_lastCall{};
 };
 
--- a/src/egretlatch/decision/event.hpp
+++ b/src/egretlatch/decision/event.hpp
@@ -49,6 +49,14 @@
     CallerCall call;
 };
 
+/*! @brief A caller asks for a request key. */
+struct KeyRequested
+{
+    ExchangeId exchange;
+    std::string service;
+    std::string kind;
+};
+
 /*! @brief The caller of an exchange closed its connection. */
 struct CallerGone
 {
@@ -132,8 +140,18 @@
 {
 };
 
-using Event = std::
-    variant<CallArrived, CallerGone, PeerMessage, SendFailed, RunEnded, ServerAnnounced, ServerDraining, ServerLeft, ManifestChanged, PlatformAnswered, Tick>;
+using Event = std::variant<CallArrived,
+                           KeyRequested,
+                           CallerGone,
+                           PeerMessage,
+                           SendFailed,
+                           RunEnded,
+                           ServerAnnounced,
+                           ServerDraining,
+                           ServerLeft,
+                           ManifestChanged,
+                           PlatformAnswered,
+                           Tick>;
 
 } // namespace egretlatch::decision
 
--- a/src/egretlatch/decision/fwd.hpp
+++ b/src/egretlatch/decision/fwd.hpp
@@ -9,6 +9,7 @@
 struct RunRequest;
 struct RunAnswer;
 struct RefusalRecord;
+struct PeerCall;
 struct Surroundings;
 
 enum class RunFailure;
--- /dev/null
+++ b/src/egretlatch/decision/requester.hpp
@@ -0,0 +1,27 @@
+#ifndef EGRETLATCH_DECISION_REQUESTER_HPP
+#define EGRETLATCH_DECISION_REQUESTER_HPP
+
+#include <compare>
+#include <variant>
+
+#include <egretlatch/core/ids.hpp>
+
+namespace egretlatch::decision
+{
+
+/*! @brief A call that another daemon passed on to this one, as the owner of its key. */
+struct PeerCall
+{
+    DaemonId daemon;
+    Incarnation incarnation;
+    CallId call;
+
+    friend auto operator<=>(const PeerCall &, const PeerCall &) = default;
+};
+
+/*! @brief Who waits for the end of a call: a caller over HTTP, or another daemon. */
+using Requester = std::variant<ExchangeId, PeerCall>;
+
+} // namespace egretlatch::decision
+
+#endif
--- a/src/egretlatch/decision/serving_handler.cpp
+++ b/src/egretlatch/decision/serving_handler.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include <egretlatch/retry/verdict_rules.hpp>
+
 namespace egretlatch::decision
 {
 
@@ -25,7 +27,7 @@
 {
     protocol::CallAnswer answer;
     if (const auto *const given = std::get_if<RunAnswer>(&result)) {
-        answer.verdict = Verdict::completed;
+        answer.verdict = retry::verdictOf(retry::AttemptEnd::answered);
         answer.status = given->status;
         answer.headers = given->headers;
         answer.body = given->body;
@@ -33,15 +35,15 @@
     }
     switch (std::get<RunFailure>(result)) {
     case RunFailure::neverConnected:
-        answer.verdict = Verdict::notRun;
+        answer.verdict = retry::verdictOf(retry::AttemptEnd::neverConnected);
         answer.refusal = surroundings.refuse(account::RefusalReason::serverLost, "the backend server took no connection");
         break;
     case RunFailure::rejected:
-        answer.verdict = Verdict::notRun;
+        answer.verdict = retry::verdictOf(retry::AttemptEnd::rejectedByServer);
         answer.refusal = surroundings.refuse(account::RefusalReason::overloadAtServer, "the backend server said that it did not start the request");
         break;
     case RunFailure::lost:
-        answer.verdict = Verdict::mayHaveRun;
+        answer.verdict = retry::verdictOf(retry::AttemptEnd::connectionLost);
         answer.refusal = surroundings.refuse(account::RefusalReason::serverLost, "the connection to the backend server was lost before it answered");
         break;
     }
@@ -60,9 +62,16 @@
 void ServingHandler::handleRequest(const DaemonId &from, const Incarnation incarnation, const protocol::CallRequest &request, const SteadyTime now)
 {
     const Origin origin{from, incarnation, request.call};
-    // A transport that delivers a message twice would start a request twice. The second copy names the same call of the
-    // same incarnation, so it is told from a retry, which has a call id of its own.
-    if (m_byOrigin.contains(origin)) {
+    // A daemon restarted under the same id gets what its peers' transport still held for its former life, which may have
+    // run the same message already. A request names the life it is meant for, and no other life runs it.
+    if (request.receiver != m_surroundings.incarnation) {
+        refuseStranger(origin, now);
+        return;
+    }
+    // A transport that delivers a message twice would start a request twice, or start one that was refused as not run.
+    // The second copy names the same call of the same incarnation, so it is told from a retry, which has a call id of its
+    // own. It stands before all refusals: a call id that was refused is spent.
+    if (!m_window.pass(from, incarnation, request.call)) {
         m_surroundings.metrics.count("messages_dropped", "duplicate-request");
         return;
     }
@@ -172,6 +181,7 @@
         .deadline = attempt.deadline,
         .trace = attempt.trace,
         .depth = attempt.request.depth,
+        .scope = attempt.request.scope,
     };
 }
 
@@ -191,6 +201,12 @@
     return lent;
 }
 
+int ServingHandler::nextOrdinal(const ExecutionId execution, const std::uint64_t call)
+{
+    const auto found = m_attempts.find(execution);
+    return found == m_attempts.end() ? 0 : found->second.ordinals[call]++;
+}
+
 void ServingHandler::noteInnerEnded(const ExecutionId execution, const int attempts, const Duration slotTime, const SteadyTime now)
 {
     const auto found = m_attempts.find(execution);
@@ -264,7 +280,7 @@
 void ServingHandler::refuse(const ExecutionId execution, const admission::GateRefusal &refusal, const SteadyTime now)
 {
     protocol::CallAnswer refused;
-    refused.verdict = Verdict::notRun;
+    refused.verdict = retry::verdictOf(retry::AttemptEnd::leftQueue);
     refused.refusal = m_surroundings.refuse(refusal.reason, refusal.rule, refusal.figures);
     refused.status = account::httpStatus(refusal.reason);
     answer(execution, std::move(refused), now);
@@ -273,13 +289,22 @@
 void ServingHandler::refuseAtOnce(const Origin &origin, const protocol::CallRequest &request, const admission::GateRefusal &refusal, const SteadyTime now)
 {
     protocol::CallAnswer refused;
-    refused.verdict = Verdict::notRun;
+    refused.verdict = retry::verdictOf(retry::AttemptEnd::refusedAtDoor);
     refused.refusal = m_surroundings.refuse(refusal.reason, refusal.rule, refusal.figures);
     refused.status = account::httpStatus(refusal.reason);
     refused.attemptsReturned = request.attemptsLent;
     send(origin, std::move(refused), now);
 }
 
+void ServingHandler::refuseStranger(const Origin &origin, const SteadyTime now)
+{
+    protocol::CallAnswer refused;
+    refused.verdict = retry::verdictOf(retry::AttemptEnd::meantForEarlierLife);
+    refused.refusal = m_surroundings.refuse(account::RefusalReason::serverLost, "the request was meant for an earlier life of this daemon");
+    refused.status = account::httpStatus(refused.refusal->reason);
+    send(origin, std::move(refused), now);
+}
+
 void ServingHandler::send(const Origin &origin, protocol::CallAnswer answer, const SteadyTime now)
 {
     const auto &[daemon, incarnation, call] = origin;
@@ -331,11 +356,11 @@
     abandoned.refusal = m_surroundings.refuse(account::RefusalReason::cancelled, "the caller went away or its deadline passed");
     abandoned.status = account::httpStatus(abandoned.refusal->reason);
     if (!attempt.started.has_value()) {
-        abandoned.verdict = m_gate->withdraw(execution) ? Verdict::notRun : Verdict::mayHaveRun;
+        abandoned.verdict = retry::verdictOf(m_gate->withdraw(execution) ? retry::AttemptEnd::leftQueue : retry::AttemptEnd::aborted);
         answer(execution, std::move(abandoned), now);
         return;
     }
-    abandoned.verdict = Verdict::mayHaveRun;
+    abandoned.verdict = retry::verdictOf(retry::AttemptEnd::aborted);
     m_surroundings.actions.emplace_back(AbortRun{.execution = execution});
     const admission::Observation observation{
         .outcome = admission::RunOutcome::abandoned, .latency = now - *attempt.started, .waitedForInner = attempt.innerWait};
--- a/src/egretlatch/decision/serving_handler.hpp
+++ b/src/egretlatch/decision/serving_handler.hpp
@@ -11,6 +11,7 @@
 #include <egretlatch/decision/event.hpp>
 #include <egretlatch/decision/surroundings.hpp>
 #include <egretlatch/protocol/messages.hpp>
+#include <egretlatch/retry/call_window.hpp>
 
 namespace egretlatch::decision
 {
@@ -24,6 +25,8 @@
     SteadyTime deadline;
     account::TraceContext trace;
     int depth{};
+    /*! @brief What the key of the call is derived from. */
+    std::string scope;
 };
 
 /*! @brief Runs attempts at the backend server beside this daemon. */
@@ -91,6 +94,14 @@
      */
     [[nodiscard]] int lendAttempts(ExecutionId execution);
 
+    /**
+     * @brief Numbers the inner calls of a run that are alike.
+     * @param execution The run.
+     * @param call Hash of what the call asks for.
+     * @return 0 for the first such call, 1 for the next one.
+     */
+    [[nodiscard]] int nextOrdinal(ExecutionId execution, std::uint64_t call);
+
     /**
      * @brief Ends an inner call.
      * @param execution The run that made it; may have ended.
@@ -122,6 +133,8 @@
         SteadyTime innerSince;
         Duration innerWait{};
         Duration innerSlotTime{};
+        /*! @brief How many inner calls of each content the run has made. */
+        std::map<std::uint64_t, int> ordinals;
     };
 
     void apply(const admission::GateRelease &release, SteadyTime now);
@@ -129,6 +142,7 @@
     void answer(ExecutionId execution, protocol::CallAnswer answer, SteadyTime now);
     void refuse(ExecutionId execution, const admission::GateRefusal &refusal, SteadyTime now);
     void refuseAtOnce(const Origin &origin, const protocol::CallRequest &request, const admission::GateRefusal &refusal, SteadyTime now);
+    void refuseStranger(const Origin &origin, SteadyTime now);
     void send(const Origin &origin, protocol::CallAnswer answer, SteadyTime now);
     void recordSpan(const Attempt &attempt, const protocol::CallAnswer &answer, SteadyTime now);
     void abandonExpired(SteadyTime now);
@@ -139,6 +153,7 @@
     std::unique_ptr<admission::Gate> m_gate;
     std::map<ExecutionId, Attempt> m_attempts;
     std::map<Origin, ExecutionId> m_byOrigin;
+    retry::CallWindow m_window;
     std::uint64_t m_lastExecution{};
     bool m_hasServer{};
     bool m_isDraining{};
--- a/src/egretlatch/decision/surroundings.hpp
+++ b/src/egretlatch/decision/surroundings.hpp
@@ -12,6 +12,7 @@
 #include <egretlatch/decision/action.hpp>
 #include <egretlatch/manifest/manifest.hpp>
 #include <egretlatch/membership/roster.hpp>
+#include <egretlatch/retry/key_ledger.hpp>
 #include <egretlatch/routing/router.hpp>
 
 namespace egretlatch::decision
@@ -31,6 +32,9 @@
     std::unique_ptr<admission::EntryControl> entryControl;
     std::shared_ptr<const manifest::Manifest> manifest;
     std::uint64_t manifestVersion{};
+    retry::UnownedKeys unownedKeys{};
+    /*! @brief When this life began; ages of keys are counted from here. */
+    SteadyTime born;
     /*! @brief What the event at hand has led to so far. */
     Actions actions;
 
--- a/src/egretlatch/protocol/codec.cpp
+++ b/src/egretlatch/protocol/codec.cpp
@@ -68,6 +68,9 @@
     wire.mutable_rank()->set_invested_ns(request.rank.invested.count());
     wire.set_attempts_lent(request.attemptsLent);
     wire.set_depth(request.depth);
+    wire.set_receiver_incarnation(request.receiver.value);
+    wire.set_scope(request.scope);
+    wire.set_for_owner(request.forOwner);
 }
 
 [[nodiscard]] static Result<Message> read(const wire::CallRequest &wire)
@@ -94,6 +97,9 @@
     request.rank = {.priority = wire.rank().priority(), .worthDensity = wire.rank().worth_density(), .invested = toDuration(wire.rank().invested_ns())};
     request.attemptsLent = wire.attempts_lent();
     request.depth = wire.depth();
+    request.receiver = {wire.receiver_incarnation()};
+    request.scope = wire.scope();
+    request.forOwner = wire.for_owner();
     return request;
 }
 
@@ -189,6 +195,7 @@
     write(answer.load, *wire.mutable_load());
     wire.set_attempts_returned(answer.attemptsReturned);
     wire.set_slot_time_ns(answer.slotTime.count());
+    wire.set_next_key(answer.nextKey);
 }
 
 [[nodiscard]] static Result<Message> read(const wire::CallAnswer &wire)
@@ -210,6 +217,7 @@
     answer.load = read(wire.load());
     answer.attemptsReturned = wire.attempts_returned();
     answer.slotTime = toDuration(wire.slot_time_ns());
+    answer.nextKey = wire.next_key();
     return answer;
 }
 
--- a/src/egretlatch/protocol/messages.hpp
+++ b/src/egretlatch/protocol/messages.hpp
@@ -45,6 +45,12 @@
     int attemptsLent{};
     /*! @brief 0 for a root's first call, 1 for the calls that it makes, and so on. */
     int depth{};
+    /*! @brief Life of the daemon that the request is meant for; another one does not run it. */
+    Incarnation receiver;
+    /*! @brief What the keys of the run's inner calls are derived from, as RequestKey text. */
+    std::string scope;
+    /*! @brief Whether it is meant for the owner of the key, which makes the attempts, rather than for a backend server. */
+    bool forOwner{};
 
     friend bool operator==(const CallRequest &, const CallRequest &) = default;
 };
@@ -55,7 +61,7 @@
     CallId call;
     /*! @brief Incarnation of the daemon that the answer is for. */
     Incarnation receiver;
-    /*! @brief Speaks of this attempt alone. */
+    /*! @brief Speaks of this attempt alone; from the owner of a key, of the key. */
     Verdict verdict{Verdict::mayHaveRun};
     int status{};
     Headers headers;
@@ -66,6 +72,8 @@
     int attemptsReturned{};
     /*! @brief Slot time that the run and its inner calls took. */
     Duration slotTime{};
+    /*! @brief Key that a resend after `not-run` is to use; empty if there is none. */
+    std::string nextKey;
 
     friend bool operator==(const CallAnswer &, const CallAnswer &) = default;
 };
--- /dev/null
+++ b/src/egretlatch/retry/fwd.hpp
@@ -0,0 +1,24 @@
+#ifndef EGRETLATCH_RETRY_FWD_HPP
+#define EGRETLATCH_RETRY_FWD_HPP
+
+namespace egretlatch::retry
+{
+
+enum class AttemptEnd;
+enum class KeyKnowledge;
+enum class KeyStanding;
+enum class UnownedKeys;
+
+struct KeyOwner;
+struct HeldAnswer;
+struct KeyFinding;
+struct KeyLedgerLimits;
+
+class RequestKey;
+class KeyLedger;
+class CallWindow;
+class RatioBudget;
+
+} // namespace egretlatch::retry
+
+#endif
--- /dev/null
+++ b/src/egretlatch/retry/key_ledger.cpp
@@ -0,0 +1,122 @@
+#include <egretlatch/retry/key_ledger.hpp>
+
+#include <algorithm>
+
+namespace egretlatch::retry
+{
+
+namespace internal
+{
+
+[[nodiscard]] static std::size_t sizeOf(const HeldAnswer &answer)
+{
+    std::size_t bytes = static_cast<std::size_t>(answer.body.size());
+    for (const Header &header : answer.headers) {
+        bytes += header.name.size() + header.value.size();
+    }
+    return bytes;
+}
+
+[[nodiscard]] static KeyStanding standingAfter(const Verdict verdict)
+{
+    switch (verdict) {
+    case Verdict::completed:
+        return KeyStanding::answered;
+    case Verdict::notRun:
+        return KeyStanding::closed;
+    case Verdict::mayHaveRun:
+        break;
+    }
+    return KeyStanding::uncertain;
+}
+
+} // namespace internal
+
+KeyLedger::KeyLedger(const KeyLedgerLimits limits)
+    : m_limits{limits}
+{
+}
+
+KeyFinding KeyLedger::find(const std::string &key, const Age age, const std::uint64_t request) const
+{
+    const auto found = m_entries.find(key);
+    if (found == m_entries.end()) {
+        return {.standing = age <= m_forgottenThrough ? KeyStanding::forgotten : KeyStanding::fresh};
+    }
+    const Entry &entry = found->second;
+    if (entry.request != request) {
+        const Verdict verdict = entry.standing == KeyStanding::closed ? Verdict::notRun : Verdict::mayHaveRun;
+        return {.standing = KeyStanding::mismatched, .verdict = verdict};
+    }
+    const HeldAnswer *const answer = entry.standing == KeyStanding::answered ? &entry.answer : nullptr;
+    return {.standing = entry.standing, .answer = answer, .attemptsLeft = entry.attemptsLeft};
+}
+
+void KeyLedger::begin(const std::string &key, const Age age, const std::uint64_t request)
+{
+    forgetOldest();
+    Entry entry;
+    entry.age = age;
+    entry.request = request;
+    m_entries.emplace(key, std::move(entry));
+}
+
+void KeyLedger::end(const std::string &key, const Verdict verdict, HeldAnswer answer, const int attemptsLeft)
+{
+    const auto found = m_entries.find(key);
+    if (found == m_entries.end() || found->second.standing != KeyStanding::running) {
+        return;
+    }
+    Entry &entry = found->second;
+    entry.standing = internal::standingAfter(verdict);
+    entry.attemptsLeft = attemptsLeft;
+    m_ended.emplace(entry.age, key);
+    if (verdict != Verdict::completed) {
+        return;
+    }
+    entry.answer = std::move(answer);
+    m_answerBytes += internal::sizeOf(entry.answer);
+    m_answered.push_back(key);
+    dropAnswers();
+}
+
+void KeyLedger::reopen(const std::string &key)
+{
+    const auto found = m_entries.find(key);
+    if (found != m_entries.end() && found->second.standing == KeyStanding::closed) {
+        m_ended.erase({found->second.age, key});
+        m_entries.erase(found);
+    }
+}
+
+void KeyLedger::forgetOldest()
+{
+    while (m_entries.size() >= m_limits.entries && !m_ended.empty()) {
+        const auto oldest = m_ended.begin();
+        const auto entry = m_entries.find(oldest->second);
+        if (entry->second.standing == KeyStanding::answered) {
+            m_answerBytes -= internal::sizeOf(entry->second.answer);
+        }
+        // The key would look fresh to its next resend and run a second time. All keys of its age and older are closed
+        // with it: ages are told by the keys themselves, so this holds for those never seen, too.
+        m_forgottenThrough = std::max(m_forgottenThrough, oldest->first);
+        m_entries.erase(entry);
+        m_ended.erase(oldest);
+    }
+}
+
+void KeyLedger::dropAnswers()
+{
+    while (m_answerBytes > m_limits.answerBytes || m_answered.size() > m_limits.entries) {
+        const auto found = m_entries.find(m_answered.front());
+        m_answered.pop_front();
+        if (found == m_entries.end() || found->second.standing != KeyStanding::answered) {
+            continue;
+        }
+        m_answerBytes -= internal::sizeOf(found->second.answer);
+        found->second.answer = {};
+        found->second.standing = KeyStanding::answerDropped;
+    }
+}
+
+} // namespace egretlatch::retry
--- /dev/null
+++ b/src/egretlatch/retry/ratio_budget.cpp
@@ -0,0 +1,24 @@
+#include <egretlatch/retry/ratio_budget.hpp>
+
+#include <algorithm>
+
+namespace egretlatch::retry
+{
+
+void RatioBudget::noteFirst(const std::string &service, const double ratio)
+{
+    double &saved = m_saved.try_emplace(service, mostSaved).first->second;
+    saved = std::min(saved + ratio, mostSaved);
+}
+
+bool RatioBudget::take(const std::string &service)
+{
+    double &saved = m_saved.try_emplace(service, mostSaved).first->second;
+    if (saved < 1.0) {
+        return false;
+    }
+    saved -= 1.0;
+    return true;
+}
+
+} // namespace egretlatch::retry
--- /dev/null
+++ b/src/egretlatch/retry/request_key.hpp
@@ -0,0 +1,106 @@
+#ifndef EGRETLATCH_RETRY_REQUEST_KEY_HPP
+#define EGRETLATCH_RETRY_REQUEST_KEY_HPP
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <egretlatch/core/clock.hpp>
+#include <egretlatch/core/ids.hpp>
+#include <egretlatch/core/random_source.hpp>
+
+namespace egretlatch::retry
+{
+
+/*! @brief One life of one daemon: the only process that may begin requests with a key. */
+struct KeyOwner
+{
+    DaemonId daemon;
+    Incarnation incarnation;
+
+    friend auto operator<=>(const KeyOwner &, const KeyOwner &) = default;
+};
+
+/**
+ * @brief An idempotency key that names its owner.
+ *
+ * Text: `el1-INCARNATION-AGE-NONCE-LENGTH:DAEMON`, then any suffix, then `~N` on the N-th resend. The age is the
+ * owner's own steady time, in milliseconds of its life, so that no two clocks are ever compared.
+ */
+class RequestKey
+{
+public:
+    /**
+     * @brief Mints a key.
+     * @param owner The life that owns it: always the one that mints.
+     * @param age Age of the owner.
+     * @param random Source of the nonce.
+     * @return The key.
+     */
+    [[nodiscard]] static RequestKey mint(const KeyOwner &owner, std::chrono::milliseconds age, RandomSource &random);
+
+    /**
+     * @brief Reads a key.
+     * @param text The key as a caller sent it.
+     * @return The key, or nothing if it names no owner.
+     */
+    [[nodiscard]] static std::optional<RequestKey> parse(std::string_view text);
+
+    /**
+     * @brief Derives the key of an inner call.
+     *
+     * The same call of a run that is made again gets the same key, and the same owner.
+     * @param identity What tells the call from others of the same run.
+     * @return A key with the owner and the age of this one.
+     */
+    [[nodiscard]] RequestKey derive(std::string_view identity) const;
+
+    /**
+     * @brief Gives the key of the next resend after a `not-run`.
+     * @return The key with its resend number raised by one.
+     */
+    [[nodiscard]] RequestKey next() const;
+
+    /**
+     * @brief Gives the key that next() was called on.
+     * @return The key, or nothing for the first one.
+     */
+    [[nodiscard]] std::optional<RequestKey> previous() const;
+
+    [[nodiscard]] const std::string &text() const noexcept
+    {
+        return m_text;
+    }
+
+    [[nodiscard]] const KeyOwner &owner() const noexcept
+    {
+        return m_owner;
+    }
+
+    [[nodiscard]] std::chrono::milliseconds age() const noexcept
+    {
+        return m_age;
+    }
+
+    /*! @brief 0 for a key that is sent for the first time, 1 for the key of the first resend. */
+    [[nodiscard]] int resend() const noexcept
+    {
+        return m_resend;
+    }
+
+    friend bool operator==(const RequestKey &, const RequestKey &) = default;
+
+private:
+    RequestKey() = default;
+
+    std::string m_text;
+    KeyOwner m_owner;
+    std::chrono::milliseconds m_age{};
+    int m_resend{};
+};
+
+} // namespace egretlatch::retry
+
+#endif
--- /dev/null
+++ b/src/egretlatch/retry/verdict_rules.cpp
@@ -0,0 +1,47 @@
+#include <egretlatch/retry/verdict_rules.hpp>
+
+namespace egretlatch::retry
+{
+
+Verdict verdictOf(const AttemptEnd end) noexcept
+{
+    switch (end) {
+    case AttemptEnd::answered:
+        return Verdict::completed;
+    case AttemptEnd::neverSent:
+    case AttemptEnd::refusedAtDoor:
+    case AttemptEnd::leftQueue:
+    case AttemptEnd::neverConnected:
+    case AttemptEnd::rejectedByServer:
+        return Verdict::notRun;
+    case AttemptEnd::connectionLost:
+    case AttemptEnd::aborted:
+    case AttemptEnd::unanswered:
+    case AttemptEnd::meantForEarlierLife:
+        break;
+    }
+    return Verdict::mayHaveRun;
+}
+
+Verdict combine(const Verdict earlier, const Verdict last) noexcept
+{
+    if (last == Verdict::completed) {
+        return Verdict::completed;
+    }
+    return earlier == Verdict::notRun && last == Verdict::notRun ? Verdict::notRun : Verdict::mayHaveRun;
+}
+
+Verdict verdictOnKey(const KeyKnowledge knowledge, const Verdict attempts) noexcept
+{
+    if (knowledge == KeyKnowledge::none && attempts == Verdict::notRun) {
+        return Verdict::mayHaveRun;
+    }
+    return attempts;
+}
+
+Verdict verdictUnread(const std::string_view key) noexcept
+{
+    return verdictOnKey(key.empty() ? KeyKnowledge::noKey : KeyKnowledge::none, Verdict::notRun);
+}
+
+} // namespace egretlatch::retry
--- a/src/egretlatch/settings/daemon_settings.cpp
+++ b/src/egretlatch/settings/daemon_settings.cpp
@@ -101,6 +101,7 @@
     settings.collectorUrl = internal::readUrl(reader, "collectorUrl", "");
     settings.maxBodyBytes = reader.integer("maxBodyBytes", internal::bodyRange, internal::defaultMaxBody);
     settings.policy = internal::readPolicy(reader);
+    settings.ownsUnnamedKeys = reader.word("keysWithoutOwner", {"refuse", "entry-memory"}, "refuse") == "entry-memory";
     settings.logLevel = internal::readLogLevel(reader);
     settings.seed = internal::readSeed(reader);
     if (settings.callerPort == settings.peerPort) {
--- /dev/null
+++ b/test/egretlatch/retry/budgets.cpp
@@ -0,0 +1,47 @@
+#include <doctest/doctest.h>
+
+#include <egretlatch/retry/backoff.hpp>
+#include <egretlatch/retry/ratio_budget.hpp>
+#include <egretlatch/retry/verdict_rules.hpp>
+
+using namespace egretlatch;
+using namespace egretlatch::retry;
+
+TEST_CASE("retries towards a service stay a share of its first attempts")
+{
+    // A service that is down gets three times its load: each root still has its own budget, and spends all of it.
+    RatioBudget budget;
+    constexpr int roots = 1000;
+    int retries = 0;
+    for (int root = 0; root < roots; ++root) {
+        budget.noteFirst("archive", 0.1);
+        retries += budget.take("archive") ? 1 : 0;
+    }
+
+    CHECK(retries <= roots / 10 + static_cast<int>(RatioBudget::mostSaved));
+    CHECK(retries >= roots / 10 - 1);
+}
+
+TEST_CASE("the wait before a retry grows, stays below its bound and is not the same for all")
+{
+    SeededRandom random{3};
+    Duration longest{};
+    for (int draw = 0; draw < 1000; ++draw) {
+        CHECK(backoff(0, random) < backoffBase);
+        longest = std::max(longest, backoff(50, random));
+    }
+
+    CHECK(longest < backoffBase * 64);
+    CHECK(longest > backoffBase * 32);
+}
+
+TEST_CASE("not-run is told only where each attempt with the key is known not to have run")
+{
+    CHECK((combine(Verdict::notRun, verdictOf(AttemptEnd::leftQueue)) == Verdict::notRun));
+    CHECK((combine(Verdict::mayHaveRun, verdictOf(AttemptEnd::leftQueue)) == Verdict::mayHaveRun));
+    CHECK((combine(Verdict::notRun, verdictOf(AttemptEnd::meantForEarlierLife)) == Verdict::mayHaveRun));
+    CHECK((verdictOnKey(KeyKnowledge::none, Verdict::notRun) == Verdict::mayHaveRun));
+    CHECK((verdictOnKey(KeyKnowledge::owner, Verdict::notRun) == Verdict::notRun));
+    CHECK((verdictUnread("") == Verdict::notRun));
+    CHECK((verdictUnread("any") == Verdict::mayHaveRun));
+}
--- /dev/null
+++ b/test/egretlatch/retry/key_ledger.cpp
@@ -0,0 +1,84 @@
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <egretlatch/retry/key_ledger.hpp>
+
+using namespace egretlatch;
+using namespace egretlatch::retry;
+using namespace std::chrono_literals;
+
+namespace internal
+{
+
+constexpr std::uint64_t request = 42;
+
+[[nodiscard]] static KeyStanding standing(const KeyLedger &ledger, const std::string &key, const std::chrono::milliseconds age)
+{
+    return ledger.find(key, age, request).standing;
+}
+
+} // namespace internal
+
+using internal::request;
+
+TEST_CASE("a key stands as its run ended")
+{
+    KeyLedger ledger;
+    CHECK(internal::standing(ledger, "a", 1ms) == KeyStanding::fresh);
+    ledger.begin("a", 1ms, request);
+    CHECK(internal::standing(ledger, "a", 1ms) == KeyStanding::running);
+    ledger.end("a", Verdict::completed, {.status = 200, .headers = {}, .body = "whole"}, 0);
+    REQUIRE(internal::standing(ledger, "a", 1ms) == KeyStanding::answered);
+    CHECK(ledger.find("a", 1ms, request).answer->body == "whole");
+    ledger.begin("b", 1ms, request);
+    ledger.end("b", Verdict::mayHaveRun, {}, 2);
+    CHECK(internal::standing(ledger, "b", 1ms) == KeyStanding::uncertain);
+    ledger.begin("c", 1ms, request);
+    ledger.end("c", Verdict::notRun, {}, 2);
+    CHECK(internal::standing(ledger, "c", 1ms) == KeyStanding::closed);
+    CHECK(ledger.find("a", 1ms, request + 1).standing == KeyStanding::mismatched);
+}
+
+TEST_CASE("what is forgotten is never taken for fresh")
+{
+    // A member is billed twice. The resend of a launch entry comes after the daemon has dropped its key for want of
+    // memory; the key looks as if it had never been seen, and the entry runs again.
+    KeyLedger ledger{{.entries = 2, .answerBytes = 1000}};
+    for (const auto &[key, age] : {std::pair{"a", 1ms}, std::pair{"b", 2ms}, std::pair{"c", 3ms}, std::pair{"d", 4ms}}) {
+        ledger.begin(key, age, request);
+        ledger.end(key, Verdict::completed, {}, 0);
+    }
+
+    CHECK(ledger.size() == 2);
+    CHECK(internal::standing(ledger, "a", 1ms) == KeyStanding::forgotten);
+    CHECK(internal::standing(ledger, "b", 2ms) == KeyStanding::forgotten);
+    CHECK(internal::standing(ledger, "never seen", 2ms) == KeyStanding::forgotten);
+    CHECK(internal::standing(ledger, "c", 3ms) == KeyStanding::answered);
+    CHECK(internal::standing(ledger, "never seen", 3ms) == KeyStanding::fresh);
+}
+
+TEST_CASE("a key that runs is not forgotten, however old")
+{
+    KeyLedger ledger{{.entries = 2, .answerBytes = 1000}};
+    ledger.begin("old", 1ms, request);
+    for (int number = 0; number < 10; ++number) {
+        const std::string key = fmt::format("k{}", number);
+        ledger.begin(key, std::chrono::milliseconds{10 + number}, request);
+        ledger.end(key, Verdict::mayHaveRun, {}, 0);
+    }
+
+    CHECK(internal::standing(ledger, "old", 1ms) == KeyStanding::running);
+}
+
+TEST_CASE("answers beyond the bound are dropped, the oldest first, and are not run again")
+{
+    KeyLedger ledger{{.entries = 100, .answerBytes = 10}};
+    for (const char *const key : {"a", "b", "c"}) {
+        ledger.begin(key, 1ms, request);
+        ledger.end(key, Verdict::completed, {.status = 200, .headers = {}, .body = "12345"}, 0);
+    }
+
+    CHECK(internal::standing(ledger, "a", 1ms) == KeyStanding::answerDropped);
+    CHECK(internal::standing(ledger, "b", 1ms) == KeyStanding::answered);
+    CHECK(internal::standing(ledger, "c", 1ms) == KeyStanding::answered);
+}
--- /dev/null
+++ b/test/history/schedule.cpp
@@ -0,0 +1,454 @@
+#include <history/schedule.hpp>
+
+#include <fmt/format.h>
+
+#include <egretlatch/admission/static_gate.hpp>
+
+namespace history
+{
+
+namespace internal
+{
+
+using namespace egretlatch;
+
+constexpr std::chrono::seconds warmUp{2};
+constexpr std::chrono::seconds faultsEnd{12};
+constexpr std::chrono::seconds scheduleEnd{30};
+constexpr std::chrono::milliseconds tick{50};
+constexpr int callersPerSchedule = 16;
+constexpr int retryBudget = 2;
+constexpr int slots = 2;
+constexpr std::size_t queueCapacity = 4;
+constexpr std::size_t nodesPerService = 2;
+constexpr int mostSends = 5;
+
+[[nodiscard]] static manifest::KindSpec kindOf(std::string name, const bool idempotent)
+{
+    manifest::KindSpec kind;
+    kind.name = std::move(name);
+    kind.idempotent = idempotent;
+    kind.deadline = std::chrono::milliseconds{1500};
+    kind.retryBudget = retryBudget;
+    return kind;
+}
+
+} // namespace internal
+
+using namespace egretlatch;
+
+std::shared_ptr<const manifest::Manifest> scheduleManifest()
+{
+    manifest::ServiceSpec log;
+    log.name = "launch-log";
+    log.slots = internal::slots;
+    log.kinds = {internal::kindOf("launch-entry", false), internal::kindOf("statement", true), internal::kindOf("lookup", true)};
+    manifest::ServiceSpec archive;
+    archive.name = "archive";
+    archive.slots = internal::slots;
+    archive.kinds = {internal::kindOf("append", false)};
+    return manifest::ManifestBuilder{}.addService(log).addService(archive).setHash("0000000000000001").build();
+}
+
+Schedule::Schedule(const std::uint64_t seed)
+    : m_random{seed}
+    , m_manifest{scheduleManifest()}
+{
+    m_history.retryBudget = internal::retryBudget;
+    constexpr double most = 0.08;
+    m_faults.loss = m_random.fraction() * most;
+    m_faults.duplication = m_random.fraction() * most * 2;
+    m_faults.holdUp = m_random.fraction() * most * 2;
+    m_faults.pauses = static_cast<int>(m_random.below(4));
+    m_faults.crashes = static_cast<int>(m_random.below(4));
+    m_faults.lostRuns = m_random.fraction() * most * 2;
+    m_faults.rejects = m_random.fraction() * most * 4;
+    m_faults.drains = static_cast<int>(m_random.below(2));
+    for (std::size_t index = 0; index < 2 * internal::nodesPerService; ++index) {
+        Node node;
+        node.id = {fmt::format("d{}", index)};
+        node.service = index < internal::nodesPerService ? "launch-log" : "archive";
+        m_nodes.push_back(std::move(node));
+    }
+}
+
+const History &Schedule::run()
+{
+    for (std::size_t index = 0; index < m_nodes.size(); ++index) {
+        boot(index);
+    }
+    plan(internal::warmUp, [this] {
+        m_isQuiet = false;
+        planFaults();
+    });
+    plan(internal::faultsEnd, [this] {
+        m_isQuiet = true;
+    });
+    for (int number = 0; number < internal::callersPerSchedule; ++number) {
+        Caller caller;
+        caller.number = number;
+        const std::uint64_t kind = m_random.below(4);
+        caller.service = "launch-log";
+        caller.kind = kind < 2 ? "launch-entry" : (kind == 2 ? "statement" : "lookup");
+        caller.idempotent = kind >= 2;
+        m_callers.push_back(caller);
+        plan(internal::warmUp + between(0, 6000), [this, index = m_callers.size() - 1] {
+            m_callers[index].idempotent ? send(index) : wish(index);
+        });
+    }
+    const Clock end = m_clock.steadyNow() + internal::scheduleEnd;
+    while (!m_plan.empty() && m_plan.top().at <= end) {
+        const Planned next = m_plan.top();
+        m_plan.pop();
+        if (next.at > m_clock.steadyNow()) {
+            m_clock.advance(next.at - m_clock.steadyNow());
+        }
+        next.step();
+    }
+    return m_history;
+}
+
+void Schedule::plan(const Duration wait, Step step)
+{
+    m_plan.push({.at = m_clock.steadyNow() + wait, .order = ++m_order, .step = std::move(step)});
+}
+
+Duration Schedule::between(const int leastMs, const int mostMs)
+{
+    return std::chrono::microseconds{static_cast<std::int64_t>(leastMs) * 1000
+                                     + static_cast<std::int64_t>(m_random.below(static_cast<std::uint64_t>(mostMs - leastMs) * 1000 + 1))};
+}
+
+std::size_t Schedule::anyNode()
+{
+    return m_random.below(m_nodes.size());
+}
+
+void Schedule::boot(const std::size_t index)
+{
+    Node &node = m_nodes[index];
+    node.incarnation = {++m_incarnations};
+    node.random = std::make_unique<SeededRandom>(m_random.next());
+    ++node.life;
+    membership::Member self;
+    self.id = node.id;
+    self.incarnation = node.incarnation;
+    self.endpoint = "tcp://" + node.id.value;
+    decision::CoreBuilder builder{m_clock, *node.random, m_metrics};
+    builder.setSelf(self);
+    builder.setGate(std::make_unique<admission::StaticGate>(internal::slots, internal::queueCapacity));
+    for (const Node &other : m_nodes) {
+        if (other.id != node.id) {
+            membership::Member contact;
+            contact.id = other.id;
+            contact.endpoint = "tcp://" + other.id.value;
+            builder.addContact(contact);
+        }
+    }
+    node.core = builder.build();
+    give(index, decision::ManifestChanged{.version = 1, .manifest = m_manifest});
+    give(index, decision::ServerAnnounced{.service = node.service, .slots = internal::slots, .connections = 100});
+    planTick(index, node.life);
+}
+
+void Schedule::crash(const std::size_t index)
+{
+    // The backend server beside it goes on with what it runs; nobody takes its answer.
+    for (const auto &[exchange, entry] : m_entryOf) {
+        if (entry == index) {
+            m_history.excused.push_back(exchange);
+        }
+    }
+    m_nodes[index].pausedUntil = {};
+    boot(index);
+}
+
+void Schedule::planFaults()
+{
+    const auto span = [this] {
+        return between(0, 9000);
+    };
+    for (int count = 0; count < m_faults.pauses; ++count) {
+        plan(span(), [this] {
+            m_nodes[anyNode()].pausedUntil = m_clock.steadyNow() + between(50, 4000);
+        });
+    }
+    for (int count = 0; count < m_faults.crashes; ++count) {
+        plan(span(), [this] {
+            crash(anyNode());
+        });
+    }
+    for (int count = 0; count < m_faults.drains; ++count) {
+        plan(span(), [this] {
+            const std::size_t index = anyNode();
+            give(index, decision::ServerDraining{});
+            plan(between(100, 2000), [this, index] {
+                give(index, decision::ServerAnnounced{.service = m_nodes[index].service, .slots = internal::slots, .connections = 100});
+            });
+        });
+    }
+}
+
+void Schedule::planTick(const std::size_t index, const int life)
+{
+    const Node &node = m_nodes[index];
+    const Duration wait = std::min<Duration>(std::max<Duration>(node.core->nextTick() - m_clock.steadyNow(), std::chrono::milliseconds{1}), internal::tick);
+    const bool isBusy = wait < std::chrono::milliseconds{10};
+    plan(isBusy ? wait : Duration{internal::tick}, [this, index, life] {
+        if (m_nodes[index].life == life) {
+            give(index, decision::Tick{});
+            planTick(index, life);
+        }
+    });
+}
+
+void Schedule::give(const std::size_t index, decision::Event event)
+{
+    const Node &node = m_nodes[index];
+    if (node.pausedUntil > m_clock.steadyNow()) {
+        // A paused daemon reads what came meanwhile once it goes on, in the order in which it came.
+        plan(node.pausedUntil - m_clock.steadyNow(), [this, index, life = node.life, held = std::move(event)] {
+            if (m_nodes[index].life == life) {
+                give(index, held);
+            }
+        });
+        return;
+    }
+    decision::Actions actions = m_nodes[index].core->handle(event);
+    for (decision::Action &action : actions) {
+        carryOut(index, action);
+    }
+}
+
+void Schedule::carryOut(const std::size_t index, decision::Action &action)
+{
+    if (const auto *const send = std::get_if<decision::SendToPeer>(&action)) {
+        transmit(index, *send);
+    } else if (const auto *const start = std::get_if<decision::StartRun>(&action)) {
+        startRun(index, *start);
+    } else if (const auto *const answer = std::get_if<decision::AnswerCaller>(&action)) {
+        handleAnswer(index, *answer);
+    } else if (const auto *const span = std::get_if<decision::RecordSpan>(&action)) {
+        static_cast<void>(span);
+    }
+}
+
+void Schedule::transmit(const std::size_t from, const decision::SendToPeer &send)
+{
+    if (const auto *const request = std::get_if<protocol::CallRequest>(&send.message)) {
+        if (!request->forOwner) {
+            ++m_history.attempts[request->trace.traceId];
+        }
+    }
+    const auto target = std::find_if(m_nodes.begin(), m_nodes.end(), [&send](const Node &node) {
+        return node.id == send.to;
+    });
+    if (target == m_nodes.end()) {
+        return;
+    }
+    const std::size_t to = static_cast<std::size_t>(target - m_nodes.begin());
+    const protocol::Envelope envelope{.sender = m_nodes[from].id, .incarnation = m_nodes[from].incarnation, .message = send.message};
+    if (m_isQuiet) {
+        plan(between(1, 3), [this, to, envelope] {
+            deliver(to, envelope);
+        });
+        return;
+    }
+    const int copies = m_random.fraction() < m_faults.loss ? 0 : (m_random.fraction() < m_faults.duplication ? 2 : 1);
+    for (int copy = 0; copy < copies; ++copy) {
+        const bool isHeldUp = m_random.fraction() < m_faults.holdUp;
+        plan(isHeldUp ? between(100, 5000) : between(1, 30), [this, to, envelope] {
+            deliver(to, envelope);
+        });
+    }
+}
+
+void Schedule::deliver(const std::size_t to, const protocol::Envelope &envelope)
+{
+    // Whichever life listens at the address gets the message; a paused one reads it later.
+    give(to, decision::PeerMessage{.envelope = envelope});
+}
+
+void Schedule::startRun(const std::size_t index, const decision::StartRun &start)
+{
+    auto run = std::make_shared<Run>();
+    run->node = index;
+    run->life = m_nodes[index].life;
+    run->execution = start.execution;
+    run->request = start.request;
+    run->logical = start.request.body.toStdString();
+    if (!m_isQuiet && m_random.fraction() < m_faults.rejects) {
+        plan(between(1, 3), [this, run] {
+            if (m_nodes[run->node].life == run->life) {
+                give(run->node, decision::RunEnded{.execution = run->execution, .result = decision::RunFailure::rejected});
+            }
+        });
+        return;
+    }
+    const bool isIdempotent = m_manifest->findKind(m_nodes[index].service, start.request.kind)->idempotent;
+    run->answer = fmt::format("{} by run {}", run->logical, ++m_runs);
+    run->isLost = !m_isQuiet && m_random.fraction() < m_faults.lostRuns;
+    m_history.ran.push_back({.service = m_nodes[index].service,
+                             .kind = start.request.kind,
+                             .key = start.request.key,
+                             .logical = run->logical,
+                             .idempotent = isIdempotent,
+                             .answer = run->answer});
+    plan(between(1, 40), [this, run] {
+        stepRun(run);
+    });
+}
+
+void Schedule::stepRun(const RunPtr &run)
+{
+    const bool callsArchive = run->request.kind == "launch-entry" || run->request.kind == "statement";
+    const bool hasDied = m_nodes[run->node].life != run->life;
+    if (!callsArchive || run->nextCall >= 1 || hasDied) {
+        endRun(run);
+        return;
+    }
+    ++run->nextCall;
+    ++m_history.innerCalls[run->request.trace.traceId];
+    const int exchange = ++m_exchanges;
+    decision::CallerCall call;
+    call.service = "archive";
+    call.kind = "append";
+    call.method = "POST";
+    call.path = "/";
+    call.body = QByteArray::fromStdString(run->logical);
+    call.runToken = run->request.runToken;
+    m_innerOf[exchange] = run;
+    m_entryOf[exchange] = run->node;
+    give(run->node, decision::CallArrived{.exchange = {static_cast<std::uint64_t>(exchange)}, .call = call});
+}
+
+void Schedule::endRun(const RunPtr &run)
+{
+    if (m_nodes[run->node].life != run->life) {
+        return;
+    }
+    if (run->isLost) {
+        give(run->node, decision::RunEnded{.execution = run->execution, .result = decision::RunFailure::lost});
+        return;
+    }
+    decision::RunAnswer answer;
+    answer.status = 200;
+    answer.body = QByteArray::fromStdString(run->answer);
+    give(run->node, decision::RunEnded{.execution = run->execution, .result = answer});
+}
+
+void Schedule::handleAnswer(const std::size_t /*index*/, const decision::AnswerCaller &answer)
+{
+    const int exchange = static_cast<int>(answer.exchange.value);
+    m_entryOf.erase(exchange);
+    if (const auto inner = m_innerOf.find(exchange); inner != m_innerOf.end()) {
+        const RunPtr run = inner->second;
+        m_innerOf.erase(inner);
+        plan(between(0, 3), [this, run] {
+            stepRun(run);
+        });
+        return;
+    }
+    if (const auto wished = m_wishOf.find(exchange); wished != m_wishOf.end()) {
+        const std::size_t caller = wished->second;
+        m_wishOf.erase(wished);
+        if (answer.answer.verdict == Verdict::completed && m_callers[caller].key.empty()) {
+            const std::string body = answer.answer.body.toStdString();
+            const std::size_t start = body.find("el1-");
+            m_callers[caller].key = body.substr(start, body.rfind('"') - start);
+            plan(between(1, 50), [this, caller] {
+                send(caller);
+            });
+        }
+        return;
+    }
+    const auto found = m_callerOf.find(exchange);
+    if (found == m_callerOf.end()) {
+        return;
+    }
+    const std::string reason = answer.answer.refusal.has_value() ? std::string{account::toString(answer.answer.refusal->reason)} : std::string{};
+    m_history.answered.push_back({.exchange = exchange, .verdict = answer.answer.verdict, .reason = reason, .body = answer.answer.body.toStdString()});
+    handleCallerAnswer(found->second, exchange, answer.answer);
+}
+
+void Schedule::wish(const std::size_t caller)
+{
+    if (!m_callers[caller].key.empty()) {
+        return;
+    }
+    const int exchange = ++m_exchanges;
+    m_wishOf[exchange] = caller;
+    give(anyNode(), decision::KeyRequested{.exchange = {static_cast<std::uint64_t>(exchange)}, .service = "launch-log", .kind = "launch-entry"});
+    plan(std::chrono::milliseconds{500}, [this, caller] {
+        wish(caller);
+    });
+}
+
+void Schedule::send(const std::size_t index)
+{
+    Caller &caller = m_callers[index];
+    if (caller.isDone || caller.sends >= internal::mostSends) {
+        return;
+    }
+    ++caller.sends;
+    const int exchange = ++m_exchanges;
+    const std::size_t entry = anyNode();
+    // A resend of a keyed request is the same request; one without a key is another.
+    const std::string logical = caller.idempotent ? fmt::format("q{}.{}", caller.number, exchange) : fmt::format("q{}", caller.number);
+    decision::CallerCall call;
+    call.service = caller.service;
+    call.kind = caller.kind;
+    call.method = "POST";
+    call.path = "/";
+    call.body = QByteArray::fromStdString(logical);
+    call.key = caller.key;
+    caller.open = exchange;
+    m_callerOf[exchange] = index;
+    m_entryOf[exchange] = entry;
+    m_history.sent.push_back({.exchange = exchange, .key = caller.key, .logical = logical, .idempotent = caller.idempotent});
+    give(entry, decision::CallArrived{.exchange = {static_cast<std::uint64_t>(exchange)}, .call = call});
+    plan(between(300, 2500), [this, index, exchange, entry] {
+        if (m_callers[index].open != exchange) {
+            return;
+        }
+        m_callers[index].open = -1;
+        m_history.excused.push_back(exchange);
+        give(entry, decision::CallerGone{.exchange = {static_cast<std::uint64_t>(exchange)}});
+        resendOrStop(index, 0.8);
+    });
+}
+
+void Schedule::handleCallerAnswer(const std::size_t index, const int exchange, const decision::CallerAnswer &answer)
+{
+    Caller &caller = m_callers[index];
+    if (caller.open != exchange) {
+        return;
+    }
+    caller.open = -1;
+    if (answer.verdict == Verdict::completed) {
+        caller.isDone = m_random.fraction() < 0.7;
+        resendOrStop(index, 1.0);
+        return;
+    }
+    if (answer.verdict == Verdict::notRun && !caller.idempotent) {
+        if (answer.nextKey.empty()) {
+            caller.isDone = true;
+            return;
+        }
+        caller.key = answer.nextKey;
+    }
+    resendOrStop(index, 0.7);
+}
+
+void Schedule::resendOrStop(const std::size_t index, const double share)
+{
+    if (m_random.fraction() >= share) {
+        m_callers[index].isDone = true;
+        return;
+    }
+    plan(between(1, 400), [this, index] {
+        send(index);
+    });
+}
+
+} // namespace history
