--- a/src/egretlatch/daemon/daemon.cpp
+++ b/src/egretlatch/daemon/daemon.cpp
@@ -136,6 +136,9 @@
             static_cast<void>(m_inward.fromPlatform.tryPush(decision::ManifestChanged{.version = 1, .manifest = m_manifest}));
         });
     }
+    if (m_settings.ownsUnnamedKeys) {
+        m_logger.warning("keys without an owner are remembered by this entry alone: a resend to another entry, or after a restart, may run twice");
+    }
     m_logger.info("started", {{"callers", m_settings.callerPort}, {"peers", m_settings.peerPort}, {"backend", m_settings.backendUrl}});
     return {};
 }
@@ -165,6 +168,7 @@
     for (const settings::PeerSettings &peer : m_settings.peers) {
         builder.addContact({.id = peer.id, .endpoint = peer.endpoint});
     }
+    builder.setUnownedKeys(m_settings.ownsUnnamedKeys ? retry::UnownedKeys::entryMemory : retry::UnownedKeys::refuse);
     applyPolicy(m_settings.policy, m_random, builder);
     return builder.build();
 }
--- a/src/egretlatch/decision/event.hpp
+++ b/src/egretlatch/decision/event.hpp
@@ -49,6 +49,14 @@
     CallerCall call;
 };
 
+/*! @brief A caller asks for a request key. */
+struct KeyRequested
+{
+    ExchangeId exchange;
+    std::string service;
+    std::string kind;
+};
+
 /*! @brief The caller of an exchange closed its connection. */
 struct CallerGone
 {
@@ -147,6 +155,7 @@
 };
 
 using Event = std::variant<CallArrived,
+                           KeyRequested,
                            CallerGone,
                            PeerMessage,
                            SendFailed,
