--- a/src/egretlatch/decision/surroundings.hpp
+++ b/src/egretlatch/decision/surroundings.hpp
@@ -12,6 +12,7 @@
 #include <egretlatch/decision/action.hpp>
 #include <egretlatch/manifest/manifest.hpp>
 #include <egretlatch/membership/roster.hpp>
+#include <egretlatch/retry/key_ledger.hpp>
 #include <egretlatch/routing/router.hpp>
 
 namespace egretlatch::decision
@@ -31,8 +32,12 @@
     std::unique_ptr<admission::EntryControl> entryControl;
     std::shared_ptr<const manifest::Manifest> manifest;
     std::uint64_t manifestVersion{};
+    retry::UnownedKeys unownedKeys{};
+    /*! @brief When this life began; ages of keys are counted from here. */
+    SteadyTime born;
     /*! @brief What the event at hand has led to so far. */
     Actions actions;
+    platform::RequestId lastPlatformRequest;
 
     /**
      * @brief Mints a refusal in the name of this daemon.
@@ -44,6 +49,13 @@
      */
     [[nodiscard]] account::Refusal
     refuse(account::RefusalReason reason, const std::string &rule, std::vector<account::Figure> figures = {}, std::chrono::milliseconds retryAfter = {});
+
+    /**
+     * @brief Asks the platform.
+     * @param request What is asked.
+     * @return The id that the answer will carry.
+     */
+    platform::RequestId askPlatform(platform::Request request);
 };
 
 } // namespace egretlatch::decision
