A cancel travels down the chain

Cause: a caller that went away ended its run, but the run's own calls went on and held slots further down. Change: what aborts a run cancels the calls that it made. Before: the new case of the decision core's test found no cancel below. After: it does. Left: a run with a request key goes on without its caller, so that a resend can be answered.

--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -252,6 +252,9 @@
         Actions batch;
         batch.swap(m_surroundings->actions);
         for (Action &action : batch) {
+            if (const auto *const abort = std::get_if<AbortRun>(&action)) {
+                m_entry->cancelInnerCalls(abort->execution, now);
+            }
             auto *const send = std::get_if<SendToPeer>(&action);
             if (send == nullptr || send->to != m_surroundings->self) {
                 outward.push_back(std::move(action));
--- a/src/egretlatch/decision/entry_handler.cpp
+++ b/src/egretlatch/decision/entry_handler.cpp
@@ -241,6 +241,19 @@
     giveUp(pending, account::RefusalReason::cancelled, "the caller closed its connection", now);
 }
 
+void EntryHandler::cancelInnerCalls(const ExecutionId run, const SteadyTime now)
+{
+    std::vector<ExchangeId> exchanges;
+    for (const auto &[exchange, call] : m_byExchange) {
+        if (m_pending.at(call).parent == run) {
+            exchanges.push_back(exchange);
+        }
+    }
+    for (const ExchangeId exchange : exchanges) {
+        handleCallerGone(exchange, now);
+    }
+}
+
 void EntryHandler::handleAnswer(const DaemonId &from, const protocol::CallAnswer &answer, const SteadyTime now)
 {
     // An answer can come late, twice, from another daemon or for an earlier life of this one. Taken for a newer call it
--- a/src/egretlatch/decision/entry_handler.hpp
+++ b/src/egretlatch/decision/entry_handler.hpp
@@ -64,6 +64,13 @@
      */
     void handleCallerGone(ExchangeId exchange, SteadyTime now);
 
+    /**
+     * @brief Cancels the calls of a run whose answer nobody waits for.
+     * @param run The run.
+     * @param now Current time.
+     */
+    void cancelInnerCalls(ExecutionId run, SteadyTime now);
+
     /**
      * @brief Takes the end of an attempt; one that nobody waits for is counted and dropped.
      * @param from The daemon that answers.
--- a/test/egretlatch/decision/core.cpp
+++ b/test/egretlatch/decision/core.cpp
@@ -218,3 +218,38 @@
     CHECK(entry.core->handle(ManifestChanged{.version = 2, .manifest = rosterManifest()}).empty());
     CHECK(entry.core->manifestVersion() == 3);
 }
+
+TEST_CASE("a cancel travels down the chain")
+{
+    // Work goes on that nobody waits for. A caller closes its connection while its call runs, and the run waits for a call
+    // of its own; only the run was ended, and the inner call kept a slot further down.
+    EntryFixture daemon;
+    static_cast<void>(daemon.core->handle(ServerAnnounced{.service = "launch", .slots = 2, .connections = 10, .instance = {}}));
+    protocol::CallRequest request;
+    request.call = {1};
+    request.receiver = selfLife;
+    request.service = "launch";
+    request.kind = "read";
+    request.remaining = std::chrono::seconds{1};
+    Actions actions = daemon.handleFrom("left", request);
+    const auto started = std::find_if(actions.begin(), actions.end(), [](const Action &action) {
+        return std::holds_alternative<StartRun>(action);
+    });
+    REQUIRE(started != actions.end());
+    CallerCall inner;
+    inner.service = "roster";
+    inner.kind = "read";
+    inner.runToken = std::get<StartRun>(*started).request.runToken;
+    static_cast<void>(daemon.core->handle(CallArrived{.exchange = {7}, .call = inner}));
+
+    actions = daemon.handleFrom("left", protocol::CallCancel{.call = {1}});
+
+    const AnswerCaller *const answer = EntryFixture::callerAnswer(actions);
+    REQUIRE(answer != nullptr);
+    CHECK(answer->exchange == ExchangeId{7});
+    const bool isCancelledBelow = std::any_of(actions.begin(), actions.end(), [](const Action &action) {
+        const auto *const send = std::get_if<SendToPeer>(&action);
+        return send != nullptr && std::holds_alternative<protocol::CallCancel>(send->message);
+    });
+    CHECK(isCancelledBelow);
+}
