Load tool: callers take their request keys from a daemon

Cause: a key that names no owner is refused, or, where entries may own it, run by several of them. Change: POST /keys/{service}/{kind} before the first attempt; a scenario may still have callers make their own.

--- a/scripts/experiments/checks.py
+++ b/scripts/experiments/checks.py
@@ -34,13 +34,11 @@
 
 def is_counted(key, kind_of_key, repeatable):
     """Tell whether a key may run once only: a root's, or that of an inner call of a kind that is not idempotent."""
-    root, *steps = key.split(".")
-    if root not in kind_of_key:
-        return False
-    if not steps:
+    if key in kind_of_key:
         return True
-    is_direct_call = len(steps) == 2
-    return is_direct_call and steps[0] not in repeatable[kind_of_key[root]]
+    root, *step = key.rsplit(".", 2)
+    is_direct_call = root in kind_of_key and len(step) == 2
+    return is_direct_call and step[0] not in repeatable[kind_of_key[root]]
 
 
 def check(manifest, history, executions, crashed):
--- a/standin/load/attempt_outcome.cpp
+++ b/standin/load/attempt_outcome.cpp
@@ -70,4 +70,12 @@
     return internal::judgeAnswer(reply, body);
 }
 
+std::string keyIn(const HttpReply &reply)
+{
+    if (reply.end != HttpEnd::answered || reply.status >= internal::firstError) {
+        return {};
+    }
+    return QJsonDocument::fromJson(QByteArray::fromStdString(reply.body)).object()[u"key"].toString().toStdString();
+}
+
 } // namespace standin::load
--- a/standin/load/attempt_outcome.hpp
+++ b/standin/load/attempt_outcome.hpp
@@ -48,6 +48,13 @@
  */
 [[nodiscard]] AttemptOutcome judge(const HttpReply &reply, const std::string &body);
 
+/**
+ * @brief Reads the key that a daemon minted.
+ * @param reply Answer to `POST /keys/{service}/{kind}`.
+ * @return The key, or an empty text if there is none in the answer.
+ */
+[[nodiscard]] std::string keyIn(const HttpReply &reply);
+
 } // namespace standin::load
 
 #endif
--- a/standin/load/load_worker.cpp
+++ b/standin/load/load_worker.cpp
@@ -77,7 +77,9 @@
     const auto request = std::make_shared<Request>();
     request->kind = planned.kind;
     request->isCancelled = planned.isCancelled;
-    request->key = kind.idempotent ? std::string{} : m_mint.mint(std::chrono::system_clock::now()).toString();
+    if (!kind.idempotent && m_plan.callers.keys == KeySource::caller) {
+        request->key = m_mint.mint(std::chrono::system_clock::now()).toString();
+    }
     request->body = bodyOf(planned);
     request->intended = m_plan.start + planned.at;
     request->resendAfter = m_plan.callers.resendAfter;
@@ -90,11 +92,38 @@
 
 void LoadWorker::attempt(const RequestPtr &request)
 {
-    const egretlatch::SteadyTime now = std::chrono::steady_clock::now();
     ++request->attempts;
     ++m_result.kinds[request->kind].attempts;
-    m_result.attemptsBySecond.add(secondOf(now));
-    ConnectionPool &pool = *m_pools[m_random.below(m_pools.size())];
+    m_result.attemptsBySecond.add(secondOf(std::chrono::steady_clock::now()));
+    if (needsKey(*request)) {
+        askForKey(request);
+        return;
+    }
+    sendCall(request);
+}
+
+void LoadWorker::askForKey(const RequestPtr &request)
+{
+    const egretlatch::SteadyTime now = std::chrono::steady_clock::now();
+    ConnectionPool &pool = anyEntry();
+    HttpRequest http{boost::beast::http::verb::post, fmt::format("/keys/{}", m_plan.kinds[request->kind].name), internal::httpVersion};
+    http.set(boost::beast::http::field::host, pool.authority());
+    http.prepare_payload();
+    pool.exchange(std::move(http), m_plan.kinds[request->kind].timeout, [this, request, now](const HttpReply &reply) {
+        request->key = keyIn(reply);
+        if (!request->key.empty()) {
+            sendCall(request);
+            return;
+        }
+        // Nothing was sent that could run: the call itself is only made with a key.
+        handleOutcome(request, now, {.outcomeClass = OutcomeClass::refused, .cause = "no-key"}, reply);
+    });
+}
+
+void LoadWorker::sendCall(const RequestPtr &request)
+{
+    const egretlatch::SteadyTime now = std::chrono::steady_clock::now();
+    ConnectionPool &pool = anyEntry();
     const std::chrono::milliseconds timeout = request->isCancelled ? m_plan.callers.cancelAfter : m_plan.kinds[request->kind].timeout + internal::grace;
     pool.exchange(makeRequest(*request, pool.authority()), timeout, [this, request, now](const HttpReply &reply) {
         handleReply(request, now, reply);
@@ -107,6 +136,11 @@
     if (request->isCancelled && reply.end == HttpEnd::timedOut) {
         outcome = {.outcomeClass = OutcomeClass::cancelled, .cause = "cancelled-by-caller"};
     }
+    handleOutcome(request, sentAt, outcome, reply);
+}
+
+void LoadWorker::handleOutcome(const RequestPtr &request, const egretlatch::SteadyTime sentAt, const AttemptOutcome &outcome, const HttpReply &reply)
+{
     record(*request, sentAt, outcome, reply.status);
     const bool isFinal = outcome.outcomeClass == OutcomeClass::completed || outcome.outcomeClass == OutcomeClass::cancelled;
     if (!isFinal && request->attempts <= m_plan.callers.resends) {
@@ -161,6 +195,16 @@
     }
 }
 
+bool LoadWorker::needsKey(const Request &request) const
+{
+    return request.key.empty() && !m_plan.kinds[request.kind].idempotent;
+}
+
+ConnectionPool &LoadWorker::anyEntry()
+{
+    return *m_pools[m_random.below(m_pools.size())];
+}
+
 HttpRequest LoadWorker::makeRequest(const Request &request, const std::string &authority) const
 {
     const RunKind &kind = m_plan.kinds[request.kind];
--- a/standin/load/load_worker.hpp
+++ b/standin/load/load_worker.hpp
@@ -76,10 +76,15 @@
     void sendDue();
     void begin(const PlannedRequest &planned);
     void attempt(const RequestPtr &request);
+    void askForKey(const RequestPtr &request);
+    void sendCall(const RequestPtr &request);
     void handleReply(const RequestPtr &request, egretlatch::SteadyTime sentAt, const HttpReply &reply);
+    void handleOutcome(const RequestPtr &request, egretlatch::SteadyTime sentAt, const AttemptOutcome &outcome, const HttpReply &reply);
     void record(const Request &request, egretlatch::SteadyTime sentAt, const AttemptOutcome &outcome, int status);
     void resendLater(const RequestPtr &request, std::chrono::seconds retryAfter);
     void end(const Request &request, const AttemptOutcome &outcome);
+    [[nodiscard]] bool needsKey(const Request &request) const;
+    [[nodiscard]] ConnectionPool &anyEntry();
     [[nodiscard]] HttpRequest makeRequest(const Request &request, const std::string &authority) const;
     [[nodiscard]] std::string bodyOf(const PlannedRequest &planned);
     [[nodiscard]] std::int64_t secondOf(egretlatch::SteadyTime time) const;
--- a/standin/load/parse_scenario.cpp
+++ b/standin/load/parse_scenario.cpp
@@ -67,6 +67,7 @@
     callers.cancelShare = reader.number("cancelShare", fractionRange, 0.0);
     callers.cancelAfter = reader.milliseconds("cancelAfterMs", timeRange, defaultCancel);
     callers.bodyBytes = static_cast<int>(reader.integer("bodyBytes", bodyRange, defaultBodyBytes));
+    callers.keys = reader.word("keys", {"daemon", "caller"}, "daemon") == "daemon" ? KeySource::daemon : KeySource::caller;
     reader.finish();
     return callers;
 }
--- a/standin/load/scenario.hpp
+++ b/standin/load/scenario.hpp
@@ -37,6 +37,14 @@
     friend bool operator==(const Phase &, const Phase &) = default;
 };
 
+/*! @brief Where the request keys of kinds that are not idempotent come from. */
+enum class KeySource {
+    /*! @brief A daemon mints them: `POST /keys/{service}/{kind}`. */
+    daemon,
+    /*! @brief Callers make UUIDv7s of their own. */
+    caller,
+};
+
 /*! @brief How callers behave; the same for all kinds. */
 struct CallerBehaviour
 {
@@ -54,6 +62,7 @@
     double cancelShare{};
     std::chrono::milliseconds cancelAfter{20};
     int bodyBytes{128};
+    KeySource keys{KeySource::daemon};
 
     friend bool operator==(const CallerBehaviour &, const CallerBehaviour &) = default;
 };
