--- a/scripts/experiments/checks.py
+++ b/scripts/experiments/checks.py
@@ -50,20 +50,24 @@
     runs = collections.Counter()
     for server in executions:
         runs.update(server["runs"])
-    kind_of_key, last, completed = {}, {}, set()
+    kind_of_key, last, completed, keys_of_request = {}, {}, set(), {}
     for attempt in history:
         key = attempt["key"]
         if key:
             kind_of_key[key] = attempt["kind"]
             last[key] = attempt
+            keys_of_request.setdefault(attempt["request"], set()).add(key)
             if attempt["outcome"] == "completed":
                 completed.add(key)
     repeatable = repeatable_inner_keys(manifest)
+    run_twice = {key for key, count in runs.items() if count > 1 and is_counted(key, kind_of_key, repeatable)}
+    # After a refusal a caller may go on under a new key; the request must not run under both.
+    run_twice |= {name for name, keys in keys_of_request.items() if len(keys) > 1 and sum(runs[key] for key in keys) > 1}
     return Checks(
         keys=len(kind_of_key),
         attempts=len(history),
         wrong_answers=sum(1 for attempt in history if attempt["cause"] == "wrong-answer"),
-        run_twice=sorted(key for key, count in runs.items() if count > 1 and is_counted(key, kind_of_key, repeatable)),
+        run_twice=sorted(run_twice),
         ran_though_not_run=sorted(key for key, attempt in last.items() if attempt["outcome"] == "refused" and runs[key] > 0),
         lost=[] if crashed else sorted(key for key in completed if runs[key] == 0),
     )
--- a/standin/load/history_record.hpp
+++ b/standin/load/history_record.hpp
@@ -16,6 +16,8 @@
 {
     /*! @brief Index into the kinds of the run. */
     std::size_t kind{};
+    /*! @brief Names the request over all its attempts and keys. */
+    std::string request;
     /*! @brief Request key; empty for a kind that is idempotent. */
     std::string key;
     int attempt{};
--- a/standin/load/http_connection.cpp
+++ b/standin/load/http_connection.cpp
@@ -96,6 +96,7 @@
         auto response = m_response->release();
         reply.status = static_cast<int>(response.result_int());
         reply.verdict = internal::field(response, egretlatch::daemon::verdictHeader);
+        reply.nextKey = internal::field(response, egretlatch::daemon::nextKeyHeader);
         reply.retryAfter = internal::secondsOf(internal::field(response, "Retry-After"));
         reply.keepsConnection = response.keep_alive();
         reply.body = std::move(response.body());
--- a/standin/load/http_reply.hpp
+++ b/standin/load/http_reply.hpp
@@ -24,6 +24,8 @@
     int status{};
     /*! @brief Value of `Egretlatch-Verdict`. */
     std::string verdict;
+    /*! @brief Key that a resend is to use; empty for the same one. */
+    std::string nextKey;
     /*! @brief Value of `Retry-After`; zero without one. */
     std::chrono::seconds retryAfter{};
     std::string body;
--- a/standin/load/load_worker.cpp
+++ b/standin/load/load_worker.cpp
@@ -77,10 +77,11 @@
     const auto request = std::make_shared<Request>();
     request->kind = planned.kind;
     request->isCancelled = planned.isCancelled;
+    request->name = fmt::format("{}-{}", m_number, ++m_lastRequest);
     if (!kind.idempotent && m_plan.callers.keys == KeySource::caller) {
         request->key = m_mint.mint(std::chrono::system_clock::now()).toString();
     }
-    request->body = bodyOf(planned);
+    request->body = bodyOf(planned, request->name);
     request->intended = m_plan.start + planned.at;
     request->resendAfter = m_plan.callers.resendAfter;
     KindResult &result = m_result.kinds[planned.kind];
@@ -144,6 +145,9 @@
     record(*request, sentAt, outcome, reply.status);
     const bool isFinal = outcome.outcomeClass == OutcomeClass::completed || outcome.outcomeClass == OutcomeClass::cancelled;
     if (!isFinal && request->attempts <= m_plan.callers.resends) {
+        if (!reply.nextKey.empty()) {
+            request->key = reply.nextKey;
+        }
         resendLater(request, reply.retryAfter);
         return;
     }
@@ -159,6 +163,7 @@
     }
     if (m_plan.keepsHistory) {
         m_history.push_back({.kind = request.kind,
+                             .request = request.name,
                              .key = request.key,
                              .attempt = request.attempts,
                              .sent = sentAt - m_plan.start,
@@ -219,12 +224,12 @@
     return http;
 }
 
-std::string LoadWorker::bodyOf(const PlannedRequest &planned)
+std::string LoadWorker::bodyOf(const PlannedRequest &planned, const std::string &name) const
 {
     if (!planned.body.empty()) {
         return planned.body;
     }
-    std::string body = fmt::format("request {} of worker {} ", ++m_lastBody, m_number);
+    std::string body = fmt::format("request {} ", name);
     body.resize(std::max(body.size(), static_cast<std::size_t>(m_plan.callers.bodyBytes)), '.');
     return body;
 }
--- a/standin/load/load_worker.hpp
+++ b/standin/load/load_worker.hpp
@@ -63,6 +63,7 @@
     {
         std::size_t kind{};
         bool isCancelled{};
+        std::string name;
         std::string key;
         std::string body;
         egretlatch::SteadyTime intended;
@@ -86,14 +87,14 @@
     [[nodiscard]] bool needsKey(const Request &request) const;
     [[nodiscard]] ConnectionPool &anyEntry();
     [[nodiscard]] HttpRequest makeRequest(const Request &request, const std::string &authority) const;
-    [[nodiscard]] std::string bodyOf(const PlannedRequest &planned);
+    [[nodiscard]] std::string bodyOf(const PlannedRequest &planned, const std::string &name) const;
     [[nodiscard]] std::int64_t secondOf(egretlatch::SteadyTime time) const;
 
     const RunPlan &m_plan;
     Schedule m_schedule;
     std::size_t m_next{};
     int m_number;
-    std::uint64_t m_lastBody{};
+    std::uint64_t m_lastRequest{};
     int m_open{};
     egretlatch::SeededRandom m_random;
     egretlatch::UuidMint m_mint;
--- a/standin/load/result_document.cpp
+++ b/standin/load/result_document.cpp
@@ -259,6 +259,7 @@
     for (const HistoryRecord &record : history) {
         const QJsonObject line{
             {QStringLiteral("kind"), internal::toQt(kinds[record.kind].name)},
+            {QStringLiteral("request"), internal::toQt(record.request)},
             {QStringLiteral("key"), internal::toQt(record.key)},
             {QStringLiteral("attempt"), record.attempt},
             {QStringLiteral("sentMs"), internal::toMilliseconds(record.sent)},
--- a/test/processes/test_experiments.py
+++ b/test/processes/test_experiments.py
@@ -22,8 +22,8 @@
             "faults": [{"atMs": 8000, "do": "control", "service": "deep", "behaviour": {"slowdown": 10}}]}
 
 
-def attempt(key, outcome, cause="", kind="front/dear"):
-    return {"key": key, "kind": kind, "outcome": outcome, "cause": cause}
+def attempt(key, outcome, cause="", kind="front/dear", request=None):
+    return {"key": key, "request": request or key, "kind": kind, "outcome": outcome, "cause": cause}
 
 
 def executions(**runs):
@@ -64,6 +64,10 @@
     def test_an_inner_call_that_is_not_idempotent_and_ran_twice_is_found(self):
         self.assertEqual(["a.2.0"], self.check([attempt("a", "completed")], executions(a=1, a_2_0=2)).run_twice)
 
+    def test_a_request_that_ran_under_two_keys_is_found(self):
+        history = [attempt("a", "failed", request="1"), attempt("b", "completed", request="1")]
+        self.assertEqual(["1"], self.check(history, executions(a=1, b=1)).run_twice)
+
     def test_a_refusal_that_says_not_run_of_a_key_that_ran_is_found(self):
         self.assertEqual(["a"], self.check([attempt("a", "refused")], executions(a=1)).ran_though_not_run)
 
--- a/test/standin/load/attempt_outcome.cpp
+++ b/test/standin/load/attempt_outcome.cpp
@@ -9,7 +9,7 @@
 
 TEST_CASE("attempt outcome: only the whole answer to the request itself completes it")
 {
-    HttpReply reply{.end = HttpEnd::answered, .status = 200, .verdict = "completed", .retryAfter = {}, .body = "mine", .keepsConnection = true};
+    HttpReply reply{.end = HttpEnd::answered, .status = 200, .verdict = "completed", .nextKey = {}, .retryAfter = {}, .body = "mine", .keepsConnection = true};
     CHECK((judge(reply, "mine").outcomeClass == OutcomeClass::completed));
     reply.body = "another's";
     CHECK(judge(reply, "mine").cause == "wrong-answer");
@@ -19,8 +19,13 @@
 
 TEST_CASE("attempt outcome: a refusal is named by the system's reason and its verdict")
 {
-    HttpReply reply{
-        .end = HttpEnd::answered, .status = 429, .verdict = "not-run", .retryAfter = {}, .body = R"({"reason":"overload-at-entry"})", .keepsConnection = true};
+    HttpReply reply{.end = HttpEnd::answered,
+                    .status = 429,
+                    .verdict = "not-run",
+                    .nextKey = {},
+                    .retryAfter = {},
+                    .body = R"({"reason":"overload-at-entry"})",
+                    .keepsConnection = true};
     CHECK((judge(reply, "").outcomeClass == OutcomeClass::refused));
     CHECK(judge(reply, "").cause == "overload-at-entry");
     reply.verdict = "may-have-run";
