--- /dev/null
+++ b/test/golden/session.hpp
@@ -0,0 +1,143 @@
+#ifndef TEST_GOLDEN_SESSION_HPP
+#define TEST_GOLDEN_SESSION_HPP
+
+#include <chrono>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <fakes/counting_metrics.hpp>
+#include <fakes/manual_clock.hpp>
+
+#include <egretlatch/decision/core.hpp>
+
+namespace golden
+{
+
+/**
+ * @brief Callers, an entry daemon, two daemons with backend servers of `launch-log`, and what the callers see.
+ *
+ * Decisions, key handling and answers are the real ones; messages between the daemons arrive at once, runs end when the
+ * session says so, and the clock and the seeds are fixed, so the same steps give the same text.
+ */
+class Session
+{
+public:
+    /**
+     * @brief Starts a session.
+     * @param story What happens, in a line or two; stands at the head of the text.
+     */
+    explicit Session(const std::string &story);
+
+    /**
+     * @brief Has a caller mint a key at the entry daemon.
+     * @param kind Kind of `launch-log`.
+     * @return The key.
+     */
+    [[nodiscard]] std::string mintKey(const std::string &kind);
+
+    /**
+     * @brief Has a caller send a request to the entry daemon.
+     * @param caller Name of the caller; one exchange of it is open at a time.
+     * @param target `service/kind`.
+     * @param key Value of `Idempotency-Key`; empty for none.
+     * @param body Body of the request.
+     */
+    void call(const std::string &caller, const std::string &target, const std::string &key, const std::string &body);
+
+    /**
+     * @brief Has a caller close its connection.
+     * @param caller Name of the caller.
+     */
+    void hangUp(const std::string &caller);
+
+    /**
+     * @brief Ends the oldest run at any backend server.
+     * @param result Its answer, or why there is none.
+     */
+    void endOldestRun(const std::variant<egretlatch::decision::RunAnswer, egretlatch::decision::RunFailure> &result);
+
+    /**
+     * @brief Ends the oldest run with an answer.
+     * @param status HTTP status.
+     * @param body Body of the answer.
+     */
+    void answerOldestRun(int status, const std::string &body);
+
+    /**
+     * @brief Has the backend servers of all daemons drain.
+     */
+    void drainServers();
+
+    /**
+     * @brief Lets time pass, with ticks.
+     * @param span How long.
+     */
+    void wait(std::chrono::milliseconds span);
+
+    [[nodiscard]] std::size_t runs() const noexcept
+    {
+        return m_runs.size();
+    }
+
+    [[nodiscard]] const std::string &text() const noexcept
+    {
+        return m_text;
+    }
+
+private:
+    struct Node
+    {
+        explicit Node(std::uint64_t seed);
+
+        egretlatch::SeededRandom random;
+        std::unique_ptr<egretlatch::decision::Core> core;
+    };
+
+    struct Run
+    {
+        std::string daemon;
+        egretlatch::decision::StartRun start;
+    };
+
+    void addNode(const std::string &name, std::uint64_t incarnation);
+    void handle(const std::string &daemon, const egretlatch::decision::Event &event);
+    void deliver();
+    void take(const std::string &daemon, const egretlatch::decision::Action &action);
+    void writeAnswer(const egretlatch::decision::AnswerCaller &answer);
+    void writeTime(const std::string &who);
+    void writeHeaders(const char *mark, const egretlatch::Headers &headers);
+
+    struct Letter
+    {
+        std::string to;
+        egretlatch::decision::Event event;
+    };
+
+    fakes::ManualClock m_clock;
+    fakes::CountingMetrics m_metrics;
+    egretlatch::SteadyTime m_start;
+    std::map<std::string, std::unique_ptr<Node>> m_nodes;
+    std::map<std::string, std::uint64_t> m_incarnations;
+    std::deque<Letter> m_letters;
+    std::deque<Run> m_runs;
+    std::map<std::uint64_t, std::string> m_callers;
+    std::uint64_t m_lastExchange{};
+    std::string m_mintedBody;
+    std::string m_text;
+};
+
+/**
+ * @brief Compares a session's text with test/golden/NAME.txt, byte for byte.
+ *
+ * With EGRETLATCH_WRITE_GOLDEN set, writes the file in place of comparing; scripts/make-golden does so.
+ * @param name Name of the file.
+ * @param text Text of the session.
+ */
+void checkGolden(const std::string &name, const std::string &text);
+
+} // namespace golden
+
+#endif
