--- a/src/egretlatch/decision/entry_handler.cpp
+++ b/src/egretlatch/decision/entry_handler.cpp
@@ -1,6 +1,7 @@
 #include <egretlatch/decision/entry_handler.hpp>
 
 #include <algorithm>
+#include <vector>
 
 #include <fmt/format.h>
 #include <xxhash.h>
@@ -114,6 +115,11 @@
 
 void EntryHandler::admit(Pending pending, const SteadyTime now)
 {
+    // A key that this daemon owns is run by no other, so only its own calls are let in while it leaves.
+    if (m_isDraining && pending.depth == 0 && !pending.holdsKey) {
+        finishRefused(std::move(pending), m_surroundings.refuse(account::RefusalReason::draining, "the entry daemon is leaving"), now);
+        return;
+    }
     if (pending.depth == 0) {
         const admission::EntryRequest request{.service = pending.call.service, .kind = pending.call.kind, .root = pending.root, .rank = pending.rank};
         if (auto refusal = m_surroundings.entryControl->check(request, now)) {
@@ -282,6 +288,31 @@
     }
 }
 
+void EntryHandler::handlePeerLost(const PeerLost &lost, const SteadyTime now)
+{
+    // The answer to an attempt comes back by the connection that the attempt left by. Once that is lost no answer can
+    // come, and the caller would wait for its whole deadline in vain.
+    std::vector<CallId> calls;
+    for (const auto &[call, pending] : m_pending) {
+        if (pending.server == lost.daemon && lost.daemon != m_surroundings.self) {
+            calls.push_back(call);
+        }
+    }
+    for (const CallId call : calls) {
+        if (!lost.wasConnected) {
+            handleSendFailed({.to = lost.daemon, .call = call}, now);
+            continue;
+        }
+        protocol::CallAnswer answer;
+        answer.call = call;
+        answer.receiver = m_surroundings.incarnation;
+        answer.verdict = Verdict::mayHaveRun;
+        answer.refusal = m_surroundings.refuse(account::RefusalReason::serverLost, "the connection to the serving daemon was lost before it answered");
+        answer.status = account::httpStatus(answer.refusal->reason);
+        handleAnswer(lost.daemon, answer, now);
+    }
+}
+
 void EntryHandler::tick(const SteadyTime now)
 {
     while (!m_wakes.empty() && m_wakes.begin()->first <= now) {
@@ -294,6 +325,11 @@
     }
 }
 
+void EntryHandler::drain()
+{
+    m_isDraining = true;
+}
+
 std::optional<SteadyTime> EntryHandler::nextDeadline() const
 {
     return m_wakes.empty() ? std::nullopt : std::optional{m_wakes.begin()->first};
--- a/test/history/schedule.cpp
+++ b/test/history/schedule.cpp
@@ -20,7 +20,9 @@
 constexpr int retryBudget = 2;
 constexpr int slots = 2;
 constexpr std::size_t queueCapacity = 4;
-constexpr std::size_t nodesPerService = 2;
+constexpr std::size_t nodesPerService = 3;
+constexpr std::size_t smallLedger = 3;
+constexpr std::size_t largeLedger = 1000;
 constexpr int mostSends = 5;
 
 [[nodiscard]] static manifest::KindSpec kindOf(std::string name, const bool idempotent)
@@ -63,6 +65,8 @@
     m_faults.crashes = static_cast<int>(m_random.below(4));
     m_faults.lostRuns = m_random.fraction() * most * 2;
     m_faults.rejects = m_random.fraction() * most * 4;
+    m_faults.sendFailures = m_random.fraction() * most;
+    m_ledgerEntries = m_random.below(4) == 0 ? internal::smallLedger : internal::largeLedger;
     m_faults.drains = static_cast<int>(m_random.below(2));
     for (std::size_t index = 0; index < 2 * internal::nodesPerService; ++index) {
         Node node;
@@ -136,21 +140,42 @@
     self.endpoint = "tcp://" + node.id.value;
     decision::CoreBuilder builder{m_clock, *node.random, m_metrics};
     builder.setSelf(self);
+    builder.setKeyLedgerLimits({.entries = m_ledgerEntries, .answerBytes = 1000});
     builder.setGate(std::make_unique<admission::StaticGate>(internal::slots, internal::queueCapacity));
     for (const Node &other : m_nodes) {
         if (other.id != node.id) {
-            membership::Member contact;
-            contact.id = other.id;
-            contact.endpoint = "tcp://" + other.id.value;
-            builder.addContact(contact);
+            builder.addContact({.id = other.id, .endpoint = "tcp://" + other.id.value});
         }
     }
     node.core = builder.build();
-    give(index, decision::ManifestChanged{.version = 1, .manifest = m_manifest});
-    give(index, decision::ServerAnnounced{.service = node.service, .slots = internal::slots, .connections = 100});
+    // A daemon that starts has no configuration for a while.
+    plan(between(0, 200), [this, index, life = node.life] {
+        if (m_nodes[index].life == life) {
+            give(index, decision::ManifestChanged{.version = 1, .manifest = m_manifest});
+            announce(index);
+        }
+    });
     planTick(index, node.life);
 }
 
+void Schedule::announce(const std::size_t index)
+{
+    m_nodes[index].instance = fmt::format("server {}", ++m_servers);
+    repeatAnnouncement(index, m_nodes[index].life, m_nodes[index].instance);
+}
+
+void Schedule::repeatAnnouncement(const std::size_t index, const int life, const std::string &instance)
+{
+    const Node &node = m_nodes[index];
+    if (node.life != life || node.instance != instance) {
+        return;
+    }
+    give(index, decision::ServerAnnounced{.service = node.service, .slots = internal::slots, .connections = 100, .instance = instance});
+    plan(std::chrono::seconds{1}, [this, index, life, instance] {
+        repeatAnnouncement(index, life, instance);
+    });
+}
+
 void Schedule::crash(const std::size_t index)
 {
     // The backend server beside it goes on with what it runs; nobody takes its answer.
@@ -183,7 +208,7 @@
             const std::size_t index = anyNode();
             give(index, decision::ServerDraining{});
             plan(between(100, 2000), [this, index] {
-                give(index, decision::ServerAnnounced{.service = m_nodes[index].service, .slots = internal::slots, .connections = 100});
+                announce(index);
             });
         });
     }
@@ -228,8 +253,6 @@
         startRun(index, *start);
     } else if (const auto *const answer = std::get_if<decision::AnswerCaller>(&action)) {
         handleAnswer(index, *answer);
-    } else if (const auto *const span = std::get_if<decision::RecordSpan>(&action)) {
-        static_cast<void>(span);
     }
 }
 
@@ -254,6 +277,15 @@
         });
         return;
     }
+    const auto *const asked = std::get_if<protocol::CallRequest>(&send.message);
+    if (asked != nullptr && m_random.fraction() < m_faults.sendFailures) {
+        plan(between(0, 2), [this, from, life = m_nodes[from].life, failed = decision::SendFailed{.to = send.to, .call = asked->call}] {
+            if (m_nodes[from].life == life) {
+                give(from, failed);
+            }
+        });
+        return;
+    }
     const int copies = m_random.fraction() < m_faults.loss ? 0 : (m_random.fraction() < m_faults.duplication ? 2 : 1);
     for (int copy = 0; copy < copies; ++copy) {
         const bool isHeldUp = m_random.fraction() < m_faults.holdUp;
