--- a/src/egretlatch/decision/entry_handler.cpp
+++ b/src/egretlatch/decision/entry_handler.cpp
@@ -16,20 +16,12 @@
 
 constexpr int badRequest = 400;
 constexpr int notFound = 404;
-constexpr std::size_t longestKey = 255;
 
 [[nodiscard]] static std::uint64_t fingerprint(const std::string &key)
 {
     return key.empty() ? 0 : XXH64(key.data(), key.size(), 0);
 }
 
-[[nodiscard]] static bool isPrintable(const std::string &text)
-{
-    return std::all_of(text.begin(), text.end(), [](const char character) {
-        return character > ' ' && character <= '~';
-    });
-}
-
 [[nodiscard]] static CallerAnswer callerAnswerOf(const protocol::CallAnswer &answer)
 {
     CallerAnswer given;
@@ -64,7 +56,7 @@
     if (!kind->idempotent && call.key.empty() && !isInner) {
         return fmt::format("{}/{} is not idempotent: an Idempotency-Key header is required", call.service, call.kind);
     }
-    if (call.key.size() > internal::longestKey || !internal::isPrintable(call.key)) {
+    if (!retry::isUsableKey(call.key)) {
         return "an Idempotency-Key has at most 255 printable characters without spaces";
     }
     if (call.timeout.has_value() && call.timeout->count() <= 0) {
--- a/src/egretlatch/retry/request_key.cpp
+++ b/src/egretlatch/retry/request_key.cpp
@@ -1,5 +1,6 @@
 #include <egretlatch/retry/request_key.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 #include <fmt/format.h>
@@ -95,6 +96,14 @@
 
 } // namespace internal
 
+bool isUsableKey(const std::string_view key) noexcept
+{
+    constexpr std::size_t longestKey = 255;
+    return key.size() <= longestKey && std::all_of(key.begin(), key.end(), [](const char character) {
+               return character > ' ' && character <= '~';
+           });
+}
+
 RequestKey RequestKey::mint(const KeyOwner &owner, const std::chrono::milliseconds age, RandomSource &random)
 {
     RequestKey key;
--- a/src/egretlatch/retry/request_key.hpp
+++ b/src/egretlatch/retry/request_key.hpp
@@ -14,6 +14,13 @@
 namespace egretlatch::retry
 {
 
+/**
+ * @brief Tells whether any daemon takes a key.
+ * @param key The key as a caller sent it.
+ * @return True for at most 255 printable characters without spaces. Any other key is refused everywhere, so it never runs.
+ */
+[[nodiscard]] bool isUsableKey(std::string_view key) noexcept;
+
 /*! @brief One life of one daemon: the only process that may begin requests with a key. */
 struct KeyOwner
 {
--- a/src/egretlatch/retry/verdict_rules.cpp
+++ b/src/egretlatch/retry/verdict_rules.cpp
@@ -1,5 +1,7 @@
 #include <egretlatch/retry/verdict_rules.hpp>
 
+#include <egretlatch/retry/request_key.hpp>
+
 namespace egretlatch::retry
 {
 
@@ -41,7 +43,7 @@
 
 Verdict verdictUnread(const std::string_view key) noexcept
 {
-    return verdictOnKey(key.empty() ? KeyKnowledge::noKey : KeyKnowledge::none, Verdict::notRun);
+    return verdictOnKey(key.empty() || !isUsableKey(key) ? KeyKnowledge::noKey : KeyKnowledge::none, Verdict::notRun);
 }
 
 } // namespace egretlatch::retry
--- a/src/egretlatch/retry/verdict_rules.hpp
+++ b/src/egretlatch/retry/verdict_rules.hpp
@@ -68,7 +68,7 @@
 /**
  * @brief Judges a request that is refused before anything is known of its key.
  * @param key The key as the caller gave it; empty if it gave none.
- * @return `not-run` without a key; otherwise an earlier attempt may have run elsewhere.
+ * @return `not-run` without a key, or with one that no daemon takes; otherwise an earlier attempt may have run elsewhere.
  */
 [[nodiscard]] Verdict verdictUnread(std::string_view key) noexcept;
 
--- a/test/egretlatch/retry/budgets.cpp
+++ b/test/egretlatch/retry/budgets.cpp
@@ -43,5 +43,6 @@
     CHECK((verdictOnKey(KeyKnowledge::none, Verdict::notRun) == Verdict::mayHaveRun));
     CHECK((verdictOnKey(KeyKnowledge::owner, Verdict::notRun) == Verdict::notRun));
     CHECK((verdictUnread("") == Verdict::notRun));
+    CHECK((verdictUnread("no daemon takes it") == Verdict::notRun));
     CHECK((verdictUnread("any") == Verdict::mayHaveRun));
 }
