--- a/src/egretlatch/decision/entry_keys.cpp
+++ b/src/egretlatch/decision/entry_keys.cpp
@@ -176,6 +176,9 @@
         beginOwned(std::move(pending), key.age(), request, now);
         return;
     }
+    // A key whose predecessor still runs is not closed by this refusal, so it might run later.
+    const bool isSpent = m_ledger.find(key.previous()->text(), key.age(), request).standing == retry::KeyStanding::closed;
+    pending.verdict = isSpent ? Verdict::notRun : Verdict::mayHaveRun;
     const std::string rule = "the resends of this request are used up, or the key before this one was not refused as not run";
     finishRefused(std::move(pending), m_surroundings.refuse(account::RefusalReason::retryBudgetSpent, rule), now);
 }
--- a/test/history/schedule.cpp
+++ b/test/history/schedule.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <egretlatch/admission/static_gate.hpp>
+#include <egretlatch/retry/request_key.hpp>
 
 namespace history
 {
@@ -24,6 +25,7 @@
 constexpr std::size_t smallLedger = 3;
 constexpr std::size_t largeLedger = 1000;
 constexpr int mostSends = 5;
+constexpr double hastyShare = 0.1;
 
 [[nodiscard]] static manifest::KindSpec kindOf(std::string name, const bool idempotent)
 {
@@ -445,6 +447,11 @@
         }
         m_callers[index].open = -1;
         m_history.excused.push_back(exchange);
+        const auto key = retry::RequestKey::parse(m_callers[index].key);
+        if (key.has_value() && m_random.fraction() < internal::hastyShare) {
+            // A caller that takes the next key without having been told that the one before did not run.
+            m_callers[index].key = key->next().text();
+        }
         give(entry, decision::CallerGone{.exchange = {static_cast<std::uint64_t>(exchange)}});
         resendOrStop(index, 0.8);
     });
