--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -56,7 +56,7 @@
                        m_entry->handleArrived(arrived, now);
                    },
                    [&](const KeyRequested &requested) {
-                       m_entry->handleKeyRequested(requested, m_isDraining, now);
+                       m_entry->handleKeyRequested(requested, m_isShuttingDown, now);
                    },
                    [&](const CallerGone &gone) {
                        m_entry->handleCallerGone(gone.exchange, now);
--- a/src/egretlatch/decision/entry_handler.cpp
+++ b/src/egretlatch/decision/entry_handler.cpp
@@ -16,21 +16,12 @@
 
 constexpr int badRequest = 400;
 constexpr int notFound = 404;
-constexpr std::size_t longestKey = 255;
 
 [[nodiscard]] static std::uint64_t fingerprint(const std::string &key)
 {
     return key.empty() ? 0 : XXH64(key.data(), key.size(), 0);
 }
 
-[[nodiscard]] static bool isWellFormed(const std::string &key)
-{
-    const bool isPrintable = std::all_of(key.begin(), key.end(), [](const char character) {
-        return character > ' ' && character <= '~';
-    });
-    return isPrintable && key.size() <= longestKey;
-}
-
 [[nodiscard]] static CallerAnswer callerAnswerOf(const protocol::CallAnswer &answer)
 {
     CallerAnswer given;
@@ -65,7 +56,7 @@
     if (!kind->idempotent && call.key.empty() && !isInner) {
         return fmt::format("{}/{} is not idempotent: an Idempotency-Key header is required", call.service, call.kind);
     }
-    if (!internal::isWellFormed(call.key)) {
+    if (!retry::isUsableKey(call.key)) {
         return "an Idempotency-Key has at most 255 printable characters without spaces";
     }
     if (call.timeout.has_value() && call.timeout->count() <= 0) {
@@ -77,9 +68,8 @@
 void EntryHandler::answerMistake(const ExchangeId exchange, const CallerCall &call, const int status, std::string mistake)
 {
     CallerAnswer answer;
-    // An earlier attempt with the key may have been made where the mistake was not one, or not seen. A key of a form that
-    // no daemon takes has never been begun.
-    answer.verdict = internal::isWellFormed(call.key) ? retry::verdictUnread(call.key) : Verdict::notRun;
+    // An earlier attempt with the key may have been made where the mistake was not one, or not seen.
+    answer.verdict = retry::verdictUnread(call.key);
     answer.status = status;
     answer.service = call.service;
     answer.kind = call.kind;
@@ -108,10 +98,6 @@
         }
     }
     Pending pending = begin(arrived, *kind, inner, now);
-    if (m_isDraining && !inner.has_value()) {
-        finishRefused(std::move(pending), m_surroundings.refuse(account::RefusalReason::draining, "the entry daemon is leaving"), now);
-        return;
-    }
     if (!kind->idempotent) {
         findOwner(std::move(pending), inner, now);
         return;
@@ -121,6 +107,11 @@
 
 void EntryHandler::admit(Pending pending, const SteadyTime now)
 {
+    // A key that this daemon owns is run by no other, so only its own calls are let in while it leaves.
+    if (m_isDraining && pending.depth == 0 && !pending.holdsKey) {
+        finishRefused(std::move(pending), m_surroundings.refuse(account::RefusalReason::draining, "the entry daemon is leaving"), now);
+        return;
+    }
     if (pending.depth == 0) {
         const admission::EntryRequest request{.service = pending.call.service, .kind = pending.call.kind, .root = pending.root, .rank = pending.rank};
         if (auto refusal = m_surroundings.entryControl->check(request, now)) {
--- a/test/history/schedule.hpp
+++ b/test/history/schedule.hpp
@@ -30,6 +30,8 @@
     /*! @brief Share of the requests that the backend server refuses before it starts them. */
     double rejects{};
     int drains{};
+    /*! @brief Share of the calls that the sender's transport does not take. */
+    double sendFailures{};
 };
 
 /**
@@ -66,9 +68,10 @@
         std::unique_ptr<egretlatch::SeededRandom> random;
         std::unique_ptr<egretlatch::decision::Core> core;
         Clock pausedUntil{};
+        /*! @brief Names the backend server beside it. */
+        std::string instance;
         /*! @brief Counts lives, so that what was meant for one does not reach the next. */
         int life{};
-        std::map<int, std::size_t> inner;
     };
 
     struct Caller
@@ -111,6 +114,8 @@
 
     void plan(Duration wait, Step step);
     void boot(std::size_t index);
+    void announce(std::size_t index);
+    void repeatAnnouncement(std::size_t index, int life, const std::string &instance);
     void crash(std::size_t index);
     void planFaults();
     void give(std::size_t index, egretlatch::decision::Event event);
@@ -137,10 +142,12 @@
     std::vector<Node> m_nodes;
     std::vector<Caller> m_callers;
     std::priority_queue<Planned, std::vector<Planned>, std::greater<>> m_plan;
+    std::size_t m_ledgerEntries{};
     std::uint64_t m_order{};
     std::uint64_t m_incarnations{};
     int m_exchanges{};
     int m_runs{};
+    int m_servers{};
     bool m_isQuiet{true};
     std::map<int, std::size_t> m_callerOf;
     std::map<int, RunPtr> m_innerOf;
