Links between daemons: opened on demand, bounded, encrypted, and their loss told at once

Cause: a DEALER socket for each daemon ever spoken to stayed open and reconnected by itself. Messages for a daemon that was down waited in ZeroMQ's queue and reached its next life as if they were new; its calls ended at their deadline; any process that reached the port was taken for a daemon.

Change: a link is one connection from its opening to its loss, watched by ZeroMQ's socket monitor and never reopened by ZeroMQ. Messages wait in the link until it is open, so one that is told not to have left has not. A lost link ends its attempts as may-have-run, one that never opened as not-run. Links close when unused, the least recently used at 128. CURVE keys from settings, several accepted at once, checked by a thread of its own; off only by "peerEncryption": "off", said at start. egretlatch keys makes a pair.

--- /dev/null
+++ b/src/egretlatch/cli/keys_command.hpp
@@ -0,0 +1,15 @@
+#ifndef EGRETLATCH_CLI_KEYS_COMMAND_HPP
+#define EGRETLATCH_CLI_KEYS_COMMAND_HPP
+
+namespace egretlatch::cli
+{
+
+/**
+ * @brief Makes a key pair for the connections between daemons and prints it as JSON.
+ * @return An ExitCode.
+ */
+[[nodiscard]] int makeKeys();
+
+} // namespace egretlatch::cli
+
+#endif
--- a/src/egretlatch/cli/main.cpp
+++ b/src/egretlatch/cli/main.cpp
@@ -5,6 +5,7 @@
 #include <egretlatch/cli/daemon_command.hpp>
 #include <egretlatch/cli/documents.hpp>
 #include <egretlatch/cli/exit_code.hpp>
+#include <egretlatch/cli/keys_command.hpp>
 
 namespace
 {
@@ -49,6 +50,9 @@
     checkCommand->require_option(1, 2);
     checkCommand->footer("Example: egretlatch check --manifest examples/gliding-union.json");
 
+    CLI::App *const keys = app.add_subcommand("keys", "Make a key pair for the connections between daemons and print it as JSON.");
+    keys->footer("Example: egretlatch keys > /etc/egretlatch/peer-keys.json");
+
     CLI::App *const version = app.add_subcommand("version", "Print the version.");
     version->footer("Example: egretlatch version");
 
@@ -61,6 +65,8 @@
         result = egretlatch::cli::runDaemon(settingsPath, argc, argv);
     } else if (checkCommand->parsed()) {
         result = check(settingsPath, manifestPath);
+    } else if (keys->parsed()) {
+        result = egretlatch::cli::makeKeys();
     } else if (version->parsed()) {
         fmt::print("{}\n", versionText);
     }
--- a/src/egretlatch/daemon/daemon.cpp
+++ b/src/egretlatch/daemon/daemon.cpp
@@ -43,7 +43,7 @@
     , m_random{m_settings.seed.value_or(internal::freshSeed())}
     , m_incarnation{internal::incarnationOf(m_clock)}
     , m_inward{m_decideWaker}
-    , m_peer{m_settings.id, m_incarnation, m_inward.fromPeer, m_metrics}
+    , m_peer{m_settings.id, m_incarnation, m_settings.peerKeys, m_inward.fromPeer, m_metrics}
     , m_frontWaker{[this] {
         drainFront();
     }}
@@ -105,6 +105,9 @@
     if (Result<void> bound = m_peer.start(peerEndpoint, m_outward.toPeer); !bound.has_value()) {
         return bound;
     }
+    if (!m_settings.peerKeys.has_value()) {
+        m_logger.warning("peer encryption is off: any process that reaches the peer port is taken for a daemon");
+    }
     m_decide->start();
     Result<void> listening;
     internal::runOn(m_frontWaker, [this, &listening] {
--- /dev/null
+++ b/src/egretlatch/daemon/link_table.cpp
@@ -0,0 +1,133 @@
+#include <egretlatch/daemon/link_table.hpp>
+
+namespace egretlatch::daemon
+{
+
+namespace internal
+{
+
+constexpr std::size_t mostLinks = 128;
+constexpr std::size_t mostKnownKeys = 4096;
+
+} // namespace internal
+
+LinkTable::LinkTable(zmq::context_t &context, std::string routingId, std::optional<settings::PeerKeys> keys)
+    : m_context{context}
+    , m_routingId{std::move(routingId)}
+    , m_keys{std::move(keys)}
+{
+}
+
+PeerLink *LinkTable::linkTo(const DaemonId &daemon, const std::string &endpoint)
+{
+    const auto found = m_links.find(daemon);
+    if (found != m_links.end() && (endpoint.empty() || found->second->options().endpoint == endpoint)) {
+        return found->second.get();
+    }
+    if (endpoint.empty()) {
+        return nullptr;
+    }
+    if (found != m_links.end()) {
+        // The VM was replaced and its daemon has another address now; nothing will come from the old one.
+        end(daemon, *found->second, true);
+        m_links.erase(found);
+    }
+    if (m_links.size() >= internal::mostLinks && !makeRoom()) {
+        return nullptr;
+    }
+    std::unique_ptr<PeerLink> link = open(endpoint);
+    return link == nullptr ? nullptr : m_links.emplace(daemon, std::move(link)).first->second.get();
+}
+
+void LinkTable::update(const SteadyTime now)
+{
+    for (auto item = m_links.begin(); item != m_links.end();) {
+        PeerLink &link = *item->second;
+        const LinkState state = link.update();
+        const bool hasEnded = state == LinkState::lost || state == LinkState::failed;
+        if (state == LinkState::failed && reopen(item->first, link, now)) {
+            ++item;
+            continue;
+        }
+        if (hasEnded || link.isIdle(now)) {
+            if (hasEnded || link.hasUnanswered()) {
+                end(item->first, link, state != LinkState::failed);
+            }
+            item = m_links.erase(item);
+            continue;
+        }
+        ++item;
+    }
+}
+
+std::vector<EndedLink> LinkTable::takeEnded()
+{
+    std::vector<EndedLink> ended;
+    ended.swap(m_ended);
+    return ended;
+}
+
+std::unique_ptr<PeerLink> LinkTable::open(const std::string &endpoint)
+{
+    LinkOptions options{.endpoint = endpoint, .routingId = m_routingId, .keys = m_keys, .serverKey = {}};
+    if (m_keys.has_value()) {
+        const auto known = m_keyOf.find(endpoint);
+        options.serverKey = m_keys->accepted[known == m_keyOf.end() ? 0 : known->second % m_keys->accepted.size()];
+    }
+    try {
+        return std::make_unique<PeerLink>(m_context, std::move(options), ++m_lastNumber);
+    } catch (const zmq::error_t &) {
+        return nullptr;
+    }
+}
+
+bool LinkTable::makeRoom()
+{
+    auto oldest = m_links.end();
+    for (auto item = m_links.begin(); item != m_links.end(); ++item) {
+        const bool isOlder = oldest == m_links.end() || item->second->lastUse() < oldest->second->lastUse();
+        if (!item->second->hasUnanswered() && isOlder) {
+            oldest = item;
+        }
+    }
+    if (oldest == m_links.end()) {
+        return false;
+    }
+    end(oldest->first, *oldest->second, false);
+    m_links.erase(oldest);
+    return true;
+}
+
+bool LinkTable::reopen(const DaemonId &daemon, PeerLink &failed, const SteadyTime now)
+{
+    // While keys are changed some daemons have the old one and some the new, and which is not known before trying.
+    // A daemon that refuses the connection altogether is down, and is not tried with each key in turn for ever: the
+    // round ends with the key that it began with.
+    if (!m_keys.has_value() || m_keys->accepted.size() < 2) {
+        return false;
+    }
+    if (m_keyOf.size() >= internal::mostKnownKeys) {
+        m_keyOf.clear();
+    }
+    const std::size_t next = (m_keyOf[failed.options().endpoint] + 1) % m_keys->accepted.size();
+    m_keyOf[failed.options().endpoint] = next;
+    if (next == 0) {
+        return false;
+    }
+    std::unique_ptr<PeerLink> link = open(failed.options().endpoint);
+    if (link == nullptr) {
+        return false;
+    }
+    for (WaitingMessage &message : failed.takeWaiting()) {
+        static_cast<void>(link->send(std::move(message), now));
+    }
+    m_links[daemon] = std::move(link);
+    return true;
+}
+
+void LinkTable::end(const DaemonId &daemon, PeerLink &link, const bool wasOpen)
+{
+    m_ended.push_back({.daemon = daemon, .wasOpen = wasOpen, .waiting = link.takeWaiting()});
+}
+
+} // namespace egretlatch::daemon
--- /dev/null
+++ b/src/egretlatch/daemon/peer_link.cpp
@@ -0,0 +1,164 @@
+#include <egretlatch/daemon/peer_link.hpp>
+
+#include <cstring>
+
+#include <fmt/format.h>
+
+namespace egretlatch::daemon
+{
+
+namespace internal
+{
+
+constexpr int messagesHeld = 10'000;
+constexpr std::size_t mostWaiting = 1000;
+constexpr int noReconnection = -1;
+constexpr int connectTimeoutMs = 2000;
+constexpr int handshakeTimeoutMs = 2000;
+constexpr int heartbeatMs = 2000;
+constexpr int heartbeatTimeoutMs = 3000;
+constexpr int heartbeatLifeMs = 6000;
+constexpr std::int64_t largestMessage = 80LL * 1024 * 1024;
+constexpr std::chrono::seconds idleAfterGossip{3};
+constexpr std::chrono::seconds idleAfterCalls{60};
+constexpr std::chrono::minutes idleUnanswered{10};
+
+constexpr int watchedEvents = ZMQ_EVENT_HANDSHAKE_SUCCEEDED | ZMQ_EVENT_CLOSED | ZMQ_EVENT_DISCONNECTED | ZMQ_EVENT_HANDSHAKE_FAILED_NO_DETAIL
+    | ZMQ_EVENT_HANDSHAKE_FAILED_PROTOCOL | ZMQ_EVENT_HANDSHAKE_FAILED_AUTH;
+
+} // namespace internal
+
+void prepareSocket(zmq::socket_t &socket)
+{
+    socket.set(zmq::sockopt::linger, 0);
+    socket.set(zmq::sockopt::sndhwm, internal::messagesHeld);
+    socket.set(zmq::sockopt::rcvhwm, internal::messagesHeld);
+    socket.set(zmq::sockopt::maxmsgsize, internal::largestMessage);
+    socket.set(zmq::sockopt::handshake_ivl, internal::handshakeTimeoutMs);
+}
+
+PeerLink::PeerLink(zmq::context_t &context, LinkOptions options, const std::uint64_t number)
+    : m_options{std::move(options)}
+    , m_socket{context, zmq::socket_type::dealer}
+    , m_monitor{context, zmq::socket_type::pair}
+{
+    prepareSocket(m_socket);
+    m_socket.set(zmq::sockopt::routing_id, m_options.routingId);
+    m_socket.set(zmq::sockopt::reconnect_ivl, internal::noReconnection);
+    m_socket.set(zmq::sockopt::connect_timeout, internal::connectTimeoutMs);
+    // A VM that fails, or a network that is cut, ends no connection; the heartbeat does. The other side sends none of its
+    // own: the time to live that goes with each tells it when to give up.
+    m_socket.set(zmq::sockopt::heartbeat_ivl, internal::heartbeatMs);
+    m_socket.set(zmq::sockopt::heartbeat_timeout, internal::heartbeatTimeoutMs);
+    m_socket.set(zmq::sockopt::heartbeat_ttl, internal::heartbeatLifeMs);
+    if (m_options.keys.has_value()) {
+        m_socket.set(zmq::sockopt::curve_publickey, m_options.keys->publicKey);
+        m_socket.set(zmq::sockopt::curve_secretkey, m_options.keys->secretKey);
+        m_socket.set(zmq::sockopt::curve_serverkey, m_options.serverKey);
+    }
+    const std::string monitorEndpoint = fmt::format("inproc://link-{}", number);
+    if (zmq_socket_monitor(m_socket.handle(), monitorEndpoint.c_str(), internal::watchedEvents) != 0) {
+        throw zmq::error_t{};
+    }
+    m_monitor.set(zmq::sockopt::linger, 0);
+    m_monitor.connect(monitorEndpoint);
+    m_socket.connect(m_options.endpoint);
+}
+
+bool PeerLink::send(WaitingMessage message, const SteadyTime now)
+{
+    m_lastUse = now;
+    if (message.call.has_value()) {
+        m_carriedCalls = true;
+    }
+    if (m_state == LinkState::opening) {
+        if (m_waiting.size() >= internal::mostWaiting) {
+            return false;
+        }
+        m_waiting.push_back(std::move(message));
+        return true;
+    }
+    if (m_state != LinkState::open || !m_socket.send(zmq::buffer(message.bytes), zmq::send_flags::dontwait).has_value()) {
+        return false;
+    }
+    m_unanswered += message.call.has_value() ? 1 : 0;
+    return true;
+}
+
+bool PeerLink::receive(zmq::message_t &message, const SteadyTime now)
+{
+    if (!m_socket.recv(message, zmq::recv_flags::dontwait).has_value()) {
+        return false;
+    }
+    m_lastUse = now;
+    return true;
+}
+
+LinkState PeerLink::update()
+{
+    zmq::message_t event;
+    while (m_monitor.recv(event, zmq::recv_flags::dontwait).has_value()) {
+        std::uint16_t number = 0;
+        std::memcpy(&number, event.data(), sizeof number);
+        bool hasMore = event.more();
+        while (hasMore) {
+            zmq::message_t address;
+            static_cast<void>(m_monitor.recv(address, zmq::recv_flags::dontwait));
+            hasMore = address.more();
+        }
+        takeEvent(number);
+    }
+    return m_state;
+}
+
+void PeerLink::noteAnswered() noexcept
+{
+    m_unanswered -= m_unanswered > 0 ? 1 : 0;
+}
+
+bool PeerLink::isIdle(const SteadyTime now) const noexcept
+{
+    const Duration unused = now - m_lastUse;
+    if (hasUnanswered()) {
+        return unused >= internal::idleUnanswered;
+    }
+    return unused >= (m_carriedCalls ? Duration{internal::idleAfterCalls} : Duration{internal::idleAfterGossip});
+}
+
+std::deque<WaitingMessage> PeerLink::takeWaiting()
+{
+    std::deque<WaitingMessage> waiting;
+    waiting.swap(m_waiting);
+    return waiting;
+}
+
+void PeerLink::takeEvent(const std::uint16_t event)
+{
+    if (event == ZMQ_EVENT_HANDSHAKE_SUCCEEDED) {
+        m_state = LinkState::open;
+        flush();
+        return;
+    }
+    // An open connection ends once; what follows its end says nothing new.
+    if (m_state == LinkState::open) {
+        m_state = LinkState::lost;
+    } else if (m_state == LinkState::opening) {
+        m_state = LinkState::failed;
+    }
+}
+
+void PeerLink::flush()
+{
+    std::deque<WaitingMessage> rest;
+    for (WaitingMessage &message : takeWaiting()) {
+        const bool isSent = m_socket.send(zmq::buffer(message.bytes), zmq::send_flags::dontwait).has_value();
+        if (!isSent) {
+            rest.push_back(std::move(message));
+        } else if (message.call.has_value()) {
+            ++m_unanswered;
+        }
+    }
+    m_waiting = std::move(rest);
+}
+
+} // namespace egretlatch::daemon
--- a/src/egretlatch/daemon/peer_thread.hpp
+++ b/src/egretlatch/daemon/peer_thread.hpp
@@ -3,8 +3,8 @@
 
 #include <atomic>
 #include <cstdint>
-#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -15,7 +15,10 @@
 #include <egretlatch/core/ids.hpp>
 #include <egretlatch/core/logger.hpp>
 #include <egretlatch/core/waker.hpp>
+#include <egretlatch/daemon/link_table.hpp>
+#include <egretlatch/daemon/peer_authenticator.hpp>
 #include <egretlatch/daemon/rings.hpp>
+#include <egretlatch/settings/peer_keys.hpp>
 
 namespace egretlatch::daemon
 {
@@ -46,8 +49,8 @@
 /**
  * @brief Exchanges messages with other daemons over ZeroMQ.
  *
- * Requests leave by a DEALER socket for each daemon, opened when first needed; answers go back by the ROUTER socket that
- * the request came in by. A socket's routing id names the daemon and its incarnation.
+ * Requests leave by a link to each daemon, opened when first needed; answers go back by the ROUTER socket that the request
+ * came in by. A socket's routing id names the daemon and its incarnation.
  */
 class PeerThread
 {
@@ -56,10 +59,11 @@
      * @brief Builds the thread without starting it.
      * @param self This daemon.
      * @param incarnation Its life.
+     * @param keys Keys of the daemons; nothing to speak without encryption and to let anyone in.
      * @param inward Ring for what comes in; must outlive the thread.
      * @param metrics Takes counts of dropped messages; must outlive the thread.
      */
-    PeerThread(DaemonId self, Incarnation incarnation, Ring<decision::Event> &inward, account::MetricsSink &metrics);
+    PeerThread(DaemonId self, Incarnation incarnation, std::optional<settings::PeerKeys> keys, Ring<decision::Event> &inward, account::MetricsSink &metrics);
     PeerThread(const PeerThread &) = delete;
     PeerThread &operator=(const PeerThread &) = delete;
 
@@ -84,29 +88,34 @@
     }
 
 private:
-    struct Link
-    {
-        std::string endpoint;
-        zmq::socket_t socket;
-    };
-
     void run(Ring<decision::SendToPeer> &outward);
     void poll();
-    void receiveFrom(zmq::socket_t &socket, bool isRouter);
-    void take(std::string_view bytes, const std::string *routingId);
+    void receiveFromRouter();
+    void receiveFrom(PeerLink &link);
+    void countRefused();
+    void take(std::string_view bytes, const std::string *routingId, PeerLink *link);
     void send(const decision::SendToPeer &order);
+    void sendByLink(const decision::SendToPeer &order);
     void answer(const decision::SendToPeer &order, Incarnation receiver);
-    [[nodiscard]] Link *linkTo(const decision::SendToPeer &order);
+    void reportEnded();
+    void reportUnsent(const DaemonId &to, CallId call);
+    void countBytes(const protocol::Message &message, std::size_t bytes);
     [[nodiscard]] std::string encode(const protocol::Message &message) const;
 
     DaemonId m_self;
     Incarnation m_incarnation;
+    std::optional<settings::PeerKeys> m_keys;
     Ring<decision::Event> &m_inward;
     account::MetricsSink &m_metrics;
     DescriptorWaker m_waker;
     zmq::context_t m_context;
+    std::unique_ptr<PeerAuthenticator> m_authenticator;
     zmq::socket_t m_router;
-    std::map<DaemonId, Link> m_links;
+    zmq::socket_t m_routerMonitor;
+    LinkTable m_links;
+    SteadyTime m_nextSweep;
+    std::uint64_t m_gossipBytes{};
+    std::uint64_t m_gossipMessages{};
     std::atomic<bool> m_isStopping{false};
     std::thread m_thread;
 };
--- a/src/egretlatch/decision/entry_handler.cpp
+++ b/src/egretlatch/decision/entry_handler.cpp
@@ -236,18 +236,18 @@
 void EntryHandler::handlePeerLost(const PeerLost &lost, const SteadyTime now)
 {
     // The answer to an attempt comes back by the connection that the attempt left by. Once that is lost no answer can
-    // come, and the caller would wait for its whole deadline in vain.
+    // come, and the caller would wait for its whole deadline in vain. Where the connection never opened, each attempt that
+    // did not leave has a SendFailed of its own; a later one may have left by the next connection.
+    if (!lost.wasConnected || lost.daemon == m_surroundings.self) {
+        return;
+    }
     std::vector<CallId> calls;
     for (const auto &[call, pending] : m_pending) {
-        if (pending.server == lost.daemon && lost.daemon != m_surroundings.self) {
+        if (pending.server == lost.daemon) {
             calls.push_back(call);
         }
     }
     for (const CallId call : calls) {
-        if (!lost.wasConnected) {
-            handleSendFailed({.to = lost.daemon, .call = call}, now);
-            continue;
-        }
         protocol::CallAnswer answer;
         answer.call = call;
         answer.receiver = m_surroundings.incarnation;
--- a/src/egretlatch/settings/daemon_settings.cpp
+++ b/src/egretlatch/settings/daemon_settings.cpp
@@ -30,6 +30,49 @@
     return peer;
 }
 
+static void checkKey(JsonObjectReader &reader, const std::string &name, const std::string &key)
+{
+    // The text itself is not shown: it may be a secret with a letter too many.
+    if (!key.empty() && !isKeyText(key)) {
+        reader.report(name, "a text of another form", "a key as `egretlatch keys` prints it");
+    }
+}
+
+[[nodiscard]] static PeerKeys readPeerKeys(const QJsonValue &value, const std::string &pointer, Problems &problems)
+{
+    JsonObjectReader reader{value, pointer, problems};
+    PeerKeys keys;
+    keys.publicKey = reader.text("publicKey");
+    keys.secretKey = reader.text("secretKey");
+    checkKey(reader, "publicKey", keys.publicKey);
+    checkKey(reader, "secretKey", keys.secretKey);
+    reader.list("accepted", true, [&](const QJsonValue &element, const std::string & /*elementPointer*/) {
+        keys.accepted.push_back(element.toString().toStdString());
+        if (!isKeyText(keys.accepted.back())) {
+            reader.report("accepted", "a text of another form", "keys as `egretlatch keys` prints them");
+        }
+    });
+    if (keys.accepted.empty()) {
+        reader.report("accepted", "an empty list", "at least one public key");
+    }
+    reader.finish();
+    return keys;
+}
+
+[[nodiscard]] static std::optional<PeerKeys> readPeerSecurity(JsonObjectReader &reader, Problems &problems)
+{
+    const bool isOn = reader.word("peerEncryption", {"on", "off"}, "on") == "on";
+    const std::optional<QJsonValue> keys = reader.member("peerKeys");
+    if (keys.has_value()) {
+        const PeerKeys read = readPeerKeys(*keys, reader.pointerTo("peerKeys"), problems);
+        return isOn ? std::optional{read} : std::nullopt;
+    }
+    if (isOn) {
+        reader.report("peerKeys", "nothing", "keys, or \"peerEncryption\": \"off\" on a network that is trusted");
+    }
+    return std::nullopt;
+}
+
 [[nodiscard]] static std::string readAddress(JsonObjectReader &reader)
 {
     std::string address = reader.text("listenAddress", "127.0.0.1");
@@ -96,6 +139,7 @@
     reader.list("peers", false, [&](const QJsonValue &element, const std::string &pointer) {
         settings.peers.push_back(internal::readPeer(element, pointer, problems));
     });
+    settings.peerKeys = internal::readPeerSecurity(reader, problems);
     settings.manifestFile = reader.text("manifestFile", "");
     settings.platformUrl = internal::readUrl(reader, "platformUrl", "");
     settings.collectorUrl = internal::readUrl(reader, "collectorUrl", "");
--- a/src/egretlatch/settings/daemon_settings.hpp
+++ b/src/egretlatch/settings/daemon_settings.hpp
@@ -12,6 +12,7 @@
 
 #include <egretlatch/core/ids.hpp>
 #include <egretlatch/core/logger.hpp>
+#include <egretlatch/settings/peer_keys.hpp>
 #include <egretlatch/settings/problem.hpp>
 
 namespace egretlatch::settings
@@ -53,6 +54,8 @@
     /*! @brief Base URL of the backend server beside this daemon. */
     std::string backendUrl;
     std::vector<PeerSettings> peers;
+    /*! @brief Keys of the connections between daemons; nothing where their encryption is switched off. */
+    std::optional<PeerKeys> peerKeys;
     /*! @brief Manifest to start with where no platform is set; empty otherwise. */
     std::string manifestFile;
     /*! @brief Base URL of the platform's table service and object store; empty for none. */
--- a/src/egretlatch/settings/fwd.hpp
+++ b/src/egretlatch/settings/fwd.hpp
@@ -6,6 +6,7 @@
 
 struct Problem;
 struct DaemonSettings;
+struct PeerKeys;
 struct PeerSettings;
 
 class JsonObjectReader;
--- a/test/egretlatch/settings/daemon_settings.cpp
+++ b/test/egretlatch/settings/daemon_settings.cpp
@@ -23,13 +23,50 @@
 {
     const auto settings = parseDaemonSettings(R"({
         "id": "launch-log-0", "dataCentre": "dc1", "callerPort": 8000, "peerPort": 8001, "backendUrl": "http://127.0.0.1:9000",
-        "peers": [{"id": "launch-log-1", "endpoint": "tcp://127.0.0.1:8101"}]
+        "peers": [{"id": "launch-log-1", "endpoint": "tcp://127.0.0.1:8101"}],
+        "peerKeys": {
+            "publicKey": "0123456789012345678901234567890123456789", "secretKey": "abcdefghijabcdefghijabcdefghijabcdefghij",
+            "accepted": ["0123456789012345678901234567890123456789"]
+        }
     })");
 
     REQUIRE(settings.has_value());
     CHECK(settings->id.value == "launch-log-0");
     CHECK(settings->policy == Policy::adaptive);
     CHECK(settings->peers.size() == 1);
+    REQUIRE(settings->peerKeys.has_value());
+    CHECK(settings->peerKeys->accepted.size() == 1);
+}
+
+TEST_CASE("encryption between daemons is off only where the settings say so")
+{
+    const QByteArray start = R"({"id": "a", "dataCentre": "dc1", "callerPort": 1, "peerPort": 2, "backendUrl": "http://127.0.0.1:9000")";
+
+    const auto silent = parseDaemonSettings(start + "}");
+    const auto off = parseDaemonSettings(start + R"(, "peerEncryption": "off"})");
+
+    REQUIRE_FALSE(silent.has_value());
+    CHECK(complainsAbout(silent.error(), "/peerKeys"));
+    REQUIRE(off.has_value());
+    CHECK_FALSE(off->peerKeys.has_value());
+}
+
+TEST_CASE("a key of the wrong form is a problem, and is not shown")
+{
+    // A secret key that was copied with a letter too many must not end up in a terminal's history or a log.
+    const auto settings = parseDaemonSettings(R"({
+        "id": "a", "dataCentre": "dc1", "callerPort": 1, "peerPort": 2, "backendUrl": "http://127.0.0.1:9000",
+        "peerKeys": {"publicKey": "short", "secretKey": "abcdefghijabcdefghijabcdefghijabcdefghijX", "accepted": []}
+    })");
+
+    REQUIRE_FALSE(settings.has_value());
+    for (const char *const pointer : {"/peerKeys/publicKey", "/peerKeys/secretKey", "/peerKeys/accepted"}) {
+        CAPTURE(pointer);
+        CHECK(complainsAbout(settings.error(), pointer));
+    }
+    for (const Problem &problem : settings.error()) {
+        CHECK(problem.found.find("abcdefghij") == std::string::npos);
+    }
 }
 
 TEST_CASE("all problems are found at once, each with its place")
