--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -115,6 +115,7 @@
 void Core::handleAnnounced(const ServerAnnounced &announced, const SteadyTime now)
 {
     m_lastAnnounced = now;
+    m_surroundings->metrics.count("announcements", announced.service);
     // A server goes on announcing itself while it drains, which must not put it back to work. Another process in its
     // place is a server of its own; it is known by its instance name.
     const bool isSameProcess = m_server.has_value() && m_server->instance == announced.instance;
--- /dev/null
+++ b/test/processes/test_membership.py
@@ -0,0 +1,210 @@
+"""Daemons that come, drain, pause, die and are strangers, with real processes and requests in flight."""
+
+import concurrent.futures
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import unittest
+import urllib.request
+
+from support import BUILD, MeshTest, call, executions
+
+PATIENCE = 60
+
+
+def wait_until(holds, what):
+    """Looks again and again until something holds; the limit only keeps a broken run from hanging."""
+    limit = time.monotonic() + PATIENCE
+    while not holds():
+        if time.monotonic() > limit:
+            raise AssertionError(f"never came: {what}")
+        time.sleep(0.05)
+
+
+def base(daemon):
+    return f"http://127.0.0.1:{daemon['caller']}"
+
+
+def states(daemon):
+    """Gives the state of each member as a daemon sees it."""
+    status = json.loads(call(base(daemon) + "/status", None, method="GET")[2])
+    return {member["id"]: member["state"] for member in status.get("members", [])}
+
+
+def metric(daemon, line_start):
+    text = call(base(daemon) + "/metrics", None, method="GET")[2].decode()
+    return sum(float(line.rsplit(" ", 1)[1]) for line in text.splitlines() if line.startswith(line_start))
+
+
+def make_keys():
+    return json.loads(subprocess.check_output([str(BUILD / "egretlatch"), "keys"]))
+
+
+class Fleet(MeshTest):
+    def daemon(self, name):
+        return next(daemon for daemon in self.mesh["daemons"] if daemon["id"] == name)
+
+    def control(self, service, **behaviour):
+        for url in self.mesh["backends"][service]:
+            call(f"{url}/control", json.dumps(behaviour).encode())
+
+    def running(self, service):
+        reports = [json.loads(call(f"{url}/load", None, method="GET")[2]) for url in self.mesh["backends"][service]]
+        return sum(report["running"] for report in reports)
+
+    def start_calls(self, pool, service, kind, count, prefix):
+        entry = base(self.daemon("flight-history-0"))
+        headers = [{"Idempotency-Key": f"{prefix}-{number}", "Request-Timeout-Ms": "20000"} for number in range(count)]
+        return [pool.submit(call, f"{entry}/call/{service}/{kind}/", b"body", header) for header in headers]
+
+
+class Leaving(Fleet):
+    def test_a_graceful_shutdown_cuts_off_no_request_in_flight(self):
+        # A marshal sees a launch entry fail because a VM was replaced. Entries run at two servers, one daemon gets
+        # SIGTERM in the middle of them, and a process that ends at once would cut its connections.
+        self.control("launch-log", slowdown=300)
+        with concurrent.futures.ThreadPoolExecutor(12) as pool:
+            calls = self.start_calls(pool, "launch-log", "launch-entry", 12, "shutdown")
+            wait_until(lambda: self.running("launch-log") == 12, "all entries in flight")
+            os.kill(self.daemon("launch-log-0")["pid"], signal.SIGTERM)
+            answers = [one.result() for one in calls]
+        self.control("launch-log")
+        self.assertEqual([200] * 12, [status for status, _, _ in answers])
+        self.assertEqual([1] * 12, [executions(self.mesh["backends"]["launch-log"], f"shutdown-{number}") for number in range(12)])
+        others = [daemon for daemon in self.mesh["daemons"] if daemon["id"] != "launch-log-0"]
+        wait_until(lambda: all(states(daemon)["launch-log-0"] == "gone" for daemon in others), "the daemon's leave everywhere")
+
+    def test_a_drain_finishes_what_runs_and_announcements_do_not_undo_it(self):
+        # An operator drains a backend server to replace it, and it goes on getting work: it announces itself every
+        # second while it drains, and each announcement put it back to work.
+        drained = self.daemon("duty-roster-0")
+        self.control("duty-roster", slowdown=300)
+        with concurrent.futures.ThreadPoolExecutor(4) as pool:
+            calls = self.start_calls(pool, "duty-roster", "roster-read", 4, "drain")
+            wait_until(lambda: self.running("duty-roster") == 4, "all reads in flight")
+            call(base(drained) + "/backend/drain", b"")
+            answers = [one.result() for one in calls]
+        self.control("duty-roster")
+        self.assertEqual([200] * 4, [status for status, _, _ in answers])
+        others = [daemon for daemon in self.mesh["daemons"] if daemon["id"] not in ("duty-roster-0", "launch-log-0")]
+        wait_until(lambda: all(states(daemon)["duty-roster-0"] == "draining" for daemon in others), "the drain everywhere")
+        ran = json.loads(call(f"{self.mesh['backends']['duty-roster'][0]}/load", None, method="GET")[2])["ran"]
+        announcements = metric(drained, "egretlatch_announcements")
+        wait_until(lambda: metric(drained, "egretlatch_announcements") >= announcements + 2, "two more announcements")
+        for number in range(8):
+            self.assertEqual(200, call(base(others[0]) + "/call/duty-roster/roster-read/")[0])
+        self.assertEqual(ran, json.loads(call(f"{self.mesh['backends']['duty-roster'][0]}/load", None, method="GET")[2])["ran"])
+
+
+class Failing(Fleet):
+    def test_a_lost_daemon_ends_its_attempts_before_their_deadline(self):
+        # A caller waits twenty seconds for an entry whose VM failed in the first. The connection between the daemons
+        # breaks at once, and the entry daemon, which sees it, must not wait for the deadline.
+        self.control("launch-log", hangs=True)
+        with concurrent.futures.ThreadPoolExecutor(6) as pool:
+            calls = self.start_calls(pool, "launch-log", "launch-entry", 6, "lost")
+            wait_until(lambda: self.running("launch-log") == 6, "all entries in flight")
+            for name in ("launch-log-0", "launch-log-1"):
+                os.kill(self.daemon(name)["pid"], signal.SIGKILL)
+            answers = [one.result() for one in calls]
+        for status, headers, body in answers:
+            self.assertEqual((502, "may-have-run"), (status, headers["Egretlatch-Verdict"]))
+            self.assertIn("the connection to the serving daemon was lost", body.decode())
+
+    def test_a_silent_backend_server_is_taken_for_gone(self):
+        # Calls are refused one after the other by a daemon whose backend server was killed: it said nothing, and its
+        # last announcement was good for ever.
+        os.kill(self.daemon("logbook-archive-0")["backendPid"], signal.SIGKILL)
+        observer = self.daemon("flight-history-0")
+        wait_until(lambda: states(observer)["logbook-archive-0"] == "idle", "the server's absence at another daemon")
+
+    def test_a_paused_daemon_is_a_suspect_and_comes_back(self):
+        # A VM is paused for some seconds. The fleet must stop sending it work, and take it back when it wakes.
+        paused = self.daemon("duty-roster-1")
+        observer = self.daemon("flight-history-1")
+        os.kill(paused["pid"], signal.SIGSTOP)
+        try:
+            wait_until(lambda: states(observer)["duty-roster-1"] in ("suspect", "gone"), "the doubt")
+        finally:
+            os.kill(paused["pid"], signal.SIGCONT)
+        wait_until(lambda: states(observer)["duty-roster-1"] == "serving", "the way back")
+
+
+class Keys(Fleet):
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.processes = []
+
+    def tearDown(self):
+        for process in self.processes:
+            process.kill()
+            process.wait()
+        self.folder.cleanup()
+
+    def start(self, name, ports, peers, **security):
+        settings = {
+            "id": name, "dataCentre": "dc1", "callerPort": ports[0], "peerPort": ports[1], "backendUrl": "http://127.0.0.1:9",
+            "logLevel": "error", "peers": [{"id": peer, "endpoint": f"tcp://127.0.0.1:{port}"} for peer, port in peers], **security,
+        }
+        path = pathlib.Path(self.folder.name) / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        self.processes.append(subprocess.Popen([str(BUILD / "egretlatch"), "daemon", "--settings", str(path)]))
+        daemon = {"caller": ports[0]}
+        wait_until(lambda: self.is_up(daemon), f"{name} up")
+        return daemon
+
+    def is_up(self, daemon):
+        try:
+            with urllib.request.urlopen(base(daemon) + "/healthz", timeout=1):
+                return True
+        except OSError:
+            return False
+
+    def free_ports(self):
+        held = [socket.socket() for _ in range(2)]
+        for one in held:
+            one.bind(("127.0.0.1", 0))
+        ports = [one.getsockname()[1] for one in held]
+        for one in held:
+            one.close()
+        return ports
+
+    def test_strangers_are_kept_out_and_counted(self):
+        # Someone in the network reads request bodies, or draws calls to a server of his own, by a process that speaks
+        # the inner protocol: with keys of his own, or with none.
+        target = self.daemon("flight-history-0")
+        refused = "egretlatch_connections_refused"
+        before = metric(target, refused)
+        keys = make_keys()
+        contacts = [("flight-history-0", target["peer"])]
+        with_keys = self.start("stranger-1", self.free_ports(), contacts, peerKeys={**keys, "accepted": [keys["publicKey"]]})
+        wait_until(lambda: metric(target, refused) >= before + 2, "refused connections")
+        middle = metric(target, refused)
+        plain = self.start("stranger-2", self.free_ports(), contacts, peerEncryption="off")
+        wait_until(lambda: metric(target, refused) >= middle + 2, "more refused connections")
+        self.assertEqual(["stranger-1"], list(states(with_keys)))
+        self.assertEqual(["stranger-2"], list(states(plain)))
+        self.assertFalse({"stranger-1", "stranger-2"} & set(states(target)))
+
+    def test_keys_are_changed_without_a_stop(self):
+        # Half of the fleet has the new key pair already, the other half still the old one, and all accept both. Calls
+        # between the halves must go on.
+        old, new = make_keys(), make_keys()
+        accepted = [old["publicKey"], new["publicKey"]]
+        ports = {name: self.free_ports() for name in ("old-1", "new-1", "new-2")}
+        peers = [(name, ports[name][1]) for name in ports]
+        daemons = [
+            self.start(name, ports[name], [peer for peer in peers if peer[0] != name], peerKeys={**(old if name == "old-1" else new), "accepted": accepted})
+            for name in ports
+        ]
+        for daemon in daemons:
+            wait_until(lambda: set(states(daemon)) == set(ports), "all three members")
+
+
+if __name__ == "__main__":
+    unittest.main()
