--- a/test/egretlatch/decision/core.cpp
+++ b/test/egretlatch/decision/core.cpp
@@ -43,7 +43,7 @@
         membership::Member self;
         self.id = {"entry"};
         self.incarnation = selfLife;
-        core = CoreBuilder{clock, random, metrics}.setSelf(self).build();
+        core = CoreBuilder{clock, random, metrics}.setSelf(self).setUnownedKeys(retry::UnownedKeys::entryMemory).build();
         static_cast<void>(core->handle(ManifestChanged{.version = 1, .manifest = rosterManifest()}));
         protocol::Gossip gossip;
         for (const char *const name : {"left", "right"}) {
