--- a/src/egretlatch/cli/daemon_command.cpp
+++ b/src/egretlatch/cli/daemon_command.cpp
@@ -48,9 +48,15 @@
             return ExitCode::badInput;
         }
     }
+    std::optional<Secret> operatorToken = readToken(settings->operatorTokenFile);
+    std::optional<Secret> platformToken = readToken(settings->platformTokenFile);
+    if (!operatorToken.has_value() || !platformToken.has_value()) {
+        return ExitCode::badInput;
+    }
+    daemon::Tokens tokens{.operators = std::move(*operatorToken), .platform = std::move(*platformToken)};
     const int signalDescriptor = internal::openSignals();
     QCoreApplication application{argc, argv};
-    daemon::Daemon daemon{*settings, std::move(manifest)};
+    daemon::Daemon daemon{*settings, std::move(tokens), std::move(manifest)};
     QSocketNotifier notifier{signalDescriptor, QSocketNotifier::Read};
     QObject::connect(&notifier, &QSocketNotifier::activated, &application, [&daemon, signalDescriptor] {
         signalfd_siginfo info{};
--- a/src/egretlatch/cli/documents.cpp
+++ b/src/egretlatch/cli/documents.cpp
@@ -58,4 +58,21 @@
     return parsed->manifest;
 }
 
+std::optional<Secret> readToken(const std::string &path)
+{
+    if (path.empty()) {
+        return Secret{};
+    }
+    const std::optional<QByteArray> text = readFile(path);
+    if (!text.has_value()) {
+        return std::nullopt;
+    }
+    Secret token{text->trimmed().toStdString()};
+    if (token.isEmpty()) {
+        fmt::print(stderr, "{}: holds no token\n", path);
+        return std::nullopt;
+    }
+    return token;
+}
+
 } // namespace egretlatch::cli
--- a/src/egretlatch/cli/documents.hpp
+++ b/src/egretlatch/cli/documents.hpp
@@ -6,6 +6,7 @@
 
 #include <QByteArray>
 
+#include <egretlatch/core/secret.hpp>
 #include <egretlatch/manifest/manifest.hpp>
 #include <egretlatch/settings/daemon_settings.hpp>
 
@@ -33,6 +34,13 @@
  */
 [[nodiscard]] std::shared_ptr<const manifest::Manifest> readManifest(const std::string &path);
 
+/**
+ * @brief Reads a token from a file, without the white space around it.
+ * @param path Path of the file; empty for no token.
+ * @return The token, or nothing after a line on standard error if the file cannot be read or holds none.
+ */
+[[nodiscard]] std::optional<Secret> readToken(const std::string &path);
+
 } // namespace egretlatch::cli
 
 #endif
--- /dev/null
+++ b/src/egretlatch/cli/http_platform_port.hpp
@@ -0,0 +1,29 @@
+#ifndef EGRETLATCH_CLI_HTTP_PLATFORM_PORT_HPP
+#define EGRETLATCH_CLI_HTTP_PLATFORM_PORT_HPP
+
+#include <egretlatch/cli/platform_port.hpp>
+#include <egretlatch/daemon/platform_client.hpp>
+
+namespace egretlatch::cli
+{
+
+/*! @brief Asks the platform over HTTP; needs an application object, and runs its event loop while it waits. */
+class HttpPlatformPort final : public PlatformPort
+{
+public:
+    /**
+     * @brief Builds a port.
+     * @param access Where the platform is.
+     */
+    explicit HttpPlatformPort(daemon::PlatformAccess access);
+
+    [[nodiscard]] platform::Outcome ask(const platform::Request &request) override;
+    void wait(Duration span) override;
+
+private:
+    daemon::PlatformClient m_client;
+};
+
+} // namespace egretlatch::cli
+
+#endif
--- a/src/egretlatch/cli/main.cpp
+++ b/src/egretlatch/cli/main.cpp
@@ -5,27 +5,64 @@
 #include <egretlatch/cli/daemon_command.hpp>
 #include <egretlatch/cli/documents.hpp>
 #include <egretlatch/cli/exit_code.hpp>
+#include <egretlatch/cli/status_command.hpp>
+#include <egretlatch/cli/submit_command.hpp>
 
 namespace
 {
 
+using namespace egretlatch::cli;
+
 constexpr const char *versionText = "egretlatch 0.1.0, inner protocol 1";
-constexpr const char *exitCodes = "Exit codes: 0 success, 1 something outside cannot be had, 2 wrong command line, settings or manifest,\n"
-                                  "3 another submission was accepted first, 4 no such refusal.";
+constexpr const char *exitCodes = "Exit codes: 0 success; 1 something outside cannot be had, nothing changed; 2 wrong command line,\n"
+                                  "settings, manifest or token; 3 another submission was accepted first; 4 no such refusal;\n"
+                                  "5 the platform did not say whether a submission was accepted; 6 a daemon lags or is silent.";
 
 [[nodiscard]] int check(const std::string &settingsPath, const std::string &manifestPath)
 {
     bool isGood = true;
     if (!settingsPath.empty()) {
-        isGood = egretlatch::cli::readSettings(settingsPath).has_value();
+        isGood = readSettings(settingsPath).has_value();
     }
     if (!manifestPath.empty()) {
-        isGood = egretlatch::cli::readManifest(manifestPath) != nullptr && isGood;
+        isGood = readManifest(manifestPath) != nullptr && isGood;
     }
     if (isGood) {
         fmt::print("no errors\n");
     }
-    return isGood ? egretlatch::cli::success : egretlatch::cli::badInput;
+    return isGood ? ExitCode::success : ExitCode::badInput;
+}
+
+void addPlatformOptions(CLI::App &command, PlatformOptions &options)
+{
+    command.add_option("--platform", options.url, "Base URL of the platform's table and object store");
+    command.add_option("--settings", options.settingsPath, "Settings of a daemon, in place of --platform and --token-file");
+    command.add_option("--token-file", options.tokenPath, "File with the token that the platform asks for");
+}
+
+CLI::App *addSubmit(CLI::App &app, SubmitOptions &options)
+{
+    CLI::App *const command = app.add_subcommand("submit", "Submit a manifest as the version after the one it was made from.");
+    command->add_option("--manifest", options.manifestPath, "Manifest (JSON)")->required();
+    command->add_option("--base", options.base, "Version that it was made from; 0 for the first")->required();
+    addPlatformOptions(*command, options.platform);
+    command->add_option("--submission", options.submission, "Id of an earlier run that ended unsure, to go on with it");
+    command->add_option("--submitter", options.submitter, "Your name, shown to whoever loses a race against you");
+    command->add_option("--timeout-s", options.timeoutSeconds, "Seconds to spend on waiting for the platform")->check(CLI::Range(0, 3600));
+    command->footer("Example: egretlatch submit --manifest launch.json --base 12 --settings /etc/egretlatch/daemon.json --submitter anna\n"
+                    "The version after the base is either yours or another's, for ever; a conflict (3) names the winner.\n"
+                    "After an unsure end (5), run the same command again with the --submission that it printed.");
+    return command;
+}
+
+CLI::App *addStatus(CLI::App &app, StatusOptions &options)
+{
+    CLI::App *const command = app.add_subcommand("status", "Show which configuration is in force on which daemon.");
+    command->add_option("--daemon", options.daemons, "Base URL of a daemon; may be given more than once")->required();
+    command->add_option("--token-file", options.tokenPath, "File with the operators' token");
+    command->footer("Example: egretlatch status --daemon http://10.0.0.5:8000 --daemon http://10.0.1.5:8000 --token-file operators.token\n"
+                    "A daemon that is asked speaks for itself; of the others it tells what it heard last, and when.");
+    return command;
 }
 
 } // namespace
@@ -35,7 +72,7 @@
     CLI::App app{"Overload control for service call graphs."};
     app.footer(exitCodes);
     app.require_subcommand(1);
-    int result = egretlatch::cli::success;
+    int result = ExitCode::success;
 
     std::string settingsPath;
     CLI::App *const daemon = app.add_subcommand("daemon", "Run the daemon beside a backend server until SIGTERM.");
@@ -49,18 +86,27 @@
     checkCommand->require_option(1, 2);
     checkCommand->footer("Example: egretlatch check --manifest examples/gliding-union.json");
 
+    SubmitOptions submitOptions;
+    CLI::App *const submit = addSubmit(app, submitOptions);
+    StatusOptions statusOptions;
+    CLI::App *const status = addStatus(app, statusOptions);
+
     CLI::App *const version = app.add_subcommand("version", "Print the version.");
     version->footer("Example: egretlatch version");
 
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError &error) {
-        return app.exit(error) == 0 ? egretlatch::cli::success : egretlatch::cli::badInput;
+        return app.exit(error) == 0 ? ExitCode::success : ExitCode::badInput;
     }
     if (daemon->parsed()) {
-        result = egretlatch::cli::runDaemon(settingsPath, argc, argv);
+        result = runDaemon(settingsPath, argc, argv);
     } else if (checkCommand->parsed()) {
         result = check(settingsPath, manifestPath);
+    } else if (submit->parsed()) {
+        result = runSubmit(submitOptions, argc, argv);
+    } else if (status->parsed()) {
+        result = runStatus(statusOptions, argc, argv);
     } else if (version->parsed()) {
         fmt::print("{}\n", versionText);
     }
--- /dev/null
+++ b/src/egretlatch/configuration/follower.cpp
@@ -0,0 +1,268 @@
+#include <egretlatch/configuration/follower.hpp>
+
+#include <algorithm>
+#include <set>
+
+#include <egretlatch/core/content_hash.hpp>
+
+namespace egretlatch::configuration
+{
+
+namespace internal
+{
+
+constexpr std::chrono::milliseconds firstRetry{200};
+constexpr std::chrono::seconds longestFetchWait{4};
+constexpr std::size_t sourcesKept = 8;
+// Peers that are told what is in force in each interval, so that news reach those that missed the first wave.
+constexpr std::size_t steadyFanout = 2;
+
+[[nodiscard]] static Duration jittered(const Duration span, RandomSource &random)
+{
+    const Duration half = span / 2;
+    return half + Duration{static_cast<Duration::rep>(random.below(static_cast<std::uint64_t>(span.count()) + 1))};
+}
+
+} // namespace internal
+
+Follower::Follower(Outlet &outlet, RandomSource &random, FollowerOptions options)
+    : m_outlet{outlet}
+    , m_random{random}
+    , m_options{std::move(options)}
+    , m_pollBackoff{internal::firstRetry, m_options.longestPoll}
+    , m_fetchBackoff{internal::firstRetry, internal::longestFetchWait}
+{
+}
+
+void Follower::tick(const SteadyTime now)
+{
+    if (!m_options.hasPlatform) {
+        return;
+    }
+    if (now >= m_nextPoll && !m_headRequest.has_value()) {
+        poll(now);
+    }
+    if (now >= m_nextAdvert) {
+        m_nextAdvert = now + internal::jittered(m_options.advertInterval, m_random);
+        advertise(internal::steadyFanout);
+    }
+    if (m_fetchDue.has_value() && now >= *m_fetchDue) {
+        m_fetchDue.reset();
+        fetch(now);
+    }
+}
+
+void Follower::handleAdvert(const DaemonId &sender, const Advert &advert, const SteadyTime now)
+{
+    if (!m_options.hasPlatform) {
+        return;
+    }
+    m_fleet[sender] = {.version = advert.version, .heard = now};
+    const Peer peer{.id = sender, .endpoint = advert.endpoint};
+    if (advert.version > m_inForce.version) {
+        learn(advert.version, advert.hash, &peer, now);
+        return;
+    }
+    if (advert.version < m_inForce.version) {
+        // Whoever lags is told at once: a daemon that starts while the platform is down has no other way to learn.
+        m_outlet.send(peer, this->advert());
+        return;
+    }
+    if (advert.hash != m_inForce.hash) {
+        m_outlet.count("same-version-other-hash");
+    }
+}
+
+void Follower::handleBodyRequest(const DaemonId &sender, const BodyRequest &request)
+{
+    const bool isHeld = m_inForce.version > 0 && request.hash == m_inForce.hash;
+    m_outlet.send({.id = sender, .endpoint = request.endpoint}, BodyReply{.hash = request.hash, .manifest = isHeld ? m_manifest : QByteArray{}});
+}
+
+void Follower::handleBodyReply(const BodyReply &reply, const SteadyTime now)
+{
+    if (!isBehind() || reply.hash != m_target.hash) {
+        return;
+    }
+    if (reply.manifest.isEmpty()) {
+        fetch(now);
+        return;
+    }
+    takeBody(reply.manifest, now);
+}
+
+bool Follower::handleOutcome(const platform::RequestId id, const platform::Outcome &outcome, const SteadyTime now)
+{
+    if (m_headRequest == id) {
+        m_headRequest.reset();
+        takeHead(outcome, now);
+        return true;
+    }
+    if (m_objectRequest == id) {
+        m_objectRequest.reset();
+        takeObject(outcome, now);
+        return true;
+    }
+    return false;
+}
+
+void Follower::learn(const std::uint64_t version, const std::string &hash, const Peer *const source, const SteadyTime now)
+{
+    if (version <= m_inForce.version || version < m_target.version) {
+        return;
+    }
+    const bool isSame = version == m_target.version && hash == m_target.hash;
+    if (version == m_target.version && !isSame && source != nullptr) {
+        m_outlet.count("same-version-other-hash");
+        return;
+    }
+    if (!isSame) {
+        m_target = {.version = version, .hash = hash};
+        m_sources.clear();
+        m_isUnusable = false;
+        m_fetchDue.reset();
+        m_fetchBackoff.reset();
+    }
+    const bool isNewSource = source != nullptr && std::find(m_sources.begin(), m_sources.end(), *source) == m_sources.end();
+    if (isNewSource && m_sources.size() < internal::sourcesKept) {
+        m_sources.push_back(*source);
+    }
+    // A store that hangs must not hold back a daemon that has just found a peer to ask.
+    const bool isFirstSource = isNewSource && m_sources.size() == 1;
+    if (!isSame || isFirstSource) {
+        m_objectRequest.reset();
+        m_wasPeerAskedLast = false;
+        fetch(now);
+    }
+}
+
+void Follower::fetch(const SteadyTime now)
+{
+    if (!isBehind() || m_isUnusable || m_objectRequest.has_value()) {
+        return;
+    }
+    // Peers and the store in turn: either may be out of reach for long.
+    if (m_sources.empty() || m_wasPeerAskedLast) {
+        m_wasPeerAskedLast = false;
+        fetchFromStore();
+        return;
+    }
+    m_wasPeerAskedLast = true;
+    const Peer &source = m_sources[m_random.below(m_sources.size())];
+    m_fetchDue = now + m_options.bodyTimeout;
+    m_outlet.send(source, BodyRequest{.hash = m_target.hash, .endpoint = m_options.endpoint});
+}
+
+void Follower::fetchFromStore()
+{
+    m_objectRequest = m_outlet.ask(platform::ObjectGet{.name = objectName(m_target.hash)});
+}
+
+void Follower::retryFetch(const SteadyTime now)
+{
+    m_fetchDue = now + m_fetchBackoff.next(m_random);
+}
+
+void Follower::takeBody(const QByteArray &manifest, const SteadyTime now)
+{
+    if (!isBehind()) {
+        return;
+    }
+    // Bytes from a peer or the store may be cut, stale or forged; only those that the head row names are taken.
+    if (contentHash(manifest) != m_target.hash) {
+        m_outlet.count("hash-mismatch");
+        retryFetch(now);
+        return;
+    }
+    m_fetchDue.reset();
+    const tl::expected<manifest::ParsedManifest, settings::Problems> parsed = manifest::parseManifest(manifest);
+    if (!parsed.has_value()) {
+        // Accepted by a newer program than this one: it stays with what it has, and status shows that it lags.
+        m_isUnusable = true;
+        m_outlet.count("manifest-not-understood");
+        return;
+    }
+    m_inForce = m_target;
+    m_manifest = manifest;
+    m_sources.clear();
+    m_outlet.putInForce(m_inForce.version, parsed->manifest);
+    advertise(m_options.fanout);
+}
+
+void Follower::takeHead(const platform::Outcome &outcome, const SteadyTime now)
+{
+    if (!outcome.has_value()) {
+        m_nextPoll = now + m_pollBackoff.next(m_random);
+        return;
+    }
+    m_pollBackoff.reset();
+    schedulePoll(now);
+    const auto *const reply = std::get_if<platform::RowsReply>(&*outcome);
+    if (reply == nullptr || reply->rows.empty()) {
+        return;
+    }
+    const std::optional<Head> head = decodeHead(reply->rows.front().value);
+    if (!head.has_value()) {
+        m_outlet.count("head-not-understood");
+        return;
+    }
+    learn(head->version, head->hash, nullptr, now);
+}
+
+void Follower::takeObject(const platform::Outcome &outcome, const SteadyTime now)
+{
+    const auto *const object = outcome.has_value() ? std::get_if<platform::ObjectReply>(&*outcome) : nullptr;
+    if (object == nullptr) {
+        retryFetch(now);
+        return;
+    }
+    takeBody(object->bytes, now);
+}
+
+void Follower::poll(const SteadyTime now)
+{
+    schedulePoll(now);
+    m_headRequest = m_outlet.ask(platform::TableRead{.key = headKey});
+}
+
+void Follower::schedulePoll(const SteadyTime now)
+{
+    const double seconds = static_cast<double>(m_outlet.peers().size() + 1) / m_options.fleetPollsPerSecond;
+    const auto share = std::chrono::duration_cast<Duration>(std::chrono::duration<double>{seconds});
+    m_nextPoll = now + internal::jittered(std::clamp(share, m_options.shortestPoll, m_options.longestPoll), m_random);
+}
+
+void Follower::advertise(const std::size_t count)
+{
+    std::vector<Peer> peers = m_outlet.peers();
+    forgetGone(peers);
+    for (std::size_t sent = 0; sent < count && !peers.empty(); ++sent) {
+        const std::size_t chosen = m_random.below(peers.size());
+        m_outlet.send(peers[chosen], advert());
+        peers[chosen] = peers.back();
+        peers.pop_back();
+    }
+}
+
+void Follower::forgetGone(const std::vector<Peer> &peers)
+{
+    std::set<DaemonId> known;
+    for (const Peer &peer : peers) {
+        known.insert(peer.id);
+    }
+    std::erase_if(m_fleet, [&known](const auto &entry) {
+        return !known.contains(entry.first);
+    });
+}
+
+Advert Follower::advert() const
+{
+    return {.version = m_inForce.version, .hash = m_inForce.hash, .endpoint = m_options.endpoint};
+}
+
+bool Follower::isBehind() const noexcept
+{
+    return m_target.version > m_inForce.version;
+}
+
+} // namespace egretlatch::configuration
--- /dev/null
+++ b/src/egretlatch/configuration/fwd.hpp
@@ -0,0 +1,25 @@
+#ifndef EGRETLATCH_CONFIGURATION_FWD_HPP
+#define EGRETLATCH_CONFIGURATION_FWD_HPP
+
+namespace egretlatch::configuration
+{
+
+struct Head;
+struct Peer;
+struct FollowerOptions;
+struct FleetEntry;
+struct Advert;
+struct BodyRequest;
+struct BodyReply;
+struct HeardVersion;
+struct Report;
+struct SubmissionRequest;
+struct SubmissionResult;
+
+class Outlet;
+class Follower;
+class Submission;
+
+} // namespace egretlatch::configuration
+
+#endif
--- a/src/egretlatch/core/fwd.hpp
+++ b/src/egretlatch/core/fwd.hpp
@@ -12,6 +12,7 @@
 class Waker;
 class Uuid;
 class UuidMint;
+class Secret;
 class Logger;
 
 struct DaemonId;
--- a/src/egretlatch/daemon/caller_server.cpp
+++ b/src/egretlatch/daemon/caller_server.cpp
@@ -146,6 +146,11 @@
 {
 }
 
+void CallerServer::requireToken(Secret token)
+{
+    m_token = std::move(token);
+}
+
 void CallerServer::addReport(const QString &path, const QByteArray &contentType, Report report)
 {
     m_pages.insert_or_assign(path.toStdString(), Page{.contentType = contentType, .report = std::move(report)});
@@ -214,10 +219,21 @@
     if (page == m_pages.end()) {
         return false;
     }
-    makeResponder(request, socket).write(QByteArray::fromStdString(page->second.report()), page->second.contentType);
+    handlePage(page->second, request, socket);
     return true;
 }
 
+void CallerServer::handlePage(const Page &page, const QHttpServerRequest &request, QTcpSocket *const socket)
+{
+    if (m_token.has_value() && !m_token->matchesBearer(request.value("Authorization").toStdString())) {
+        const char *const mistake = m_token->isEmpty() ? "operators cannot read here: the settings name neither operatorTokenFile nor operatorAccess open"
+                                                       : "the page needs the operators' token, as Authorization: Bearer";
+        internal::writeMistake(makeResponder(request, socket), internal::StatusCode::Unauthorized, mistake);
+        return;
+    }
+    makeResponder(request, socket).write(QByteArray::fromStdString(page.report()), page.contentType);
+}
+
 void CallerServer::missingHandler(const QHttpServerRequest &request, QTcpSocket *const socket)
 {
     internal::writeMistake(makeResponder(request, socket), internal::StatusCode::NotFound, "there is nothing at this path");
--- a/src/egretlatch/daemon/caller_server.hpp
+++ b/src/egretlatch/daemon/caller_server.hpp
@@ -2,6 +2,7 @@
 #define EGRETLATCH_DAEMON_CALLER_SERVER_HPP
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -12,6 +13,7 @@
 #include <QTcpSocket>
 
 #include <egretlatch/core/error.hpp>
+#include <egretlatch/core/secret.hpp>
 #include <egretlatch/decision/action.hpp>
 #include <egretlatch/decision/event.hpp>
 
@@ -42,6 +44,12 @@
      */
     void addReport(const QString &path, const QByteArray &contentType, Report report);
 
+    /**
+     * @brief Lets the pages added by addReport() be read only with a token; until then they are open.
+     * @param token The token; empty closes the pages to everyone.
+     */
+    void requireToken(Secret token);
+
     /**
      * @brief Starts to listen.
      * @param address IP number.
@@ -80,6 +88,7 @@
     };
 
     void handleCall(const QHttpServerRequest &request, QTcpSocket *socket);
+    void handlePage(const Page &page, const QHttpServerRequest &request, QTcpSocket *socket);
     void handleBackend(const QHttpServerRequest &request, QTcpSocket *socket);
     void watch(QTcpSocket *socket, ExchangeId exchange);
     void handleDisconnected(QTcpSocket *socket);
@@ -87,6 +96,7 @@
     std::int64_t m_maxBodyBytes;
     EventHandler m_onEvent;
     std::unordered_map<std::string, Page> m_pages;
+    std::optional<Secret> m_token;
     std::unordered_map<ExchangeId, Exchange> m_exchanges;
     std::unordered_map<QTcpSocket *, ExchangeId> m_bySocket;
     std::uint64_t m_lastExchange{};
--- a/src/egretlatch/daemon/daemon.cpp
+++ b/src/egretlatch/daemon/daemon.cpp
@@ -36,8 +36,9 @@
 
 } // namespace internal
 
-Daemon::Daemon(settings::DaemonSettings settings, std::shared_ptr<const manifest::Manifest> manifest)
+Daemon::Daemon(settings::DaemonSettings settings, Tokens tokens, std::shared_ptr<const manifest::Manifest> manifest)
     : m_settings{std::move(settings)}
+    , m_tokens{std::move(tokens)}
     , m_manifest{std::move(manifest)}
     , m_logger{m_settings.logLevel, m_settings.id.value}
     , m_random{m_settings.seed.value_or(internal::freshSeed())}
@@ -102,7 +103,7 @@
     m_accountThread.start();
     m_platformThread.start();
     internal::runOn(m_platformWaker, [this] {
-        m_platform = std::make_unique<PlatformClient>(PlatformAccess{.url = m_settings.platformUrl, .token = {}});
+        m_platform = std::make_unique<PlatformClient>(PlatformAccess{.url = m_settings.platformUrl, .token = m_tokens.platform});
     });
     internal::runOn(m_accountWaker, [this] {
         m_spans = std::make_unique<SpanExporter>(m_settings.collectorUrl, m_settings.id.value, m_metrics);
@@ -124,6 +125,9 @@
         m_front = std::make_unique<CallerServer>(m_settings.maxBodyBytes, [this](decision::Event event) {
             return m_inward.fromFront.tryPush(std::move(event));
         });
+        if (!m_settings.isOpenToOperators) {
+            m_front->requireToken(m_tokens.operators);
+        }
         addReports();
         listening = m_front->start(m_settings.listenAddress, m_settings.callerPort);
     });
@@ -131,11 +135,16 @@
         return listening;
     }
     if (m_manifest != nullptr) {
+        // With a platform, the manifest of the settings only bridges the time until an accepted one is found.
+        const std::uint64_t version = m_settings.platformUrl.empty() ? 1 : 0;
         // Pushed on the thread that writes this ring: it has room for one writer.
-        internal::runOn(m_platformWaker, [this] {
-            static_cast<void>(m_inward.fromPlatform.tryPush(decision::ManifestChanged{.version = 1, .manifest = m_manifest}));
+        internal::runOn(m_platformWaker, [this, version] {
+            static_cast<void>(m_inward.fromPlatform.tryPush(decision::ManifestChanged{.version = version, .manifest = m_manifest}));
         });
     }
+    if (m_settings.isOpenToOperators) {
+        m_logger.warning("operators' reads need no token: operatorAccess is open");
+    }
     m_logger.info("started", {{"callers", m_settings.callerPort}, {"peers", m_settings.peerPort}, {"backend", m_settings.backendUrl}});
     return {};
 }
@@ -168,6 +177,9 @@
         contact.endpoint = peer.endpoint;
         builder.addContact(contact);
     }
+    if (!m_settings.platformUrl.empty()) {
+        builder.followPlatform();
+    }
     applyPolicy(m_settings.policy, m_random, builder);
     return builder.build();
 }
--- a/src/egretlatch/daemon/daemon.hpp
+++ b/src/egretlatch/daemon/daemon.hpp
@@ -23,6 +23,15 @@
 namespace egretlatch::daemon
 {
 
+/*! @brief Tokens that a daemon asks for and offers, read from the files that its settings name. */
+struct Tokens
+{
+    /*! @brief Operators' reads need it; empty refuses them all, unless the settings open them. */
+    Secret operators;
+    /*! @brief The platform needs it; empty for none. */
+    Secret platform;
+};
+
 /*! @brief The threads of one daemon, joined by rings. */
 class Daemon
 {
@@ -30,9 +39,10 @@
     /**
      * @brief Builds a daemon that has not started.
      * @param settings Checked settings.
+     * @param tokens Tokens that it asks for and offers.
      * @param manifest Configuration to start with; null to start without.
      */
-    Daemon(settings::DaemonSettings settings, std::shared_ptr<const manifest::Manifest> manifest);
+    Daemon(settings::DaemonSettings settings, Tokens tokens, std::shared_ptr<const manifest::Manifest> manifest);
     Daemon(const Daemon &) = delete;
     Daemon &operator=(const Daemon &) = delete;
 
@@ -62,6 +72,7 @@
     void stopThread(QThread &thread, QObject &onThread, const std::function<void()> &destroy);
 
     settings::DaemonSettings m_settings;
+    Tokens m_tokens;
     std::shared_ptr<const manifest::Manifest> m_manifest;
     Logger m_logger;
     account::MetricsRegistry m_metrics;
--- a/src/egretlatch/daemon/decide_thread.cpp
+++ b/src/egretlatch/daemon/decide_thread.cpp
@@ -154,7 +154,7 @@
     m_metrics.set("concurrency_limit", load.limit);
     m_metrics.set("queued", load.queued);
     m_metrics.set("admission_level", load.level.priority + load.level.fraction);
-    std::string document = statusDocument(m_core->roster(), m_core->manifestVersion(), load);
+    std::string document = statusDocument(m_core->roster(), m_core->configurationReport(), load);
     const std::lock_guard lock{m_statusMutex};
     m_status = std::move(document);
 }
--- a/src/egretlatch/daemon/platform_client.cpp
+++ b/src/egretlatch/daemon/platform_client.cpp
@@ -22,8 +22,8 @@
     request.setAttribute(QNetworkRequest::CacheLoadControlAttribute, QNetworkRequest::AlwaysNetwork);
     request.setHeader(QNetworkRequest::ContentTypeHeader, QByteArray{"application/json"});
     request.setRawHeader("Accept-Encoding", "identity");
-    if (!access.token.empty()) {
-        request.setRawHeader("Authorization", QByteArray::fromStdString("Bearer " + access.token));
+    if (!access.token.isEmpty()) {
+        request.setRawHeader("Authorization", QByteArray::fromStdString(access.token.toBearer()));
     }
     return request;
 }
--- a/src/egretlatch/daemon/platform_client.hpp
+++ b/src/egretlatch/daemon/platform_client.hpp
@@ -6,6 +6,7 @@
 
 #include <QObject>
 
+#include <egretlatch/core/secret.hpp>
 #include <egretlatch/daemon/http_client_pool.hpp>
 #include <egretlatch/platform/rate_cap.hpp>
 #include <egretlatch/platform/requests.hpp>
@@ -18,8 +19,8 @@
 {
     /*! @brief Base URL; empty for no platform. */
     std::string url;
-    /*! @brief Sent as a bearer token; empty for none. Never logged. */
-    std::string token;
+    /*! @brief Sent with each request; empty for none. */
+    Secret token;
     /*! @brief Time after which a request has no answer. */
     std::chrono::milliseconds timeout{2000};
 };
--- a/src/egretlatch/daemon/status_document.cpp
+++ b/src/egretlatch/daemon/status_document.cpp
@@ -27,6 +27,24 @@
     return object;
 }
 
+[[nodiscard]] static QJsonObject describe(const configuration::Report &report)
+{
+    QJsonArray heard;
+    for (const configuration::HeardVersion &other : report.heard) {
+        heard.append(QJsonObject{
+            {u"id"_qs, toQt(other.daemon.value)},
+            {u"version"_qs, static_cast<qint64>(other.version)},
+            {u"ageMs"_qs, static_cast<qint64>(other.age.count())},
+        });
+    }
+    QJsonObject object;
+    object[u"version"] = static_cast<qint64>(report.version);
+    object[u"hash"] = toQt(report.hash);
+    object[u"newestKnown"] = static_cast<qint64>(report.newestKnown);
+    object[u"heard"] = heard;
+    return object;
+}
+
 [[nodiscard]] static QJsonObject describe(const admission::LoadReport &load)
 {
     QJsonObject object;
@@ -42,7 +60,7 @@
 
 } // namespace internal
 
-std::string statusDocument(const membership::Roster &roster, const std::uint64_t manifestVersion, const admission::LoadReport &load)
+std::string statusDocument(const membership::Roster &roster, const configuration::Report &configuration, const admission::LoadReport &load)
 {
     QJsonArray members;
     for (const membership::Member &member : roster.members()) {
@@ -50,7 +68,8 @@
     }
     QJsonObject document;
     document[u"id"] = internal::toQt(roster.self().id.value);
-    document[u"configurationVersion"] = static_cast<qint64>(manifestVersion);
+    document[u"configurationVersion"] = static_cast<qint64>(configuration.version);
+    document[u"configuration"] = internal::describe(configuration);
     document[u"load"] = internal::describe(load);
     document[u"members"] = members;
     return QJsonDocument{document}.toJson(QJsonDocument::Compact).toStdString();
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -46,6 +46,21 @@
     return m_serving->load(m_surroundings->clock.steadyNow());
 }
 
+configuration::Report Core::configurationReport() const
+{
+    const SteadyTime now = m_surroundings->clock.steadyNow();
+    configuration::Report report;
+    report.daemon = m_surroundings->self;
+    report.version = m_surroundings->manifestVersion;
+    report.hash = m_surroundings->manifest == nullptr ? std::string{} : m_surroundings->manifest->hash();
+    report.newestKnown = std::max(report.version, m_configuration->newestKnown());
+    for (const auto &[daemon, entry] : m_configuration->fleet()) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - entry.heard);
+        report.heard.push_back({.daemon = daemon, .version = entry.version, .age = age});
+    }
+    return report;
+}
+
 void Core::dispatch(const Event &event, const SteadyTime now)
 {
     std::visit(internal::Overloaded{
@@ -76,8 +91,8 @@
                    [&](const ManifestChanged &changed) {
                        handleManifest(changed);
                    },
-                   [&](const PlatformAnswered &) {
-                       m_surroundings->metrics.count("messages_dropped", "late-platform-answer");
+                   [&](const PlatformAnswered &answered) {
+                       handlePlatform(answered, now);
                    },
                    [&](const Tick &) {
                        handleTick(now);
@@ -101,6 +116,15 @@
                    [&](const protocol::Gossip &gossip) {
                        handleGossip(gossip, now);
                    },
+                   [&](const configuration::Advert &advert) {
+                       m_configuration->handleAdvert(envelope.sender, advert, now);
+                   },
+                   [&](const configuration::BodyRequest &request) {
+                       m_configuration->handleBodyRequest(envelope.sender, request);
+                   },
+                   [&](const configuration::BodyReply &reply) {
+                       m_configuration->handleBodyReply(reply, now);
+                   },
                },
                envelope.message);
 }
@@ -129,20 +153,21 @@
 
 void Core::handleManifest(const ManifestChanged &changed)
 {
-    // A configuration that arrives late, or again, must not undo a newer one, so only a higher version is taken.
-    if (changed.version <= m_surroundings->manifestVersion) {
-        return;
+    m_surroundings->putInForce(changed.version, changed.manifest);
+}
+
+void Core::handlePlatform(const PlatformAnswered &answered, const SteadyTime now)
+{
+    if (!m_configuration->handleOutcome(answered.id, answered.outcome, now)) {
+        m_surroundings->metrics.count("messages_dropped", "late-platform-answer");
     }
-    m_surroundings->manifestVersion = changed.version;
-    m_surroundings->manifest = changed.manifest;
-    m_surroundings->entryControl->setManifest(changed.manifest);
-    m_surroundings->actions.emplace_back(ManifestInForce{.version = changed.version, .hash = changed.manifest->hash()});
 }
 
 void Core::handleTick(const SteadyTime now)
 {
     m_entry->tick(now);
     m_serving->tick(now);
+    m_configuration->tick(now);
     if (m_surroundings->roster.tick(now)) {
         m_surroundings->router->setMembers(m_surroundings->roster.members(), now);
     }
@@ -237,6 +262,12 @@
     return *this;
 }
 
+CoreBuilder &CoreBuilder::followPlatform()
+{
+    m_followsPlatform = true;
+    return *this;
+}
+
 std::unique_ptr<Core> CoreBuilder::build()
 {
     if (m_router == nullptr) {
@@ -266,6 +297,15 @@
     });
     core->m_serving = std::make_unique<ServingHandler>(*core->m_surroundings, std::move(m_gate));
     core->m_entry = std::make_unique<EntryHandler>(*core->m_surroundings, *core->m_serving);
+    std::vector<configuration::Peer> peers;
+    for (const membership::Member &contact : m_contacts) {
+        peers.push_back({.id = contact.id, .endpoint = contact.endpoint});
+    }
+    core->m_configurationOutlet = std::make_unique<ConfigurationOutlet>(*core->m_surroundings, std::move(peers));
+    configuration::FollowerOptions options;
+    options.hasPlatform = m_followsPlatform;
+    options.endpoint = m_self.endpoint;
+    core->m_configuration = std::make_unique<configuration::Follower>(*core->m_configurationOutlet, m_random, options);
     core->m_contacts = std::move(m_contacts);
     core->m_lastSpread = m_clock.steadyNow();
     return core;
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -4,7 +4,10 @@
 #include <memory>
 #include <optional>
 
+#include <egretlatch/configuration/follower.hpp>
+#include <egretlatch/configuration/report.hpp>
 #include <egretlatch/decision/action.hpp>
+#include <egretlatch/decision/configuration_outlet.hpp>
 #include <egretlatch/decision/entry_handler.hpp>
 #include <egretlatch/decision/event.hpp>
 #include <egretlatch/decision/serving_handler.hpp>
@@ -49,6 +52,12 @@
         return m_surroundings->manifestVersion;
     }
 
+    /**
+     * @brief Gives what this daemon knows of the configurations in force.
+     * @return A report for operators.
+     */
+    [[nodiscard]] configuration::Report configurationReport() const;
+
     [[nodiscard]] admission::LoadReport load() const;
 
 private:
@@ -60,6 +69,7 @@
     void handleAnnounced(const ServerAnnounced &announced, SteadyTime now);
     void handleDraining(SteadyTime now);
     void handleLeft(SteadyTime now);
+    void handlePlatform(const PlatformAnswered &answered, SteadyTime now);
     void handleManifest(const ManifestChanged &changed);
     void handleTick(SteadyTime now);
     void handleGossip(const protocol::Gossip &gossip, SteadyTime now);
@@ -70,6 +80,8 @@
     std::unique_ptr<Surroundings> m_surroundings;
     std::unique_ptr<ServingHandler> m_serving;
     std::unique_ptr<EntryHandler> m_entry;
+    std::unique_ptr<ConfigurationOutlet> m_configurationOutlet;
+    std::unique_ptr<configuration::Follower> m_configuration;
     std::vector<membership::Member> m_contacts;
     SteadyTime m_lastSpread;
     bool m_isDraining{};
@@ -123,6 +135,12 @@
      */
     CoreBuilder &setGate(std::unique_ptr<admission::Gate> gate);
 
+    /**
+     * @brief Takes configurations from the platform, and from daemons that do; by default none are looked for.
+     * @return This builder.
+     */
+    CoreBuilder &followPlatform();
+
     /**
      * @brief Builds the core.
      * @return The core; the builder is used up.
@@ -138,6 +156,7 @@
     std::unique_ptr<routing::Router> m_router;
     std::unique_ptr<admission::EntryControl> m_entryControl;
     std::unique_ptr<admission::Gate> m_gate;
+    bool m_followsPlatform{};
 };
 
 } // namespace egretlatch::decision
--- a/src/egretlatch/decision/surroundings.cpp
+++ b/src/egretlatch/decision/surroundings.cpp
@@ -20,6 +20,19 @@
     };
 }
 
+void Surroundings::putInForce(const std::uint64_t version, const std::shared_ptr<const manifest::Manifest> &configuration)
+{
+    // A configuration that arrives late, or again, must not undo a newer one, so only a higher version is taken.
+    const bool isOutdated = manifest != nullptr && version <= manifestVersion;
+    if (isOutdated) {
+        return;
+    }
+    manifestVersion = version;
+    manifest = configuration;
+    entryControl->setManifest(configuration);
+    actions.emplace_back(ManifestInForce{.version = version, .hash = configuration->hash()});
+}
+
 platform::RequestId Surroundings::askPlatform(platform::Request request)
 {
     ++lastPlatformRequest.value;
--- a/src/egretlatch/decision/surroundings.hpp
+++ b/src/egretlatch/decision/surroundings.hpp
@@ -46,12 +46,19 @@
     [[nodiscard]] account::Refusal
     refuse(account::RefusalReason reason, const std::string &rule, std::vector<account::Figure> figures = {}, std::chrono::milliseconds retryAfter = {});
 
+    /**
+     * @brief Puts a configuration in force, whole, unless the same or a newer one is.
+     * @param version Its version; zero for a manifest of the settings that any accepted one replaces.
+     * @param configuration The manifest.
+     */
+    void putInForce(std::uint64_t version, const std::shared_ptr<const manifest::Manifest> &configuration);
+
     /**
      * @brief Asks the platform.
      * @param request What is asked.
      * @return The id that the answer will carry.
      */
-    platform::RequestId askPlatform(platform::Request request);
+    [[nodiscard]] platform::RequestId askPlatform(platform::Request request);
 };
 
 } // namespace egretlatch::decision
--- a/src/egretlatch/manifest/call_graph.cpp
+++ b/src/egretlatch/manifest/call_graph.cpp
@@ -1,5 +1,7 @@
 #include <egretlatch/manifest/call_graph.hpp>
 
+#include <algorithm>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -53,6 +55,36 @@
     }
 }
 
+using Totals = std::map<KindName, std::chrono::milliseconds>;
+
+// Time that one run and the calls it makes hold slots, one after the other; a call back along a cycle counts nothing.
+[[nodiscard]] static std::chrono::milliseconds totalCost(const Manifest &manifest, const KindName &name, Totals &totals)
+{
+    // Beyond any deadline, and small enough that no sum of calls overflows.
+    constexpr std::chrono::milliseconds most{std::chrono::hours{24}};
+    const KindSpec *const kind = manifest.findKind(name.first, name.second);
+    const auto [entry, isNew] = totals.try_emplace(name, std::chrono::milliseconds{0});
+    if (kind == nullptr || !isNew) {
+        return entry->second;
+    }
+    std::chrono::milliseconds total = kind->cost;
+    for (const InnerCall &call : kind->calls) {
+        total = std::min(most, total + call.count * totalCost(manifest, {call.service, call.kind}, totals));
+    }
+    totals[name] = total;
+    return total;
+}
+
+static void checkLimits(const ServiceSpec &service, const std::string &pointer, settings::Problems &problems)
+{
+    for (const KindSpec &kind : service.kinds) {
+        if (service.queueTarget >= kind.deadline) {
+            const std::string found = fmt::format("{} ms, not below the {} ms deadline of {}", service.queueTarget.count(), kind.deadline.count(), kind.name);
+            warn(problems, pointer + "/queueTargetMs", found, "less than the deadline of each kind");
+        }
+    }
+}
+
 static void checkKind(const Manifest &manifest, const ServiceSpec &service, const KindSpec &kind, const std::string &pointer, settings::Problems &problems)
 {
     checkCalls(manifest, kind, pointer, problems);
@@ -63,6 +95,14 @@
     }
     if (kind.cost > kind.deadline) {
         warn(problems, pointer + "/costMs", fmt::format("{} ms, beyond the deadline", kind.cost.count()), "at most the deadline");
+        return;
+    }
+    Totals totals;
+    const std::chrono::milliseconds total = totalCost(manifest, self, totals);
+    if (total > kind.deadline) {
+        const std::string found =
+            fmt::format("{} ms, less than the {} ms that the run and its calls cost one after the other", kind.deadline.count(), total.count());
+        warn(problems, pointer + "/deadlineMs", found, "at least the cost of the whole tree");
     }
 }
 
@@ -73,6 +113,7 @@
     settings::Problems problems;
     for (std::size_t serviceIndex = 0; serviceIndex < manifest.services().size(); ++serviceIndex) {
         const ServiceSpec &service = manifest.services()[serviceIndex];
+        internal::checkLimits(service, fmt::format("/services/{}", serviceIndex), problems);
         for (std::size_t kindIndex = 0; kindIndex < service.kinds.size(); ++kindIndex) {
             const std::string pointer = fmt::format("/services/{}/kinds/{}", serviceIndex, kindIndex);
             internal::checkKind(manifest, service, service.kinds[kindIndex], pointer, problems);
--- a/src/egretlatch/manifest/call_graph.hpp
+++ b/src/egretlatch/manifest/call_graph.hpp
@@ -10,7 +10,8 @@
 /**
  * @brief Checks the declared calls between kinds.
  *
- * A call of an undeclared kind is an error. A cycle, a deadline shorter than that of a kind it calls, and a cost beyond the deadline are warnings.
+ * A call of an undeclared kind is an error. A cycle, a deadline shorter than that of a kind it calls,
+ * and limits that cannot be met (a cost, or the cost of the whole tree, beyond the deadline; a queue target not below it) are warnings.
  * @param manifest The manifest to check.
  * @return Every problem, with pointers into the document.
  */
--- a/src/egretlatch/manifest/manifest.hpp
+++ b/src/egretlatch/manifest/manifest.hpp
@@ -47,7 +47,7 @@
 
     /**
      * @brief Gives the hash of the document that the manifest was read from.
-     * @return 16 hexadecimal digits of xxHash; the same text gives the same hash.
+     * @return Its contentHash(); empty for a manifest that was put together in code.
      */
     [[nodiscard]] const std::string &hash() const noexcept
     {
@@ -77,7 +77,7 @@
 
     /**
      * @brief Sets the hash of the document.
-     * @param hash 16 hexadecimal digits.
+     * @param hash Its contentHash().
      * @return This builder.
      */
     ManifestBuilder &setHash(std::string hash);
--- a/src/egretlatch/manifest/parse_manifest.cpp
+++ b/src/egretlatch/manifest/parse_manifest.cpp
@@ -3,8 +3,8 @@
 #include <set>
 
 #include <fmt/format.h>
-#include <xxhash.h>
 
+#include <egretlatch/core/content_hash.hpp>
 #include <egretlatch/manifest/call_graph.hpp>
 #include <egretlatch/settings/json_object_reader.hpp>
 
@@ -103,7 +103,7 @@
         builder.addService(std::move(service));
     });
     reader.finish();
-    builder.setHash(fmt::format("{:016x}", XXH64(json.data(), static_cast<std::size_t>(json.size()), 0)));
+    builder.setHash(contentHash(json));
     std::shared_ptr<const Manifest> manifest = builder.build();
     const settings::Problems graphProblems = checkCallGraph(*manifest);
     problems.insert(problems.end(), graphProblems.begin(), graphProblems.end());
--- a/src/egretlatch/protocol/codec.cpp
+++ b/src/egretlatch/protocol/codec.cpp
@@ -264,6 +264,25 @@
     return gossip;
 }
 
+static void write(const configuration::Advert &advert, wire::ConfigurationAdvert &wire)
+{
+    wire.set_version(advert.version);
+    wire.set_hash(advert.hash);
+    wire.set_endpoint(advert.endpoint);
+}
+
+static void write(const configuration::BodyRequest &request, wire::ConfigurationBodyRequest &wire)
+{
+    wire.set_hash(request.hash);
+    wire.set_endpoint(request.endpoint);
+}
+
+static void write(const configuration::BodyReply &reply, wire::ConfigurationBodyReply &wire)
+{
+    wire.set_hash(reply.hash);
+    wire.set_manifest(toBytes(reply.manifest));
+}
+
 struct MessageWriter
 {
     wire::Envelope &wire;
@@ -290,6 +309,21 @@
             write(member, *added->add_members());
         }
     }
+
+    void operator()(const configuration::Advert &advert) const
+    {
+        write(advert, *wire.mutable_configuration_advert());
+    }
+
+    void operator()(const configuration::BodyRequest &request) const
+    {
+        write(request, *wire.mutable_configuration_body_request());
+    }
+
+    void operator()(const configuration::BodyReply &reply) const
+    {
+        write(reply, *wire.mutable_configuration_body_reply());
+    }
 };
 
 [[nodiscard]] static Result<Message> readBody(const wire::Envelope &wire)
@@ -303,6 +337,18 @@
         return CallCancel{.call = {wire.cancel().call()}};
     case wire::Envelope::kGossip:
         return read(wire.gossip());
+    case wire::Envelope::kConfigurationAdvert: {
+        const wire::ConfigurationAdvert &advert = wire.configuration_advert();
+        return configuration::Advert{.version = advert.version(), .hash = advert.hash(), .endpoint = advert.endpoint()};
+    }
+    case wire::Envelope::kConfigurationBodyRequest: {
+        const wire::ConfigurationBodyRequest &request = wire.configuration_body_request();
+        return configuration::BodyRequest{.hash = request.hash(), .endpoint = request.endpoint()};
+    }
+    case wire::Envelope::kConfigurationBodyReply: {
+        const wire::ConfigurationBodyReply &reply = wire.configuration_body_reply();
+        return configuration::BodyReply{.hash = reply.hash(), .manifest = toBody(reply.manifest())};
+    }
     case wire::Envelope::BODY_NOT_SET:
         break;
     }
--- a/src/egretlatch/protocol/messages.hpp
+++ b/src/egretlatch/protocol/messages.hpp
@@ -12,6 +12,7 @@
 #include <egretlatch/account/trace_context.hpp>
 #include <egretlatch/admission/load_report.hpp>
 #include <egretlatch/admission/rank.hpp>
+#include <egretlatch/configuration/messages.hpp>
 #include <egretlatch/core/clock.hpp>
 #include <egretlatch/core/header.hpp>
 #include <egretlatch/core/ids.hpp>
@@ -86,7 +87,7 @@
     friend bool operator==(const Gossip &, const Gossip &) = default;
 };
 
-using Message = std::variant<CallRequest, CallAnswer, CallCancel, Gossip>;
+using Message = std::variant<CallRequest, CallAnswer, CallCancel, Gossip, configuration::Advert, configuration::BodyRequest, configuration::BodyReply>;
 
 /*! @brief A message with its sender. */
 struct Envelope
--- a/src/egretlatch/settings/daemon_settings.cpp
+++ b/src/egretlatch/settings/daemon_settings.cpp
@@ -98,6 +98,9 @@
     });
     settings.manifestFile = reader.text("manifestFile", "");
     settings.platformUrl = internal::readUrl(reader, "platformUrl", "");
+    settings.platformTokenFile = reader.text("platformTokenFile", "");
+    settings.operatorTokenFile = reader.text("operatorTokenFile", "");
+    settings.isOpenToOperators = reader.word("operatorAccess", {"token", "open"}, "token") == "open";
     settings.collectorUrl = internal::readUrl(reader, "collectorUrl", "");
     settings.maxBodyBytes = reader.integer("maxBodyBytes", internal::bodyRange, internal::defaultMaxBody);
     settings.policy = internal::readPolicy(reader);
--- a/src/egretlatch/settings/daemon_settings.hpp
+++ b/src/egretlatch/settings/daemon_settings.hpp
@@ -57,6 +57,12 @@
     std::string manifestFile;
     /*! @brief Base URL of the platform's table service and object store; empty for none. */
     std::string platformUrl;
+    /*! @brief File with the token that the platform asks for; empty for none. */
+    std::string platformTokenFile;
+    /*! @brief File with the token that operators' reads need. */
+    std::string operatorTokenFile;
+    /*! @brief Whether operators' reads need no token, for a trusted network. */
+    bool isOpenToOperators{};
     /*! @brief Where spans go, as OTLP/JSON over HTTP; empty for none. */
     std::string collectorUrl;
     std::int64_t maxBodyBytes{};
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -1,8 +1,8 @@
 #include <CLI/CLI.hpp>
 
 #include <backend_server.hpp>
-#include <platform_server.hpp>
 #include <load/load_command.hpp>
+#include <platform_server.hpp>
 
 int main(int argc, char **argv)
 {
--- a/standin/platform_server.cpp
+++ b/standin/platform_server.cpp
@@ -47,7 +47,7 @@
 
 } // namespace internal
 
-PlatformServer::PlatformServer(std::string token, const std::uint64_t seed)
+PlatformServer::PlatformServer(Secret token, const std::uint64_t seed)
     : m_token{std::move(token)}
     , m_random{seed}
     , m_readCap{internal::makeCap(m_behaviour.readsPerSecond)}
@@ -109,7 +109,7 @@
 
 void PlatformServer::handleStore(const QHttpServerRequest &request, QTcpSocket *const socket)
 {
-    if (!m_token.empty() && request.value("Authorization").toStdString() != "Bearer " + m_token) {
+    if (!m_token.isEmpty() && !m_token.matchesBearer(request.value("Authorization").toStdString())) {
         makeResponder(request, socket).write(internal::StatusCode::Unauthorized);
         return;
     }
@@ -151,16 +151,12 @@
 
 int runPlatform(const PlatformOptions &options, int argc, char **argv)
 {
-    std::string token;
-    if (!options.tokenFile.empty()) {
-        const std::optional<QByteArray> text = cli::readFile(options.tokenFile);
-        if (!text.has_value()) {
-            return EXIT_FAILURE;
-        }
-        token = text->trimmed().toStdString();
+    std::optional<Secret> token = cli::readToken(options.tokenFile);
+    if (!token.has_value()) {
+        return EXIT_FAILURE;
     }
     const QCoreApplication application{argc, argv};
-    PlatformServer server{std::move(token), options.seed};
+    PlatformServer server{std::move(*token), options.seed};
     if (server.listen(QHostAddress::LocalHost, options.port) == 0) {
         fmt::print(stderr, "cannot listen on port {}\n", options.port);
         return EXIT_FAILURE;
--- a/standin/platform_server.hpp
+++ b/standin/platform_server.hpp
@@ -12,6 +12,7 @@
 #include <QTcpSocket>
 
 #include <egretlatch/core/random_source.hpp>
+#include <egretlatch/core/secret.hpp>
 #include <egretlatch/platform/rate_cap.hpp>
 #include <platform_store.hpp>
 
@@ -50,7 +51,7 @@
      * @param token Bearer token that it asks for; empty for none.
      * @param seed Seed of its random choices.
      */
-    PlatformServer(std::string token, std::uint64_t seed);
+    PlatformServer(egretlatch::Secret token, std::uint64_t seed);
 
 protected:
     bool handleRequest(const QHttpServerRequest &request, QTcpSocket *socket) override;
@@ -62,7 +63,7 @@
     void handleStore(const QHttpServerRequest &request, QTcpSocket *socket);
     [[nodiscard]] egretlatch::platform::Outcome carryOut(const egretlatch::platform::Request &request);
 
-    std::string m_token;
+    egretlatch::Secret m_token;
     PlatformStore m_store;
     PlatformBehaviour m_behaviour;
     egretlatch::SeededRandom m_random;
--- /dev/null
+++ b/test/egretlatch/core/secret.cpp
@@ -0,0 +1,18 @@
+#include <doctest/doctest.h>
+
+#include <egretlatch/core/secret.hpp>
+
+using namespace egretlatch;
+
+TEST_CASE("a secret matches itself alone, and an empty one nothing")
+{
+    const Secret secret{"token"};
+    CHECK(secret.matches("token"));
+    CHECK(secret.matchesBearer("Bearer token"));
+    CHECK_FALSE(secret.matches("tokentoken"));
+    CHECK_FALSE(secret.matches("toke"));
+    CHECK_FALSE(secret.matches(""));
+    CHECK_FALSE(secret.matchesBearer("token"));
+    CHECK_FALSE(Secret{}.matches(""));
+    CHECK_FALSE(Secret{}.matchesBearer("Bearer "));
+}
--- /dev/null
+++ b/test/fakes/fake_platform_port.hpp
@@ -0,0 +1,78 @@
+#ifndef TEST_FAKES_FAKE_PLATFORM_PORT_HPP
+#define TEST_FAKES_FAKE_PLATFORM_PORT_HPP
+
+#include <deque>
+#include <functional>
+
+#include <platform_store.hpp>
+
+#include <egretlatch/cli/platform_port.hpp>
+
+namespace fakes
+{
+
+/*! @brief What becomes of one request to a fake platform. */
+enum class Fate {
+    answered,
+    /*! @brief Carried out; the answer is lost. */
+    answerLost,
+    /*! @brief Lost on the way. */
+    requestLost,
+    /*! @brief Refused with 503. */
+    down,
+};
+
+/*! @brief A platform in memory whose failures are told in advance; waits take no time. */
+class FakePlatformPort final : public egretlatch::cli::PlatformPort
+{
+public:
+    /**
+     * @brief Builds a port.
+     * @param store The platform's state; must outlive the port.
+     * @param fates What becomes of the first requests; later ones are answered.
+     */
+    explicit FakePlatformPort(standin::PlatformStore &store, std::deque<Fate> fates = {})
+        : m_store{store}
+        , m_fates{std::move(fates)}
+    {
+    }
+
+    [[nodiscard]] egretlatch::platform::Outcome ask(const egretlatch::platform::Request &request) override
+    {
+        using egretlatch::Error;
+        using egretlatch::ErrorCode;
+        if (onAsk) {
+            onAsk(request);
+        }
+        const Fate fate = m_fates.empty() ? Fate::answered : m_fates.front();
+        if (!m_fates.empty()) {
+            m_fates.pop_front();
+        }
+        if (fate == Fate::down) {
+            return tl::unexpected{Error{ErrorCode::unavailable, "the platform is down"}};
+        }
+        if (fate == Fate::requestLost) {
+            return tl::unexpected{Error{ErrorCode::timedOut, "the platform did not answer"}};
+        }
+        egretlatch::platform::Outcome outcome = m_store.apply(request);
+        if (fate == Fate::answerLost) {
+            return tl::unexpected{Error{ErrorCode::timedOut, "the platform did not answer"}};
+        }
+        return outcome;
+    }
+
+    void wait(egretlatch::Duration /*span*/) override
+    {
+    }
+
+    /*! @brief Called before each request, so that a test can let others act in between. */
+    std::function<void(const egretlatch::platform::Request &)> onAsk;
+
+private:
+    standin::PlatformStore &m_store;
+    std::deque<Fate> m_fates;
+};
+
+} // namespace fakes
+
+#endif
--- a/test/processes/support.py
+++ b/test/processes/support.py
@@ -3,6 +3,7 @@
 import json
 import os
 import pathlib
+import socket
 import subprocess
 import unittest
 import urllib.error
@@ -12,6 +13,13 @@
 BUILD = ROOT / os.environ.get("EGRETLATCH_BUILD", "build")
 
 
+def free_port():
+    """Gives a port that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
 def call(url, body=b"", headers=None, method="POST"):
     """Gives status, headers and body of an answer, whatever its status."""
     request = urllib.request.Request(url, data=body, headers=headers or {}, method=method)
--- a/test/processes/test_platform.py
+++ b/test/processes/test_platform.py
@@ -2,33 +2,21 @@
 
 import base64
 import json
-import os
-import pathlib
-import socket
 import subprocess
 import time
 import unittest
-import urllib.error
-import urllib.request
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-BUILD = ROOT / os.environ.get("EGRETLATCH_BUILD", "build")
+from support import BUILD, call, free_port
 
 
 def ask(url, body=None, method="POST"):
-    request = urllib.request.Request(url, data=body, method=method)
-    try:
-        with urllib.request.urlopen(request, timeout=10) as answer:
-            return answer.status, answer.read()
-    except urllib.error.HTTPError as answer:
-        return answer.code, answer.read()
+    status, _, answer = call(url, body, method=method)
+    return status, answer
 
 
 class Platform(unittest.TestCase):
     def setUp(self):
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
+        port = free_port()
         self.url = f"http://127.0.0.1:{port}"
         self.process = subprocess.Popen([str(BUILD / "egretlatch-standin"), "platform", "--port", str(port)])
         for _ in range(500):
