--- a/src/egretlatch/daemon/daemon.cpp
+++ b/src/egretlatch/daemon/daemon.cpp
@@ -145,6 +145,9 @@
     if (m_settings.isOpenToOperators) {
         m_logger.warning("operators' reads need no token: operatorAccess is open");
     }
+    if (m_settings.ownsUnnamedKeys) {
+        m_logger.warning("keys without an owner are remembered by this entry alone: a resend to another entry, or after a restart, may run twice");
+    }
     m_logger.info("started", {{"callers", m_settings.callerPort}, {"peers", m_settings.peerPort}, {"backend", m_settings.backendUrl}});
     return {};
 }
@@ -156,7 +159,7 @@
         &m_frontWaker,
         [this] {
             m_front->setReady(false);
-            static_cast<void>(m_inward.fromFront.tryPush(decision::ServerDraining{}));
+            static_cast<void>(m_inward.fromFront.tryPush(decision::ServerDraining{.isShutdown = true}));
         },
         Qt::QueuedConnection);
 }
@@ -172,14 +175,12 @@
     decision::CoreBuilder builder{m_clock, m_random, m_metrics};
     builder.setSelf(self);
     for (const settings::PeerSettings &peer : m_settings.peers) {
-        membership::Member contact;
-        contact.id = peer.id;
-        contact.endpoint = peer.endpoint;
-        builder.addContact(contact);
+        builder.addContact({.id = peer.id, .endpoint = peer.endpoint});
     }
     if (!m_settings.platformUrl.empty()) {
         builder.followPlatform();
     }
+    builder.setUnownedKeys(m_settings.ownsUnnamedKeys ? retry::UnownedKeys::entryMemory : retry::UnownedKeys::refuse);
     applyPolicy(m_settings.policy, m_random, builder);
     return builder.build();
 }
