--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -49,6 +49,21 @@
     return m_serving->load(m_surroundings->clock.steadyNow());
 }
 
+configuration::Report Core::configurationReport() const
+{
+    const SteadyTime now = m_surroundings->clock.steadyNow();
+    configuration::Report report;
+    report.daemon = m_surroundings->self;
+    report.version = m_surroundings->manifestVersion;
+    report.hash = m_surroundings->manifest == nullptr ? std::string{} : m_surroundings->manifest->hash();
+    report.newestKnown = std::max(report.version, m_configuration->newestKnown());
+    for (const auto &[daemon, entry] : m_configuration->fleet()) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - entry.heard);
+        report.heard.push_back({.daemon = daemon, .version = entry.version, .age = age});
+    }
+    return report;
+}
+
 void Core::dispatch(const Event &event, const SteadyTime now)
 {
     std::visit(internal::Overloaded{
@@ -85,8 +100,8 @@
                    [&](const ManifestChanged &changed) {
                        handleManifest(changed);
                    },
-                   [&](const PlatformAnswered &) {
-                       m_surroundings->metrics.count("messages_dropped", "late-platform-answer");
+                   [&](const PlatformAnswered &answered) {
+                       handlePlatform(answered, now);
                    },
                    [&](const Tick &) {
                        handleTick(now);
@@ -115,6 +130,15 @@
                        m_gossip->handle(envelope.sender, envelope.incarnation, gossip, now);
                        applyGossip(now);
                    },
+                   [&](const configuration::Advert &advert) {
+                       m_configuration->handleAdvert(envelope.sender, advert, now);
+                   },
+                   [&](const configuration::BodyRequest &request) {
+                       m_configuration->handleBodyRequest(envelope.sender, request);
+                   },
+                   [&](const configuration::BodyReply &reply) {
+                       m_configuration->handleBodyReply(reply, now);
+                   },
                },
                envelope.message);
 }
@@ -171,20 +195,21 @@
 
 void Core::handleManifest(const ManifestChanged &changed)
 {
-    // A configuration that arrives late, or again, must not undo a newer one, so only a higher version is taken.
-    if (changed.version <= m_surroundings->manifestVersion) {
-        return;
+    m_surroundings->putInForce(changed.version, changed.manifest);
+}
+
+void Core::handlePlatform(const PlatformAnswered &answered, const SteadyTime now)
+{
+    if (!m_configuration->handleOutcome(answered.id, answered.outcome, now)) {
+        m_surroundings->metrics.count("messages_dropped", "late-platform-answer");
     }
-    m_surroundings->manifestVersion = changed.version;
-    m_surroundings->manifest = changed.manifest;
-    m_surroundings->entryControl->setManifest(changed.manifest);
-    m_surroundings->actions.emplace_back(ManifestInForce{.version = changed.version, .hash = changed.manifest->hash()});
 }
 
 void Core::handleTick(const SteadyTime now)
 {
     m_entry->tick(now);
     m_serving->tick(now);
+    m_configuration->tick(now);
     tickServer(now);
     m_gossip->tick(now);
     tickLeaving(now);
@@ -304,6 +329,12 @@
     return *this;
 }
 
+CoreBuilder &CoreBuilder::followPlatform()
+{
+    m_followsPlatform = true;
+    return *this;
+}
+
 CoreBuilder &CoreBuilder::setUnownedKeys(const retry::UnownedKeys unownedKeys)
 {
     m_unownedKeys = unownedKeys;
@@ -347,6 +378,15 @@
     });
     core->m_serving = std::make_unique<ServingHandler>(*core->m_surroundings, std::move(m_gate));
     core->m_entry = std::make_unique<EntryHandler>(*core->m_surroundings, *core->m_serving, m_ledgerLimits);
+    std::vector<configuration::Peer> peers;
+    for (const membership::Contact &contact : m_contacts) {
+        peers.push_back({.id = contact.id, .endpoint = contact.endpoint});
+    }
+    core->m_configurationOutlet = std::make_unique<ConfigurationOutlet>(*core->m_surroundings, std::move(peers));
+    configuration::FollowerOptions options;
+    options.hasPlatform = m_followsPlatform;
+    options.endpoint = m_self.endpoint;
+    core->m_configuration = std::make_unique<configuration::Follower>(*core->m_configurationOutlet, m_random, options);
     core->m_gossip = std::make_unique<membership::Gossip>(core->m_surroundings->roster, m_random, m_metrics, std::move(m_contacts));
     return core;
 }
--- a/src/egretlatch/protocol/messages.hpp
+++ b/src/egretlatch/protocol/messages.hpp
@@ -11,6 +11,7 @@
 #include <egretlatch/account/trace_context.hpp>
 #include <egretlatch/admission/load_report.hpp>
 #include <egretlatch/admission/rank.hpp>
+#include <egretlatch/configuration/messages.hpp>
 #include <egretlatch/core/clock.hpp>
 #include <egretlatch/core/header.hpp>
 #include <egretlatch/core/ids.hpp>
@@ -88,7 +89,7 @@
 /*! @brief News of members and of other small facts. */
 using Gossip = membership::GossipMessage;
 
-using Message = std::variant<CallRequest, CallAnswer, CallCancel, Gossip>;
+using Message = std::variant<CallRequest, CallAnswer, CallCancel, Gossip, configuration::Advert, configuration::BodyRequest, configuration::BodyReply>;
 
 /*! @brief A message with its sender. */
 struct Envelope
