--- a/src/egretlatch/cli/daemon_command.cpp
+++ b/src/egretlatch/cli/daemon_command.cpp
@@ -48,11 +48,17 @@
             return ExitCode::badInput;
         }
     }
+    std::optional<Secret> operatorToken = readToken(settings->operatorTokenFile);
+    std::optional<Secret> platformToken = readToken(settings->platformTokenFile);
+    if (!operatorToken.has_value() || !platformToken.has_value()) {
+        return ExitCode::badInput;
+    }
+    daemon::Tokens tokens{.operators = std::move(*operatorToken), .platform = std::move(*platformToken)};
     // GLib's event loop, which Qt takes where it finds it, costs about a sixth more processor time a call (docs/DESIGN.md).
     qputenv("QT_NO_GLIB", "1");
     const int signalDescriptor = internal::openSignals();
     QCoreApplication application{argc, argv};
-    daemon::Daemon daemon{*settings, std::move(manifest)};
+    daemon::Daemon daemon{*settings, std::move(tokens), std::move(manifest)};
     QSocketNotifier notifier{signalDescriptor, QSocketNotifier::Read};
     QObject::connect(&notifier, &QSocketNotifier::activated, &application, [&daemon, signalDescriptor] {
         signalfd_siginfo info{};
