--- a/scripts/experiments/checks.py
+++ b/scripts/experiments/checks.py
@@ -17,9 +17,11 @@
     run_twice: list
     ran_though_not_run: list
     lost: list
+    submissions: list = dataclasses.field(default_factory=list)  # operators.Race
 
     def violations(self):
-        return self.wrong_answers + len(self.run_twice) + len(self.ran_though_not_run) + len(self.lost)
+        wrong_races = sum(1 for race in self.submissions if race.is_violation())
+        return self.wrong_answers + len(self.run_twice) + len(self.ran_though_not_run) + len(self.lost) + wrong_races
 
 
 def repeatable_inner_keys(manifest):
@@ -41,7 +43,7 @@
     return is_direct_call and step[0] not in repeatable[kind_of_key[root]]
 
 
-def check(manifest, history, executions, crashed):
+def check(manifest, history, executions, crashed, submissions=()):
     """Check a run.
 
     history: the attempts in the order in which they ended; executions: what each backend server ran; crashed: whether
@@ -70,4 +72,5 @@
         run_twice=sorted(run_twice),
         ran_though_not_run=sorted(key for key, attempt in last.items() if attempt["outcome"] == "refused" and runs[key] > 0),
         lost=[] if crashed else sorted(key for key in completed if runs[key] == 0),
+        submissions=list(submissions),
     )
--- a/scripts/experiments/deployment.py
+++ b/scripts/experiments/deployment.py
@@ -7,9 +7,10 @@
 import subprocess
 import threading
 import time
-import urllib.error
 import urllib.request
 
+from . import operators
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 EXIT_SECONDS = 8
 WATCH_SECONDS = 0.1
@@ -50,9 +51,11 @@
         self.behaviours = {}
         self.executions = []
         self.events = []
+        self.submissions = []
         self.stopping = threading.Event()
+        self.build = build
         command = [str(ROOT / "scripts/mesh"), scenario["deployment"], "--policy", policy, "--build", str(build), "--logs", str(logs),
-                   "--servers", str(scenario.get("servers", 2)), "--slots", str(scenario.get("slots", 0))]
+                   "--servers", str(scenario.get("servers", 2)), "--slots", str(scenario.get("slots", 0)), "--keys-without-owner", "refuse"]
         if scenario.get("manifest"):
             command += ["--manifest", str(ROOT / scenario["manifest"])]
         self.process = subprocess.Popen(command, stdout=subprocess.PIPE)
@@ -142,6 +145,11 @@
     def apply(self, fault):
         """Do one step of a scenario; `control` steps are posted by the load tool."""
         action, what = fault["do"], fault.get("process", "backend")
+        if action == "submit":
+            race = operators.race(self.build, self.mesh, fault.get("operators", 1), pathlib.Path(self.logs))
+            self.submissions.append(race)
+            self.note(race.text())
+            return
         for name in self.chosen(fault):
             if action == "control":
                 self.behaviours[name] = fault.get("behaviour", {})
--- a/scripts/experiments/report.py
+++ b/scripts/experiments/report.py
@@ -45,6 +45,15 @@
     events: list  # what happened to processes: {"atMs", "text"}
 
 
+@dataclasses.dataclass(frozen=True)
+class Experiment:
+    """All runs of a scenario."""
+
+    scenario: dict
+    runs: list
+    could: list  # possible weighted goodput by second
+
+
 @dataclasses.dataclass(frozen=True)
 class Figures:
     """The numbers by which runs are compared."""
@@ -216,4 +225,20 @@
             f"<p class=small>{html.escape(scenario['deployment'])}, {scenario.get('servers', 2)} backend servers a service; {phases}</p>"
             f"<section><h2>Policies</h2>{table(SUMMARY_HEAD, summary_rows(runs, could))}</section>"
             + "".join(run_section(run, could, most, colours) for run in first) + DEFINITIONS)
-    return f"<!doctype html><meta charset=utf-8><title>{html.escape(scenario['name'])}</title><style>{STYLE}</style><main>{body}</main>"
+    return page(scenario["name"], body)
+
+
+def page(title, body):
+    return f"<!doctype html><meta charset=utf-8><title>{html.escape(title)}</title><style>{STYLE}</style><main>{body}</main>"
+
+
+def to_index(experiments):
+    """Write the table of several experiments."""
+    rows = []
+    for experiment in experiments:
+        name = html.escape(experiment.scenario["name"])
+        link = f'<a href="{name}/report.html">{name}</a>'
+        checked = sum(run.checks.keys for run in experiment.runs)
+        rows += [[link, *cells, checked] for cells in summary_rows(experiment.runs, experiment.could)]
+    body = f"<h1>Experiments</h1><section>{table(['scenario', *SUMMARY_HEAD, 'keys checked'], rows)}</section>"
+    return page("Experiments", body + DEFINITIONS)
--- a/standin/load/fault_injector.cpp
+++ b/standin/load/fault_injector.cpp
@@ -41,8 +41,8 @@
 
 void FaultInjector::apply(const FaultStep &step)
 {
-    const auto found = m_mesh.backends.find(step.service);
-    if (found == m_mesh.backends.end()) {
+    const auto found = m_mesh.controls.find(step.service);
+    if (found == m_mesh.controls.end()) {
         fmt::print(stderr, "load: the deployment has no service {}\n", step.service);
         return;
     }
--- a/standin/load/mesh.cpp
+++ b/standin/load/mesh.cpp
@@ -32,7 +32,10 @@
     for (const auto &[service, urls] : internal::urlsByService(object[u"entries"].toObject())) {
         mesh.entries.insert(mesh.entries.end(), urls.begin(), urls.end());
     }
-    mesh.backends = internal::urlsByService(object[u"backends"].toObject());
+    mesh.controls = internal::urlsByService(object[u"backends"].toObject());
+    if (object[u"platform"].isString()) {
+        mesh.controls["platform"] = {object[u"platform"].toString().toStdString()};
+    }
     mesh.manifestPath = object[u"manifest"].toString().toStdString();
     return mesh;
 }
--- a/standin/load/mesh.hpp
+++ b/standin/load/mesh.hpp
@@ -15,8 +15,8 @@
 {
     /*! @brief Base URLs of the daemons; any of them is an entry. */
     std::vector<std::string> entries;
-    /*! @brief Base URLs of the backend servers by service. */
-    std::map<std::string, std::vector<std::string>> backends;
+    /*! @brief Base URLs of what takes `/control`: the backend servers by service, and the platform as `platform`. */
+    std::map<std::string, std::vector<std::string>> controls;
     /*! @brief Path of the manifest in force; empty if the mesh does not say. */
     std::string manifestPath;
 
--- a/standin/load/parse_scenario.cpp
+++ b/standin/load/parse_scenario.cpp
@@ -90,11 +90,12 @@
     JsonObjectReader reader{value, pointer, problems};
     FaultStep step;
     step.at = reader.milliseconds("atMs", timeRange);
-    const std::string action = reader.word("do", {"control", "stop", "continue", "kill", "restart", "drain", "replace"});
+    const std::string action = reader.word("do", {"control", "stop", "continue", "kill", "restart", "drain", "replace", "submit"});
     step.action = action == "control" ? FaultAction::control : FaultAction::process;
     step.service = reader.text("service", "");
     step.server = static_cast<int>(reader.integer("server", serverRange, -1));
     static_cast<void>(reader.word("process", {"backend", "daemon", "platform"}, "backend"));
+    static_cast<void>(reader.integer("operators", countRange, 1));
     const std::optional<QJsonValue> behaviour = reader.member("behaviour");
     step.behaviour = QJsonDocument{behaviour.value_or(QJsonObject{}).toObject()}.toJson(QJsonDocument::Compact);
     reader.finish();
@@ -122,7 +123,6 @@
     static_cast<void>(reader.text("manifest", ""));
     static_cast<void>(reader.integer("servers", countRange, 2));
     static_cast<void>(reader.integer("slots", Range<std::int64_t>{.least = 0, .most = countRange.most}, 0));
-    static_cast<void>(reader.flag("platform", false));
 }
 
 } // namespace internal
--- a/test/processes/test_experiments.py
+++ b/test/processes/test_experiments.py
@@ -95,6 +95,11 @@
         for part in ("recovered after 2 s", 'class="overload"', "overload-at-entry", "stop &lt;daemon&gt;", ">none <"):
             self.assertIn(part, page)
 
+    def test_the_table_of_several_scenarios_links_their_reports(self):
+        run = report.Run("adaptive", 1, self.result(), checks.Checks(3, 4, 0, [], [], []), [])
+        experiment = report.Experiment(SCENARIO, [run], possible.possible_by_second(SCENARIO, MANIFEST))
+        self.assertIn('<a href="two/report.html">two</a>', report.to_index([experiment, experiment]))
+
 
 class Scenarios(unittest.TestCase):
     def test_the_committed_scenarios_are_those_that_the_script_writes(self):
