--- /dev/null
+++ b/src/egretlatch/admission/adaptive_gate.cpp
@@ -0,0 +1,214 @@
+#include <egretlatch/admission/adaptive_gate.hpp>
+
+#include <algorithm>
+
+namespace egretlatch::admission
+{
+
+namespace internal
+{
+
+constexpr int samplesInMeanHeld = 20;
+// Multiples of the aimed drain time up to which the queue may grow. A root has cost nothing yet and is refused early; an
+// inner call carries what its root has cost so far.
+constexpr int rootQueueFactor = 2;
+constexpr int innerQueueFactor = 8;
+// The queue must cover half a run at least, or slots stand empty while the daemons further up learn that there is room.
+constexpr int shortestQueueDivisor = 2;
+constexpr std::chrono::milliseconds shortestRetryAfter{200};
+constexpr std::chrono::milliseconds retryAfterBelowLevel{1000};
+
+[[nodiscard]] static double millisecondsOf(const Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+} // namespace internal
+
+GateRelease AdaptiveGate::offer(const Ticket &ticket, const SteadyTime now)
+{
+    GateRelease release;
+    if (std::optional<GateRefusal> refusal = refusalOfHopeless(ticket, now)) {
+        release.refused.push_back(std::move(*refusal));
+        return release;
+    }
+    const Duration expected = m_estimator.expected(ticket.kind, ticket.cost);
+    m_level.noteArrival(ticket.rank, ticket.root, expected, now);
+    m_waiting.push({.ticket = ticket, .expected = expected});
+    startWaiting(now, release);
+    shedExcess(&ticket, now, release);
+    moveLevel(now);
+    return release;
+}
+
+GateRelease AdaptiveGate::finish(const ExecutionId execution, const Observation &observation, const SteadyTime now)
+{
+    GateRelease release;
+    const auto found = m_running.find(execution);
+    if (found != m_running.end()) {
+        const bool wasSaturated = static_cast<int>(m_running.size()) >= m_limit.value();
+        noteEnd(found->second, observation, wasSaturated, now);
+        m_running.erase(found);
+    }
+    startWaiting(now, release);
+    moveLevel(now);
+    return release;
+}
+
+bool AdaptiveGate::withdraw(const ExecutionId execution)
+{
+    return m_waiting.remove(execution);
+}
+
+GateRelease AdaptiveGate::tick(const SteadyTime now)
+{
+    GateRelease release;
+    dropHopeless(now, release);
+    startWaiting(now, release);
+    shedExcess(nullptr, now, release);
+    moveLevel(now);
+    return release;
+}
+
+void AdaptiveGate::setSlots(const int slots)
+{
+    m_limit.setSlots(slots);
+}
+
+void AdaptiveGate::setQueueTarget(const Duration target)
+{
+    m_queueTarget = target;
+}
+
+LoadReport AdaptiveGate::load(const SteadyTime now) const
+{
+    LoadReport report;
+    report.inFlight = static_cast<int>(m_running.size());
+    report.limit = m_limit.value();
+    report.queued = static_cast<int>(m_waiting.size());
+    report.level = m_level.level();
+    report.queueDelay = now - m_waiting.oldestArrival(now);
+    return report;
+}
+
+std::optional<GateRefusal> AdaptiveGate::refusalOfHopeless(const Ticket &ticket, const SteadyTime now) const
+{
+    const Duration remaining = ticket.deadline - now;
+    const Duration shortest = m_estimator.shortest(ticket.kind, now);
+    if (remaining > Duration{} && remaining >= shortest) {
+        return std::nullopt;
+    }
+    const bool hasExpired = remaining <= Duration{};
+    return GateRefusal{
+        .execution = ticket.execution,
+        .reason = account::RefusalReason::deadlinePassed,
+        .rule = hasExpired ? "the deadline passed before a slot was free" : "the time left is shorter than any run of this kind lately",
+        .figures = {{.name = "remainingMs", .value = internal::millisecondsOf(remaining)},
+                    {.name = "shortestRunMs", .value = internal::millisecondsOf(shortest)}},
+        .retryAfter = retryAfter(ticket),
+    };
+}
+
+void AdaptiveGate::dropHopeless(const SteadyTime now, GateRelease &release)
+{
+    static_cast<void>(m_waiting.removeIf([this, now, &release](const Waiting &waiting) {
+        std::optional<GateRefusal> refusal = refusalOfHopeless(waiting.ticket, now);
+        if (!refusal.has_value()) {
+            return false;
+        }
+        release.refused.push_back(std::move(*refusal));
+        return true;
+    }));
+}
+
+void AdaptiveGate::startWaiting(const SteadyTime now, GateRelease &release)
+{
+    while (!m_waiting.empty() && static_cast<int>(m_running.size()) < m_limit.value()) {
+        // Under pressure the oldest are the likeliest to be given up by their callers before they end.
+        const bool isUnderPressure = drainTime() > aimedDrainTime();
+        const Waiting next = m_waiting.popBest(isUnderPressure);
+        const Ticket &ticket = next.ticket;
+        if (std::optional<GateRefusal> refusal = refusalOfHopeless(ticket, now)) {
+            release.refused.push_back(std::move(*refusal));
+            continue;
+        }
+        m_running.emplace(ticket.execution, Running{.kind = ticket.kind, .cost = ticket.cost});
+        release.started.push_back(ticket.execution);
+    }
+}
+
+void AdaptiveGate::shedExcess(const Ticket *const arrived, const SteadyTime now, GateRelease &release)
+{
+    while (m_waiting.size() > 1 && drainTime() > longestDrainTime(m_waiting.worst().ticket)) {
+        const Waiting shed = m_waiting.popWorst();
+        const bool hasJustArrived = arrived != nullptr && shed.ticket.execution == arrived->execution;
+        release.refused.push_back(refusalOf(shed, hasJustArrived, now));
+    }
+}
+
+GateRefusal AdaptiveGate::refusalOf(const Waiting &waiting, const bool hasJustArrived, const SteadyTime now) const
+{
+    const Ticket &ticket = waiting.ticket;
+    const RankClass rankClass = classOf(ticket.rank);
+    return {
+        .execution = ticket.execution,
+        .reason = hasJustArrived ? account::RefusalReason::overloadAtServer : account::RefusalReason::overloadInQueue,
+        .rule = hasJustArrived ? "the queue is full of requests that go first" : "gave way in the queue to requests that go first",
+        .figures = {{.name = "priority", .value = static_cast<double>(rankClass.priority)},
+                    {.name = "densityClass", .value = static_cast<double>(rankClass.density)},
+                    {.name = "waitedMs", .value = internal::millisecondsOf(now - ticket.arrived)},
+                    {.name = "queued", .value = static_cast<double>(m_waiting.size() + 1)},
+                    {.name = "queueDrainMs", .value = internal::millisecondsOf(drainTime())},
+                    {.name = "queueDrainLimitMs", .value = internal::millisecondsOf(longestDrainTime(ticket))},
+                    {.name = "running", .value = static_cast<double>(m_running.size())},
+                    {.name = "limit", .value = static_cast<double>(m_limit.value())}},
+        .retryAfter = retryAfter(ticket),
+    };
+}
+
+std::chrono::milliseconds AdaptiveGate::retryAfter(const Ticket &ticket) const
+{
+    const auto drain = std::chrono::duration_cast<std::chrono::milliseconds>(drainTime());
+    const bool isBelow = !admits(m_level.level(), ticket.rank, ticket.root);
+    return std::max(isBelow ? internal::retryAfterBelowLevel : internal::shortestRetryAfter, drain);
+}
+
+Duration AdaptiveGate::drainTime() const
+{
+    return m_waiting.work() / std::max(1, m_limit.value());
+}
+
+Duration AdaptiveGate::aimedDrainTime() const
+{
+    return std::max(m_queueTarget, m_meanHeld / internal::shortestQueueDivisor);
+}
+
+Duration AdaptiveGate::longestDrainTime(const Ticket &ticket) const
+{
+    return aimedDrainTime() * (ticket.isInner ? internal::innerQueueFactor : internal::rootQueueFactor);
+}
+
+void AdaptiveGate::noteEnd(const Running &running, const Observation &observation, const bool wasSaturated, const SteadyTime now)
+{
+    m_meanHeld += (observation.latency - m_meanHeld) / internal::samplesInMeanHeld;
+    if (observation.outcome == RunOutcome::succeeded) {
+        m_estimator.noteEnded(running.kind, observation.latency, now);
+    } else if (observation.outcome == RunOutcome::abandoned) {
+        m_estimator.noteCutShort(running.kind, observation.latency, now);
+    }
+    m_limit.note(
+        {
+            .outcome = observation.outcome,
+            .ownLatency = observation.latency - observation.waitedForInner,
+            .cost = running.cost,
+            .isSaturated = wasSaturated,
+        },
+        now);
+}
+
+void AdaptiveGate::moveLevel(const SteadyTime now)
+{
+    m_level.update({.drainTime = drainTime(), .target = aimedDrainTime(), .limit = m_limit.value()}, now);
+}
+
+} // namespace egretlatch::admission
--- /dev/null
+++ b/src/egretlatch/admission/concurrency_limit.cpp
@@ -0,0 +1,128 @@
+#include <egretlatch/admission/concurrency_limit.hpp>
+
+#include <algorithm>
+
+namespace egretlatch::admission
+{
+
+namespace internal
+{
+
+constexpr std::chrono::milliseconds shortestWindow{100};
+constexpr std::chrono::milliseconds backOffInterval{100};
+constexpr int fewestRuns = 8;
+constexpr int runsPerSlot = 2;
+constexpr double saturatedShare = 0.8;
+// Own latency beyond this multiple of the usual one starts a trial of a lower limit.
+constexpr double suspectSlowness = 1.5;
+constexpr double usualSlownessDrift = 1.02;
+// A trial is kept if the server gets this share of the earlier work done.
+constexpr double keptThroughput = 0.95;
+constexpr double backOffFactor = 0.7;
+constexpr int stepDivisor = 8;
+constexpr int windowsAfterFailure = 8;
+constexpr int mostDoublings = 4;
+
+} // namespace internal
+
+void ConcurrencyLimit::setSlots(const int slots)
+{
+    if (slots == m_slots) {
+        return;
+    }
+    m_slots = slots;
+    m_limit = slots;
+    m_isTrial = false;
+    m_window = {};
+}
+
+void ConcurrencyLimit::note(const LimitSample &sample, const SteadyTime now)
+{
+    if (m_window.runs == 0 && m_window.troubles == 0) {
+        m_window.begin = now;
+    }
+    switch (sample.outcome) {
+    case RunOutcome::rejected:
+    case RunOutcome::lost:
+        ++m_window.troubles;
+        backOff(now);
+        return;
+    case RunOutcome::failed:
+    case RunOutcome::abandoned:
+        // A failure says nothing of the room that the server has, and the end of an abandoned run is its caller's.
+        return;
+    case RunOutcome::succeeded:
+        break;
+    }
+    ++m_window.runs;
+    m_window.saturatedRuns += sample.isSaturated ? 1 : 0;
+    const double cost = std::chrono::duration<double>(std::max(sample.cost, Duration{std::chrono::milliseconds{1}})).count();
+    m_window.slownessSum += std::chrono::duration<double>(sample.ownLatency).count() / cost;
+    m_window.workDone += cost;
+    if (now - m_window.begin >= internal::shortestWindow && m_window.runs >= std::max(internal::fewestRuns, internal::runsPerSlot * m_limit)) {
+        closeWindow(now);
+    }
+}
+
+void ConcurrencyLimit::backOff(const SteadyTime now)
+{
+    if (now - m_lastBackOff < internal::backOffInterval) {
+        return;
+    }
+    m_lastBackOff = now;
+    m_isTrial = false;
+    m_limit = std::max(1, static_cast<int>(m_limit * internal::backOffFactor));
+}
+
+void ConcurrencyLimit::closeWindow(const SteadyTime now)
+{
+    const Window window = m_window;
+    m_window = {.begin = now};
+    const double seconds = std::chrono::duration<double>(now - window.begin).count();
+    const double throughput = window.workDone / seconds;
+    const double slowness = window.slownessSum / window.runs;
+    const bool isSaturated = window.saturatedRuns >= internal::saturatedShare * window.runs;
+    if (m_isTrial) {
+        judgeTrial(throughput);
+        return;
+    }
+    m_usualSlowness = m_usualSlowness == 0.0 ? slowness : std::min(slowness, m_usualSlowness * internal::usualSlownessDrift);
+    if (window.troubles > 0) {
+        return;
+    }
+    const bool isSuspect = isSaturated && slowness > internal::suspectSlowness * m_usualSlowness;
+    if (!isSuspect) {
+        grow();
+    } else if (m_windowsToWait > 0) {
+        --m_windowsToWait;
+    } else if (m_limit > 1) {
+        beginTrial(throughput);
+    }
+}
+
+void ConcurrencyLimit::beginTrial(const double throughput)
+{
+    m_isTrial = true;
+    m_limitBeforeTrial = m_limit;
+    m_throughputBeforeTrial = throughput;
+    m_limit = std::max(1, m_limit - std::max(1, m_limit / internal::stepDivisor));
+}
+
+void ConcurrencyLimit::judgeTrial(const double throughput)
+{
+    m_isTrial = false;
+    if (throughput >= internal::keptThroughput * m_throughputBeforeTrial) {
+        m_failedTrials = 0;
+        return;
+    }
+    m_limit = m_limitBeforeTrial;
+    m_windowsToWait = internal::windowsAfterFailure << std::min(m_failedTrials, internal::mostDoublings);
+    ++m_failedTrials;
+}
+
+void ConcurrencyLimit::grow()
+{
+    m_limit = std::min(m_slots, m_limit + std::max(1, m_limit / internal::stepDivisor));
+}
+
+} // namespace egretlatch::admission
--- /dev/null
+++ b/src/egretlatch/admission/concurrency_limit.hpp
@@ -0,0 +1,84 @@
+#ifndef EGRETLATCH_ADMISSION_CONCURRENCY_LIMIT_HPP
+#define EGRETLATCH_ADMISSION_CONCURRENCY_LIMIT_HPP
+
+#include <egretlatch/admission/gate.hpp>
+
+namespace egretlatch::admission
+{
+
+/*! @brief A run that ended, as the limit looks at it. */
+struct LimitSample
+{
+    RunOutcome outcome{};
+    /*! @brief Time that the run itself took, without its inner calls. */
+    Duration ownLatency{};
+    /*! @brief Time that its kind is declared to take. */
+    Duration cost{};
+    /*! @brief Whether every slot was in use until it ended. */
+    bool isSaturated{};
+
+    friend bool operator==(const LimitSample &, const LimitSample &) = default;
+};
+
+/**
+ * @brief How many requests a backend server runs at a time.
+ *
+ * A server may have less room than it announces: it queues inside, so latency grows with concurrency and throughput does
+ * not. It may also just be slow, and then fewer runs at a time only lose throughput. The two look alike in latency alone.
+ * So a lower limit is tried for one window and kept only if the server gets as much done with it.
+ */
+class ConcurrencyLimit
+{
+public:
+    /**
+     * @brief Takes the announced slots; the same number again changes nothing.
+     * @param slots Number of slots.
+     */
+    void setSlots(int slots);
+
+    /**
+     * @brief Takes the end of a run.
+     * @param sample The run.
+     * @param now Current time.
+     */
+    void note(const LimitSample &sample, SteadyTime now);
+
+    [[nodiscard]] int value() const noexcept
+    {
+        return m_limit;
+    }
+
+private:
+    struct Window
+    {
+        SteadyTime begin;
+        int runs{};
+        int saturatedRuns{};
+        int troubles{};
+        /*! @brief Sum of own latency over declared cost. */
+        double slownessSum{};
+        /*! @brief Declared cost of all that succeeded, in seconds. */
+        double workDone{};
+    };
+
+    void backOff(SteadyTime now);
+    void closeWindow(SteadyTime now);
+    void judgeTrial(double throughput);
+    void beginTrial(double throughput);
+    void grow();
+
+    int m_slots{};
+    int m_limit{};
+    Window m_window;
+    double m_usualSlowness{};
+    bool m_isTrial{};
+    int m_limitBeforeTrial{};
+    double m_throughputBeforeTrial{};
+    int m_windowsToWait{};
+    int m_failedTrials{};
+    SteadyTime m_lastBackOff;
+};
+
+} // namespace egretlatch::admission
+
+#endif
--- a/src/egretlatch/admission/entry_control.hpp
+++ b/src/egretlatch/admission/entry_control.hpp
@@ -8,6 +8,7 @@
 
 #include <egretlatch/account/refusal.hpp>
 #include <egretlatch/admission/load_report.hpp>
+#include <egretlatch/admission/noted_level.hpp>
 #include <egretlatch/admission/rank.hpp>
 #include <egretlatch/core/clock.hpp>
 #include <egretlatch/core/ids.hpp>
@@ -39,6 +40,20 @@
     friend bool operator==(const EntryRefusal &, const EntryRefusal &) = default;
 };
 
+/*! @brief What an answer tells of the service that gave it and of those further down. */
+struct ChainLoad
+{
+    std::string service;
+    /*! @brief Kind that was called. */
+    std::string kind;
+    DaemonId daemon;
+    LoadReport load;
+    /*! @brief Highest level that calls of this kind meet at the services further down, and when it stood. */
+    NotedLevel chainLevel;
+
+    friend bool operator==(const ChainLoad &, const ChainLoad &) = default;
+};
+
 /*! @brief Refuses roots at the entry that a service down their chain would refuse anyway. */
 class EntryControl
 {
@@ -60,13 +75,28 @@
     [[nodiscard]] virtual Rank rankOf(const std::string &service, const std::string &kind) const = 0;
 
     /**
-     * @brief Notes what a serving daemon told of its load.
-     * @param service Service of its backend server.
-     * @param daemon The daemon.
+     * @brief Notes what a serving daemon told with an answer.
      * @param load What it told.
      * @param now Current time.
      */
-    virtual void noteLoad(const std::string &service, const DaemonId &daemon, const LoadReport &load, SteadyTime now) = 0;
+    virtual void noteLoad(const ChainLoad &load, SteadyTime now) = 0;
+
+    /**
+     * @brief Notes the slot time that a completed call took, with all its inner calls.
+     * @param service Service that was called.
+     * @param kind Kind that was called.
+     * @param slotTime The slot time.
+     */
+    virtual void noteSlotTime(const std::string &service, const std::string &kind, Duration slotTime) = 0;
+
+    /**
+     * @brief Gives the highest level that a kind's inner calls meet, as far as this daemon has been told.
+     * @param service Service of the kind.
+     * @param kind Name of the kind.
+     * @param now Current time.
+     * @return The level and when it stood; the lowest where nothing recent is known.
+     */
+    [[nodiscard]] virtual NotedLevel levelBelow(const std::string &service, const std::string &kind, SteadyTime now) = 0;
 
     /**
      * @brief Decides about a root.
--- a/src/egretlatch/admission/fwd.hpp
+++ b/src/egretlatch/admission/fwd.hpp
@@ -4,8 +4,12 @@
 namespace egretlatch::admission
 {
 
+enum class RunOutcome;
+
 struct Rank;
+struct RankClass;
 struct Level;
+struct NotedLevel;
 struct LoadReport;
 struct Ticket;
 struct Observation;
@@ -13,11 +17,25 @@
 struct GateRelease;
 struct EntryRequest;
 struct EntryRefusal;
+struct ChainLoad;
+struct Waiting;
+struct Pressure;
+struct LimitSample;
 
 class Gate;
 class EntryControl;
+class AdaptiveGate;
 class StaticGate;
+class PriorityGate;
+class OpenGate;
+class WholeChainEntry;
 class OpenEntry;
+class ConcurrencyLimit;
+class LevelControl;
+class LevelNotes;
+class RunEstimator;
+class WaitingLine;
+class ChainCosts;
 
 } // namespace egretlatch::admission
 
--- a/src/egretlatch/admission/gate.hpp
+++ b/src/egretlatch/admission/gate.hpp
@@ -19,6 +19,9 @@
 {
     ExecutionId execution;
     Uuid root;
+    std::string kind;
+    /*! @brief Slot time that the kind is declared to take. */
+    Duration cost{};
     Rank rank;
     /*! @brief Whether another service's run makes this call, rather than a caller. */
     bool isInner{};
@@ -60,6 +63,8 @@
     account::RefusalReason reason{};
     std::string rule;
     std::vector<account::Figure> figures;
+    /*! @brief When to come back; zero where that would not help. */
+    std::chrono::milliseconds retryAfter{};
 
     friend bool operator==(const GateRefusal &, const GateRefusal &) = default;
 };
@@ -116,6 +121,12 @@
      */
     virtual void setSlots(int slots) = 0;
 
+    /**
+     * @brief Says how long requests may wait for a slot before the service counts as overloaded.
+     * @param target The service's declared queue target.
+     */
+    virtual void setQueueTarget(Duration target) = 0;
+
     /**
      * @brief Gives what other daemons are to know.
      * @param now Current time.
--- /dev/null
+++ b/src/egretlatch/admission/level_control.cpp
@@ -0,0 +1,141 @@
+#include <egretlatch/admission/level_control.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace egretlatch::admission
+{
+
+namespace internal
+{
+
+constexpr std::chrono::milliseconds demandWindow{150};
+constexpr std::chrono::milliseconds shortestStep{20};
+constexpr std::chrono::milliseconds longestStep{150};
+// A class that is shed whole sends nothing; forgotten early, it would be opened in one go with all that lie below it.
+constexpr std::chrono::seconds demandMemory{60};
+constexpr int samplesInUnderWay = 20;
+constexpr double firstOpening = 0.01;
+constexpr double openingGrowth = 3.0;
+// In classes.
+constexpr double widestOpening = 8.0;
+// Demand above this share of the capacity is cut at once while the queue is too long.
+constexpr double fullUse = 1.0;
+// Additional cut for each multiple of the target that the queue stands at, so that the queue itself goes away.
+constexpr double cutForQueue = 0.05;
+constexpr double widestCutForQueue = 0.3;
+
+[[nodiscard]] static double secondsOf(const Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace internal
+
+void LevelControl::noteArrival(const Rank &rank, const Uuid &root, const Duration slotTime, const SteadyTime now)
+{
+    m_underWay += (rank.invested - m_underWay) / internal::samplesInUnderWay;
+    const bool isAdmitted = admits(m_level, rank, root);
+    Demand &demand = m_demand[classOf(rank)];
+    decay(demand, now);
+    demand.lastArrival = now;
+    if (isAdmitted) {
+        demand.rate += internal::secondsOf(slotTime) / internal::secondsOf(internal::demandWindow);
+    }
+}
+
+void LevelControl::decay(Demand &demand, const SteadyTime now) const
+{
+    if (now > demand.updated) {
+        demand.rate *= std::exp(-internal::secondsOf(now - demand.updated) / internal::secondsOf(internal::demandWindow));
+        demand.updated = now;
+    }
+}
+
+double LevelControl::admittedDemand(const SteadyTime now)
+{
+    double sum = 0.0;
+    for (auto &[rankClass, demand] : m_demand) {
+        decay(demand, now);
+        sum += demand.rate;
+    }
+    return sum;
+}
+
+Duration LevelControl::stepInterval() const
+{
+    return std::clamp<Duration>(m_underWay, internal::shortestStep, internal::longestStep);
+}
+
+void LevelControl::update(const Pressure &pressure, const SteadyTime now)
+{
+    if (now - m_lastStep < internal::shortestStep) {
+        return;
+    }
+    m_lastStep = now;
+    forgetIdle(now);
+    const double queue = pressure.target > Duration{} ? internal::secondsOf(pressure.drainTime) / internal::secondsOf(pressure.target) : 0.0;
+    if (queue > 1.0) {
+        const double cut = std::min(internal::cutForQueue * (queue - 1.0), internal::widestCutForQueue);
+        const double excess = admittedDemand(now) - pressure.limit * (internal::fullUse - cut);
+        if (excess > 0.0) {
+            raise(excess, now);
+        }
+        m_openStep = internal::firstOpening;
+        m_lastOpening = now;
+        return;
+    }
+    constexpr double headroom = 0.5;
+    if (queue < headroom && m_level > Level{} && now - m_lastOpening >= stepInterval()) {
+        lower(m_openStep);
+        m_openStep = std::min(m_openStep * internal::openingGrowth, internal::widestOpening);
+        m_lastOpening = now;
+    }
+}
+
+void LevelControl::raise(double excess, const SteadyTime now)
+{
+    for (auto &[rankClass, demand] : m_demand) {
+        if (rankClass < m_level.rankClass() || demand.rate <= 0.0) {
+            continue;
+        }
+        const double refused = rankClass == m_level.rankClass() ? m_level.fraction : 0.0;
+        const double open = 1.0 - refused;
+        const double cut = std::min(excess, demand.rate);
+        m_level = {.priority = rankClass.priority, .density = rankClass.density, .fraction = refused + open * cut / demand.rate};
+        demand.rate -= cut;
+        demand.updated = now;
+        excess -= cut;
+        if (excess <= 0.0) {
+            return;
+        }
+    }
+}
+
+void LevelControl::lower(double share)
+{
+    while (share > 0.0) {
+        const double opened = std::min(share, m_level.fraction);
+        m_level.fraction -= opened;
+        share -= opened;
+        if (m_level.fraction > 0.0) {
+            return;
+        }
+        const auto at = m_demand.lower_bound(m_level.rankClass());
+        if (at == m_demand.begin()) {
+            m_level = {};
+            return;
+        }
+        const RankClass below = std::prev(at)->first;
+        m_level = {.priority = below.priority, .density = below.density, .fraction = 1.0};
+    }
+}
+
+void LevelControl::forgetIdle(const SteadyTime now)
+{
+    std::erase_if(m_demand, [now](const auto &entry) {
+        return now - entry.second.lastArrival > internal::demandMemory;
+    });
+}
+
+} // namespace egretlatch::admission
--- /dev/null
+++ b/src/egretlatch/admission/level_notes.cpp
@@ -0,0 +1,60 @@
+#include <egretlatch/admission/level_notes.hpp>
+
+#include <algorithm>
+#include <vector>
+
+namespace egretlatch::admission
+{
+
+namespace internal
+{
+
+constexpr std::chrono::milliseconds longestAge{1000};
+constexpr std::chrono::milliseconds freshAge{100};
+constexpr std::chrono::milliseconds aggregateInterval{5};
+
+} // namespace internal
+
+void LevelNotes::note(const DaemonId &daemon, const NotedLevel &level)
+{
+    m_notes[daemon] = level;
+}
+
+NotedLevel LevelNotes::aggregate(const SteadyTime now)
+{
+    if (now - m_aggregatedAt < internal::aggregateInterval) {
+        return m_aggregate;
+    }
+    m_aggregatedAt = now;
+    std::erase_if(m_notes, [now](const auto &entry) {
+        return now - entry.second.at >= internal::longestAge;
+    });
+    m_aggregate = {};
+    if (m_notes.empty()) {
+        return m_aggregate;
+    }
+    std::vector<Level> levels;
+    for (const auto &[daemon, noted] : m_notes) {
+        levels.push_back(noted.level);
+        m_aggregate.at = std::max(m_aggregate.at, noted.at);
+    }
+    const auto median = levels.begin() + static_cast<std::ptrdiff_t>((levels.size() - 1) / 2);
+    std::nth_element(levels.begin(), median, levels.end(), [](const Level &left, const Level &right) {
+        return left < right;
+    });
+    m_aggregate.level = *median;
+    return m_aggregate;
+}
+
+double probeChance(const NotedLevel &noted, const SteadyTime now)
+{
+    const Duration age = now - noted.at;
+    if (age <= internal::freshAge) {
+        return 0.0;
+    }
+    const Duration span = internal::longestAge - internal::freshAge;
+    const double share = std::min(1.0, std::chrono::duration<double>(age - internal::freshAge) / std::chrono::duration<double>(span));
+    return share * share;
+}
+
+} // namespace egretlatch::admission
--- a/src/egretlatch/admission/open_entry.cpp
+++ b/src/egretlatch/admission/open_entry.cpp
@@ -17,10 +17,19 @@
     return {.priority = spec->priority, .worthDensity = spec->worth, .invested = {}};
 }
 
-void OpenEntry::noteLoad(const std::string & /*service*/, const DaemonId & /*daemon*/, const LoadReport & /*load*/, const SteadyTime /*now*/)
+void OpenEntry::noteLoad(const ChainLoad & /*load*/, const SteadyTime /*now*/)
 {
 }
 
+void OpenEntry::noteSlotTime(const std::string & /*service*/, const std::string & /*kind*/, const Duration /*slotTime*/)
+{
+}
+
+NotedLevel OpenEntry::levelBelow(const std::string & /*service*/, const std::string & /*kind*/, const SteadyTime /*now*/)
+{
+    return {};
+}
+
 std::optional<EntryRefusal> OpenEntry::check(const EntryRequest & /*request*/, const SteadyTime /*now*/)
 {
     return std::nullopt;
--- a/src/egretlatch/admission/rank.hpp
+++ b/src/egretlatch/admission/rank.hpp
@@ -1,6 +1,9 @@
 #ifndef EGRETLATCH_ADMISSION_RANK_HPP
 #define EGRETLATCH_ADMISSION_RANK_HPP
 
+#include <algorithm>
+#include <cmath>
+#include <compare>
 #include <cstdint>
 
 #include <egretlatch/core/clock.hpp>
@@ -22,23 +25,59 @@
     friend bool operator==(const Rank &, const Rank &) = default;
 };
 
+/*! @brief The requests that are shed alike: those of one priority and about one worth density. */
+struct RankClass
+{
+    int priority{};
+    /*! @brief Worth density in steps of half an octave; 0 for requests that earn nothing. */
+    int density{};
+
+    friend auto operator<=>(const RankClass &, const RankClass &) = default;
+};
+
+/**
+ * @brief Gives the class of a rank.
+ *
+ * The steps are coarse, so that kinds of nearly the same density are shed in shares of each rather than one after the
+ * other, and so that a small change of an observed cost seldom moves a kind.
+ * @param rank The rank.
+ * @return Its class.
+ */
+[[nodiscard]] inline RankClass classOf(const Rank &rank) noexcept
+{
+    constexpr double stepsPerOctave = 2.0;
+    constexpr int middle = 32;
+    constexpr int highest = 63;
+    if (!(rank.worthDensity > 0.0)) {
+        return {.priority = rank.priority, .density = 0};
+    }
+    const double steps = std::clamp(stepsPerOctave * std::log2(rank.worthDensity) + middle, 1.0, static_cast<double>(highest));
+    return {.priority = rank.priority, .density = static_cast<int>(std::lround(steps))};
+}
+
 /**
  * @brief A threshold that a daemon admits requests by.
  *
- * Requests of a lower priority are refused. Of the same priority, the share `fraction` is refused, and it is
- * the same roots on every daemon, since the share is taken by a hash of the root.
+ * Requests of a lower class are refused. Of the same class, the share `fraction` is refused, and it is the same roots on
+ * every daemon, since the share is taken by a hash of the root.
  */
 struct Level
 {
     int priority{};
-    /*! @brief Refused share of that priority, 0 to 1. */
+    int density{};
+    /*! @brief Refused share of that class, 0 to 1. */
     double fraction{};
 
+    [[nodiscard]] RankClass rankClass() const noexcept
+    {
+        return {.priority = priority, .density = density};
+    }
+
     friend auto operator<=>(const Level &, const Level &) = default;
 };
 
 /**
- * @brief Gives a root's place within its priority.
+ * @brief Gives a root's place within its class.
  * @param root The root.
  * @return A number in [0, 1), the same on every daemon.
  */
@@ -58,8 +97,9 @@
  */
 [[nodiscard]] inline bool admits(const Level &level, const Rank &rank, const Uuid &root) noexcept
 {
-    if (rank.priority != level.priority) {
-        return rank.priority > level.priority;
+    const RankClass rankClass = classOf(rank);
+    if (rankClass != level.rankClass()) {
+        return rankClass > level.rankClass();
     }
     return placeOf(root) >= level.fraction;
 }
--- /dev/null
+++ b/src/egretlatch/admission/run_estimator.cpp
@@ -0,0 +1,65 @@
+#include <egretlatch/admission/run_estimator.hpp>
+
+#include <algorithm>
+
+namespace egretlatch::admission
+{
+
+namespace internal
+{
+
+constexpr std::chrono::milliseconds estimateWindow{500};
+constexpr int samplesInMean = 10;
+
+} // namespace internal
+
+RunEstimator::Runs &RunEstimator::runsOf(const std::string &kind, const SteadyTime now)
+{
+    Runs &runs = m_runs[kind];
+    if (now - runs.current.begin >= internal::estimateWindow) {
+        runs.previous = runs.current;
+        runs.current = {.begin = now};
+    }
+    return runs;
+}
+
+void RunEstimator::noteEnded(const std::string &kind, const Duration held, const SteadyTime now)
+{
+    Runs &runs = runsOf(kind, now);
+    runs.mean = runs.mean == Duration{} ? held : runs.mean + (held - runs.mean) / internal::samplesInMean;
+    runs.current.shortestEnded = std::min(runs.current.shortestEnded, held);
+}
+
+void RunEstimator::noteCutShort(const std::string &kind, const Duration held, const SteadyTime now)
+{
+    Runs &runs = runsOf(kind, now);
+    if (held > runs.mean) {
+        runs.mean += (held - runs.mean) / internal::samplesInMean;
+    }
+    runs.current.longestCutShort = std::max(runs.current.longestCutShort, held);
+}
+
+Duration RunEstimator::expected(const std::string &kind, const Duration declared) const
+{
+    const auto found = m_runs.find(kind);
+    return found == m_runs.end() || found->second.mean == Duration{} ? declared : found->second.mean;
+}
+
+Duration RunEstimator::shortest(const std::string &kind, const SteadyTime now) const
+{
+    const auto found = m_runs.find(kind);
+    if (found == m_runs.end()) {
+        return {};
+    }
+    Duration ended = Duration::max();
+    Duration cutShort{};
+    for (const Window *const window : {&found->second.current, &found->second.previous}) {
+        if (now - window->begin < 2 * internal::estimateWindow) {
+            ended = std::min(ended, window->shortestEnded);
+            cutShort = std::max(cutShort, window->longestCutShort);
+        }
+    }
+    return ended == Duration::max() ? cutShort : ended;
+}
+
+} // namespace egretlatch::admission
--- a/src/egretlatch/admission/static_gate.cpp
+++ b/src/egretlatch/admission/static_gate.cpp
@@ -18,7 +18,8 @@
         release.refused.push_back({.execution = ticket.execution,
                                    .reason = account::RefusalReason::overloadInQueue,
                                    .rule = "the queue is full",
-                                   .figures = {{.name = "queued", .value = static_cast<double>(m_waiting.size())}}});
+                                   .figures = {{.name = "queued", .value = static_cast<double>(m_waiting.size())}},
+                                   .retryAfter = {}});
         return release;
     }
     m_waiting.push_back(ticket);
@@ -55,6 +56,10 @@
     m_slots = slots;
 }
 
+void StaticGate::setQueueTarget(const Duration /*target*/)
+{
+}
+
 LoadReport StaticGate::load(const SteadyTime now) const
 {
     LoadReport report;
@@ -74,8 +79,11 @@
             return;
         }
         if (hasExpired) {
-            release.refused.push_back(
-                {.execution = ticket.execution, .reason = account::RefusalReason::deadlinePassed, .rule = "the deadline passed in the queue", .figures = {}});
+            release.refused.push_back({.execution = ticket.execution,
+                                       .reason = account::RefusalReason::deadlinePassed,
+                                       .rule = "the deadline passed in the queue",
+                                       .figures = {},
+                                       .retryAfter = {}});
         } else {
             m_running.insert(ticket.execution);
             release.started.push_back(ticket.execution);
--- a/src/egretlatch/admission/static_gate.hpp
+++ b/src/egretlatch/admission/static_gate.hpp
@@ -25,6 +25,7 @@
     [[nodiscard]] bool withdraw(ExecutionId execution) override;
     [[nodiscard]] GateRelease tick(SteadyTime now) override;
     void setSlots(int slots) override;
+    void setQueueTarget(Duration target) override;
     [[nodiscard]] LoadReport load(SteadyTime now) const override;
 
 private:
--- /dev/null
+++ b/src/egretlatch/admission/waiting_line.cpp
@@ -0,0 +1,78 @@
+#include <egretlatch/admission/waiting_line.hpp>
+
+#include <bit>
+
+namespace egretlatch::admission
+{
+
+WaitingLine::Group WaitingLine::groupOf(const Ticket &ticket)
+{
+    const RankClass rankClass = classOf(ticket.rank);
+    if (!ticket.isInner) {
+        return {.rankClass = rankClass, .invested = 0};
+    }
+    // Doublings rather than milliseconds: within a doubling the order of arrival decides.
+    const auto invested = std::chrono::duration_cast<std::chrono::milliseconds>(ticket.rank.invested).count();
+    return {.rankClass = rankClass, .invested = 1 + static_cast<int>(std::bit_width(static_cast<std::uint64_t>(std::max<std::int64_t>(invested, 0))))};
+}
+
+void WaitingLine::push(Waiting waiting)
+{
+    const Group group = groupOf(waiting.ticket);
+    const ExecutionId execution = waiting.ticket.execution;
+    m_work += waiting.expected;
+    Queue &queue = m_groups[group];
+    queue.push_back(std::move(waiting));
+    m_places.emplace(execution, Place{.group = group, .position = std::prev(queue.end())});
+}
+
+Waiting WaitingLine::popBest(const bool newestFirst)
+{
+    const auto group = m_groups.begin();
+    return take(group, newestFirst ? std::prev(group->second.end()) : group->second.begin());
+}
+
+const Waiting &WaitingLine::worst() const
+{
+    return m_groups.rbegin()->second.front();
+}
+
+Waiting WaitingLine::popWorst()
+{
+    const auto group = std::prev(m_groups.end());
+    return take(group, group->second.begin());
+}
+
+bool WaitingLine::remove(const ExecutionId execution)
+{
+    const auto found = m_places.find(execution);
+    if (found == m_places.end()) {
+        return false;
+    }
+    const Place place = found->second;
+    static_cast<void>(take(m_groups.find(place.group), place.position));
+    return true;
+}
+
+SteadyTime WaitingLine::oldestArrival(const SteadyTime now) const
+{
+    SteadyTime oldest = now;
+    for (const auto &[group, queue] : m_groups) {
+        oldest = std::min(oldest, queue.front().ticket.arrived);
+    }
+    return oldest;
+}
+
+Waiting WaitingLine::take(const Groups::iterator group, const Queue::iterator position)
+{
+    Waiting taken = std::move(*position);
+    group->second.erase(position);
+    if (group->second.empty()) {
+        m_groups.erase(group);
+    }
+    m_work -= taken.expected;
+    m_places.erase(taken.ticket.execution);
+    return taken;
+}
+
+} // namespace egretlatch::admission
--- /dev/null
+++ b/src/egretlatch/admission/waiting_line.hpp
@@ -0,0 +1,149 @@
+#ifndef EGRETLATCH_ADMISSION_WAITING_LINE_HPP
+#define EGRETLATCH_ADMISSION_WAITING_LINE_HPP
+
+#include <compare>
+#include <cstddef>
+#include <list>
+#include <map>
+#include <vector>
+
+#include <egretlatch/admission/gate.hpp>
+
+namespace egretlatch::admission
+{
+
+/*! @brief A request that waits for a slot. */
+struct Waiting
+{
+    Ticket ticket;
+    /*! @brief Time that its run is expected to hold a slot. */
+    Duration expected{};
+};
+
+/**
+ * @brief The requests that wait for a slot, in order of their value.
+ *
+ * The order is: class of the root, then work invested, so that an inner call goes before a new root of its class, then
+ * time of arrival.
+ */
+class WaitingLine
+{
+public:
+    /**
+     * @brief Adds a request.
+     * @param waiting The request.
+     */
+    void push(Waiting waiting);
+
+    /**
+     * @brief Takes the most valuable request.
+     * @param newestFirst Whether the newest of the equals goes first.
+     * @return The request; the line must not be empty.
+     */
+    [[nodiscard]] Waiting popBest(bool newestFirst);
+
+    /**
+     * @brief Gives the least valuable request, the oldest of the equals.
+     * @return The request; the line must not be empty.
+     */
+    [[nodiscard]] const Waiting &worst() const;
+
+    /**
+     * @brief Takes the least valuable request, the oldest of the equals.
+     * @return The request; the line must not be empty.
+     */
+    [[nodiscard]] Waiting popWorst();
+
+    /**
+     * @brief Takes a request out.
+     * @param execution The request.
+     * @return True if it was in the line.
+     */
+    bool remove(ExecutionId execution);
+
+    /**
+     * @brief Takes out every request that a rule picks.
+     * @param rule Called with each request; true takes it out.
+     * @return The requests taken out, the most valuable first.
+     */
+    template<typename Rule>
+    [[nodiscard]] std::vector<Waiting> removeIf(Rule rule);
+
+    [[nodiscard]] bool empty() const noexcept
+    {
+        return m_places.empty();
+    }
+
+    [[nodiscard]] std::size_t size() const noexcept
+    {
+        return m_places.size();
+    }
+
+    /**
+     * @brief Gives the slot time that the line is expected to take.
+     * @return The sum over all requests.
+     */
+    [[nodiscard]] Duration work() const noexcept
+    {
+        return m_work;
+    }
+
+    /**
+     * @brief Gives the time at which the request that waits longest came.
+     * @param now Returned for an empty line.
+     * @return The time.
+     */
+    [[nodiscard]] SteadyTime oldestArrival(SteadyTime now) const;
+
+private:
+    struct Group
+    {
+        RankClass rankClass;
+        int invested{};
+
+        friend auto operator<=>(const Group &, const Group &) = default;
+    };
+
+    using Queue = std::list<Waiting>;
+    using Groups = std::map<Group, Queue, std::greater<>>;
+
+    struct Place
+    {
+        Group group;
+        Queue::iterator position;
+    };
+
+    [[nodiscard]] static Group groupOf(const Ticket &ticket);
+    [[nodiscard]] Waiting take(Groups::iterator group, Queue::iterator position);
+
+    Groups m_groups;
+    std::map<ExecutionId, Place> m_places;
+    Duration m_work{};
+};
+
+template<typename Rule>
+std::vector<Waiting> WaitingLine::removeIf(Rule rule)
+{
+    std::vector<Waiting> removed;
+    for (auto group = m_groups.begin(); group != m_groups.end();) {
+        const auto nextGroup = std::next(group);
+        Queue &queue = group->second;
+        for (auto position = queue.begin(); position != queue.end();) {
+            const auto nextPosition = std::next(position);
+            const bool isLast = queue.size() == 1;
+            if (rule(*position)) {
+                removed.push_back(take(group, position));
+                if (isLast) {
+                    break;
+                }
+            }
+            position = nextPosition;
+        }
+        group = nextGroup;
+    }
+    return removed;
+}
+
+} // namespace egretlatch::admission
+
+#endif
--- a/src/egretlatch/daemon/status_document.cpp
+++ b/src/egretlatch/daemon/status_document.cpp
@@ -34,6 +34,7 @@
     object[u"limit"] = load.limit;
     object[u"queued"] = load.queued;
     object[u"levelPriority"] = load.level.priority;
+    object[u"levelDensityClass"] = load.level.density;
     object[u"levelFraction"] = load.level.fraction;
     object[u"queueDelayMs"] = std::chrono::duration<double, std::milli>{load.queueDelay}.count();
     object[u"draining"] = load.draining;
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -111,6 +111,7 @@
     m_hasReportedDrained = false;
     m_serving->setServer(announced.slots);
     updateSelf(membership::MemberState::serving, announced.service, announced.slots, announced.connections, now);
+    declareService();
 }
 
 void Core::handleDraining(const SteadyTime now)
@@ -136,9 +137,19 @@
     m_surroundings->manifestVersion = changed.version;
     m_surroundings->manifest = changed.manifest;
     m_surroundings->entryControl->setManifest(changed.manifest);
+    declareService();
     m_surroundings->actions.emplace_back(ManifestInForce{.version = changed.version, .hash = changed.manifest->hash()});
 }
 
+void Core::declareService()
+{
+    const manifest::Manifest *const manifest = m_surroundings->manifest.get();
+    const manifest::ServiceSpec *const service = manifest == nullptr ? nullptr : manifest->findService(m_surroundings->roster.self().service);
+    if (service != nullptr) {
+        m_serving->setService(*service);
+    }
+}
+
 void Core::handleTick(const SteadyTime now)
 {
     m_entry->tick(now);
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -61,6 +61,7 @@
     void handleDraining(SteadyTime now);
     void handleLeft(SteadyTime now);
     void handleManifest(const ManifestChanged &changed);
+    void declareService();
     void handleTick(SteadyTime now);
     void handleGossip(const protocol::Gossip &gossip, SteadyTime now);
     void updateSelf(membership::MemberState state, const std::string &service, int slots, int connections, SteadyTime now);
--- a/src/egretlatch/decision/entry_handler.cpp
+++ b/src/egretlatch/decision/entry_handler.cpp
@@ -13,6 +13,7 @@
 
 constexpr int badRequest = 400;
 constexpr int notFound = 404;
+constexpr int firstServerError = 500;
 constexpr std::size_t longestKey = 255;
 
 [[nodiscard]] static std::uint64_t fingerprint(const std::string &key)
@@ -40,7 +41,6 @@
 
 [[nodiscard]] static routing::AttemptOutcome outcomeOf(const protocol::CallAnswer &answer)
 {
-    constexpr int firstServerError = 500;
     if (!answer.refusal.has_value()) {
         return answer.status >= firstServerError ? routing::AttemptOutcome::failed : routing::AttemptOutcome::answered;
     }
@@ -135,7 +135,7 @@
 
 void EntryHandler::makeAttempt(Pending pending, const SteadyTime now)
 {
-    const routing::RouteRequest route{.service = pending.call.service, .root = pending.root, .excluded = pending.tried};
+    const routing::RouteRequest route{.service = pending.call.service, .root = pending.root, .excluded = pending.tried, .deadline = pending.deadline};
     const std::optional<DaemonId> server = m_surroundings.router->choose(route, now);
     if (!server.has_value()) {
         finishRefused(pending, m_surroundings.refuse(account::RefusalReason::noServer, "no backend server is left to try"), now);
@@ -255,8 +255,8 @@
 void EntryHandler::endAttempt(const Pending &pending, const routing::AttemptResult &result, const protocol::CallAnswer *const answer, const SteadyTime now)
 {
     m_surroundings.router->noteResult(pending.server, result, now);
-    if (result.load.has_value()) {
-        m_surroundings.entryControl->noteLoad(pending.call.service, pending.server, *result.load, now);
+    if (answer != nullptr) {
+        noteAnswer(pending, *answer, now);
     }
     m_surroundings.metrics.observe("attempt_duration", pending.call.service, result.latency);
     if (!pending.attemptTrace.sampled) {
@@ -278,6 +278,16 @@
     m_surroundings.actions.emplace_back(RecordSpan{.span = std::move(span)});
 }
 
+void EntryHandler::noteAnswer(const Pending &pending, const protocol::CallAnswer &answer, const SteadyTime now)
+{
+    const admission::NotedLevel chainLevel{.level = answer.chainLevel, .at = now - answer.chainLevelAge};
+    m_surroundings.entryControl->noteLoad(
+        {.service = pending.call.service, .kind = pending.call.kind, .daemon = pending.server, .load = answer.load, .chainLevel = chainLevel}, now);
+    if (answer.verdict == Verdict::completed && answer.status < internal::firstServerError) {
+        m_surroundings.entryControl->noteSlotTime(pending.call.service, pending.call.kind, answer.slotTime);
+    }
+}
+
 void EntryHandler::finish(const Pending &pending, CallerAnswer answer, const SteadyTime now)
 {
     answer.service = pending.call.service;
@@ -336,7 +346,9 @@
     // The attempt has been sent and not ended: it may be running now, or may be started by a daemon that reads late.
     pending.mayHaveRun = true;
     m_surroundings.actions.emplace_back(SendToPeer{.to = pending.server, .endpoint = {}, .message = protocol::CallCancel{.call = call}});
-    endAttempt(pending, {.outcome = routing::AttemptOutcome::lost, .latency = now - pending.sentAt, .load = std::nullopt}, nullptr, now);
+    const bool isCallers = reason == account::RefusalReason::cancelled;
+    const routing::AttemptOutcome outcome = isCallers ? routing::AttemptOutcome::abandoned : routing::AttemptOutcome::lost;
+    endAttempt(pending, {.outcome = outcome, .latency = now - pending.sentAt, .load = std::nullopt}, nullptr, now);
     finishRefused(pending, m_surroundings.refuse(reason, rule), now);
 }
 
--- a/src/egretlatch/decision/entry_handler.hpp
+++ b/src/egretlatch/decision/entry_handler.hpp
@@ -103,6 +103,7 @@
     [[nodiscard]] Pending begin(const CallArrived &arrived, const manifest::KindSpec &kind, const std::optional<InnerContext> &inner, SteadyTime now);
     void makeAttempt(Pending pending, SteadyTime now);
     void endAttempt(const Pending &pending, const routing::AttemptResult &result, const protocol::CallAnswer *answer, SteadyTime now);
+    void noteAnswer(const Pending &pending, const protocol::CallAnswer &answer, SteadyTime now);
     [[nodiscard]] bool mayRetry(const Pending &pending, const protocol::CallAnswer &answer, SteadyTime now) const;
     void finish(const Pending &pending, CallerAnswer answer, SteadyTime now);
     void finishRefused(const Pending &pending, account::Refusal refusal, SteadyTime now);
--- a/src/egretlatch/decision/serving_handler.cpp
+++ b/src/egretlatch/decision/serving_handler.cpp
@@ -67,12 +67,17 @@
         return;
     }
     if (!m_hasServer) {
-        refuseAtOnce(origin, request, {.execution = {}, .reason = account::RefusalReason::noServer, .rule = "no backend server is here", .figures = {}}, now);
+        refuseAtOnce(origin,
+                     request,
+                     {.execution = {}, .reason = account::RefusalReason::noServer, .rule = "no backend server is here", .figures = {}, .retryAfter = {}},
+                     now);
         return;
     }
     if (m_isDraining) {
-        refuseAtOnce(
-            origin, request, {.execution = {}, .reason = account::RefusalReason::draining, .rule = "the backend server is leaving", .figures = {}}, now);
+        refuseAtOnce(origin,
+                     request,
+                     {.execution = {}, .reason = account::RefusalReason::draining, .rule = "the backend server is leaving", .figures = {}, .retryAfter = {}},
+                     now);
         return;
     }
     const ExecutionId execution{++m_lastExecution};
@@ -83,17 +88,26 @@
     attempt.arrived = now;
     attempt.deadline = now + request.remaining;
     attempt.attemptsLeft = request.attemptsLent;
-    const admission::Ticket ticket{
+    const admission::Ticket ticket = ticketOf(execution, attempt);
+    m_byOrigin.emplace(origin, execution);
+    m_attempts.emplace(execution, std::move(attempt));
+    apply(m_gate->offer(ticket, now), now);
+}
+
+admission::Ticket ServingHandler::ticketOf(const ExecutionId execution, const Attempt &attempt) const
+{
+    const protocol::CallRequest &request = attempt.request;
+    const manifest::KindSpec *const kind = m_surroundings.manifest == nullptr ? nullptr : m_surroundings.manifest->findKind(request.service, request.kind);
+    return {
         .execution = execution,
         .root = request.root,
+        .kind = request.kind,
+        .cost = kind == nullptr ? Duration{} : Duration{kind->cost},
         .rank = request.rank,
         .isInner = request.depth > 0,
-        .arrived = now,
+        .arrived = attempt.arrived,
         .deadline = attempt.deadline,
     };
-    m_byOrigin.emplace(origin, execution);
-    m_attempts.emplace(execution, std::move(attempt));
-    apply(m_gate->offer(ticket, now), now);
 }
 
 void ServingHandler::handleCancel(const DaemonId &from, const Incarnation incarnation, const CallId call, const SteadyTime now)
@@ -139,6 +153,11 @@
     }
 }
 
+void ServingHandler::setService(const manifest::ServiceSpec &service)
+{
+    m_gate->setQueueTarget(service.queueTarget);
+}
+
 void ServingHandler::drain()
 {
     m_isDraining = true;
@@ -256,16 +275,17 @@
     }
     recordSpan(attempt, answer, now);
     const Origin origin = attempt.origin;
+    const protocol::CallRequest request = std::move(found->second.request);
     m_byOrigin.erase(origin);
     m_attempts.erase(found);
-    send(origin, std::move(answer), now);
+    send(origin, request, std::move(answer), now);
 }
 
 void ServingHandler::refuse(const ExecutionId execution, const admission::GateRefusal &refusal, const SteadyTime now)
 {
     protocol::CallAnswer refused;
     refused.verdict = Verdict::notRun;
-    refused.refusal = m_surroundings.refuse(refusal.reason, refusal.rule, refusal.figures);
+    refused.refusal = m_surroundings.refuse(refusal.reason, refusal.rule, refusal.figures, refusal.retryAfter);
     refused.status = account::httpStatus(refusal.reason);
     answer(execution, std::move(refused), now);
 }
@@ -274,18 +294,21 @@
 {
     protocol::CallAnswer refused;
     refused.verdict = Verdict::notRun;
-    refused.refusal = m_surroundings.refuse(refusal.reason, refusal.rule, refusal.figures);
+    refused.refusal = m_surroundings.refuse(refusal.reason, refusal.rule, refusal.figures, refusal.retryAfter);
     refused.status = account::httpStatus(refusal.reason);
     refused.attemptsReturned = request.attemptsLent;
-    send(origin, std::move(refused), now);
+    send(origin, request, std::move(refused), now);
 }
 
-void ServingHandler::send(const Origin &origin, protocol::CallAnswer answer, const SteadyTime now)
+void ServingHandler::send(const Origin &origin, const protocol::CallRequest &request, protocol::CallAnswer answer, const SteadyTime now)
 {
     const auto &[daemon, incarnation, call] = origin;
     answer.call = call;
     answer.receiver = incarnation;
     answer.load = load(now);
+    const admission::NotedLevel below = m_surroundings.entryControl->levelBelow(request.service, request.kind, now);
+    answer.chainLevel = below.level;
+    answer.chainLevelAge = now - below.at;
     // The way back is the connection that the request came by, so an unknown endpoint does not matter.
     m_surroundings.actions.emplace_back(SendToPeer{.to = daemon, .endpoint = {}, .message = std::move(answer)});
 }
--- a/src/egretlatch/decision/serving_handler.hpp
+++ b/src/egretlatch/decision/serving_handler.hpp
@@ -74,6 +74,12 @@
      */
     void setServer(int slots);
 
+    /**
+     * @brief Takes the declaration of the backend server's service.
+     * @param service The declaration.
+     */
+    void setService(const manifest::ServiceSpec &service);
+
     /*! @brief Refuses all new attempts from now on; what runs or waits goes on. */
     void drain();
 
@@ -129,7 +135,8 @@
     void answer(ExecutionId execution, protocol::CallAnswer answer, SteadyTime now);
     void refuse(ExecutionId execution, const admission::GateRefusal &refusal, SteadyTime now);
     void refuseAtOnce(const Origin &origin, const protocol::CallRequest &request, const admission::GateRefusal &refusal, SteadyTime now);
-    void send(const Origin &origin, protocol::CallAnswer answer, SteadyTime now);
+    void send(const Origin &origin, const protocol::CallRequest &request, protocol::CallAnswer answer, SteadyTime now);
+    [[nodiscard]] admission::Ticket ticketOf(ExecutionId execution, const Attempt &attempt) const;
     void recordSpan(const Attempt &attempt, const protocol::CallAnswer &answer, SteadyTime now);
     void abandonExpired(SteadyTime now);
     void abandon(ExecutionId execution, SteadyTime now);
--- a/src/egretlatch/protocol/codec.cpp
+++ b/src/egretlatch/protocol/codec.cpp
@@ -130,13 +130,24 @@
     return refusal;
 }
 
+static void write(const admission::Level &level, wire::Level &wire)
+{
+    wire.set_priority(level.priority);
+    wire.set_density(level.density);
+    wire.set_fraction(level.fraction);
+}
+
+[[nodiscard]] static admission::Level read(const wire::Level &wire)
+{
+    return {.priority = wire.priority(), .density = wire.density(), .fraction = wire.fraction()};
+}
+
 static void write(const admission::LoadReport &load, wire::Load &wire)
 {
     wire.set_in_flight(load.inFlight);
     wire.set_limit(load.limit);
     wire.set_queued(load.queued);
-    wire.mutable_level()->set_priority(load.level.priority);
-    wire.mutable_level()->set_fraction(load.level.fraction);
+    write(load.level, *wire.mutable_level());
     wire.set_queue_delay_ns(load.queueDelay.count());
     wire.set_draining(load.draining);
 }
@@ -147,7 +158,7 @@
         .inFlight = wire.in_flight(),
         .limit = wire.limit(),
         .queued = wire.queued(),
-        .level = {.priority = wire.level().priority(), .fraction = wire.level().fraction()},
+        .level = read(wire.level()),
         .queueDelay = toDuration(wire.queue_delay_ns()),
         .draining = wire.draining(),
     };
@@ -189,6 +200,8 @@
     write(answer.load, *wire.mutable_load());
     wire.set_attempts_returned(answer.attemptsReturned);
     wire.set_slot_time_ns(answer.slotTime.count());
+    write(answer.chainLevel, *wire.mutable_chain_level());
+    wire.set_chain_level_age_ns(answer.chainLevelAge.count());
 }
 
 [[nodiscard]] static Result<Message> read(const wire::CallAnswer &wire)
@@ -210,6 +223,8 @@
     answer.load = read(wire.load());
     answer.attemptsReturned = wire.attempts_returned();
     answer.slotTime = toDuration(wire.slot_time_ns());
+    answer.chainLevel = read(wire.chain_level());
+    answer.chainLevelAge = toDuration(wire.chain_level_age_ns());
     return answer;
 }
 
--- a/src/egretlatch/protocol/messages.hpp
+++ b/src/egretlatch/protocol/messages.hpp
@@ -66,6 +66,10 @@
     int attemptsReturned{};
     /*! @brief Slot time that the run and its inner calls took. */
     Duration slotTime{};
+    /*! @brief Highest level that calls of this kind meet at the services further down. */
+    admission::Level chainLevel;
+    /*! @brief Time since that level stood, summed over the daemons that passed it on. */
+    Duration chainLevelAge{};
 
     friend bool operator==(const CallAnswer &, const CallAnswer &) = default;
 };
--- /dev/null
+++ b/src/egretlatch/routing/adaptive_router.cpp
@@ -0,0 +1,204 @@
+#include <egretlatch/routing/adaptive_router.hpp>
+
+#include <algorithm>
+
+#include <egretlatch/routing/subset.hpp>
+
+namespace egretlatch::routing
+{
+
+namespace internal
+{
+
+constexpr std::size_t subsetSize = 16;
+// Load of the nearer server from which a further one is considered: the next call would take its last slot.
+constexpr double spillLoad = 1.0;
+// A further server must be emptier by this much to be worth the way.
+constexpr double spillMargin = 0.25;
+constexpr double outlierShare = 0.5;
+constexpr double outlierOverPeers = 0.3;
+constexpr int samplesInLatency = 20;
+constexpr int hangFactor = 3;
+constexpr std::chrono::milliseconds shortestHang{50};
+// A daemon that has just started learns of servers one by one; none of them is cold for that.
+constexpr std::chrono::seconds learningTime{5};
+
+} // namespace internal
+
+AdaptiveRouter::AdaptiveRouter(RandomSource &random)
+    : m_random{random}
+{
+}
+
+void AdaptiveRouter::setMembers(const std::vector<membership::Member> &members, const SteadyTime now)
+{
+    if (members.empty()) {
+        return;
+    }
+    const membership::Member &self = members.front();
+    m_startedAt = m_startedAt.value_or(now);
+    for (auto &[id, server] : m_servers) {
+        server.isServing = false;
+    }
+    std::map<std::string, std::vector<DaemonId>> near;
+    std::map<std::string, std::vector<DaemonId>> far;
+    for (const membership::Member &member : members) {
+        if (member.state == membership::MemberState::serving) {
+            takeMember(member, self.dataCentre, now);
+            (member.dataCentre == self.dataCentre ? near : far)[member.service].push_back(member.id);
+        }
+    }
+    std::erase_if(m_servers, [](const auto &entry) {
+        return !entry.second.isServing && entry.second.record.inFlight() == 0;
+    });
+    for (auto &[name, service] : m_services) {
+        service.servers.clear();
+    }
+    // Near and far servers have subsets of their own, so that there is always somewhere to spill to.
+    for (auto *const group : {&near, &far}) {
+        for (auto &[service, ids] : *group) {
+            const std::vector<DaemonId> subset = subsetOf(self.id, std::move(ids), internal::subsetSize);
+            std::vector<DaemonId> &servers = m_services[service].servers;
+            servers.insert(servers.end(), subset.begin(), subset.end());
+        }
+    }
+}
+
+void AdaptiveRouter::takeMember(const membership::Member &member, const std::string &ownDataCentre, const SteadyTime now)
+{
+    const auto found = m_servers.find(member.id);
+    if (found != m_servers.end() && found->second.incarnation == member.incarnation && found->second.service == member.service) {
+        found->second.isNear = member.dataCentre == ownDataCentre;
+        found->second.isServing = true;
+        found->second.record.setSlots(member.slots);
+        return;
+    }
+    const auto service = m_services.find(member.service);
+    const bool hasPeers = service != m_services.end() && !service->second.servers.empty();
+    const bool isCold = hasPeers && now - *m_startedAt > internal::learningTime;
+    Server server{
+        .incarnation = member.incarnation,
+        .service = member.service,
+        .isNear = member.dataCentre == ownDataCentre,
+        .isServing = true,
+        .record = ServerRecord{member.slots, now, isCold},
+    };
+    m_servers.insert_or_assign(member.id, std::move(server));
+}
+
+std::optional<DaemonId> AdaptiveRouter::choose(const RouteRequest &request, const SteadyTime now)
+{
+    const auto service = m_services.find(request.service);
+    if (service == m_services.end()) {
+        return std::nullopt;
+    }
+    const std::vector<DaemonId> candidates = candidatesOf(service->second, request, now);
+    std::vector<DaemonId> near;
+    std::vector<DaemonId> far;
+    for (const DaemonId &id : candidates) {
+        (m_servers.at(id).isNear ? near : far).push_back(id);
+    }
+    const DaemonId *chosen = betterOfTwo(near, now);
+    const double nearLoad = chosen == nullptr ? 0.0 : m_servers.at(*chosen).record.load(now);
+    if (chosen == nullptr || nearLoad >= internal::spillLoad) {
+        const DaemonId *const further = betterOfTwo(far, now);
+        if (further != nullptr && (chosen == nullptr || m_servers.at(*further).record.load(now) + internal::spillMargin < nearLoad)) {
+            chosen = further;
+        }
+    }
+    if (chosen == nullptr) {
+        return std::nullopt;
+    }
+    m_servers.at(*chosen).record.begin(request.deadline);
+    return *chosen;
+}
+
+std::vector<DaemonId> AdaptiveRouter::candidatesOf(const Service &service, const RouteRequest &request, const SteadyTime now)
+{
+    std::vector<DaemonId> healthy;
+    std::vector<DaemonId> all;
+    for (const DaemonId &id : service.servers) {
+        if (request.excluded.contains(id)) {
+            continue;
+        }
+        ServerRecord &record = m_servers.at(id).record;
+        record.expire(now);
+        all.push_back(id);
+        if (!record.isEjected(now)) {
+            healthy.push_back(id);
+        }
+    }
+    return healthy.empty() ? all : healthy;
+}
+
+const DaemonId *AdaptiveRouter::betterOfTwo(const std::vector<DaemonId> &candidates, const SteadyTime now)
+{
+    if (candidates.empty()) {
+        return nullptr;
+    }
+    const std::size_t first = m_random.below(candidates.size());
+    const std::size_t step = candidates.size() == 1 ? 0 : 1 + m_random.below(candidates.size() - 1);
+    const std::size_t second = (first + step) % candidates.size();
+    const double firstLoad = m_servers.at(candidates[first]).record.load(now);
+    const double secondLoad = m_servers.at(candidates[second]).record.load(now);
+    return secondLoad < firstLoad ? &candidates[second] : &candidates[first];
+}
+
+void AdaptiveRouter::noteResult(const DaemonId &daemon, const AttemptResult &result, const SteadyTime now)
+{
+    const auto found = m_servers.find(daemon);
+    if (found == m_servers.end()) {
+        return;
+    }
+    Service &service = m_services[found->second.service];
+    if (result.outcome == AttemptOutcome::answered) {
+        service.usualLatency += (result.latency - service.usualLatency) / internal::samplesInLatency;
+    }
+    found->second.record.end(result, isFailure(service, result), now);
+    ejectOutlier(service, daemon, now);
+}
+
+bool AdaptiveRouter::isFailure(const Service &service, const AttemptResult &result) const
+{
+    switch (result.outcome) {
+    case AttemptOutcome::failed:
+    case AttemptOutcome::lost:
+        return true;
+    case AttemptOutcome::abandoned:
+        // Callers with short timeouts hide a server that hangs: its attempts end early and it would look idle.
+        return result.latency > std::max<Duration>(internal::hangFactor * service.usualLatency, internal::shortestHang);
+    case AttemptOutcome::answered:
+    case AttemptOutcome::refused:
+        break;
+    }
+    return false;
+}
+
+void AdaptiveRouter::ejectOutlier(const Service &service, const DaemonId &daemon, const SteadyTime now)
+{
+    ServerRecord &record = m_servers.at(daemon).record;
+    const double share = record.failureShare(now);
+    if (share < internal::outlierShare || record.isEjected(now)) {
+        return;
+    }
+    // When all servers of a service fail, the cause is elsewhere, as in a service further down, and taking servers out
+    // would only make the rest fuller. So a server is judged against its peers, and half of them always stay.
+    std::size_t peers = 0;
+    std::size_t ejected = 0;
+    double peerShares = 0.0;
+    for (const DaemonId &id : service.servers) {
+        if (id == daemon) {
+            continue;
+        }
+        const ServerRecord &peer = m_servers.at(id).record;
+        ejected += peer.isEjected(now) ? 1 : 0;
+        peerShares += peer.failureShare(now);
+        ++peers;
+    }
+    const bool isOutlier = peers > 0 && share > peerShares / static_cast<double>(peers) + internal::outlierOverPeers;
+    if (isOutlier && 2 * (ejected + 1) <= peers + 1) {
+        record.eject(now);
+    }
+}
+
+} // namespace egretlatch::routing
--- /dev/null
+++ b/src/egretlatch/routing/adaptive_router.hpp
@@ -0,0 +1,63 @@
+#ifndef EGRETLATCH_ROUTING_ADAPTIVE_ROUTER_HPP
+#define EGRETLATCH_ROUTING_ADAPTIVE_ROUTER_HPP
+
+#include <map>
+
+#include <egretlatch/core/random_source.hpp>
+#include <egretlatch/routing/router.hpp>
+#include <egretlatch/routing/server_record.hpp>
+
+namespace egretlatch::routing
+{
+
+/**
+ * @brief The router of the whole design.
+ *
+ * Takes the less loaded of two random servers of the daemon's own data centre; where that one is nearly full, the best of
+ * two further away may have the call. Servers that fail more than their peers are taken out and tried again gently.
+ */
+class AdaptiveRouter final : public Router
+{
+public:
+    /**
+     * @brief Builds a router.
+     * @param random Source of the random choices; must outlive the router.
+     */
+    explicit AdaptiveRouter(RandomSource &random);
+
+    void setMembers(const std::vector<membership::Member> &members, SteadyTime now) override;
+    [[nodiscard]] std::optional<DaemonId> choose(const RouteRequest &request, SteadyTime now) override;
+    void noteResult(const DaemonId &daemon, const AttemptResult &result, SteadyTime now) override;
+
+private:
+    struct Server
+    {
+        Incarnation incarnation;
+        std::string service;
+        bool isNear{};
+        bool isServing{};
+        ServerRecord record;
+    };
+
+    struct Service
+    {
+        std::vector<DaemonId> servers;
+        /*! @brief Usual time to an answer. */
+        Duration usualLatency{};
+    };
+
+    [[nodiscard]] std::vector<DaemonId> candidatesOf(const Service &service, const RouteRequest &request, SteadyTime now);
+    [[nodiscard]] const DaemonId *betterOfTwo(const std::vector<DaemonId> &candidates, SteadyTime now);
+    [[nodiscard]] bool isFailure(const Service &service, const AttemptResult &result) const;
+    void ejectOutlier(const Service &service, const DaemonId &daemon, SteadyTime now);
+    void takeMember(const membership::Member &member, const std::string &ownDataCentre, SteadyTime now);
+
+    RandomSource &m_random;
+    std::map<DaemonId, Server> m_servers;
+    std::map<std::string, Service> m_services;
+    std::optional<SteadyTime> m_startedAt;
+};
+
+} // namespace egretlatch::routing
+
+#endif
--- a/src/egretlatch/routing/fwd.hpp
+++ b/src/egretlatch/routing/fwd.hpp
@@ -10,7 +10,9 @@
 struct AttemptResult;
 
 class Router;
+class AdaptiveRouter;
 class LeastLoadedRouter;
+class ServerRecord;
 
 } // namespace egretlatch::routing
 
--- a/src/egretlatch/routing/router.hpp
+++ b/src/egretlatch/routing/router.hpp
@@ -22,6 +22,8 @@
     Uuid root;
     /*! @brief Daemons that this call has already been tried at. */
     std::set<DaemonId> excluded;
+    /*! @brief When nobody waits for the call any more. */
+    SteadyTime deadline;
 };
 
 /*! @brief How an attempt at a serving daemon ended. */
@@ -33,6 +35,8 @@
     refused,
     /*! @brief No answer came: the daemon or its backend server is down or cut off. */
     lost,
+    /*! @brief The caller went away before the answer. */
+    abandoned,
 };
 
 /*! @brief What an attempt shows of the server it was made at. */
@@ -53,7 +57,7 @@
 
     /**
      * @brief Takes the members that are known now.
-     * @param members All members, in any state.
+     * @param members All members, in any state, this daemon first.
      * @param now Current time.
      */
     virtual void setMembers(const std::vector<membership::Member> &members, SteadyTime now) = 0;
