--- a/src/egretlatch/decision/serving_handler.hpp
+++ b/src/egretlatch/decision/serving_handler.hpp
@@ -139,7 +139,7 @@
     [[nodiscard]] admission::Ticket ticketOf(ExecutionId execution, const Attempt &attempt) const;
     void recordSpan(const Attempt &attempt, const protocol::CallAnswer &answer, SteadyTime now);
     void abandonExpired(SteadyTime now);
-    void abandon(ExecutionId execution, SteadyTime now);
+    void abandon(ExecutionId execution, account::RefusalReason reason, SteadyTime now);
     [[nodiscard]] std::string tokenOf(ExecutionId execution) const;
 
     Surroundings &m_surroundings;
