Level cuts only classes that wait themselves; an expired attempt is given up once

Change: the list is checked again for each attempt. The level no longer cuts a class that hardly waits for a queue of lower ones.

--- a/src/egretlatch/admission/adaptive_gate.cpp
+++ b/src/egretlatch/admission/adaptive_gate.cpp
@@ -208,7 +208,7 @@
 
 void AdaptiveGate::moveLevel(const SteadyTime now)
 {
-    m_level.update({.drainTime = drainTime(), .target = aimedDrainTime(), .limit = m_limit.value()}, now);
+    m_level.update({.line = m_waiting, .target = aimedDrainTime(), .limit = m_limit.value()}, now);
 }
 
 } // namespace egretlatch::admission
--- a/src/egretlatch/admission/level_control.cpp
+++ b/src/egretlatch/admission/level_control.cpp
@@ -74,12 +74,12 @@
     }
     m_lastStep = now;
     forgetIdle(now);
-    const double queue = pressure.target > Duration{} ? internal::secondsOf(pressure.drainTime) / internal::secondsOf(pressure.target) : 0.0;
+    const double queue = pressure.of(pressure.line.work());
     if (queue > 1.0) {
         const double cut = std::min(internal::cutForQueue * (queue - 1.0), internal::widestCutForQueue);
         const double excess = admittedDemand(now) - pressure.limit * (internal::fullUse - cut);
         if (excess > 0.0) {
-            raise(excess, now);
+            raise(excess, pressure, now);
         }
         m_openStep = internal::firstOpening;
         m_lastOpening = now;
@@ -93,7 +93,7 @@
     }
 }
 
-void LevelControl::raise(double excess, const SteadyTime now)
+void LevelControl::raise(double excess, const Pressure &pressure, const SteadyTime now)
 {
     for (auto &[rankClass, demand] : m_demand) {
         if (rankClass < m_level.rankClass() || demand.rate <= 0.0) {
@@ -106,7 +106,8 @@
         demand.rate -= cut;
         demand.updated = now;
         excess -= cut;
-        if (excess <= 0.0) {
+        // A class that itself hardly waits is not cut for a queue of lower ones: those give way to it in the queue.
+        if (excess <= 0.0 || pressure.of(pressure.line.workAbove(rankClass)) <= 1.0) {
             return;
         }
     }
--- a/src/egretlatch/admission/level_control.hpp
+++ b/src/egretlatch/admission/level_control.hpp
@@ -1,9 +1,11 @@
 #ifndef EGRETLATCH_ADMISSION_LEVEL_CONTROL_HPP
 #define EGRETLATCH_ADMISSION_LEVEL_CONTROL_HPP
 
+#include <algorithm>
 #include <map>
 
 #include <egretlatch/admission/rank.hpp>
+#include <egretlatch/admission/waiting_line.hpp>
 #include <egretlatch/core/clock.hpp>
 
 namespace egretlatch::admission
@@ -12,14 +14,21 @@
 /*! @brief What a gate sees of its load at one moment. */
 struct Pressure
 {
-    /*! @brief Time until the queue has drained, as it is now. */
-    Duration drainTime{};
-    /*! @brief Drain time that is aimed at. */
+    const WaitingLine &line;
+    /*! @brief Time in which the line should drain. */
     Duration target{};
     /*! @brief Requests run at a time. */
     int limit{};
 
-    friend bool operator==(const Pressure &, const Pressure &) = default;
+    /**
+     * @brief Gives how much too long it takes until some work has drained.
+     * @param work Slot time.
+     * @return 1 where it takes the time that is aimed at.
+     */
+    [[nodiscard]] double of(const Duration work) const
+    {
+        return std::chrono::duration<double>(work) / std::chrono::duration<double>(target) / std::max(1, limit);
+    }
 };
 
 /**
@@ -65,7 +74,7 @@
     void decay(Demand &demand, SteadyTime now) const;
     [[nodiscard]] double admittedDemand(SteadyTime now);
     [[nodiscard]] Duration stepInterval() const;
-    void raise(double excess, SteadyTime now);
+    void raise(double excess, const Pressure &pressure, SteadyTime now);
     void lower(double share);
     void forgetIdle(SteadyTime now);
 
--- a/src/egretlatch/admission/waiting_line.cpp
+++ b/src/egretlatch/admission/waiting_line.cpp
@@ -32,6 +32,11 @@
     return take(group, newestFirst ? std::prev(group->second.end()) : group->second.begin());
 }
 
+const RankClass &WaitingLine::bestClass() const
+{
+    return m_groups.begin()->first.rankClass;
+}
+
 const Waiting &WaitingLine::worst() const
 {
     return m_groups.rbegin()->second.front();
@@ -54,6 +59,20 @@
     return true;
 }
 
+Duration WaitingLine::workAbove(const RankClass &rankClass) const
+{
+    Duration work{};
+    for (const auto &[group, queue] : m_groups) {
+        if (group.rankClass <= rankClass) {
+            break;
+        }
+        for (const Waiting &waiting : queue) {
+            work += waiting.expected;
+        }
+    }
+    return work;
+}
+
 SteadyTime WaitingLine::oldestArrival(const SteadyTime now) const
 {
     SteadyTime oldest = now;
--- a/src/egretlatch/admission/waiting_line.hpp
+++ b/src/egretlatch/admission/waiting_line.hpp
@@ -42,6 +42,12 @@
      */
     [[nodiscard]] Waiting popBest(bool newestFirst);
 
+    /**
+     * @brief Gives the class of the most valuable request.
+     * @return The class; the line must not be empty.
+     */
+    [[nodiscard]] const RankClass &bestClass() const;
+
     /**
      * @brief Gives the least valuable request, the oldest of the equals.
      * @return The request; the line must not be empty.
@@ -88,6 +94,13 @@
         return m_work;
     }
 
+    /**
+     * @brief Gives the slot time that the requests of higher classes are expected to take.
+     * @param rankClass The class.
+     * @return The sum over all requests above the class.
+     */
+    [[nodiscard]] Duration workAbove(const RankClass &rankClass) const;
+
     /**
      * @brief Gives the time at which the request that waits longest came.
      * @param now Returned for an empty line.
--- a/src/egretlatch/decision/serving_handler.cpp
+++ b/src/egretlatch/decision/serving_handler.cpp
@@ -343,7 +343,10 @@
         }
     }
     for (const ExecutionId execution : expired) {
-        abandon(execution, account::RefusalReason::deadlinePassed, now);
+        // Giving one up frees its slot, and the gate may then refuse another of the list, which is gone by its turn.
+        if (m_attempts.contains(execution)) {
+            abandon(execution, account::RefusalReason::deadlinePassed, now);
+        }
     }
 }
 
