--- a/src/egretlatch/admission/adaptive_gate.cpp
+++ b/src/egretlatch/admission/adaptive_gate.cpp
@@ -33,7 +33,7 @@
         return release;
     }
     const Duration expected = m_estimator.expected(ticket.kind, ticket.cost);
-    m_level.noteArrival(ticket.rank, ticket.root, expected, now);
+    m_level.noteArrival(ticket, expected, now);
     m_waiting.push({.ticket = ticket, .expected = expected});
     startWaiting(now, release);
     shedExcess(&ticket, now, release);
@@ -149,13 +149,12 @@
 GateRefusal AdaptiveGate::refusalOf(const Waiting &waiting, const bool hasJustArrived, const SteadyTime now) const
 {
     const Ticket &ticket = waiting.ticket;
-    const RankClass rankClass = classOf(ticket.rank);
     return {
         .execution = ticket.execution,
         .reason = hasJustArrived ? account::RefusalReason::overloadAtServer : account::RefusalReason::overloadInQueue,
         .rule = hasJustArrived ? "the queue is full of requests that go first" : "gave way in the queue to requests that go first",
-        .figures = {{.name = "priority", .value = static_cast<double>(rankClass.priority)},
-                    {.name = "densityClass", .value = static_cast<double>(rankClass.density)},
+        .figures = {{.name = "priority", .value = static_cast<double>(ticket.rankClass.priority)},
+                    {.name = "densityClass", .value = static_cast<double>(ticket.rankClass.density)},
                     {.name = "waitedMs", .value = internal::millisecondsOf(now - ticket.arrived)},
                     {.name = "queued", .value = static_cast<double>(m_waiting.size() + 1)},
                     {.name = "queueDrainMs", .value = internal::millisecondsOf(drainTime())},
@@ -169,7 +168,7 @@
 std::chrono::milliseconds AdaptiveGate::retryAfter(const Ticket &ticket) const
 {
     const auto drain = std::chrono::duration_cast<std::chrono::milliseconds>(drainTime());
-    const bool isBelow = !admits(m_level.level(), ticket.rank, ticket.root);
+    const bool isBelow = !admits(m_level.level(), ticket.rankClass, ticket.root);
     return std::max(isBelow ? internal::retryAfterBelowLevel : internal::shortestRetryAfter, drain);
 }
 
--- a/src/egretlatch/admission/chain_costs.cpp
+++ b/src/egretlatch/admission/chain_costs.cpp
@@ -5,33 +5,18 @@
 namespace egretlatch::admission
 {
 
-namespace internal
-{
-
-constexpr double weightOfSample = 0.02;
-constexpr double smallestCorrection = 0.1;
-constexpr double largestCorrection = 100.0;
-
-[[nodiscard]] static double bottleneckOf(const manifest::Manifest &manifest, const std::map<std::string, Duration> &byService)
-{
-    double most = 0.0;
-    for (const auto &[name, slotTime] : byService) {
-        const manifest::ServiceSpec *const service = manifest.findService(name);
-        const int slots = service == nullptr ? 1 : std::max(1, service->slots);
-        most = std::max(most, std::chrono::duration<double>(slotTime).count() / slots);
-    }
-    return most;
-}
-
-} // namespace internal
-
 void ChainCosts::setManifest(const manifest::Manifest &manifest)
 {
     m_chains.clear();
+    m_below.clear();
     for (const manifest::ServiceSpec &service : manifest.services()) {
         for (const manifest::KindSpec &kind : service.kinds) {
             std::set<KindName> open;
-            chainOf(manifest, {service.name, kind.name}, open);
+            for (const auto &[stop, held] : chainOf(manifest, {service.name, kind.name}, open).stops) {
+                if (stop != service.name) {
+                    m_below[service.name].insert(stop);
+                }
+            }
         }
     }
 }
@@ -49,51 +34,37 @@
         return nothing;
     }
     Chain chain;
-    chain.worth = kind->worth;
     chain.held = kind->cost;
     for (const manifest::InnerCall &call : kind->calls) {
         const Chain &callee = chainOf(manifest, {call.service, call.kind}, open);
         chain.held += call.count * callee.held;
-        chain.total += call.count * callee.total;
-        for (const auto &[service, slotTime] : callee.byService) {
-            chain.byService[service] += call.count * slotTime;
+        for (const auto &[service, held] : callee.stops) {
+            chain.stops[service] = std::max(chain.stops[service], held);
         }
-        chain.below.insert(call.service);
-        chain.below.insert(callee.below.begin(), callee.below.end());
     }
-    chain.total += chain.held;
-    chain.byService[name.first] += chain.held;
-    chain.bottleneck = internal::bottleneckOf(manifest, chain.byService);
+    chain.stops[name.first] = std::max(chain.stops[name.first], chain.held);
     open.erase(name);
     return m_chains.insert_or_assign(name, std::move(chain)).first->second;
 }
 
-void ChainCosts::observe(const std::string &service, const std::string &kind, const Duration slotTime)
+Duration ChainCosts::held(const std::string &service, const std::string &kind) const
 {
     const auto found = m_chains.find({service, kind});
-    if (found == m_chains.end() || found->second.total <= Duration{}) {
-        return;
-    }
-    Chain &chain = found->second;
-    const double ratio = std::chrono::duration<double>(slotTime) / std::chrono::duration<double>(chain.total);
-    const double sample = std::clamp(ratio, internal::smallestCorrection, internal::largestCorrection);
-    chain.correction += internal::weightOfSample * (sample - chain.correction);
+    return found == m_chains.end() ? Duration{} : found->second.held;
 }
 
-double ChainCosts::worthDensity(const std::string &service, const std::string &kind) const
+const ChainCosts::Stops &ChainCosts::stops(const std::string &service, const std::string &kind) const
 {
+    static const Stops none;
     const auto found = m_chains.find({service, kind});
-    if (found == m_chains.end() || found->second.bottleneck <= 0.0) {
-        return 0.0;
-    }
-    return found->second.worth / (found->second.bottleneck * found->second.correction);
+    return found == m_chains.end() ? none : found->second.stops;
 }
 
-const std::set<std::string> &ChainCosts::servicesBelow(const std::string &service, const std::string &kind) const
+const std::set<std::string> &ChainCosts::servicesBelow(const std::string &service) const
 {
     static const std::set<std::string> none;
-    const auto found = m_chains.find({service, kind});
-    return found == m_chains.end() ? none : found->second.below;
+    const auto found = m_below.find(service);
+    return found == m_below.end() ? none : found->second;
 }
 
 } // namespace egretlatch::admission
--- a/src/egretlatch/admission/chain_costs.hpp
+++ b/src/egretlatch/admission/chain_costs.hpp
@@ -13,65 +13,58 @@
 {
 
 /**
- * @brief What one request of each kind costs over its whole chain.
+ * @brief What one request of each kind costs at the services down its chain, as declared.
  *
- * A run holds its slot while its inner calls run, so a kind's slot time at its own service has its callees' in it.
+ * A run holds its slot while its inner calls run, so the time that it holds has theirs in it.
  */
 class ChainCosts
 {
 public:
+    /*! @brief Longest time for which one call of a chain holds a slot, by service. */
+    using Stops = std::map<std::string, Duration>;
+
     /**
-     * @brief Works out the declared costs.
+     * @brief Works out the costs.
      * @param manifest The manifest in force.
      */
     void setManifest(const manifest::Manifest &manifest);
 
     /**
-     * @brief Takes what a call of a kind cost.
-     * @param service Service that was called.
-     * @param kind Kind that was called.
-     * @param slotTime Slot time of the call and all its inner calls.
+     * @brief Gives the time that a run holds a slot of its own service.
+     * @param service Service of the kind.
+     * @param kind Name of the kind.
+     * @return The time; zero for undeclared kinds.
      */
-    void observe(const std::string &service, const std::string &kind, Duration slotTime);
+    [[nodiscard]] Duration held(const std::string &service, const std::string &kind) const;
 
     /**
-     * @brief Gives a kind's worth for each second that it takes of a whole server of its bottleneck service.
+     * @brief Gives the services that a request of a kind holds slots of.
      * @param service Service of the kind.
      * @param kind Name of the kind.
-     * @return The density; zero for undeclared kinds.
+     * @return Its own service and those down its chain.
      */
-    [[nodiscard]] double worthDensity(const std::string &service, const std::string &kind) const;
+    [[nodiscard]] const Stops &stops(const std::string &service, const std::string &kind) const;
 
     /**
-     * @brief Gives the services that calls of a kind reach, its own left out.
-     * @param service Service of the kind.
-     * @param kind Name of the kind.
+     * @brief Gives the services that any kind of a service reaches, its own left out.
+     * @param service Name of the service.
      * @return Names of the services.
      */
-    [[nodiscard]] const std::set<std::string> &servicesBelow(const std::string &service, const std::string &kind) const;
+    [[nodiscard]] const std::set<std::string> &servicesBelow(const std::string &service) const;
 
 private:
     using KindName = std::pair<std::string, std::string>;
 
     struct Chain
     {
-        double worth{};
-        /*! @brief Time that a run holds its own slot. */
         Duration held{};
-        /*! @brief Slot time at all services together. */
-        Duration total{};
-        /*! @brief Slot time by service. */
-        std::map<std::string, Duration> byService;
-        std::set<std::string> below;
-        /*! @brief Server time at the bottleneck service, in seconds. */
-        double bottleneck{};
-        /*! @brief Observed total over declared total. */
-        double correction{1.0};
+        Stops stops;
     };
 
     const Chain &chainOf(const manifest::Manifest &manifest, const KindName &name, std::set<KindName> &open);
 
     std::map<KindName, Chain> m_chains;
+    std::map<std::string, std::set<std::string>> m_below;
 };
 
 } // namespace egretlatch::admission
--- a/src/egretlatch/admission/entry_control.hpp
+++ b/src/egretlatch/admission/entry_control.hpp
@@ -40,18 +40,23 @@
     friend bool operator==(const EntryRefusal &, const EntryRefusal &) = default;
 };
 
-/*! @brief What an answer tells of the service that gave it and of those further down. */
-struct ChainLoad
+/*! @brief What a serving daemon told of its own backend server. */
+struct ServerNews
 {
     std::string service;
-    /*! @brief Kind that was called. */
-    std::string kind;
     DaemonId daemon;
     LoadReport load;
-    /*! @brief Highest level that calls of this kind meet at the services further down, and when it stood. */
-    NotedLevel chainLevel;
 
-    friend bool operator==(const ChainLoad &, const ChainLoad &) = default;
+    friend bool operator==(const ServerNews &, const ServerNews &) = default;
+};
+
+/*! @brief What is known of a service as a whole. */
+struct ServiceNews
+{
+    std::string service;
+    NotedLevel noted;
+
+    friend bool operator==(const ServiceNews &, const ServiceNews &) = default;
 };
 
 /*! @brief Refuses roots at the entry that a service down their chain would refuse anyway. */
@@ -75,28 +80,35 @@
     [[nodiscard]] virtual Rank rankOf(const std::string &service, const std::string &kind) const = 0;
 
     /**
-     * @brief Notes what a serving daemon told with an answer.
-     * @param load What it told.
+     * @brief Gives the class that a request has at one service.
+     * @param service Service that is called.
+     * @param kind Kind that is called.
+     * @param rank Rank of the root.
+     * @return The class.
+     */
+    [[nodiscard]] virtual RankClass classAt(const std::string &service, const std::string &kind, const Rank &rank) const = 0;
+
+    /**
+     * @brief Notes what a serving daemon told of its own server.
+     * @param news What it told.
      * @param now Current time.
      */
-    virtual void noteLoad(const ChainLoad &load, SteadyTime now) = 0;
+    virtual void noteLoad(const ServerNews &news, SteadyTime now) = 0;
 
     /**
-     * @brief Notes the slot time that a completed call took, with all its inner calls.
-     * @param service Service that was called.
-     * @param kind Kind that was called.
-     * @param slotTime The slot time.
+     * @brief Notes what a daemon passed on of a service further down.
+     * @param teller The daemon.
+     * @param news What it told.
      */
-    virtual void noteSlotTime(const std::string &service, const std::string &kind, Duration slotTime) = 0;
+    virtual void noteLevel(const DaemonId &teller, const ServiceNews &news) = 0;
 
     /**
-     * @brief Gives the highest level that a kind's inner calls meet, as far as this daemon has been told.
-     * @param service Service of the kind.
-     * @param kind Name of the kind.
+     * @brief Gives what is to be passed on of the services further down.
+     * @param service Service whose callers are told.
      * @param now Current time.
-     * @return The level and when it stood; the lowest where nothing recent is known.
+     * @return What has been told lately.
      */
-    [[nodiscard]] virtual NotedLevel levelBelow(const std::string &service, const std::string &kind, SteadyTime now) = 0;
+    [[nodiscard]] virtual std::vector<ServiceNews> levelsBelow(const std::string &service, SteadyTime now) = 0;
 
     /**
      * @brief Decides about a root.
--- a/src/egretlatch/admission/gate.hpp
+++ b/src/egretlatch/admission/gate.hpp
@@ -22,7 +22,10 @@
     std::string kind;
     /*! @brief Slot time that the kind is declared to take. */
     Duration cost{};
-    Rank rank;
+    /*! @brief Class at this service. */
+    RankClass rankClass;
+    /*! @brief Slot time that has been spent on the root so far. */
+    Duration invested{};
     /*! @brief Whether another service's run makes this call, rather than a caller. */
     bool isInner{};
     SteadyTime arrived;
--- a/src/egretlatch/admission/level_control.cpp
+++ b/src/egretlatch/admission/level_control.cpp
@@ -32,11 +32,11 @@
 
 } // namespace internal
 
-void LevelControl::noteArrival(const Rank &rank, const Uuid &root, const Duration slotTime, const SteadyTime now)
+void LevelControl::noteArrival(const Ticket &ticket, const Duration slotTime, const SteadyTime now)
 {
-    m_underWay += (rank.invested - m_underWay) / internal::samplesInUnderWay;
-    const bool isAdmitted = admits(m_level, rank, root);
-    Demand &demand = m_demand[classOf(rank)];
+    m_underWay += (ticket.invested - m_underWay) / internal::samplesInUnderWay;
+    const bool isAdmitted = admits(m_level, ticket.rankClass, ticket.root);
+    Demand &demand = m_demand[ticket.rankClass];
     decay(demand, now);
     demand.lastArrival = now;
     if (isAdmitted) {
--- a/src/egretlatch/admission/level_control.hpp
+++ b/src/egretlatch/admission/level_control.hpp
@@ -43,12 +43,11 @@
 public:
     /**
      * @brief Counts a request that came to the gate, whatever becomes of it.
-     * @param rank Its rank.
-     * @param root Its root.
+     * @param ticket The request.
      * @param slotTime Slot time that it is expected to take.
      * @param now Current time.
      */
-    void noteArrival(const Rank &rank, const Uuid &root, Duration slotTime, SteadyTime now);
+    void noteArrival(const Ticket &ticket, Duration slotTime, SteadyTime now);
 
     /**
      * @brief Moves the level where a step is due.
--- a/src/egretlatch/admission/open_entry.cpp
+++ b/src/egretlatch/admission/open_entry.cpp
@@ -14,18 +14,23 @@
     if (spec == nullptr) {
         return {};
     }
-    return {.priority = spec->priority, .worthDensity = spec->worth, .invested = {}};
+    return {.priority = spec->priority, .worth = spec->worth, .invested = {}};
 }
 
-void OpenEntry::noteLoad(const ChainLoad & /*load*/, const SteadyTime /*now*/)
+RankClass OpenEntry::classAt(const std::string & /*service*/, const std::string & /*kind*/, const Rank &rank) const
 {
+    return {.priority = rank.priority, .density = 0};
 }
 
-void OpenEntry::noteSlotTime(const std::string & /*service*/, const std::string & /*kind*/, const Duration /*slotTime*/)
+void OpenEntry::noteLoad(const ServerNews & /*news*/, const SteadyTime /*now*/)
 {
 }
 
-NotedLevel OpenEntry::levelBelow(const std::string & /*service*/, const std::string & /*kind*/, const SteadyTime /*now*/)
+void OpenEntry::noteLevel(const DaemonId & /*teller*/, const ServiceNews & /*news*/)
+{
+}
+
+std::vector<ServiceNews> OpenEntry::levelsBelow(const std::string & /*service*/, const SteadyTime /*now*/)
 {
     return {};
 }
--- a/src/egretlatch/admission/priority_gate.cpp
+++ b/src/egretlatch/admission/priority_gate.cpp
@@ -14,7 +14,7 @@
 GateRelease PriorityGate::offer(const Ticket &ticket, const SteadyTime now)
 {
     GateRelease release;
-    m_waiting[ticket.rank.priority].push_back(ticket);
+    m_waiting[ticket.rankClass.priority].push_back(ticket);
     ++m_queued;
     startWaiting(now, release);
     if (m_queued > m_queueCapacity) {
--- a/src/egretlatch/admission/rank.hpp
+++ b/src/egretlatch/admission/rank.hpp
@@ -17,8 +17,8 @@
 {
     /*! @brief Priority of the root's kind, 0 to 9; higher is shed later. */
     int priority{};
-    /*! @brief Worth of the root per second of slot time that its whole chain needs. */
-    double worthDensity{};
+    /*! @brief What the root earns when it completes whole. */
+    double worth{};
     /*! @brief Slot time that has been spent on the root so far. */
     Duration invested{};
 
@@ -29,29 +29,32 @@
 struct RankClass
 {
     int priority{};
-    /*! @brief Worth density in steps of half an octave; 0 for requests that earn nothing. */
+    /*! @brief Worth for a second of slot time, in steps of half an octave; 0 for requests that earn nothing. */
     int density{};
 
     friend auto operator<=>(const RankClass &, const RankClass &) = default;
 };
 
 /**
- * @brief Gives the class of a rank.
+ * @brief Gives the class that a rank has at one service.
  *
- * The steps are coarse, so that kinds of nearly the same density are shed in shares of each rather than one after the
- * other, and so that a small change of an observed cost seldom moves a kind.
+ * It rests on the slot time that is needed there, so a root may be dense at one service and thin at another, and each
+ * service that is short of slots keeps the roots that make the most of its own. The steps are coarse, so that kinds of
+ * nearly the same density are shed in shares of each rather than one after the other.
  * @param rank The rank.
- * @return Its class.
+ * @param held Time that a run of the kind holds a slot of the service, as declared.
+ * @return The class.
  */
-[[nodiscard]] inline RankClass classOf(const Rank &rank) noexcept
+[[nodiscard]] inline RankClass classOf(const Rank &rank, const Duration held) noexcept
 {
     constexpr double stepsPerOctave = 2.0;
-    constexpr int middle = 32;
-    constexpr int highest = 63;
-    if (!(rank.worthDensity > 0.0)) {
+    constexpr double middle = 16.0;
+    constexpr double highest = 63.0;
+    if (!(rank.worth > 0.0) || held <= Duration{}) {
         return {.priority = rank.priority, .density = 0};
     }
-    const double steps = std::clamp(stepsPerOctave * std::log2(rank.worthDensity) + middle, 1.0, static_cast<double>(highest));
+    const double density = rank.worth / std::chrono::duration<double>(held).count();
+    const double steps = std::clamp(stepsPerOctave * std::log2(density) + middle, 1.0, highest);
     return {.priority = rank.priority, .density = static_cast<int>(std::lround(steps))};
 }
 
@@ -90,14 +93,13 @@
 
 /**
  * @brief Tells whether a level lets a request pass.
- * @param level The threshold.
- * @param rank Rank of the request.
+ * @param level The threshold of a service.
+ * @param rankClass Class of the request at that service.
  * @param root Root of the request.
  * @return True if it is admitted.
  */
-[[nodiscard]] inline bool admits(const Level &level, const Rank &rank, const Uuid &root) noexcept
+[[nodiscard]] inline bool admits(const Level &level, const RankClass &rankClass, const Uuid &root) noexcept
 {
-    const RankClass rankClass = classOf(rank);
     if (rankClass != level.rankClass()) {
         return rankClass > level.rankClass();
     }
--- a/src/egretlatch/admission/waiting_line.cpp
+++ b/src/egretlatch/admission/waiting_line.cpp
@@ -7,13 +7,12 @@
 
 WaitingLine::Group WaitingLine::groupOf(const Ticket &ticket)
 {
-    const RankClass rankClass = classOf(ticket.rank);
     if (!ticket.isInner) {
-        return {.rankClass = rankClass, .invested = 0};
+        return {.rankClass = ticket.rankClass, .invested = 0};
     }
     // Doublings rather than milliseconds: within a doubling the order of arrival decides.
-    const auto invested = std::chrono::duration_cast<std::chrono::milliseconds>(ticket.rank.invested).count();
-    return {.rankClass = rankClass, .invested = 1 + static_cast<int>(std::bit_width(static_cast<std::uint64_t>(std::max<std::int64_t>(invested, 0))))};
+    const auto invested = std::chrono::duration_cast<std::chrono::milliseconds>(ticket.invested).count();
+    return {.rankClass = ticket.rankClass, .invested = 1 + static_cast<int>(std::bit_width(static_cast<std::uint64_t>(std::max<std::int64_t>(invested, 0))))};
 }
 
 void WaitingLine::push(Waiting waiting)
--- a/src/egretlatch/admission/whole_chain_entry.cpp
+++ b/src/egretlatch/admission/whole_chain_entry.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+
 namespace egretlatch::admission
 {
 
@@ -12,12 +14,37 @@
 constexpr std::chrono::milliseconds retryAfterBelowClass{2000};
 constexpr std::chrono::milliseconds retryAfterSpread{1000};
 
-[[nodiscard]] static std::chrono::milliseconds retryAfter(const Level &level, const EntryRequest &request)
+/*! @brief A root that a service would refuse. */
+struct Obstacle
+{
+    const std::string &service;
+    RankClass rankClass;
+    NotedLevel noted;
+};
+
+[[nodiscard]] static std::chrono::milliseconds retryAfter(const Obstacle &obstacle, const Uuid &root)
 {
-    const bool isWithinClass = classOf(request.rank) == level.rankClass();
+    const bool isWithinClass = obstacle.rankClass == obstacle.noted.level.rankClass();
     const std::chrono::milliseconds shortest = isWithinClass ? retryAfterWithinClass : retryAfterBelowClass;
     // Callers that were refused together must not come back together.
-    return shortest + std::chrono::duration_cast<std::chrono::milliseconds>(placeOf(request.root) * retryAfterSpread);
+    return shortest + std::chrono::duration_cast<std::chrono::milliseconds>(placeOf(root) * retryAfterSpread);
+}
+
+[[nodiscard]] static EntryRefusal refusalOf(const Obstacle &obstacle, const Uuid &root, const SteadyTime now)
+{
+    const Level &level = obstacle.noted.level;
+    return {
+        .reason = account::RefusalReason::overloadAtEntry,
+        .rule = fmt::format("{} down the chain refuses requests of this rank", obstacle.service),
+        .figures = {{.name = "priority", .value = static_cast<double>(obstacle.rankClass.priority)},
+                    {.name = "densityClass", .value = static_cast<double>(obstacle.rankClass.density)},
+                    {.name = "place", .value = placeOf(root)},
+                    {.name = "levelPriority", .value = static_cast<double>(level.priority)},
+                    {.name = "levelDensityClass", .value = static_cast<double>(level.density)},
+                    {.name = "levelFraction", .value = level.fraction},
+                    {.name = "levelAgeMs", .value = std::chrono::duration<double, std::milli>(now - obstacle.noted.at).count()}},
+        .retryAfter = retryAfter(obstacle, root),
+    };
 }
 
 } // namespace internal
@@ -39,77 +66,57 @@
     if (spec == nullptr) {
         return {};
     }
-    return {.priority = spec->priority, .worthDensity = m_costs.worthDensity(service, kind), .invested = {}};
+    return {.priority = spec->priority, .worth = spec->worth, .invested = {}};
+}
+
+RankClass WholeChainEntry::classAt(const std::string &service, const std::string &kind, const Rank &rank) const
+{
+    return classOf(rank, m_costs.held(service, kind));
 }
 
-void WholeChainEntry::noteLoad(const ChainLoad &load, const SteadyTime now)
+void WholeChainEntry::noteLoad(const ServerNews &news, const SteadyTime now)
 {
     // An attempt that never left, and a daemon without a backend server, tell of no limit and so of no load.
-    if (load.load.limit <= 0) {
-        return;
+    if (news.load.limit > 0) {
+        m_notes[news.service].own.note(news.daemon, {.level = news.load.level, .at = now});
     }
-    m_services[load.service].note(load.daemon, {.level = load.load.level, .at = now});
-    m_chains[{load.service, load.kind}].note(load.daemon, load.chainLevel);
 }
 
-void WholeChainEntry::noteSlotTime(const std::string &service, const std::string &kind, const Duration slotTime)
+void WholeChainEntry::noteLevel(const DaemonId &teller, const ServiceNews &news)
 {
-    m_costs.observe(service, kind, slotTime);
+    m_notes[news.service].passedOn.note(teller, news.noted);
 }
 
-NotedLevel WholeChainEntry::levelBelow(const std::string &service, const std::string &kind, const SteadyTime now)
+std::vector<ServiceNews> WholeChainEntry::levelsBelow(const std::string &service, const SteadyTime now)
 {
-    const manifest::KindSpec *const spec = m_manifest == nullptr ? nullptr : m_manifest->findKind(service, kind);
-    NotedLevel worst{.level = {}, .at = now};
-    if (spec == nullptr) {
-        return worst;
-    }
-    for (const manifest::InnerCall &call : spec->calls) {
-        const NotedLevel candidate = worstLevel(call.service, call.kind, now);
-        if (worst.level < candidate.level) {
-            worst = candidate;
+    std::vector<ServiceNews> news;
+    for (const std::string &below : m_costs.servicesBelow(service)) {
+        const NotedLevel noted = levelOf(below, now);
+        if (noted.at != SteadyTime{}) {
+            news.push_back({.service = below, .noted = noted});
         }
     }
-    return worst;
+    return news;
 }
 
 std::optional<EntryRefusal> WholeChainEntry::check(const EntryRequest &request, const SteadyTime now)
 {
-    const NotedLevel worst = worstLevel(request.service, request.kind, now);
-    if (admits(worst.level, request.rank, request.root) || m_random.fraction() < probeChance(worst, now)) {
-        return std::nullopt;
+    for (const auto &[service, held] : m_costs.stops(request.service, request.kind)) {
+        const internal::Obstacle obstacle{.service = service, .rankClass = classOf(request.rank, held), .noted = levelOf(service, now)};
+        if (admits(obstacle.noted.level, obstacle.rankClass, request.root) || m_random.fraction() < probeChance(obstacle.noted, now)) {
+            continue;
+        }
+        return internal::refusalOf(obstacle, request.root, now);
     }
-    const RankClass rankClass = classOf(request.rank);
-    return EntryRefusal{
-        .reason = account::RefusalReason::overloadAtEntry,
-        .rule = "a service down the chain refuses requests of this rank",
-        .figures = {{.name = "priority", .value = static_cast<double>(rankClass.priority)},
-                    {.name = "densityClass", .value = static_cast<double>(rankClass.density)},
-                    {.name = "place", .value = placeOf(request.root)},
-                    {.name = "levelPriority", .value = static_cast<double>(worst.level.priority)},
-                    {.name = "levelDensityClass", .value = static_cast<double>(worst.level.density)},
-                    {.name = "levelFraction", .value = worst.level.fraction},
-                    {.name = "levelAgeMs", .value = std::chrono::duration<double, std::milli>(now - worst.at).count()}},
-        .retryAfter = internal::retryAfter(worst.level, request),
-    };
+    return std::nullopt;
 }
 
-NotedLevel WholeChainEntry::worstLevel(const std::string &service, const std::string &kind, const SteadyTime now)
+NotedLevel WholeChainEntry::levelOf(const std::string &service, const SteadyTime now)
 {
-    NotedLevel worst = m_services[service].aggregate(now);
-    const auto consider = [&worst](const NotedLevel &candidate) {
-        if (worst.level < candidate.level) {
-            worst = candidate;
-        }
-    };
-    consider(m_chains[{service, kind}].aggregate(now));
-    for (const std::string &below : m_costs.servicesBelow(service, kind)) {
-        const auto found = m_services.find(below);
-        if (found != m_services.end()) {
-            consider(found->second.aggregate(now));
-        }
-    }
-    return worst;
+    Notes &notes = m_notes[service];
+    const NotedLevel own = notes.own.aggregate(now);
+    const NotedLevel passedOn = notes.passedOn.aggregate(now);
+    return own.at >= passedOn.at ? own : passedOn;
 }
 
 } // namespace egretlatch::admission
--- a/src/egretlatch/admission/whole_chain_entry.hpp
+++ b/src/egretlatch/admission/whole_chain_entry.hpp
@@ -2,7 +2,6 @@
 #define EGRETLATCH_ADMISSION_WHOLE_CHAIN_ENTRY_HPP
 
 #include <map>
-#include <utility>
 
 #include <egretlatch/admission/chain_costs.hpp>
 #include <egretlatch/admission/entry_control.hpp>
@@ -13,7 +12,7 @@
 {
 
 /**
- * @brief Refuses a root at once where the highest level down its chain would refuse it.
+ * @brief Refuses a root at once where the level of a service down its chain would refuse it.
  *
  * A root that fails at the tenth service has held slots at nine. Its place within its class is the same on each daemon, so
  * one that passes here passes further down as long as the levels stand.
@@ -29,21 +28,27 @@
 
     void setManifest(std::shared_ptr<const manifest::Manifest> manifest) override;
     [[nodiscard]] Rank rankOf(const std::string &service, const std::string &kind) const override;
-    void noteLoad(const ChainLoad &load, SteadyTime now) override;
-    void noteSlotTime(const std::string &service, const std::string &kind, Duration slotTime) override;
-    [[nodiscard]] NotedLevel levelBelow(const std::string &service, const std::string &kind, SteadyTime now) override;
+    [[nodiscard]] RankClass classAt(const std::string &service, const std::string &kind, const Rank &rank) const override;
+    void noteLoad(const ServerNews &news, SteadyTime now) override;
+    void noteLevel(const DaemonId &teller, const ServiceNews &news) override;
+    [[nodiscard]] std::vector<ServiceNews> levelsBelow(const std::string &service, SteadyTime now) override;
     [[nodiscard]] std::optional<EntryRefusal> check(const EntryRequest &request, SteadyTime now) override;
 
 private:
-    [[nodiscard]] NotedLevel worstLevel(const std::string &service, const std::string &kind, SteadyTime now);
+    struct Notes
+    {
+        /*! @brief What its serving daemons told of themselves. */
+        LevelNotes own;
+        /*! @brief What the daemons between told of it. */
+        LevelNotes passedOn;
+    };
+
+    [[nodiscard]] NotedLevel levelOf(const std::string &service, SteadyTime now);
 
     RandomSource &m_random;
     std::shared_ptr<const manifest::Manifest> m_manifest;
     ChainCosts m_costs;
-    /*! @brief Levels of the gates themselves, by service. */
-    std::map<std::string, LevelNotes> m_services;
-    /*! @brief Levels further down, by service and kind that was called. */
-    std::map<std::pair<std::string, std::string>, LevelNotes> m_chains;
+    std::map<std::string, Notes> m_notes;
 };
 
 } // namespace egretlatch::admission
--- a/src/egretlatch/daemon/fwd.hpp
+++ b/src/egretlatch/daemon/fwd.hpp
@@ -16,6 +16,7 @@
 class DecideThread;
 class BackendClient;
 class HttpClientPool;
+class PlatformClient;
 class SpanExporter;
 class EventLoopWaker;
 class Daemon;
--- a/src/egretlatch/protocol/messages.hpp
+++ b/src/egretlatch/protocol/messages.hpp
@@ -4,7 +4,6 @@
 #include <optional>
 #include <string>
 #include <variant>
-#include <vector>
 
 #include <QByteArray>
 
@@ -17,7 +16,7 @@
 #include <egretlatch/core/ids.hpp>
 #include <egretlatch/core/uuid.hpp>
 #include <egretlatch/core/verdict.hpp>
-#include <egretlatch/membership/member.hpp>
+#include <egretlatch/membership/gossip_message.hpp>
 
 namespace egretlatch::protocol
 {
@@ -45,17 +44,34 @@
     int attemptsLent{};
     /*! @brief 0 for a root's first call, 1 for the calls that it makes, and so on. */
     int depth{};
+    /*! @brief Life of the daemon that the request is meant for; another one does not run it. */
+    Incarnation receiver;
+    /*! @brief What the keys of the run's inner calls are derived from, as RequestKey text. */
+    std::string scope;
+    /*! @brief Whether it is meant for the owner of the key, which makes the attempts, rather than for a backend server. */
+    bool forOwner{};
 
     friend bool operator==(const CallRequest &, const CallRequest &) = default;
 };
 
+/*! @brief The level of a service as a whole. */
+struct ServiceLevel
+{
+    std::string service;
+    admission::Level level;
+    /*! @brief Time since the level stood, summed over the daemons that passed it on. */
+    Duration age{};
+
+    friend bool operator==(const ServiceLevel &, const ServiceLevel &) = default;
+};
+
 /*! @brief The end of one attempt, from the serving daemon to the one that made it. */
 struct CallAnswer
 {
     CallId call;
     /*! @brief Incarnation of the daemon that the answer is for. */
     Incarnation receiver;
-    /*! @brief Speaks of this attempt alone. */
+    /*! @brief Speaks of this attempt alone; from the owner of a key, of the key. */
     Verdict verdict{Verdict::mayHaveRun};
     int status{};
     Headers headers;
@@ -66,10 +82,10 @@
     int attemptsReturned{};
     /*! @brief Slot time that the run and its inner calls took. */
     Duration slotTime{};
-    /*! @brief Highest level that calls of this kind meet at the services further down. */
-    admission::Level chainLevel;
-    /*! @brief Time since that level stood, summed over the daemons that passed it on. */
-    Duration chainLevelAge{};
+    /*! @brief Key that a resend after `not-run` is to use; empty if there is none. */
+    std::string nextKey;
+    /*! @brief Levels at services further down, as far as the serving daemon has been told. */
+    std::vector<ServiceLevel> levels;
 
     friend bool operator==(const CallAnswer &, const CallAnswer &) = default;
 };
@@ -82,13 +98,8 @@
     friend bool operator==(const CallCancel &, const CallCancel &) = default;
 };
 
-/*! @brief News of members. */
-struct Gossip
-{
-    std::vector<membership::Member> members;
-
-    friend bool operator==(const Gossip &, const Gossip &) = default;
-};
+/*! @brief News of members and of other small facts. */
+using Gossip = membership::GossipMessage;
 
 using Message = std::variant<CallRequest, CallAnswer, CallCancel, Gossip>;
 
--- a/test/egretlatch/protocol/codec.cpp
+++ b/test/egretlatch/protocol/codec.cpp
@@ -24,7 +24,7 @@
     request.key = "key";
     request.remaining = std::chrono::milliseconds{750};
     request.trace = account::startTrace(random);
-    request.rank = {.priority = 9, .worthDensity = 12.5, .invested = std::chrono::microseconds{3}};
+    request.rank = {.priority = 9, .worth = 12.5, .invested = std::chrono::microseconds{3}};
     request.attemptsLent = 2;
     request.depth = 3;
     return request;
@@ -68,7 +68,21 @@
     member.service = "launch-log";
     member.slots = 35;
     member.connections = 300;
-    return {.members = {member}};
+    member.beat = 9;
+    Gossip gossip;
+    gossip.purpose = membership::GossipPurpose::pullReply;
+    gossip.sequence = 12;
+    gossip.receiver = {13};
+    gossip.subject = {.id = {"duty-roster-2"}, .endpoint = "tcp://127.0.0.1:2"};
+    gossip.digest = 14;
+    gossip.page = 15;
+    gossip.hasMore = true;
+    gossip.members = {member};
+    gossip.suspicions = {{.id = {"flight-history-1"}, .incarnation = {16}, .revision = 17}};
+    for (const membership::RumourKind kind : {membership::RumourKind::configuration, membership::RumourKind::quarantine}) {
+        gossip.rumours.push_back({.key = {.kind = kind, .key = "key"}, .version = 18, .payload = "payload", .remaining = std::chrono::seconds{19}});
+    }
+    return gossip;
 }
 
 [[nodiscard]] std::vector<Envelope> allMessages()
