--- a/src/egretlatch/admission/entry_control.hpp
+++ b/src/egretlatch/admission/entry_control.hpp
@@ -8,6 +8,7 @@
 
 #include <egretlatch/account/refusal.hpp>
 #include <egretlatch/admission/load_report.hpp>
+#include <egretlatch/admission/noted_level.hpp>
 #include <egretlatch/admission/rank.hpp>
 #include <egretlatch/core/clock.hpp>
 #include <egretlatch/core/ids.hpp>
@@ -39,6 +40,25 @@
     friend bool operator==(const EntryRefusal &, const EntryRefusal &) = default;
 };
 
+/*! @brief What a serving daemon told of its own backend server. */
+struct ServerNews
+{
+    std::string service;
+    DaemonId daemon;
+    LoadReport load;
+
+    friend bool operator==(const ServerNews &, const ServerNews &) = default;
+};
+
+/*! @brief What is known of a service as a whole. */
+struct ServiceNews
+{
+    std::string service;
+    NotedLevel noted;
+
+    friend bool operator==(const ServiceNews &, const ServiceNews &) = default;
+};
+
 /*! @brief Refuses roots at the entry that a service down their chain would refuse anyway. */
 class EntryControl
 {
@@ -60,13 +80,35 @@
     [[nodiscard]] virtual Rank rankOf(const std::string &service, const std::string &kind) const = 0;
 
     /**
-     * @brief Notes what a serving daemon told of its load.
-     * @param service Service of its backend server.
-     * @param daemon The daemon.
-     * @param load What it told.
+     * @brief Gives the class that a request has at one service.
+     * @param service Service that is called.
+     * @param kind Kind that is called.
+     * @param rank Rank of the root.
+     * @return The class.
+     */
+    [[nodiscard]] virtual RankClass classAt(const std::string &service, const std::string &kind, const Rank &rank) const = 0;
+
+    /**
+     * @brief Notes what a serving daemon told of its own server.
+     * @param news What it told.
+     * @param now Current time.
+     */
+    virtual void noteLoad(const ServerNews &news, SteadyTime now) = 0;
+
+    /**
+     * @brief Notes what a daemon passed on of a service further down.
+     * @param teller The daemon.
+     * @param news What it told.
+     */
+    virtual void noteLevel(const DaemonId &teller, const ServiceNews &news) = 0;
+
+    /**
+     * @brief Gives what is to be passed on of the services further down.
+     * @param service Service whose callers are told.
      * @param now Current time.
+     * @return What has been told lately.
      */
-    virtual void noteLoad(const std::string &service, const DaemonId &daemon, const LoadReport &load, SteadyTime now) = 0;
+    [[nodiscard]] virtual std::vector<ServiceNews> levelsBelow(const std::string &service, SteadyTime now) = 0;
 
     /**
      * @brief Decides about a root.
--- a/src/egretlatch/admission/open_entry.cpp
+++ b/src/egretlatch/admission/open_entry.cpp
@@ -14,11 +14,25 @@
     if (spec == nullptr) {
         return {};
     }
-    return {.priority = spec->priority, .worthDensity = spec->worth, .invested = {}};
+    return {.priority = spec->priority, .worth = spec->worth, .invested = {}};
 }
 
-void OpenEntry::noteLoad(const std::string & /*service*/, const DaemonId & /*daemon*/, const LoadReport & /*load*/, const SteadyTime /*now*/)
+RankClass OpenEntry::classAt(const std::string & /*service*/, const std::string & /*kind*/, const Rank &rank) const
 {
+    return {.priority = rank.priority, .density = 0};
+}
+
+void OpenEntry::noteLoad(const ServerNews & /*news*/, const SteadyTime /*now*/)
+{
+}
+
+void OpenEntry::noteLevel(const DaemonId & /*teller*/, const ServiceNews & /*news*/)
+{
+}
+
+std::vector<ServiceNews> OpenEntry::levelsBelow(const std::string & /*service*/, const SteadyTime /*now*/)
+{
+    return {};
 }
 
 std::optional<EntryRefusal> OpenEntry::check(const EntryRequest & /*request*/, const SteadyTime /*now*/)
--- /dev/null
+++ b/src/egretlatch/admission/whole_chain_entry.hpp
@@ -0,0 +1,56 @@
+#ifndef EGRETLATCH_ADMISSION_WHOLE_CHAIN_ENTRY_HPP
+#define EGRETLATCH_ADMISSION_WHOLE_CHAIN_ENTRY_HPP
+
+#include <map>
+
+#include <egretlatch/admission/chain_costs.hpp>
+#include <egretlatch/admission/entry_control.hpp>
+#include <egretlatch/admission/level_notes.hpp>
+#include <egretlatch/core/random_source.hpp>
+
+namespace egretlatch::admission
+{
+
+/**
+ * @brief Refuses a root at once where the level of a service down its chain would refuse it.
+ *
+ * A root that fails at the tenth service has held slots at nine. Its place within its class is the same on each daemon, so
+ * one that passes here passes further down as long as the levels stand.
+ */
+class WholeChainEntry final : public EntryControl
+{
+public:
+    /**
+     * @brief Builds the control.
+     * @param random Source of random numbers for probes; must outlive it.
+     */
+    explicit WholeChainEntry(RandomSource &random);
+
+    void setManifest(std::shared_ptr<const manifest::Manifest> manifest) override;
+    [[nodiscard]] Rank rankOf(const std::string &service, const std::string &kind) const override;
+    [[nodiscard]] RankClass classAt(const std::string &service, const std::string &kind, const Rank &rank) const override;
+    void noteLoad(const ServerNews &news, SteadyTime now) override;
+    void noteLevel(const DaemonId &teller, const ServiceNews &news) override;
+    [[nodiscard]] std::vector<ServiceNews> levelsBelow(const std::string &service, SteadyTime now) override;
+    [[nodiscard]] std::optional<EntryRefusal> check(const EntryRequest &request, SteadyTime now) override;
+
+private:
+    struct Notes
+    {
+        /*! @brief What its serving daemons told of themselves. */
+        LevelNotes own;
+        /*! @brief What the daemons between told of it. */
+        LevelNotes passedOn;
+    };
+
+    [[nodiscard]] NotedLevel levelOf(const std::string &service, SteadyTime now);
+
+    RandomSource &m_random;
+    std::shared_ptr<const manifest::Manifest> m_manifest;
+    ChainCosts m_costs;
+    std::map<std::string, Notes> m_notes;
+};
+
+} // namespace egretlatch::admission
+
+#endif
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -72,6 +72,7 @@
     void handleLeft(SteadyTime now);
     void handlePlatform(const PlatformAnswered &answered, SteadyTime now);
     void handleManifest(const ManifestChanged &changed);
+    void declareService();
     void handleTick(SteadyTime now);
     void handlePeerLost(const PeerLost &lost, SteadyTime now);
     void handleRumour(const membership::Rumour &rumour, SteadyTime now);
@@ -95,6 +96,8 @@
     bool m_isShuttingDown{};
     std::optional<SteadyTime> m_leftAt;
     bool m_hasReportedDrained{};
+    /*! @brief Version of the configuration that the gate's service was last declared from. */
+    std::uint64_t m_declaredVersion{};
 };
 
 /*! @brief Puts a core together. */
--- a/src/egretlatch/protocol/codec.cpp
+++ b/src/egretlatch/protocol/codec.cpp
@@ -70,7 +70,7 @@
     wire.mutable_trace()->set_span_id(request.trace.spanId);
     wire.mutable_trace()->set_sampled(request.trace.sampled);
     wire.mutable_rank()->set_priority(request.rank.priority);
-    wire.mutable_rank()->set_worth_density(request.rank.worthDensity);
+    wire.mutable_rank()->set_worth(request.rank.worth);
     wire.mutable_rank()->set_invested_ns(request.rank.invested.count());
     wire.set_attempts_lent(request.attemptsLent);
     wire.set_depth(request.depth);
@@ -85,7 +85,7 @@
     if (!root.has_value()) {
         return tl::unexpected{Error{ErrorCode::malformed, "a call without a root"}};
     }
-    if (wire.attempts_lent() < 0 || wire.depth() < 0 || !std::isfinite(wire.rank().worth_density())) {
+    if (wire.attempts_lent() < 0 || wire.depth() < 0 || !std::isfinite(wire.rank().worth())) {
         return tl::unexpected{Error{ErrorCode::malformed, "a call with a number out of range"}};
     }
     CallRequest request;
@@ -100,7 +100,7 @@
     request.key = wire.key();
     request.remaining = toDuration(wire.remaining_ns());
     request.trace = {.traceId = wire.trace().trace_id(), .spanId = wire.trace().span_id(), .sampled = wire.trace().sampled()};
-    request.rank = {.priority = wire.rank().priority(), .worthDensity = wire.rank().worth_density(), .invested = toDuration(wire.rank().invested_ns())};
+    request.rank = {.priority = wire.rank().priority(), .worth = wire.rank().worth(), .invested = toDuration(wire.rank().invested_ns())};
     request.attemptsLent = wire.attempts_lent();
     request.depth = wire.depth();
     request.receiver = {wire.receiver_incarnation()};
@@ -142,13 +142,24 @@
     return refusal;
 }
 
+static void write(const admission::Level &level, wire::Level &wire)
+{
+    wire.set_priority(level.priority);
+    wire.set_density(level.density);
+    wire.set_fraction(level.fraction);
+}
+
+[[nodiscard]] static admission::Level read(const wire::Level &wire)
+{
+    return {.priority = wire.priority(), .density = wire.density(), .fraction = wire.fraction()};
+}
+
 static void write(const admission::LoadReport &load, wire::Load &wire)
 {
     wire.set_in_flight(load.inFlight);
     wire.set_limit(load.limit);
     wire.set_queued(load.queued);
-    wire.mutable_level()->set_priority(load.level.priority);
-    wire.mutable_level()->set_fraction(load.level.fraction);
+    write(load.level, *wire.mutable_level());
     wire.set_queue_delay_ns(load.queueDelay.count());
     wire.set_draining(load.draining);
 }
@@ -159,7 +170,7 @@
         .inFlight = wire.in_flight(),
         .limit = wire.limit(),
         .queued = wire.queued(),
-        .level = {.priority = wire.level().priority(), .fraction = wire.level().fraction()},
+        .level = read(wire.level()),
         .queueDelay = toDuration(wire.queue_delay_ns()),
         .draining = wire.draining(),
     };
@@ -202,6 +213,12 @@
     wire.set_attempts_returned(answer.attemptsReturned);
     wire.set_slot_time_ns(answer.slotTime.count());
     wire.set_next_key(answer.nextKey);
+    for (const ServiceLevel &level : answer.levels) {
+        wire::ServiceLevel &added = *wire.add_levels();
+        added.set_service(level.service);
+        write(level.level, *added.mutable_level());
+        added.set_age_ns(level.age.count());
+    }
 }
 
 [[nodiscard]] static Result<Message> read(const wire::CallAnswer &wire)
@@ -224,6 +241,9 @@
     answer.attemptsReturned = wire.attempts_returned();
     answer.slotTime = toDuration(wire.slot_time_ns());
     answer.nextKey = wire.next_key();
+    for (const wire::ServiceLevel &level : wire.levels()) {
+        answer.levels.push_back({.service = level.service(), .level = read(level.level()), .age = toDuration(level.age_ns())});
+    }
     return answer;
 }
 
