--- a/src/egretlatch/decision/entry_handler.cpp
+++ b/src/egretlatch/decision/entry_handler.cpp
@@ -16,6 +16,7 @@
 
 constexpr int badRequest = 400;
 constexpr int notFound = 404;
+constexpr int firstServerError = 500;
 
 [[nodiscard]] static std::uint64_t fingerprint(const std::string &key)
 {
@@ -34,7 +35,6 @@
 
 [[nodiscard]] static routing::AttemptOutcome outcomeOf(const protocol::CallAnswer &answer)
 {
-    constexpr int firstServerError = 500;
     if (!answer.refusal.has_value()) {
         return answer.status >= firstServerError ? routing::AttemptOutcome::failed : routing::AttemptOutcome::answered;
     }
@@ -162,7 +162,7 @@
 
 void EntryHandler::makeAttempt(Pending pending, const SteadyTime now)
 {
-    const routing::RouteRequest route{.service = pending.call.service, .root = pending.root, .excluded = pending.tried};
+    const routing::RouteRequest route{.service = pending.call.service, .root = pending.root, .excluded = pending.tried, .deadline = pending.deadline};
     const std::optional<DaemonId> server = m_surroundings.router->choose(route, now);
     if (!server.has_value()) {
         finishRefused(std::move(pending), m_surroundings.refuse(account::RefusalReason::noServer, "no backend server is left to try"), now);
@@ -370,8 +370,8 @@
 void EntryHandler::endAttempt(const Pending &pending, const routing::AttemptResult &result, const protocol::CallAnswer *const answer, const SteadyTime now)
 {
     m_surroundings.router->noteResult(pending.server, result, now);
-    if (result.load.has_value()) {
-        m_surroundings.entryControl->noteLoad(pending.call.service, pending.server, *result.load, now);
+    if (answer != nullptr) {
+        noteAnswer(pending, *answer, now);
     }
     m_surroundings.metrics.observe("attempt_duration", pending.call.service, result.latency);
     if (!pending.attemptTrace.sampled) {
@@ -393,6 +393,15 @@
     m_surroundings.actions.emplace_back(RecordSpan{.span = std::move(span)});
 }
 
+void EntryHandler::noteAnswer(const Pending &pending, const protocol::CallAnswer &answer, const SteadyTime now)
+{
+    admission::EntryControl &control = *m_surroundings.entryControl;
+    control.noteLoad({.service = pending.call.service, .daemon = pending.server, .load = answer.load}, now);
+    for (const protocol::ServiceLevel &level : answer.levels) {
+        control.noteLevel(pending.server, {.service = level.service, .noted = {.level = level.level, .at = now - level.age}});
+    }
+}
+
 void EntryHandler::finish(Pending pending, CallerAnswer answer, const SteadyTime now)
 {
     answer.service = pending.call.service;
@@ -496,7 +505,9 @@
     }
     if (pending.phase == Phase::attempting) {
         m_surroundings.actions.emplace_back(SendToPeer{.to = pending.server, .endpoint = {}, .message = protocol::CallCancel{.call = call}});
-        endAttempt(pending, {.outcome = routing::AttemptOutcome::lost, .latency = now - pending.sentAt, .load = std::nullopt}, nullptr, now);
+        const bool isCallers = reason == account::RefusalReason::cancelled;
+        const routing::AttemptOutcome outcome = isCallers ? routing::AttemptOutcome::abandoned : routing::AttemptOutcome::lost;
+        endAttempt(pending, {.outcome = outcome, .latency = now - pending.sentAt, .load = std::nullopt}, nullptr, now);
     }
     finishRefused(std::move(pending), m_surroundings.refuse(reason, rule), now);
 }
--- a/src/egretlatch/decision/serving_handler.cpp
+++ b/src/egretlatch/decision/serving_handler.cpp
@@ -76,12 +76,17 @@
         return;
     }
     if (!m_hasServer) {
-        refuseAtOnce(origin, request, {.execution = {}, .reason = account::RefusalReason::noServer, .rule = "no backend server is here", .figures = {}}, now);
+        refuseAtOnce(origin,
+                     request,
+                     {.execution = {}, .reason = account::RefusalReason::noServer, .rule = "no backend server is here", .figures = {}, .retryAfter = {}},
+                     now);
         return;
     }
     if (m_isDraining) {
-        refuseAtOnce(
-            origin, request, {.execution = {}, .reason = account::RefusalReason::draining, .rule = "the backend server is leaving", .figures = {}}, now);
+        refuseAtOnce(origin,
+                     request,
+                     {.execution = {}, .reason = account::RefusalReason::draining, .rule = "the backend server is leaving", .figures = {}, .retryAfter = {}},
+                     now);
         return;
     }
     const ExecutionId execution{++m_lastExecution};
@@ -92,17 +97,27 @@
     attempt.arrived = now;
     attempt.deadline = now + request.remaining;
     attempt.attemptsLeft = request.attemptsLent;
-    const admission::Ticket ticket{
+    const admission::Ticket ticket = ticketOf(execution, attempt);
+    m_byOrigin.emplace(origin, execution);
+    m_attempts.emplace(execution, std::move(attempt));
+    apply(m_gate->offer(ticket, now), now);
+}
+
+admission::Ticket ServingHandler::ticketOf(const ExecutionId execution, const Attempt &attempt) const
+{
+    const protocol::CallRequest &request = attempt.request;
+    const manifest::KindSpec *const kind = m_surroundings.manifest == nullptr ? nullptr : m_surroundings.manifest->findKind(request.service, request.kind);
+    return {
         .execution = execution,
         .root = request.root,
-        .rank = request.rank,
+        .kind = request.kind,
+        .cost = kind == nullptr ? Duration{} : Duration{kind->cost},
+        .rankClass = m_surroundings.entryControl->classAt(request.service, request.kind, request.rank),
+        .invested = request.rank.invested,
         .isInner = request.depth > 0,
-        .arrived = now,
+        .arrived = attempt.arrived,
         .deadline = attempt.deadline,
     };
-    m_byOrigin.emplace(origin, execution);
-    m_attempts.emplace(execution, std::move(attempt));
-    apply(m_gate->offer(ticket, now), now);
 }
 
 void ServingHandler::handleCancel(const DaemonId &from, const Incarnation incarnation, const CallId call, const SteadyTime now)
@@ -148,6 +163,11 @@
     }
 }
 
+void ServingHandler::setService(const manifest::ServiceSpec &service)
+{
+    m_gate->setQueueTarget(service.queueTarget);
+}
+
 void ServingHandler::drain()
 {
     m_isDraining = true;
@@ -281,7 +301,7 @@
 {
     protocol::CallAnswer refused;
     refused.verdict = retry::verdictOf(retry::AttemptEnd::leftQueue);
-    refused.refusal = m_surroundings.refuse(refusal.reason, refusal.rule, refusal.figures);
+    refused.refusal = m_surroundings.refuse(refusal.reason, refusal.rule, refusal.figures, refusal.retryAfter);
     refused.status = account::httpStatus(refusal.reason);
     answer(execution, std::move(refused), now);
 }
@@ -290,7 +310,7 @@
 {
     protocol::CallAnswer refused;
     refused.verdict = retry::verdictOf(retry::AttemptEnd::refusedAtDoor);
-    refused.refusal = m_surroundings.refuse(refusal.reason, refusal.rule, refusal.figures);
+    refused.refusal = m_surroundings.refuse(refusal.reason, refusal.rule, refusal.figures, refusal.retryAfter);
     refused.status = account::httpStatus(refusal.reason);
     refused.attemptsReturned = request.attemptsLent;
     send(origin, std::move(refused), now);
@@ -311,6 +331,9 @@
     answer.call = call;
     answer.receiver = incarnation;
     answer.load = load(now);
+    for (const admission::ServiceNews &news : m_surroundings.entryControl->levelsBelow(m_surroundings.roster.self().service, now)) {
+        answer.levels.push_back({.service = news.service, .level = news.noted.level, .age = now - news.noted.at});
+    }
     // The way back is the connection that the request came by, so an unknown endpoint does not matter.
     m_surroundings.actions.emplace_back(SendToPeer{.to = daemon, .endpoint = {}, .message = std::move(answer)});
 }
@@ -345,7 +368,10 @@
         }
     }
     for (const ExecutionId execution : expired) {
-        abandon(execution, account::RefusalReason::deadlinePassed, now);
+        // Giving one up frees its slot, and the gate may then refuse another of the list, which is gone by its turn.
+        if (m_attempts.contains(execution)) {
+            abandon(execution, account::RefusalReason::deadlinePassed, now);
+        }
     }
 }
 
--- a/src/egretlatch/protocol/messages.hpp
+++ b/src/egretlatch/protocol/messages.hpp
@@ -55,6 +55,17 @@
     friend bool operator==(const CallRequest &, const CallRequest &) = default;
 };
 
+/*! @brief The level of a service as a whole. */
+struct ServiceLevel
+{
+    std::string service;
+    admission::Level level;
+    /*! @brief Time since the level stood, summed over the daemons that passed it on. */
+    Duration age{};
+
+    friend bool operator==(const ServiceLevel &, const ServiceLevel &) = default;
+};
+
 /*! @brief The end of one attempt, from the serving daemon to the one that made it. */
 struct CallAnswer
 {
@@ -74,6 +85,8 @@
     Duration slotTime{};
     /*! @brief Key that a resend after `not-run` is to use; empty if there is none. */
     std::string nextKey;
+    /*! @brief Levels at services further down, as far as the serving daemon has been told. */
+    std::vector<ServiceLevel> levels;
 
     friend bool operator==(const CallAnswer &, const CallAnswer &) = default;
 };
--- a/test/egretlatch/protocol/codec.cpp
+++ b/test/egretlatch/protocol/codec.cpp
@@ -24,7 +24,7 @@
     request.key = "key";
     request.remaining = std::chrono::milliseconds{750};
     request.trace = account::startTrace(random);
-    request.rank = {.priority = 9, .worthDensity = 12.5, .invested = std::chrono::microseconds{3}};
+    request.rank = {.priority = 9, .worth = 12.5, .invested = std::chrono::microseconds{3}};
     request.attemptsLent = 2;
     request.depth = 3;
     return request;
--- a/test/processes/test_configuration.py
+++ b/test/processes/test_configuration.py
@@ -141,7 +141,7 @@
         token.write_text("a token of the operators\n")
         settings = {
             "id": "closed", "dataCentre": "dc1", "callerPort": caller, "peerPort": peer, "backendUrl": "http://127.0.0.1:9",
-            "operatorTokenFile": str(token), "logLevel": "debug",
+            "operatorTokenFile": str(token), "peerEncryption": "off", "logLevel": "debug",
         }
         path = pathlib.Path(self.folder.name) / "closed.json"
         path.write_text(json.dumps(settings))
@@ -166,6 +166,8 @@
 
 
 class StoreDownTest(DeploymentTest):
+    arguments = ["gliding-union", "--servers", "1", "--no-encryption"]
+
     def test_a_daemon_that_starts_while_the_store_is_down_takes_it_from_a_peer(self):
         # A rack comes back while the store is down. Its daemons know no configuration and refuse every call, although
         # their neighbours have it in force.
@@ -177,7 +179,7 @@
         neighbour = self.mesh["daemons"][0]
         settings = {
             "id": "newcomer", "dataCentre": "dc1", "callerPort": caller, "peerPort": peer, "backendUrl": "http://127.0.0.1:9",
-            "platformUrl": self.platform, "operatorAccess": "open", "logLevel": "error",
+            "platformUrl": self.platform, "operatorAccess": "open", "peerEncryption": "off", "logLevel": "error",
             "peers": [{"id": neighbour["id"], "endpoint": f"tcp://127.0.0.1:{neighbour['peer']}"}],
         }
         path = pathlib.Path(self.folder.name) / "newcomer.json"
