--- a/scripts/experiments/charts.py
+++ b/scripts/experiments/charts.py
@@ -26,6 +26,7 @@
 
     seconds: int
     overload: tuple  # (from, to) in seconds, or None
+    word: str  # what stands in the overload's band
 
 
 def nice_ceiling(value):
@@ -50,7 +51,7 @@
         if frame.overload:
             left, right = (self.x(second) for second in frame.overload)
             self.parts.append(f'<rect x="{left:.1f}" y="{TOP}" width="{right - left:.1f}" height="{self.bottom() - TOP}" class="overload"/>')
-            self.parts.append(f'<text x="{left + 5:.1f}" y="{TOP + 13}" class="overload-word">overload</text>')
+            self.parts.append(f'<text x="{left + 5:.1f}" y="{TOP + 13}" class="overload-word">{html.escape(frame.word)}</text>')
         self.draw_axes()
 
     def x(self, second):
--- a/scripts/experiments/deployment.py
+++ b/scripts/experiments/deployment.py
@@ -154,7 +154,7 @@
             if action == "control":
                 self.behaviours[name] = fault.get("behaviour", {})
                 continue
-            self.note(f"{action} {what} of {name[0]} {name[1]}")
+            self.note(f"{action} {'VM' if action == 'replace' else what} of {name[0]} {name[1]}")
             if action == "stop":
                 self.paused.add((name, what))
                 self.send(name, what, signal.SIGSTOP)
--- a/scripts/experiments/report.py
+++ b/scripts/experiments/report.py
@@ -20,7 +20,7 @@
 .grid{stroke:#e4e7eb}.overload{fill:#d64545;fill-opacity:.10}.overload-word{font-size:11px;fill:#b03030}
 .possible{fill:none;stroke:#1f2933;stroke-width:1.6;stroke-dasharray:6 4}
 .offered{fill:none;stroke:#9aa5b1;stroke-width:1.3;stroke-dasharray:2 3}
-.marker{stroke-width:1.6}.marker-word{font-size:12px;font-weight:600}
+.marker{stroke-width:1.6}.marker-word{font-size:12px;font-weight:600;paint-order:stroke;stroke:#fff;stroke-width:4px}
 .legend{margin:2px 0 10px}.legend span{margin-right:16px;font-size:13px;white-space:nowrap}
 .legend i{display:inline-block;width:11px;height:11px;border-radius:2px;margin-right:6px}
 .tiles{display:flex;gap:14px;flex-wrap:wrap;margin:6px 0 4px}
@@ -29,7 +29,7 @@
 .good b{color:#2f7d4f}.bad b{color:#b03030}
 table{border-collapse:collapse;width:100%;font-size:13.5px}
 th,td{text-align:right;padding:4px 9px;border-bottom:1px solid #e4e7eb}th{color:#616e7c;font-weight:600}
-th:first-child,td:first-child{text-align:left}
+td{white-space:nowrap}th:first-child,td:first-child{text-align:left}
 .small{color:#616e7c;font-size:13px}
 """
 
@@ -146,9 +146,14 @@
     return f'<div class="tiles">{"".join(parts)}</div>'
 
 
+def frame_of(run):
+    is_surge = any(phase["name"] == "surge" for phase in run.result["phases"])
+    return charts.Frame(run.result["seconds"], overload_of(run), "overload" if is_surge else "fault")
+
+
 def goodput_chart(run, could, most, colours):
     result = run.result
-    chart = charts.Chart(charts.Frame(result["seconds"], overload_of(run)), GOODPUT_HEIGHT, most, "weighted goodput, worth a second")
+    chart = charts.Chart(frame_of(run), GOODPUT_HEIGHT, most, "weighted goodput, worth a second")
     chart.draw_areas(worth_by_kind(result), colours)
     chart.draw_line(offered_by_second(result), "offered")
     chart.draw_line(could, "possible")
@@ -182,7 +187,7 @@
     most = charts.nice_ceiling(max(sum(values) for values in zip(*causes.values())))
     colours = charts.colours_of(causes)
     title = "attempts a second that did not complete, by reason"
-    chart = charts.Chart(charts.Frame(result["seconds"], overload_of(run)), REFUSAL_HEIGHT, most, title)
+    chart = charts.Chart(frame_of(run), REFUSAL_HEIGHT, most, title)
     chart.draw_bars(causes, colours)
     return chart.to_svg() + charts.legend(colours)
 
@@ -218,7 +223,7 @@
     """Write the report; the first run of each policy is drawn, all are in the table."""
     could = possible.possible_by_second(scenario, manifest)
     first = list({run.policy: run for run in reversed(runs)}.values())[::-1]
-    most = charts.nice_ceiling(1.05 * max(max(could), max(max(run.result["bySecond"]["worth"]) for run in runs)))
+    most = charts.nice_ceiling(1.2 * max(max(could), max(max(run.result["bySecond"]["worth"]) for run in runs)))
     colours = charts.colours_of(sorted(name for name, kind in first[0].result["kinds"].items() if kind["worthOfOne"] > 0))
     phases = ", ".join(f"{phase['name']} {phase['seconds']} s at {phase['rate']}/s" for phase in scenario["phases"])
     body = (f"<h1>{html.escape(scenario['name'])}</h1><p>{html.escape(scenario.get('story', ''))}</p>"
--- a/test/processes/test_experiments.py
+++ b/test/processes/test_experiments.py
@@ -84,7 +84,7 @@
         latency = {"p50": 1, "p90": 2, "p99": 3, "p999": 4, "max": 5}
         kind = {"worthOfOne": 10, "sent": 10, "attempts": 12, "completed": 9, "refused": {"overload-at-entry": 1}, "mayHaveRun": {}, "failed": {},
                 "cancelled": 0, "latencyMs": latency, "sentBySecond": [1] * 10, "completedBySecond": [1] * 10}
-        return {"seconds": 10, "startedAtMs": 0, "kinds": {"front/dear": kind}, "totals": {"sent": 10, "attempts": 12},
+        return {"seconds": 10, "startedAtMs": 0, "phases": [{"name": "surge"}], "kinds": {"front/dear": kind}, "totals": {"sent": 10, "attempts": 12},
                 "bySecond": {"worth": [10] * 10, "causes": {"overload-at-entry": [0] * 9 + [1]}},
                 "recovery": {"fromSecond": 4, "toSecond": 6, "levelBefore": 10, "seconds": 2}}
 
