Queues bounded by time, levels opened in proportion to what they admit

Cause: an inner call of a low class that waits behind higher ones holds the slots of all runs above it, up to its deadline; and a level that admits 5% of a class was opened by 1% of the class, a fifth more demand in one step. Change: a request waits at most four times the aimed drain time; a level opens by a factor of its admitted share, and only after a whole step without a queue.

--- a/src/egretlatch/admission/adaptive_gate.cpp
+++ b/src/egretlatch/admission/adaptive_gate.cpp
@@ -13,6 +13,9 @@
 // inner call carries what its root has cost so far.
 constexpr int rootQueueFactor = 2;
 constexpr int innerQueueFactor = 8;
+// Multiples of the aimed drain time that a request may wait at most. An inner call that waits holds the slots of all runs
+// above it, which others could use.
+constexpr int longestWaitFactor = 4;
 // The queue must cover half a run at least, or slots stand empty while the daemons further up learn that there is room.
 constexpr int shortestQueueDivisor = 2;
 constexpr std::chrono::milliseconds shortestRetryAfter{200};
@@ -66,6 +69,7 @@
     dropHopeless(now, release);
     startWaiting(now, release);
     shedExcess(nullptr, now, release);
+    shedOverdue(now, release);
     moveLevel(now);
     return release;
 }
@@ -146,6 +150,16 @@
     }
 }
 
+void AdaptiveGate::shedOverdue(const SteadyTime now, GateRelease &release)
+{
+    const SteadyTime latest = now - internal::longestWaitFactor * aimedDrainTime();
+    for (const Waiting &overdue : m_waiting.removeIf([latest](const Waiting &waiting) {
+             return waiting.ticket.arrived < latest;
+         })) {
+        release.refused.push_back(refusalOf(overdue, false, now));
+    }
+}
+
 GateRefusal AdaptiveGate::refusalOf(const Waiting &waiting, const bool hasJustArrived, const SteadyTime now) const
 {
     const Ticket &ticket = waiting.ticket;
--- a/src/egretlatch/admission/adaptive_gate.hpp
+++ b/src/egretlatch/admission/adaptive_gate.hpp
@@ -40,6 +40,7 @@
     void dropHopeless(SteadyTime now, GateRelease &release);
     void startWaiting(SteadyTime now, GateRelease &release);
     void shedExcess(const Ticket *arrived, SteadyTime now, GateRelease &release);
+    void shedOverdue(SteadyTime now, GateRelease &release);
     [[nodiscard]] GateRefusal refusalOf(const Waiting &waiting, bool hasJustArrived, SteadyTime now) const;
     [[nodiscard]] std::chrono::milliseconds retryAfter(const Ticket &ticket) const;
     [[nodiscard]] Duration drainTime() const;
--- a/src/egretlatch/admission/level_control.cpp
+++ b/src/egretlatch/admission/level_control.cpp
@@ -15,10 +15,13 @@
 // A class that is shed whole sends nothing; forgotten early, it would be opened in one go with all that lie below it.
 constexpr std::chrono::seconds demandMemory{60};
 constexpr int samplesInUnderWay = 20;
-constexpr double firstOpening = 0.01;
+// The admitted share of a class grows by this part of itself, then by more with each step that finds room.
+constexpr double firstOpening = 0.05;
 constexpr double openingGrowth = 3.0;
-// In classes.
-constexpr double widestOpening = 8.0;
+constexpr double widestOpening = 1e6;
+// Share that a class is opened by at first.
+constexpr double smallestShare = 0.005;
+constexpr double headroom = 0.5;
 // Demand above this share of the capacity is cut at once while the queue is too long.
 constexpr double fullUse = 1.0;
 // Additional cut for each multiple of the target that the queue stands at, so that the queue itself goes away.
@@ -85,9 +88,12 @@
         m_lastOpening = now;
         return;
     }
-    constexpr double headroom = 0.5;
-    if (queue < headroom && m_level > Level{} && now - m_lastOpening >= stepInterval()) {
-        lower(m_openStep);
+    if (queue >= internal::headroom) {
+        m_lastOpening = now;
+        return;
+    }
+    if (m_level > Level{} && now - m_lastOpening >= stepInterval()) {
+        lower(1.0 + m_openStep);
         m_openStep = std::min(m_openStep * internal::openingGrowth, internal::widestOpening);
         m_lastOpening = now;
     }
@@ -113,15 +119,15 @@
     }
 }
 
-void LevelControl::lower(double share)
+void LevelControl::lower(double factor)
 {
-    while (share > 0.0) {
-        const double opened = std::min(share, m_level.fraction);
-        m_level.fraction -= opened;
-        share -= opened;
-        if (m_level.fraction > 0.0) {
+    while (factor > 1.0) {
+        const double open = std::max(1.0 - m_level.fraction, internal::smallestShare);
+        if (open * factor < 1.0) {
+            m_level.fraction = 1.0 - open * factor;
             return;
         }
+        factor *= open;
         const auto at = m_demand.lower_bound(m_level.rankClass());
         if (at == m_demand.begin()) {
             m_level = {};
--- a/src/egretlatch/admission/level_control.hpp
+++ b/src/egretlatch/admission/level_control.hpp
@@ -74,7 +74,7 @@
     [[nodiscard]] double admittedDemand(SteadyTime now);
     [[nodiscard]] Duration stepInterval() const;
     void raise(double excess, const Pressure &pressure, SteadyTime now);
-    void lower(double share);
+    void lower(double factor);
     void forgetIdle(SteadyTime now);
 
     Level m_level;
