Levels from the service itself, never made young again; shed inner calls raise the level; openings by known room

Cause: a daemon passed levels on with the time of its newest note and the value of its median one; among daemons that call one another old values went round as new, and a level of 9 at the deepest service was seen as 6 for seconds (chain of 5 with a deep bottleneck: 500/s roots let in that had to be shed four hops down). Change: a passed-on level is taken only if it stood later than what is known. Inner calls shed at the gate count as excess. An opening step takes at most 0.7 of the room that the gate has.

--- a/src/egretlatch/admission/adaptive_gate.cpp
+++ b/src/egretlatch/admission/adaptive_gate.cpp
@@ -146,6 +146,7 @@
     while (m_waiting.size() > 1 && drainTime() > longestDrainTime(m_waiting.worst().ticket)) {
         const Waiting shed = m_waiting.popWorst();
         const bool hasJustArrived = arrived != nullptr && shed.ticket.execution == arrived->execution;
+        m_level.noteShed(shed.ticket, shed.expected, now);
         release.refused.push_back(refusalOf(shed, hasJustArrived, now));
     }
 }
@@ -156,6 +157,7 @@
     for (const Waiting &overdue : m_waiting.removeIf([latest](const Waiting &waiting) {
              return waiting.ticket.arrived < latest;
          })) {
+        m_level.noteShed(overdue.ticket, overdue.expected, now);
         release.refused.push_back(refusalOf(overdue, false, now));
     }
 }
--- a/src/egretlatch/admission/entry_control.hpp
+++ b/src/egretlatch/admission/entry_control.hpp
@@ -97,10 +97,9 @@
 
     /**
      * @brief Notes what a daemon passed on of a service further down.
-     * @param teller The daemon.
      * @param news What it told.
      */
-    virtual void noteLevel(const DaemonId &teller, const ServiceNews &news) = 0;
+    virtual void noteLevel(const ServiceNews &news) = 0;
 
     /**
      * @brief Gives what is to be passed on of the services further down.
--- a/src/egretlatch/admission/level_control.cpp
+++ b/src/egretlatch/admission/level_control.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::chrono::milliseconds demandWindow{150};
 constexpr std::chrono::milliseconds shortestStep{20};
-constexpr std::chrono::milliseconds longestStep{150};
+constexpr std::chrono::milliseconds longestStep{200};
 // A class that is shed whole sends nothing; forgotten early, it would be opened in one go with all that lie below it.
 constexpr std::chrono::seconds demandMemory{60};
 constexpr int samplesInUnderWay = 20;
@@ -22,6 +22,10 @@
 // Share that a class is opened by at first.
 constexpr double smallestShare = 0.005;
 constexpr double headroom = 0.5;
+// Part of the room that one step may open, where the demand of the class is known.
+constexpr double usedRoom = 0.7;
+// Share of the capacity.
+constexpr double negligibleShed = 0.005;
 // Demand above this share of the capacity is cut at once while the queue is too long.
 constexpr double fullUse = 1.0;
 // Additional cut for each multiple of the target that the queue stands at, so that the queue itself goes away.
@@ -40,13 +44,26 @@
     m_underWay += (ticket.invested - m_underWay) / internal::samplesInUnderWay;
     const bool isAdmitted = admits(m_level, ticket.rankClass, ticket.root);
     Demand &demand = m_demand[ticket.rankClass];
-    decay(demand, now);
     demand.lastArrival = now;
     if (isAdmitted) {
-        demand.rate += internal::secondsOf(slotTime) / internal::secondsOf(internal::demandWindow);
+        add(demand, slotTime, now);
     }
 }
 
+void LevelControl::noteShed(const Ticket &ticket, const Duration slotTime, const SteadyTime now)
+{
+    // A root that is shed here has cost nothing yet, and the gate sheds in better order than any level.
+    if (ticket.isInner && admits(m_level, ticket.rankClass, ticket.root)) {
+        add(m_shed, slotTime, now);
+    }
+}
+
+void LevelControl::add(Demand &demand, const Duration slotTime, const SteadyTime now) const
+{
+    decay(demand, now);
+    demand.rate += internal::secondsOf(slotTime) / internal::secondsOf(internal::demandWindow);
+}
+
 void LevelControl::decay(Demand &demand, const SteadyTime now) const
 {
     if (now > demand.updated) {
@@ -67,7 +84,7 @@
 
 Duration LevelControl::stepInterval() const
 {
-    return std::clamp<Duration>(m_underWay, internal::shortestStep, internal::longestStep);
+    return std::clamp<Duration>(m_underWay + m_underWay / 2, internal::shortestStep, internal::longestStep);
 }
 
 void LevelControl::update(const Pressure &pressure, const SteadyTime now)
@@ -78,9 +95,11 @@
     m_lastStep = now;
     forgetIdle(now);
     const double queue = pressure.of(pressure.line.work());
-    if (queue > 1.0) {
-        const double cut = std::min(internal::cutForQueue * (queue - 1.0), internal::widestCutForQueue);
-        const double excess = admittedDemand(now) - pressure.limit * (internal::fullUse - cut);
+    decay(m_shed, now);
+    if (queue > 1.0 || m_shed.rate > internal::negligibleShed * pressure.limit) {
+        const double cut = std::clamp(internal::cutForQueue * (queue - 1.0), 0.0, internal::widestCutForQueue);
+        const double excess = std::max(admittedDemand(now) - pressure.limit * (internal::fullUse - cut), m_shed.rate);
+        m_shed.rate = 0.0;
         if (excess > 0.0) {
             raise(excess, pressure, now);
         }
@@ -93,12 +112,22 @@
         return;
     }
     if (m_level > Level{} && now - m_lastOpening >= stepInterval()) {
-        lower(1.0 + m_openStep);
+        lower(1.0 + std::min(m_openStep, roomInClass(pressure, now)));
         m_openStep = std::min(m_openStep * internal::openingGrowth, internal::widestOpening);
         m_lastOpening = now;
     }
 }
 
+double LevelControl::roomInClass(const Pressure &pressure, const SteadyTime now)
+{
+    const auto found = m_demand.find(m_level.rankClass());
+    const double room = pressure.limit - admittedDemand(now);
+    if (found == m_demand.end() || found->second.rate < internal::negligibleShed * pressure.limit) {
+        return internal::widestOpening;
+    }
+    return std::max(internal::firstOpening, internal::usedRoom * room / found->second.rate);
+}
+
 void LevelControl::raise(double excess, const Pressure &pressure, const SteadyTime now)
 {
     for (auto &[rankClass, demand] : m_demand) {
--- a/src/egretlatch/admission/level_control.hpp
+++ b/src/egretlatch/admission/level_control.hpp
@@ -49,6 +49,17 @@
      */
     void noteArrival(const Ticket &ticket, Duration slotTime, SteadyTime now);
 
+    /**
+     * @brief Counts a request that was shed after the level had let it pass.
+     *
+     * Where the services above are full themselves, no more arrives than can be run, and yet what waits too long is shed:
+     * demand alone does not show it.
+     * @param ticket The request.
+     * @param slotTime Slot time that it was expected to take.
+     * @param now Current time.
+     */
+    void noteShed(const Ticket &ticket, Duration slotTime, SteadyTime now);
+
     /**
      * @brief Moves the level where a step is due.
      * @param pressure What the gate sees.
@@ -70,15 +81,19 @@
         SteadyTime lastArrival;
     };
 
+    void add(Demand &demand, Duration slotTime, SteadyTime now) const;
     void decay(Demand &demand, SteadyTime now) const;
     [[nodiscard]] double admittedDemand(SteadyTime now);
     [[nodiscard]] Duration stepInterval() const;
+    [[nodiscard]] double roomInClass(const Pressure &pressure, SteadyTime now);
     void raise(double excess, const Pressure &pressure, SteadyTime now);
     void lower(double factor);
     void forgetIdle(SteadyTime now);
 
     Level m_level;
     std::map<RankClass, Demand> m_demand;
+    /*! @brief Slot seconds shed a second of inner calls that the present level admits. */
+    Demand m_shed;
     double m_openStep{};
     /*! @brief Time that requests have been under way from their entry to this gate, on average. */
     Duration m_underWay{};
--- a/src/egretlatch/admission/level_notes.cpp
+++ b/src/egretlatch/admission/level_notes.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::chrono::milliseconds longestAge{1000};
 constexpr std::chrono::milliseconds freshAge{100};
+constexpr std::chrono::milliseconds comparableAge{100};
 constexpr std::chrono::milliseconds aggregateInterval{5};
 
 } // namespace internal
@@ -33,11 +34,16 @@
     if (m_notes.empty()) {
         return m_aggregate;
     }
-    std::vector<Level> levels;
     for (const auto &[daemon, noted] : m_notes) {
-        levels.push_back(noted.level);
         m_aggregate.at = std::max(m_aggregate.at, noted.at);
     }
+    std::vector<Level> levels;
+    for (const auto &[daemon, noted] : m_notes) {
+        // A server that told nothing while its peers did says nothing of now.
+        if (m_aggregate.at - noted.at < internal::comparableAge) {
+            levels.push_back(noted.level);
+        }
+    }
     const auto median = levels.begin() + static_cast<std::ptrdiff_t>((levels.size() - 1) / 2);
     std::nth_element(levels.begin(), median, levels.end(), [](const Level &left, const Level &right) {
         return left < right;
--- a/src/egretlatch/admission/open_entry.cpp
+++ b/src/egretlatch/admission/open_entry.cpp
@@ -26,7 +26,7 @@
 {
 }
 
-void OpenEntry::noteLevel(const DaemonId & /*teller*/, const ServiceNews & /*news*/)
+void OpenEntry::noteLevel(const ServiceNews & /*news*/)
 {
 }
 
--- a/src/egretlatch/admission/open_entry.hpp
+++ b/src/egretlatch/admission/open_entry.hpp
@@ -14,7 +14,7 @@
     [[nodiscard]] Rank rankOf(const std::string &service, const std::string &kind) const override;
     [[nodiscard]] RankClass classAt(const std::string &service, const std::string &kind, const Rank &rank) const override;
     void noteLoad(const ServerNews &news, SteadyTime now) override;
-    void noteLevel(const DaemonId &teller, const ServiceNews &news) override;
+    void noteLevel(const ServiceNews &news) override;
     [[nodiscard]] std::vector<ServiceNews> levelsBelow(const std::string &service, SteadyTime now) override;
     [[nodiscard]] std::optional<EntryRefusal> check(const EntryRequest &request, SteadyTime now) override;
 
--- a/src/egretlatch/admission/whole_chain_entry.cpp
+++ b/src/egretlatch/admission/whole_chain_entry.cpp
@@ -82,9 +82,15 @@
     }
 }
 
-void WholeChainEntry::noteLevel(const DaemonId &teller, const ServiceNews &news)
+void WholeChainEntry::noteLevel(const ServiceNews &news)
 {
-    m_notes[news.service].passedOn.note(teller, news.noted);
+    // News of one service come round by several ways, and by cycles of daemons that call one another come back to where
+    // they were. Only what stood later than all that is known is taken, by the time at the service itself, so old news
+    // are never made young again.
+    NotedLevel &known = m_notes[news.service].passedOn;
+    if (news.noted.at > known.at) {
+        known = news.noted;
+    }
 }
 
 std::vector<ServiceNews> WholeChainEntry::levelsBelow(const std::string &service, const SteadyTime now)
@@ -115,8 +121,7 @@
 {
     Notes &notes = m_notes[service];
     const NotedLevel own = notes.own.aggregate(now);
-    const NotedLevel passedOn = notes.passedOn.aggregate(now);
-    return own.at >= passedOn.at ? own : passedOn;
+    return own.at >= notes.passedOn.at ? own : notes.passedOn;
 }
 
 } // namespace egretlatch::admission
--- a/src/egretlatch/admission/whole_chain_entry.hpp
+++ b/src/egretlatch/admission/whole_chain_entry.hpp
@@ -30,7 +30,7 @@
     [[nodiscard]] Rank rankOf(const std::string &service, const std::string &kind) const override;
     [[nodiscard]] RankClass classAt(const std::string &service, const std::string &kind, const Rank &rank) const override;
     void noteLoad(const ServerNews &news, SteadyTime now) override;
-    void noteLevel(const DaemonId &teller, const ServiceNews &news) override;
+    void noteLevel(const ServiceNews &news) override;
     [[nodiscard]] std::vector<ServiceNews> levelsBelow(const std::string &service, SteadyTime now) override;
     [[nodiscard]] std::optional<EntryRefusal> check(const EntryRequest &request, SteadyTime now) override;
 
@@ -39,8 +39,8 @@
     {
         /*! @brief What its serving daemons told of themselves. */
         LevelNotes own;
-        /*! @brief What the daemons between told of it. */
-        LevelNotes passedOn;
+        /*! @brief The latest of what the daemons between told of it. */
+        NotedLevel passedOn;
     };
 
     [[nodiscard]] NotedLevel levelOf(const std::string &service, SteadyTime now);
--- a/src/egretlatch/decision/entry_handler.cpp
+++ b/src/egretlatch/decision/entry_handler.cpp
@@ -394,7 +394,7 @@
     admission::EntryControl &control = *m_surroundings.entryControl;
     control.noteLoad({.service = pending.call.service, .daemon = pending.server, .load = answer.load}, now);
     for (const protocol::ServiceLevel &level : answer.levels) {
-        control.noteLevel(pending.server, {.service = level.service, .noted = {.level = level.level, .at = now - level.age}});
+        control.noteLevel({.service = level.service, .noted = {.level = level.level, .at = now - level.age}});
     }
 }
 
