--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -34,6 +34,9 @@
     const SteadyTime now = m_surroundings->clock.steadyNow();
     m_surroundings->actions.clear();
     dispatch(event, now);
+    if (m_declaredVersion != m_surroundings->manifestVersion) {
+        declareService();
+    }
     return deliverToSelf(now);
 }
 
@@ -49,6 +52,21 @@
     return m_serving->load(m_surroundings->clock.steadyNow());
 }
 
+configuration::Report Core::configurationReport() const
+{
+    const SteadyTime now = m_surroundings->clock.steadyNow();
+    configuration::Report report;
+    report.daemon = m_surroundings->self;
+    report.version = m_surroundings->manifestVersion;
+    report.hash = m_surroundings->manifest == nullptr ? std::string{} : m_surroundings->manifest->hash();
+    report.newestKnown = std::max(report.version, m_configuration->newestKnown());
+    for (const auto &[daemon, entry] : m_configuration->fleet()) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - entry.heard);
+        report.heard.push_back({.daemon = daemon, .version = entry.version, .age = age});
+    }
+    return report;
+}
+
 void Core::dispatch(const Event &event, const SteadyTime now)
 {
     std::visit(internal::Overloaded{
@@ -56,7 +74,7 @@
                        m_entry->handleArrived(arrived, now);
                    },
                    [&](const KeyRequested &requested) {
-                       m_entry->handleKeyRequested(requested, m_isDraining, now);
+                       m_entry->handleKeyRequested(requested, m_isShuttingDown, now);
                    },
                    [&](const CallerGone &gone) {
                        m_entry->handleCallerGone(gone.exchange, now);
@@ -85,8 +103,8 @@
                    [&](const ManifestChanged &changed) {
                        handleManifest(changed);
                    },
-                   [&](const PlatformAnswered &) {
-                       m_surroundings->metrics.count("messages_dropped", "late-platform-answer");
+                   [&](const PlatformAnswered &answered) {
+                       handlePlatform(answered, now);
                    },
                    [&](const Tick &) {
                        handleTick(now);
@@ -115,6 +133,15 @@
                        m_gossip->handle(envelope.sender, envelope.incarnation, gossip, now);
                        applyGossip(now);
                    },
+                   [&](const configuration::Advert &advert) {
+                       m_configuration->handleAdvert(envelope.sender, advert, now);
+                   },
+                   [&](const configuration::BodyRequest &request) {
+                       m_configuration->handleBodyRequest(envelope.sender, request);
+                   },
+                   [&](const configuration::BodyReply &reply) {
+                       m_configuration->handleBodyReply(reply, now);
+                   },
                },
                envelope.message);
 }
@@ -122,6 +149,7 @@
 void Core::handleAnnounced(const ServerAnnounced &announced, const SteadyTime now)
 {
     m_lastAnnounced = now;
+    m_surroundings->metrics.count("announcements", announced.service);
     // A server goes on announcing itself while it drains, which must not put it back to work. Another process in its
     // place is a server of its own; it is known by its instance name.
     const bool isSameProcess = m_server.has_value() && m_server->instance == announced.instance;
@@ -171,19 +199,19 @@
 
 void Core::handleManifest(const ManifestChanged &changed)
 {
-    // A configuration that arrives late, or again, must not undo a newer one, so only a higher version is taken.
-    if (changed.version <= m_surroundings->manifestVersion) {
-        return;
+    m_surroundings->putInForce(changed.version, changed.manifest);
+}
+
+void Core::handlePlatform(const PlatformAnswered &answered, const SteadyTime now)
+{
+    if (!m_configuration->handleOutcome(answered.id, answered.outcome, now)) {
+        m_surroundings->metrics.count("messages_dropped", "late-platform-answer");
     }
-    m_surroundings->manifestVersion = changed.version;
-    m_surroundings->manifest = changed.manifest;
-    m_surroundings->entryControl->setManifest(changed.manifest);
-    declareService();
-    m_surroundings->actions.emplace_back(ManifestInForce{.version = changed.version, .hash = changed.manifest->hash()});
 }
 
 void Core::declareService()
 {
+    m_declaredVersion = m_surroundings->manifestVersion;
     const manifest::Manifest *const manifest = m_surroundings->manifest.get();
     const manifest::ServiceSpec *const service = manifest == nullptr ? nullptr : manifest->findService(m_surroundings->roster.self().service);
     if (service != nullptr) {
@@ -195,6 +223,7 @@
 {
     m_entry->tick(now);
     m_serving->tick(now);
+    m_configuration->tick(now);
     tickServer(now);
     m_gossip->tick(now);
     tickLeaving(now);
@@ -263,6 +292,9 @@
         Actions batch;
         batch.swap(m_surroundings->actions);
         for (Action &action : batch) {
+            if (const auto *const abort = std::get_if<AbortRun>(&action)) {
+                m_entry->cancelInnerCalls(abort->execution, now);
+            }
             auto *const send = std::get_if<SendToPeer>(&action);
             if (send == nullptr || send->to != m_surroundings->self) {
                 outward.push_back(std::move(action));
@@ -311,6 +343,12 @@
     return *this;
 }
 
+CoreBuilder &CoreBuilder::followPlatform()
+{
+    m_followsPlatform = true;
+    return *this;
+}
+
 CoreBuilder &CoreBuilder::setUnownedKeys(const retry::UnownedKeys unownedKeys)
 {
     m_unownedKeys = unownedKeys;
@@ -354,6 +392,15 @@
     });
     core->m_serving = std::make_unique<ServingHandler>(*core->m_surroundings, std::move(m_gate));
     core->m_entry = std::make_unique<EntryHandler>(*core->m_surroundings, *core->m_serving, m_ledgerLimits);
+    std::vector<configuration::Peer> peers;
+    for (const membership::Contact &contact : m_contacts) {
+        peers.push_back({.id = contact.id, .endpoint = contact.endpoint});
+    }
+    core->m_configurationOutlet = std::make_unique<ConfigurationOutlet>(*core->m_surroundings, std::move(peers));
+    configuration::FollowerOptions options;
+    options.hasPlatform = m_followsPlatform;
+    options.endpoint = m_self.endpoint;
+    core->m_configuration = std::make_unique<configuration::Follower>(*core->m_configurationOutlet, m_random, options);
     core->m_gossip = std::make_unique<membership::Gossip>(core->m_surroundings->roster, m_random, m_metrics, std::move(m_contacts));
     return core;
 }
