--- a/test/egretlatch/routing/adaptive_router.cpp
+++ b/test/egretlatch/routing/adaptive_router.cpp
@@ -185,6 +185,7 @@
 {
     CHECK(rc::check([](const std::uint32_t seed) {
         std::vector<DaemonId> servers;
+        servers.reserve(100);
         for (int number = 0; number < 100; ++number) {
             servers.push_back({"server-" + std::to_string(seed) + "-" + std::to_string(number)});
         }
