--- a/src/egretlatch/admission/adaptive_gate.cpp
+++ b/src/egretlatch/admission/adaptive_gate.cpp
@@ -13,6 +13,9 @@
 // inner call carries what its root has cost so far.
 constexpr int rootQueueFactor = 2;
 constexpr int innerQueueFactor = 8;
+// Multiples of the aimed drain time that a request may wait at most. An inner call that waits holds the slots of all runs
+// above it, which others could use.
+constexpr int longestWaitFactor = 4;
 // The queue must cover half a run at least, or slots stand empty while the daemons further up learn that there is room.
 constexpr int shortestQueueDivisor = 2;
 constexpr std::chrono::milliseconds shortestRetryAfter{200};
@@ -66,6 +69,7 @@
     dropHopeless(now, release);
     startWaiting(now, release);
     shedExcess(nullptr, now, release);
+    shedOverdue(now, release);
     moveLevel(now);
     return release;
 }
@@ -142,10 +146,22 @@
     while (m_waiting.size() > 1 && drainTime() > longestDrainTime(m_waiting.worst().ticket)) {
         const Waiting shed = m_waiting.popWorst();
         const bool hasJustArrived = arrived != nullptr && shed.ticket.execution == arrived->execution;
+        m_level.noteShed(shed.ticket, shed.expected, now);
         release.refused.push_back(refusalOf(shed, hasJustArrived, now));
     }
 }
 
+void AdaptiveGate::shedOverdue(const SteadyTime now, GateRelease &release)
+{
+    const SteadyTime latest = now - internal::longestWaitFactor * aimedDrainTime();
+    for (const Waiting &overdue : m_waiting.removeIf([latest](const Waiting &waiting) {
+             return waiting.ticket.arrived < latest;
+         })) {
+        m_level.noteShed(overdue.ticket, overdue.expected, now);
+        release.refused.push_back(refusalOf(overdue, false, now));
+    }
+}
+
 GateRefusal AdaptiveGate::refusalOf(const Waiting &waiting, const bool hasJustArrived, const SteadyTime now) const
 {
     const Ticket &ticket = waiting.ticket;
