--- a/scripts/experiments/demo.py
+++ b/scripts/experiments/demo.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import signal
 import subprocess
 import sys
 import tempfile
@@ -74,6 +75,8 @@
 
 
 def main():
+    # The default ends the process at once and would leave the deployment running.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     scenario = json.loads(SCENARIO.read_text())
     print(scenario["story"])
     print(", ".join(f"{phase['name']}: {phase['seconds']} s at {phase['rate']} requests/s" for phase in scenario["phases"]), flush=True)
