Callers' own UUIDv7 keys: shards of the key space granted for intervals of time by the table

Cause: only minted keys had an owner; a UUIDv7 of the caller's own making was refused, or owned by each entry on its own.

Weighed: a claim row a key (dead in an outage, writes grow with the calls); one row a daemon (no overlap would need a transaction over all rows). Chosen: one row a shard, 64 for the whole fleet, extended on condition that the row has not changed; a write whose answer was lost is resolved by its id before it counts.

--- a/src/egretlatch/daemon/daemon.cpp
+++ b/src/egretlatch/daemon/daemon.cpp
@@ -168,6 +168,9 @@
     for (const settings::PeerSettings &peer : m_settings.peers) {
         builder.addContact({.id = peer.id, .endpoint = peer.endpoint});
     }
+    if (!m_settings.platformUrl.empty()) {
+        builder.setKeyGrants({});
+    }
     builder.setUnownedKeys(m_settings.ownsUnnamedKeys ? retry::UnownedKeys::entryMemory : retry::UnownedKeys::refuse);
     applyPolicy(m_settings.policy, m_random, builder);
     return builder.build();
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -85,8 +85,10 @@
                    [&](const ManifestChanged &changed) {
                        handleManifest(changed);
                    },
-                   [&](const PlatformAnswered &) {
-                       m_surroundings->metrics.count("messages_dropped", "late-platform-answer");
+                   [&](const PlatformAnswered &answered) {
+                       if (!m_entry->handlePlatform(answered, now)) {
+                           m_surroundings->metrics.count("messages_dropped", "late-platform-answer");
+                       }
                    },
                    [&](const Tick &) {
                        handleTick(now);
@@ -309,6 +311,12 @@
     return *this;
 }
 
+CoreBuilder &CoreBuilder::setKeyGrants(const retry::GrantTimes times)
+{
+    m_grantTimes = times;
+    return *this;
+}
+
 CoreBuilder &CoreBuilder::setKeyLedgerLimits(const retry::KeyLedgerLimits limits)
 {
     m_ledgerLimits = limits;
@@ -345,7 +353,11 @@
         .lastPlatformRequest = {},
     });
     core->m_serving = std::make_unique<ServingHandler>(*core->m_surroundings, std::move(m_gate));
-    core->m_entry = std::make_unique<EntryHandler>(*core->m_surroundings, *core->m_serving, m_ledgerLimits);
+    std::unique_ptr<retry::ShardGrants> grants;
+    if (m_grantTimes.has_value()) {
+        grants = std::make_unique<retry::ShardGrants>(retry::KeyOwner{.daemon = m_self.id, .incarnation = m_self.incarnation}, m_random, *m_grantTimes);
+    }
+    core->m_entry = std::make_unique<EntryHandler>(*core->m_surroundings, *core->m_serving, m_ledgerLimits, std::move(grants));
     core->m_gossip = std::make_unique<membership::Gossip>(core->m_surroundings->roster, m_random, m_metrics, std::move(m_contacts));
     return core;
 }
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -139,6 +139,13 @@
      */
     CoreBuilder &setUnownedKeys(retry::UnownedKeys unownedKeys);
 
+    /**
+     * @brief Lets the platform's table tell the owners of keys that carry a time; without this, it is not asked.
+     * @param times Lengths of the grants.
+     * @return This builder.
+     */
+    CoreBuilder &setKeyGrants(retry::GrantTimes times);
+
     /**
      * @brief Sets how much is remembered of request keys.
      * @param limits The bounds.
@@ -163,6 +170,7 @@
     std::unique_ptr<admission::Gate> m_gate;
     retry::UnownedKeys m_unownedKeys{retry::UnownedKeys::refuse};
     retry::KeyLedgerLimits m_ledgerLimits;
+    std::optional<retry::GrantTimes> m_grantTimes;
 };
 
 } // namespace egretlatch::decision
--- a/src/egretlatch/decision/entry_handler.cpp
+++ b/src/egretlatch/decision/entry_handler.cpp
@@ -43,10 +43,15 @@
 
 } // namespace internal
 
-EntryHandler::EntryHandler(Surroundings &surroundings, ServingHandler &serving, const retry::KeyLedgerLimits ledgerLimits)
+EntryHandler::EntryHandler(Surroundings &surroundings,
+                           ServingHandler &serving,
+                           const retry::KeyLedgerLimits ledgerLimits,
+                           std::unique_ptr<retry::ShardGrants> grants)
     : m_surroundings{surroundings}
     , m_serving{serving}
     , m_ledger{ledgerLimits}
+    , m_grantedLedger{ledgerLimits}
+    , m_grants{std::move(grants)}
 {
 }
 
@@ -320,6 +325,7 @@
 
 void EntryHandler::tick(const SteadyTime now)
 {
+    tickGrants(now);
     while (!m_wakes.empty() && m_wakes.begin()->first <= now) {
         const auto found = m_pending.find(m_wakes.begin()->second);
         if (found->second.deadline > now) {
@@ -333,6 +339,9 @@
 void EntryHandler::drain()
 {
     m_isDraining = true;
+    if (m_grants != nullptr) {
+        m_grants->leave();
+    }
 }
 
 std::optional<SteadyTime> EntryHandler::nextDeadline() const
--- a/src/egretlatch/decision/entry_handler.hpp
+++ b/src/egretlatch/decision/entry_handler.hpp
@@ -2,6 +2,7 @@
 #define EGRETLATCH_DECISION_ENTRY_HANDLER_HPP
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -16,6 +17,7 @@
 #include <egretlatch/retry/key_ledger.hpp>
 #include <egretlatch/retry/ratio_budget.hpp>
 #include <egretlatch/retry/request_key.hpp>
+#include <egretlatch/retry/shard_grants.hpp>
 #include <egretlatch/retry/verdict_rules.hpp>
 
 namespace egretlatch::decision
@@ -30,8 +32,9 @@
      * @param surroundings What it shares with the rest of the core; must outlive it.
      * @param serving Knows the runs that make inner calls; must outlive it.
      * @param ledgerLimits How much is remembered of request keys.
+     * @param grants Tells the owners of keys that name none; null without a platform.
      */
-    EntryHandler(Surroundings &surroundings, ServingHandler &serving, retry::KeyLedgerLimits ledgerLimits);
+    EntryHandler(Surroundings &surroundings, ServingHandler &serving, retry::KeyLedgerLimits ledgerLimits, std::unique_ptr<retry::ShardGrants> grants);
 
     /**
      * @brief Takes a call.
@@ -49,6 +52,14 @@
      */
     void handleForwarded(const DaemonId &from, Incarnation incarnation, const protocol::CallRequest &request, SteadyTime now);
 
+    /**
+     * @brief Takes an answer of the platform.
+     * @param answered The answer.
+     * @param now Current time.
+     * @return True if it was asked for here.
+     */
+    [[nodiscard]] bool handlePlatform(const PlatformAnswered &answered, SteadyTime now);
+
     /**
      * @brief Mints a request key for a caller.
      * @param requested The wish.
@@ -132,6 +143,8 @@
         retry::KeyKnowledge knowledge{};
         /*! @brief Whether the ledger holds the call's key as running on behalf of this call. */
         bool holdsKey{};
+        /*! @brief Whether the key was granted by the table rather than minted by this daemon. */
+        bool isGranted{};
         /*! @brief What the keys of inner calls are derived from. */
         std::string scope;
         int retries{};
@@ -165,7 +178,10 @@
     void answerMistake(ExchangeId exchange, const CallerCall &call, int status, std::string mistake);
     void admit(Pending pending, SteadyTime now);
     void findOwner(Pending pending, const std::optional<InnerContext> &inner, SteadyTime now);
-    [[nodiscard]] std::optional<retry::RequestKey> keyOf(const Pending &pending, const std::optional<InnerContext> &inner);
+    [[nodiscard]] std::optional<retry::RequestKey> keyOf(const Pending &pending, const std::optional<InnerContext> &inner) const;
+    [[nodiscard]] retry::KeyLedger &ledgerOf(const Pending &pending);
+    void tickGrants(SteadyTime now);
+    [[nodiscard]] bool isPreferredFor(int shard) const;
     void own(Pending pending, const retry::RequestKey &key, SteadyTime now);
     void ownUnnamed(Pending pending, SteadyTime now);
     void answerFinding(Pending pending, const retry::KeyFinding &finding, SteadyTime now);
@@ -200,6 +216,10 @@
     /*! @brief Calls that wait for the end of a key that is run for another call. */
     std::map<std::string, std::vector<CallId>> m_joined;
     retry::KeyLedger m_ledger;
+    /*! @brief Keys granted by the table: their ages are calendar times, so they are forgotten apart from the others. */
+    retry::KeyLedger m_grantedLedger;
+    std::unique_ptr<retry::ShardGrants> m_grants;
+    SteadyTime m_lastGrants;
     retry::RatioBudget m_ratio;
     /*! @brief When each pending call is to be looked at: its next attempt, or its deadline. */
     std::set<std::pair<SteadyTime, CallId>> m_wakes;
--- a/src/egretlatch/decision/entry_keys.cpp
+++ b/src/egretlatch/decision/entry_keys.cpp
@@ -41,7 +41,10 @@
 // starts. A resend is told from it by a key of its own.
 [[nodiscard]] static std::string nextKeyOf(const std::string &text, const int attemptsLeft)
 {
-    const std::optional<retry::RequestKey> key = retry::RequestKey::parse(text);
+    std::optional<retry::RequestKey> key = retry::RequestKey::parse(text);
+    if (!key.has_value()) {
+        key = retry::RequestKey::parseUuid(text);
+    }
     return key.has_value() && attemptsLeft > 0 ? key->next().text() : std::string{};
 }
 
@@ -111,11 +114,21 @@
     return parent->derive(fmt::format("call\n{:x}\n{}", content, ordinal)).text();
 }
 
-std::optional<retry::RequestKey> EntryHandler::keyOf(const Pending &pending, const std::optional<InnerContext> &inner)
+std::optional<retry::RequestKey> EntryHandler::keyOf(const Pending &pending, const std::optional<InnerContext> &inner) const
 {
     std::optional<retry::RequestKey> key = retry::RequestKey::parse(pending.call.key);
+    if (key.has_value()) {
+        return key;
+    }
     // A backend server's own key for an inner call need not name an owner: the root's owner stands for all of its calls.
-    return !key.has_value() && inner.has_value() ? retry::RequestKey::parse(pending.scope) : key;
+    if (inner.has_value()) {
+        return retry::RequestKey::parse(pending.scope);
+    }
+    key = m_grants == nullptr ? std::nullopt : retry::RequestKey::parseUuid(pending.call.key);
+    if (!key.has_value()) {
+        return std::nullopt;
+    }
+    return key->withOwner(m_grants->ownerOf(*key->uuid()).value_or(retry::KeyOwner{}));
 }
 
 void EntryHandler::findOwner(Pending pending, const std::optional<InnerContext> &inner, const SteadyTime now)
@@ -127,12 +140,16 @@
     }
     pending.knowledge = retry::KeyKnowledge::none;
     if (!key.has_value()) {
-        const std::string rule = "the key names no owner; mint one by POST /keys/{service}/{kind}";
+        const std::string rule = m_grants == nullptr
+            ? "the key names no owner, and no platform is set to tell one; mint one by POST /keys/{service}/{kind}"
+            : "the key names no owner and carries no time; use a version 7 UUID, or mint one by POST /keys/{service}/{kind}";
         finishRefused(std::move(pending), m_surroundings.refuse(account::RefusalReason::keyOwnerUnknown, rule), now);
         return;
     }
     pending.call.key = key->text();
-    pending.scope = key->text();
+    if (!key->uuid().has_value()) {
+        pending.scope = key->text();
+    }
     if (key->owner() == retry::KeyOwner{.daemon = m_surroundings.self, .incarnation = m_surroundings.incarnation}) {
         own(std::move(pending), *key, now);
         return;
@@ -140,6 +157,11 @@
     forward(std::move(pending), key->owner(), now);
 }
 
+retry::KeyLedger &EntryHandler::ledgerOf(const Pending &pending)
+{
+    return pending.isGranted ? m_grantedLedger : m_ledger;
+}
+
 void EntryHandler::ownUnnamed(Pending pending, const SteadyTime now)
 {
     const std::uint64_t request = internal::hashOf(pending.call);
@@ -162,12 +184,20 @@
 {
     const std::uint64_t request = internal::hashOf(pending.call);
     pending.knowledge = retry::KeyKnowledge::owner;
-    if (key.age() > ageOf(now)) {
+    // The table grants a key by its time; what this life has given up it does not run, whatever other daemons still read.
+    if (key.uuid().has_value() && !m_grants->owns(*key.uuid())) {
+        pending.knowledge = retry::KeyKnowledge::none;
+        finishRefused(std::move(pending), m_surroundings.refuse(account::RefusalReason::keyOwnerUnknown, "the key was not granted to this daemon"), now);
+        return;
+    }
+    if (!key.uuid().has_value() && key.age() > ageOf(now)) {
         // Never minted here: entered, it would be the last to be forgotten and close all younger keys before its turn.
         finishRefused(std::move(pending), m_surroundings.refuse(account::RefusalReason::keyOwnerUnknown, "the key was not minted by its owner"), now);
         return;
     }
-    const retry::KeyFinding finding = m_ledger.find(key.text(), key.age(), request);
+    pending.isGranted = key.uuid().has_value();
+    retry::KeyLedger &ledger = ledgerOf(pending);
+    const retry::KeyFinding finding = ledger.find(key.text(), key.age(), request);
     if (finding.standing != retry::KeyStanding::fresh) {
         answerFinding(std::move(pending), finding, now);
         return;
@@ -177,7 +207,7 @@
         return;
     }
     // A key whose predecessor still runs is not closed by this refusal, so it might run later.
-    const bool isSpent = m_ledger.find(key.previous()->text(), key.age(), request).standing == retry::KeyStanding::closed;
+    const bool isSpent = ledger.find(key.previous()->text(), key.age(), request).standing == retry::KeyStanding::closed;
     pending.verdict = isSpent ? Verdict::notRun : Verdict::mayHaveRun;
     const std::string rule = "the resends of this request are used up, or the key before this one was not refused as not run";
     finishRefused(std::move(pending), m_surroundings.refuse(account::RefusalReason::retryBudgetSpent, rule), now);
@@ -189,7 +219,7 @@
     if (!previous.has_value()) {
         return true;
     }
-    const retry::KeyFinding before = m_ledger.find(previous->text(), previous->age(), request);
+    const retry::KeyFinding before = ledgerOf(pending).find(previous->text(), previous->age(), request);
     if (before.standing != retry::KeyStanding::closed || before.attemptsLeft <= 0) {
         return false;
     }
@@ -200,7 +230,7 @@
 
 void EntryHandler::beginOwned(Pending pending, const std::chrono::milliseconds age, const std::uint64_t request, const SteadyTime now)
 {
-    m_ledger.begin(pending.call.key, age, request);
+    ledgerOf(pending).begin(pending.call.key, age, request);
     pending.holdsKey = true;
     admit(std::move(pending), now);
 }
@@ -273,11 +303,14 @@
     pending.arrived = now;
     pending.deadline = now + request.remaining;
     pending.attemptsLeft = request.attemptsLent;
-    const std::optional<retry::RequestKey> key = retry::RequestKey::parse(request.key);
+    std::optional<retry::RequestKey> key = retry::RequestKey::parse(request.key);
+    if (!key.has_value() && m_grants != nullptr) {
+        key = retry::RequestKey::parseUuid(request.key);
+    }
     const retry::KeyOwner self{.daemon = m_surroundings.self, .incarnation = m_surroundings.incarnation};
     const bool isKnown = m_surroundings.manifest != nullptr && m_surroundings.manifest->findKind(request.service, request.kind) != nullptr;
     // The receiver and the owner named by the key are both checked: either alone could be an earlier life of this daemon.
-    if (request.receiver != m_surroundings.incarnation || !key.has_value() || key->owner() != self || !isKnown) {
+    if (request.receiver != m_surroundings.incarnation || !key.has_value() || (!key->uuid().has_value() && key->owner() != self) || !isKnown) {
         const std::string rule = "the request was meant for an earlier life of this daemon, or for a kind not declared here";
         finishRefused(std::move(pending), m_surroundings.refuse(account::RefusalReason::keyOwnerUnknown, rule), now);
         return;
@@ -298,6 +331,43 @@
     finishRefused(std::move(pending), answer.refusal.value_or(m_surroundings.refuse(account::RefusalReason::serverLost, "no answer and no reason")), now);
 }
 
+void EntryHandler::tickGrants(const SteadyTime now)
+{
+    constexpr std::chrono::milliseconds interval{100};
+    if (m_grants == nullptr || now - m_lastGrants < interval) {
+        return;
+    }
+    m_lastGrants = now;
+    std::vector<platform::Request> requests = m_grants->tick(m_surroundings.clock.wallNow(), now, [this](const int shard) {
+        return isPreferredFor(shard);
+    });
+    for (platform::Request &request : requests) {
+        const platform::RequestId id = m_surroundings.askPlatform(request);
+        m_grants->noteAsked(id, request);
+    }
+}
+
+bool EntryHandler::isPreferredFor(const int shard) const
+{
+    // The highest hash among the daemons that are at work. Views may differ; the table then lets one of them write.
+    const auto weightOf = [shard](const DaemonId &daemon) {
+        const std::string text = fmt::format("{} {}", shard, daemon.value);
+        return XXH3_64bits(text.data(), text.size());
+    };
+    const std::uint64_t own = weightOf(m_surroundings.self);
+    for (const membership::Member &member : m_surroundings.roster.members()) {
+        if (member.state == membership::MemberState::serving && member.id != m_surroundings.self && weightOf(member.id) > own) {
+            return false;
+        }
+    }
+    return m_surroundings.roster.self().state == membership::MemberState::serving;
+}
+
+bool EntryHandler::handlePlatform(const PlatformAnswered &answered, const SteadyTime now)
+{
+    return m_grants != nullptr && m_grants->take(answered.id, answered.outcome, now);
+}
+
 void EntryHandler::join(Pending pending)
 {
     pending.phase = Phase::joined;
@@ -310,7 +380,7 @@
 void EntryHandler::releaseKey(const Pending &pending, CallerAnswer &answer)
 {
     const retry::HeldAnswer held{.status = answer.status, .headers = answer.headers, .body = answer.body};
-    m_ledger.end(pending.call.key, answer.verdict, held, pending.attemptsLeft);
+    ledgerOf(pending).end(pending.call.key, answer.verdict, held, pending.attemptsLeft);
     if (answer.verdict == Verdict::notRun) {
         answer.nextKey = internal::nextKeyOf(pending.call.key, pending.attemptsLeft);
     }
--- a/src/egretlatch/retry/fwd.hpp
+++ b/src/egretlatch/retry/fwd.hpp
@@ -9,6 +9,8 @@
 enum class KeyStanding;
 enum class UnownedKeys;
 
+struct GrantTimes;
+struct KeyInterval;
 struct KeyOwner;
 struct HeldAnswer;
 struct KeyFinding;
@@ -17,6 +19,8 @@
 class RequestKey;
 class KeyLedger;
 class CallWindow;
+class ShardRow;
+class ShardGrants;
 class RatioBudget;
 
 } // namespace egretlatch::retry
--- a/src/egretlatch/retry/request_key.cpp
+++ b/src/egretlatch/retry/request_key.cpp
@@ -19,6 +19,7 @@
 constexpr int hexadecimal = 16;
 constexpr int decimal = 10;
 constexpr int mostResends = 99;
+constexpr std::size_t uuidSize = 36;
 
 /*! @brief Reads a text from its front; fails for good at the first thing that does not fit. */
 class Reader
@@ -138,6 +139,33 @@
     return key;
 }
 
+std::optional<RequestKey> RequestKey::parseUuid(const std::string_view text)
+{
+    const std::string_view stem = text.substr(0, internal::uuidSize);
+    const std::string_view suffix = text.substr(stem.size());
+    const std::optional<Uuid> uuid = Uuid::parse(stem);
+    const std::optional<WallTime> minted = uuid.has_value() ? uuid->mintedAt() : std::nullopt;
+    const int resend = internal::resendOf(suffix);
+    const bool isWhole = suffix.empty() || suffix == fmt::format("~{}", resend);
+    if (!minted.has_value() || !isWhole) {
+        return std::nullopt;
+    }
+    RequestKey key;
+    // Either case of its digits names the same UUID, so one of them names the key.
+    key.m_text = uuid->toString() + std::string{suffix};
+    key.m_age = std::chrono::duration_cast<std::chrono::milliseconds>(minted->time_since_epoch());
+    key.m_resend = resend;
+    key.m_uuid = uuid;
+    return key;
+}
+
+RequestKey RequestKey::withOwner(KeyOwner owner) const
+{
+    RequestKey key = *this;
+    key.m_owner = std::move(owner);
+    return key;
+}
+
 RequestKey RequestKey::derive(const std::string_view identity) const
 {
     const std::string whole = fmt::format("{}\n{}", m_text, identity);
--- a/src/egretlatch/retry/request_key.hpp
+++ b/src/egretlatch/retry/request_key.hpp
@@ -10,6 +10,7 @@
 #include <egretlatch/core/clock.hpp>
 #include <egretlatch/core/ids.hpp>
 #include <egretlatch/core/random_source.hpp>
+#include <egretlatch/core/uuid.hpp>
 
 namespace egretlatch::retry
 {
@@ -31,10 +32,11 @@
 };
 
 /**
- * @brief An idempotency key that names its owner.
+ * @brief An idempotency key that has an owner.
  *
  * Text: `el1-INCARNATION-AGE-NONCE-LENGTH:DAEMON`, then any suffix, then `~N` on the N-th resend. The age is the
- * owner's own steady time, in milliseconds of its life, so that no two clocks are ever compared.
+ * owner's own steady time, in milliseconds of its life, so that no two clocks are ever compared. The other form is a
+ * version 7 UUID, of the caller's own making, whose owner the table tells; its age is the calendar time that it carries.
  */
 class RequestKey
 {
@@ -55,6 +57,20 @@
      */
     [[nodiscard]] static std::optional<RequestKey> parse(std::string_view text);
 
+    /**
+     * @brief Reads a key that carries its time, but names no owner.
+     * @param text A version 7 UUID as a caller sent it, with `~N` on the N-th resend.
+     * @return The key, without an owner yet, or nothing for any other text.
+     */
+    [[nodiscard]] static std::optional<RequestKey> parseUuid(std::string_view text);
+
+    /**
+     * @brief Gives a key the owner that the table tells.
+     * @param owner The owner.
+     * @return The key with its owner.
+     */
+    [[nodiscard]] RequestKey withOwner(KeyOwner owner) const;
+
     /**
      * @brief Derives the key of an inner call.
      *
@@ -91,6 +107,12 @@
         return m_age;
     }
 
+    /*! @brief Set for a key in the form of a UUID. */
+    [[nodiscard]] const std::optional<Uuid> &uuid() const noexcept
+    {
+        return m_uuid;
+    }
+
     /*! @brief 0 for a key that is sent for the first time, 1 for the key of the first resend. */
     [[nodiscard]] int resend() const noexcept
     {
@@ -106,6 +128,7 @@
     KeyOwner m_owner;
     std::chrono::milliseconds m_age{};
     int m_resend{};
+    std::optional<Uuid> m_uuid;
 };
 
 } // namespace egretlatch::retry
--- /dev/null
+++ b/test/egretlatch/retry/shard_grants.cpp
@@ -0,0 +1,158 @@
+#include <doctest/doctest.h>
+
+#include <memory>
+
+#include <fmt/format.h>
+
+#include <egretlatch/retry/shard_grants.hpp>
+#include <fakes/manual_clock.hpp>
+#include <fakes/table.hpp>
+
+using namespace egretlatch;
+using namespace egretlatch::retry;
+using namespace std::chrono_literals;
+
+namespace internal
+{
+
+// Daemons that share the shards over one table; shards go to the lowest number that is up, in turn.
+struct Fleet
+{
+    explicit Fleet(const int size)
+    {
+        for (int number = 0; number < size; ++number) {
+            start(number);
+        }
+    }
+
+    void start(const int number)
+    {
+        const KeyOwner self{.daemon = {fmt::format("d{}", number)}, .incarnation = {++lives}};
+        owners[number] = self;
+        daemons[number] = std::make_unique<ShardGrants>(self, random);
+    }
+
+    void run(const std::chrono::seconds span)
+    {
+        for (auto passed = 0ms; passed < span; passed += 500ms) {
+            clock.advance(500ms);
+            for (auto &[number, grants] : daemons) {
+                step(number, *grants);
+            }
+        }
+    }
+
+    void step(const int number, ShardGrants &grants)
+    {
+        const auto isPreferred = [this, number](const int shard) {
+            const std::size_t place = static_cast<std::size_t>(shard) % daemons.size();
+            return std::next(daemons.begin(), static_cast<std::ptrdiff_t>(place))->first == number;
+        };
+        for (const platform::Request &request : grants.tick(clock.wallNow(), clock.steadyNow(), isPreferred)) {
+            const platform::RequestId id{++asked};
+            grants.noteAsked(id, request);
+            const platform::Outcome down = tl::unexpected{Error{ErrorCode::unavailable, "down"}};
+            static_cast<void>(grants.take(id, isDown ? down : table.ask(request), clock.steadyNow()));
+        }
+    }
+
+    // Share of keys minted now that find a living owner that may run them.
+    [[nodiscard]] double shareServed()
+    {
+        constexpr int keys = 2000;
+        UuidMint mint{random};
+        int served = 0;
+        for (int number = 0; number < keys; ++number) {
+            const Uuid key = mint.mint(clock.wallNow());
+            const std::optional<KeyOwner> owner = daemons.begin()->second->ownerOf(key);
+            for (const auto &[candidate, grants] : daemons) {
+                served += owner.has_value() && owners[candidate] == *owner && grants->owns(key) ? 1 : 0;
+            }
+        }
+        return static_cast<double>(served) / keys;
+    }
+
+    fakes::ManualClock clock;
+    SeededRandom random{9};
+    fakes::Table table;
+    std::map<int, std::unique_ptr<ShardGrants>> daemons;
+    std::map<int, KeyOwner> owners;
+    std::uint64_t lives{};
+    std::uint64_t asked{};
+    bool isDown{};
+};
+
+} // namespace internal
+
+TEST_CASE("callers' own keys are served through an outage of the table of five minutes")
+{
+    // Launches stop being recorded while the platform's store is down: no daemon may begin a key without it.
+    internal::Fleet fleet{16};
+    fleet.run(7min);
+    const int before = fleet.table.writes();
+    fleet.isDown = true;
+    double least = 1;
+    for (int minute = 0; minute < 5; ++minute) {
+        fleet.run(1min);
+        least = std::min(least, fleet.shareServed());
+    }
+
+    fmt::print("grants: share of keys served in an outage of five minutes: {:.3f}\n", least);
+    CHECK(least == doctest::Approx(1.0));
+    CHECK(fleet.table.writes() == before);
+}
+
+TEST_CASE("a lost daemon closes its own grants and no others, until they end")
+{
+    internal::Fleet fleet{16};
+    fleet.run(2min);
+    fleet.daemons.erase(3);
+    fleet.run(1min);
+    const double after = fleet.shareServed();
+    fleet.run(10min);
+
+    fmt::print("grants: share of keys served a minute after one daemon of 16 is lost: {:.3f}\n", after);
+    CHECK(after > 0.9);
+    CHECK(after < 1);
+    CHECK(fleet.shareServed() == doctest::Approx(1.0));
+}
+
+TEST_CASE("a daemon that leaves hands its grants on within seconds")
+{
+    internal::Fleet fleet{16};
+    fleet.run(2min);
+    fleet.daemons.at(3)->leave();
+    fleet.run(5s);
+    fleet.daemons.erase(3);
+    fleet.run(1min);
+
+    CHECK(fleet.shareServed() == doctest::Approx(1.0));
+}
+
+TEST_CASE("writes to the table do not grow with the fleet")
+{
+    for (const int size : {16, 128}) {
+        internal::Fleet fleet{size};
+        fleet.run(2min);
+        const int before = fleet.table.writes();
+        fleet.run(20min);
+        const double perSecond = (fleet.table.writes() - before) / 1200.0;
+        fmt::print("grants: {} daemons write {:.2f} rows a second\n", size, perSecond);
+        CHECK(perSecond < 0.5);
+    }
+}
+
+TEST_CASE("intervals of a shard follow one another")
+{
+    const KeyOwner first{.daemon = {"a"}, .incarnation = {1}};
+    const KeyOwner second{.daemon = {"b"}, .incarnation = {2}};
+    const ShardRow row = ShardRow{}.extend(first, 100ms).cut(80ms).extend(second, 90ms).extend(second, 200ms);
+
+    CHECK(row.find(79ms)->owner == first);
+    CHECK(row.find(80ms)->owner == second);
+    CHECK_FALSE(row.find(200ms));
+    CHECK(ShardRow::parse(row.toText("writer")) == row);
+    CHECK_FALSE(ShardRow::parse("writer\n0 100 1 a\n50 200 2 b\n"));
+    CHECK_FALSE(ShardRow::parse("writer\n0 x 1 a\n"));
+    CHECK_FALSE(ShardRow::parse(""));
+}
--- /dev/null
+++ b/test/fakes/table.hpp
@@ -0,0 +1,79 @@
+#ifndef TEST_FAKES_TABLE_HPP
+#define TEST_FAKES_TABLE_HPP
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include <egretlatch/platform/requests.hpp>
+
+namespace fakes
+{
+
+/*! @brief The platform's table, in memory: conditional writes of several rows, all or none. */
+class Table
+{
+public:
+    /**
+     * @brief Carries a request out.
+     * @param request A read, a scan or a write of the table; objects are not kept.
+     * @return What the platform answers if nothing fails.
+     */
+    [[nodiscard]] egretlatch::platform::Outcome ask(const egretlatch::platform::Request &request)
+    {
+        using namespace egretlatch::platform;
+        if (const auto *const read = std::get_if<TableRead>(&request)) {
+            return rowsFrom(read->key, read->key, 1);
+        }
+        if (const auto *const scan = std::get_if<TableScan>(&request)) {
+            return rowsFrom(std::max(scan->prefix, scan->after), scan->prefix + "\x7f", scan->limit);
+        }
+        if (const auto *const write = std::get_if<TableWrite>(&request)) {
+            return carryOut(*write);
+        }
+        return tl::unexpected{egretlatch::Error{egretlatch::ErrorCode::notFound, "no objects are kept"}};
+    }
+
+    /*! @brief Writes that took effect. */
+    [[nodiscard]] int writes() const noexcept
+    {
+        return m_writes;
+    }
+
+private:
+    [[nodiscard]] egretlatch::platform::Outcome rowsFrom(const std::string &first, const std::string &last, const int limit) const
+    {
+        egretlatch::platform::RowsReply reply;
+        for (auto row = m_rows.lower_bound(first); row != m_rows.end() && row->first <= last && static_cast<int>(reply.rows.size()) < limit; ++row) {
+            reply.rows.push_back(row->second);
+        }
+        return reply;
+    }
+
+    [[nodiscard]] egretlatch::platform::Outcome carryOut(const egretlatch::platform::TableWrite &write)
+    {
+        for (const auto &condition : write.conditions) {
+            const auto row = m_rows.find(condition.key);
+            if ((row == m_rows.end() ? 0 : row->second.version) != condition.version) {
+                return tl::unexpected{egretlatch::Error{egretlatch::ErrorCode::conflict, condition.key}};
+            }
+        }
+        ++m_writes;
+        for (const auto &change : write.writes) {
+            m_rows.erase(change.key);
+            if (change.value.has_value()) {
+                m_rows.emplace(change.key, egretlatch::platform::Row{.key = change.key, .value = *change.value, .version = ++m_version});
+            }
+        }
+        return egretlatch::platform::WrittenReply{};
+    }
+
+    std::map<std::string, egretlatch::platform::Row> m_rows;
+    std::uint64_t m_version{};
+    int m_writes{};
+};
+
+} // namespace fakes
+
+#endif
--- a/test/history/histories.cpp
+++ b/test/history/histories.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <cstdlib>
 
 #include <doctest/doctest.h>
@@ -26,12 +27,16 @@
     std::size_t sent = 0;
     std::size_t ran = 0;
     std::size_t replayed = 0;
+    std::size_t granted = 0;
     std::map<std::string, std::size_t> verdicts;
     for (std::uint64_t seed = first; seed < first + count; ++seed) {
         history::Schedule schedule{seed};
         const history::History &history = schedule.run();
         sent += history.sent.size();
         ran += history.ran.size();
+        granted += static_cast<std::size_t>(std::count_if(history.ran.begin(), history.ran.end(), [](const history::Ran &run) {
+            return run.kind == "launch-entry" && !run.key.starts_with("el1-");
+        }));
         std::map<std::string, int> bodies;
         for (const history::Answered &answered : history.answered) {
             ++verdicts[std::string{toString(answered.verdict)} + (answered.reason.empty() ? "" : " " + answered.reason)];
@@ -41,10 +46,17 @@
             FAIL_CHECK(fmt::format("seed {}: {}", seed, violation));
         }
     }
-    fmt::print("histories: {} schedules from seed {}, {} requests sent, {} runs, {} answers replayed\n", count, first, sent, ran, replayed);
+    fmt::print("histories: {} schedules from seed {}, {} requests sent, {} runs, {} of them by keys that callers minted, {} answers replayed\n",
+               count,
+               first,
+               sent,
+               ran,
+               granted,
+               replayed);
     for (const auto &[verdict, times] : verdicts) {
         fmt::print("  {}: {}\n", verdict, times);
     }
     CHECK(ran > 0);
     CHECK(replayed > 0);
+    CHECK(granted > 0);
 }
--- a/test/history/schedule.cpp
+++ b/test/history/schedule.cpp
@@ -26,6 +26,10 @@
 constexpr std::size_t largeLedger = 1000;
 constexpr int mostSends = 5;
 constexpr double hastyShare = 0.1;
+constexpr int mostSkewMs = 3000;
+// Short, so that a schedule sees many of them change hands.
+constexpr retry::GrantTimes grantTimes{
+    .length = std::chrono::seconds{4}, .readInterval = std::chrono::milliseconds{600}, .retryInterval = std::chrono::milliseconds{150}};
 
 [[nodiscard]] static manifest::KindSpec kindOf(std::string name, const bool idempotent)
 {
@@ -69,6 +73,9 @@
     m_faults.rejects = m_random.fraction() * most * 4;
     m_faults.sendFailures = m_random.fraction() * most;
     m_ledgerEntries = m_random.below(4) == 0 ? internal::smallLedger : internal::largeLedger;
+    m_faults.lostPlatformAnswers = m_random.fraction() * most * 4;
+    m_faults.outages = static_cast<int>(m_random.below(3));
+    m_faults.leaves = static_cast<int>(m_random.below(3));
     m_faults.drains = static_cast<int>(m_random.below(2));
     for (std::size_t index = 0; index < 2 * internal::nodesPerService; ++index) {
         Node node;
@@ -97,6 +104,7 @@
         caller.service = "launch-log";
         caller.kind = kind < 2 ? "launch-entry" : (kind == 2 ? "statement" : "lookup");
         caller.idempotent = kind >= 2;
+        caller.mintsItself = m_random.below(2) == 0;
         m_callers.push_back(caller);
         plan(internal::warmUp + between(0, 6000), [this, index = m_callers.size() - 1] {
             m_callers[index].idempotent ? send(index) : wish(index);
@@ -142,6 +150,7 @@
     self.endpoint = "tcp://" + node.id.value;
     decision::CoreBuilder builder{m_clock, *node.random, m_metrics};
     builder.setSelf(self);
+    builder.setKeyGrants(internal::grantTimes);
     builder.setKeyLedgerLimits({.entries = m_ledgerEntries, .answerBytes = 1000});
     builder.setGate(std::make_unique<admission::StaticGate>(internal::slots, internal::queueCapacity));
     for (const Node &other : m_nodes) {
@@ -205,6 +214,20 @@
             crash(anyNode());
         });
     }
+    for (int count = 0; count < m_faults.outages; ++count) {
+        plan(span(), [this] {
+            m_tableDownUntil = m_clock.steadyNow() + between(500, 6000);
+        });
+    }
+    for (int count = 0; count < m_faults.leaves; ++count) {
+        plan(span(), [this] {
+            const std::size_t index = anyNode();
+            give(index, decision::ServerDraining{.isShutdown = true});
+            plan(between(500, 4000), [this, index] {
+                crash(index);
+            });
+        });
+    }
     for (int count = 0; count < m_faults.drains; ++count) {
         plan(span(), [this] {
             const std::size_t index = anyNode();
@@ -253,6 +276,8 @@
         transmit(index, *send);
     } else if (const auto *const start = std::get_if<decision::StartRun>(&action)) {
         startRun(index, *start);
+    } else if (const auto *const ask = std::get_if<decision::AskPlatform>(&action)) {
+        askTable(index, *ask);
     } else if (const auto *const answer = std::get_if<decision::AnswerCaller>(&action)) {
         handleAnswer(index, *answer);
     }
@@ -303,6 +328,39 @@
     give(to, decision::PeerMessage{.envelope = envelope});
 }
 
+void Schedule::askTable(const std::size_t index, const decision::AskPlatform &ask)
+{
+    const auto reply = [this, index, life = m_nodes[index].life, id = ask.id](const platform::Outcome &outcome) {
+        if (m_nodes[index].life == life) {
+            give(index, decision::PlatformAnswered{.id = id, .outcome = outcome});
+        }
+    };
+    if (m_tableDownUntil > m_clock.steadyNow()) {
+        plan(between(1, 200), [reply] {
+            reply(tl::unexpected{Error{ErrorCode::unavailable, "down"}});
+        });
+        return;
+    }
+    const bool isLost = !m_isQuiet && m_random.fraction() < m_faults.lostPlatformAnswers;
+    if (!isLost) {
+        plan(between(1, 10), [this, reply, request = ask.request] {
+            reply(m_table.ask(request));
+        });
+        return;
+    }
+    // The write may take effect before the asker gives up, or long after, or not at all.
+    const Duration effect = between(1, 3000);
+    const bool isDone = m_random.fraction() < 0.7;
+    plan(effect, [this, isDone, request = ask.request] {
+        if (isDone) {
+            static_cast<void>(m_table.ask(request));
+        }
+    });
+    plan(std::chrono::milliseconds{500}, [reply] {
+        reply(tl::unexpected{Error{ErrorCode::timedOut, "no answer"}});
+    });
+}
+
 void Schedule::startRun(const std::size_t index, const decision::StartRun &start)
 {
     auto run = std::make_shared<Run>();
@@ -410,6 +468,13 @@
     if (!m_callers[caller].key.empty()) {
         return;
     }
+    if (m_callers[caller].mintsItself) {
+        const auto skew =
+            std::chrono::duration_cast<WallTime::duration>(between(0, 2 * internal::mostSkewMs)) - std::chrono::milliseconds{internal::mostSkewMs};
+        m_callers[caller].key = UuidMint{m_random}.mint(m_clock.wallNow() + skew).toString();
+        send(caller);
+        return;
+    }
     const int exchange = ++m_exchanges;
     m_wishOf[exchange] = caller;
     give(anyNode(), decision::KeyRequested{.exchange = {static_cast<std::uint64_t>(exchange)}, .service = "launch-log", .kind = "launch-entry"});
@@ -447,7 +512,8 @@
         }
         m_callers[index].open = -1;
         m_history.excused.push_back(exchange);
-        const auto key = retry::RequestKey::parse(m_callers[index].key);
+        auto key = retry::RequestKey::parse(m_callers[index].key);
+        key = key.has_value() ? key : retry::RequestKey::parseUuid(m_callers[index].key);
         if (key.has_value() && m_random.fraction() < internal::hastyShare) {
             // A caller that takes the next key without having been told that the one before did not run.
             m_callers[index].key = key->next().text();
--- a/test/history/schedule.hpp
+++ b/test/history/schedule.hpp
@@ -11,6 +11,7 @@
 #include <egretlatch/decision/core.hpp>
 #include <fakes/counting_metrics.hpp>
 #include <fakes/manual_clock.hpp>
+#include <fakes/table.hpp>
 #include <history/history.hpp>
 
 namespace history
@@ -32,6 +33,10 @@
     int drains{};
     /*! @brief Share of the calls that the sender's transport does not take. */
     double sendFailures{};
+    /*! @brief Share of the platform's answers that are lost, after the write took effect or before it does. */
+    double lostPlatformAnswers{};
+    int outages{};
+    int leaves{};
 };
 
 /**
@@ -82,6 +87,8 @@
         bool idempotent{};
         std::string key;
         int sends{};
+        /*! @brief Whether it mints its keys itself, by its own clock. */
+        bool mintsItself{};
         int open{-1};
         bool isDone{};
     };
@@ -123,6 +130,7 @@
     void carryOut(std::size_t index, egretlatch::decision::Action &action);
     void transmit(std::size_t from, const egretlatch::decision::SendToPeer &send);
     void deliver(std::size_t to, const egretlatch::protocol::Envelope &envelope);
+    void askTable(std::size_t index, const egretlatch::decision::AskPlatform &ask);
     void startRun(std::size_t index, const egretlatch::decision::StartRun &start);
     void stepRun(const RunPtr &run);
     void endRun(const RunPtr &run);
@@ -137,6 +145,8 @@
     egretlatch::SeededRandom m_random;
     fakes::ManualClock m_clock;
     fakes::CountingMetrics m_metrics;
+    fakes::Table m_table;
+    Clock m_tableDownUntil{};
     std::shared_ptr<const egretlatch::manifest::Manifest> m_manifest;
     Faults m_faults;
     std::vector<Node> m_nodes;
--- a/test/processes/test_at_most_once.py
+++ b/test/processes/test_at_most_once.py
@@ -6,8 +6,10 @@
 import random
 import signal
 import threading
+import time
 import urllib.error
 import urllib.request
+import uuid
 
 from support import MeshTest, call
 
@@ -40,14 +42,34 @@
     raise AssertionError("no daemon mints a key")
 
 
+def uuid7(chooser):
+    """A key of the caller's own making, with the time of its own clock."""
+    milliseconds = time.time_ns() // 1_000_000
+    rest = chooser.getrandbits(80)
+    value = (milliseconds << 80) | (0x7 << 76) | ((rest >> 68 & 0xFFF) << 64) | (0b10 << 62) | (rest & (1 << 62) - 1)
+    return str(uuid.UUID(int=value))
+
+
 class AtMostOnce(MeshTest):
     arguments = ["gliding-union", "--keys-without-owner", "refuse"]
 
+    def wait_for_grants(self):
+        """Until every entry knows the owners of keys that callers mint; a key before that is refused."""
+        chooser = random.Random(SEED)
+        entries = [url for urls in self.mesh["entries"].values() for url in urls]
+        for url in entries:
+            for _ in range(300):
+                if try_call(f"{url}/call/launch-log/launch-entry/", uuid7(chooser), b"warm")[0] == "completed":
+                    break
+                time.sleep(0.05)
+            else:
+                self.fail(f"no owner of keys is known at {url}")
+
     def launch(self, number):
         """One launch, sent again at other entries until it is answered as completed; gives all keys and verdicts."""
         chooser = random.Random(SEED * 1000 + number)
         entries = [url for urls in self.mesh["entries"].values() for url in urls]
-        key = mint(entries, chooser)
+        key = mint(entries, chooser) if number % 2 == 0 else uuid7(chooser)
         told = []
         for _ in range(4):
             url = f"{chooser.choice(entries)}/call/launch-log/launch-entry/"
@@ -63,6 +85,7 @@
         # nothing and sends it again through another daemon; the paused one wakes and goes on with what it had.
         chooser = random.Random(SEED)
         daemons = self.mesh["daemons"]
+        self.wait_for_grants()
         victims = chooser.sample(daemons, 3)
         is_over = threading.Event()
 
