--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -4,7 +4,10 @@
 #include <memory>
 #include <optional>
 
+#include <egretlatch/configuration/follower.hpp>
+#include <egretlatch/configuration/report.hpp>
 #include <egretlatch/decision/action.hpp>
+#include <egretlatch/decision/configuration_outlet.hpp>
 #include <egretlatch/decision/entry_handler.hpp>
 #include <egretlatch/decision/event.hpp>
 #include <egretlatch/decision/serving_handler.hpp>
@@ -50,6 +53,12 @@
         return m_surroundings->manifestVersion;
     }
 
+    /**
+     * @brief Gives what this daemon knows of the configurations in force.
+     * @return A report for operators.
+     */
+    [[nodiscard]] configuration::Report configurationReport() const;
+
     [[nodiscard]] admission::LoadReport load() const;
 
 private:
@@ -61,6 +70,7 @@
     void handleAnnounced(const ServerAnnounced &announced, SteadyTime now);
     void handleDraining(const ServerDraining &draining, SteadyTime now);
     void handleLeft(SteadyTime now);
+    void handlePlatform(const PlatformAnswered &answered, SteadyTime now);
     void handleManifest(const ManifestChanged &changed);
     void handleTick(SteadyTime now);
     void handlePeerLost(const PeerLost &lost, SteadyTime now);
@@ -75,6 +85,8 @@
     std::unique_ptr<Surroundings> m_surroundings;
     std::unique_ptr<ServingHandler> m_serving;
     std::unique_ptr<EntryHandler> m_entry;
+    std::unique_ptr<ConfigurationOutlet> m_configurationOutlet;
+    std::unique_ptr<configuration::Follower> m_configuration;
     std::unique_ptr<membership::Gossip> m_gossip;
     /*! @brief What the backend server said last; nothing if there is none. */
     std::optional<ServerAnnounced> m_server;
@@ -132,6 +144,12 @@
      */
     CoreBuilder &setGate(std::unique_ptr<admission::Gate> gate);
 
+    /**
+     * @brief Takes configurations from the platform, and from daemons that do; by default none are looked for.
+     * @return This builder.
+     */
+    CoreBuilder &followPlatform();
+
     /**
      * @brief Sets what is done with keys that name no owner.
      * @param unownedKeys The rule; by default they are refused.
@@ -168,6 +186,7 @@
     std::unique_ptr<routing::Router> m_router;
     std::unique_ptr<admission::EntryControl> m_entryControl;
     std::unique_ptr<admission::Gate> m_gate;
+    bool m_followsPlatform{};
     retry::UnownedKeys m_unownedKeys{retry::UnownedKeys::refuse};
     retry::KeyLedgerLimits m_ledgerLimits;
     std::optional<retry::GrantTimes> m_grantTimes;
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -21,6 +21,13 @@
     backend->footer(
         "Example: egretlatch-standin backend --port 9000 --daemon http://127.0.0.1:8000 --service launch-log --manifest examples/gliding-union.json");
 
+    standin::PlatformOptions platformOptions;
+    CLI::App *const platform = app.add_subcommand("platform", "A transactional table and an object store in memory that can be told to misbehave.");
+    platform->add_option("--port", platformOptions.port, "Port to listen on")->required();
+    platform->add_option("--token-file", platformOptions.tokenFile, "File with the bearer token to ask for; by default none");
+    platform->add_option("--seed", platformOptions.seed, "Seed of its random choices");
+    platform->footer("Example: egretlatch-standin platform --port 9500");
+
     standin::load::LoadOptions loadOptions;
     CLI::App *const load = app.add_subcommand("load", "Callers that send at intended times, resend and cancel, and count what they were answered.");
     load->add_option("--scenario", loadOptions.scenarioPath, "Scenario to run")->required();
@@ -42,12 +49,6 @@
     probe->add_option("--seconds", probeOptions.seconds, "Length of the run")->required()->check(CLI::Range(1, 120));
     probe->add_option("--connections", probeOptions.connections, "Connections")->check(CLI::Range(1, 1000));
     probe->footer("Example: egretlatch-standin probe --port 8000 --path /call/echo/fast/ --rate 500 --seconds 4");
-    standin::PlatformOptions platformOptions;
-    CLI::App *const platform = app.add_subcommand("platform", "A transactional table and an object store in memory that can be told to misbehave.");
-    platform->add_option("--port", platformOptions.port, "Port to listen on")->required();
-    platform->add_option("--token-file", platformOptions.tokenFile, "File with the bearer token to ask for; by default none");
-    platform->add_option("--seed", platformOptions.seed, "Seed of its random choices");
-    platform->footer("Example: egretlatch-standin platform --port 9500");
 
     CLI11_PARSE(app, argc, argv);
     if (load->parsed()) {
