--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -34,6 +34,9 @@
     const SteadyTime now = m_surroundings->clock.steadyNow();
     m_surroundings->actions.clear();
     dispatch(event, now);
+    if (m_declaredVersion != m_surroundings->manifestVersion) {
+        declareService();
+    }
     return deliverToSelf(now);
 }
 
@@ -157,6 +160,7 @@
     m_isDraining = false;
     m_serving->setServer(announced.slots);
     updateSelf(membership::MemberState::serving, announced.service, announced.slots, announced.connections, now);
+    declareService();
 }
 
 void Core::handleDraining(const ServerDraining &draining, const SteadyTime now)
@@ -205,6 +209,16 @@
     }
 }
 
+void Core::declareService()
+{
+    m_declaredVersion = m_surroundings->manifestVersion;
+    const manifest::Manifest *const manifest = m_surroundings->manifest.get();
+    const manifest::ServiceSpec *const service = manifest == nullptr ? nullptr : manifest->findService(m_surroundings->roster.self().service);
+    if (service != nullptr) {
+        m_serving->setService(*service);
+    }
+}
+
 void Core::handleTick(const SteadyTime now)
 {
     m_entry->tick(now);
