--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -204,7 +204,7 @@
 
 void Core::handlePlatform(const PlatformAnswered &answered, const SteadyTime now)
 {
-    if (!m_configuration->handleOutcome(answered.id, answered.outcome, now)) {
+    if (!m_configuration->handleOutcome(answered.id, answered.outcome, now) && !m_entry->handlePlatform(answered, now)) {
         m_surroundings->metrics.count("messages_dropped", "late-platform-answer");
     }
 }
@@ -355,6 +355,12 @@
     return *this;
 }
 
+CoreBuilder &CoreBuilder::setKeyGrants(const retry::GrantTimes times)
+{
+    m_grantTimes = times;
+    return *this;
+}
+
 CoreBuilder &CoreBuilder::setKeyLedgerLimits(const retry::KeyLedgerLimits limits)
 {
     m_ledgerLimits = limits;
@@ -391,7 +397,11 @@
         .lastPlatformRequest = {},
     });
     core->m_serving = std::make_unique<ServingHandler>(*core->m_surroundings, std::move(m_gate));
-    core->m_entry = std::make_unique<EntryHandler>(*core->m_surroundings, *core->m_serving, m_ledgerLimits);
+    std::unique_ptr<retry::ShardGrants> grants;
+    if (m_grantTimes.has_value()) {
+        grants = std::make_unique<retry::ShardGrants>(retry::KeyOwner{.daemon = m_self.id, .incarnation = m_self.incarnation}, m_random, *m_grantTimes);
+    }
+    core->m_entry = std::make_unique<EntryHandler>(*core->m_surroundings, *core->m_serving, m_ledgerLimits, std::move(grants));
     std::vector<configuration::Peer> peers;
     for (const membership::Contact &contact : m_contacts) {
         peers.push_back({.id = contact.id, .endpoint = contact.endpoint});
