--- a/src/egretlatch/daemon/decide_thread.cpp
+++ b/src/egretlatch/daemon/decide_thread.cpp
@@ -12,7 +12,8 @@
 
 // Events taken from one ring before the others and the clock get their turn.
 constexpr int batchSize = 64;
-constexpr std::chrono::milliseconds statusInterval{200};
+constexpr std::chrono::milliseconds figuresInterval{200};
+constexpr std::chrono::milliseconds statusTimeout{100};
 
 } // namespace internal
 
@@ -49,9 +50,15 @@
     }};
 }
 
-std::string DecideThread::status() const
+std::string DecideThread::status()
 {
-    const std::lock_guard lock{m_statusMutex};
+    // At 750 members the document takes milliseconds to write, so it is written when someone asks and not ahead.
+    std::unique_lock lock{m_statusMutex};
+    m_isStatusWanted.store(true);
+    m_waker.wake();
+    m_statusWritten.wait_for(lock, internal::statusTimeout, [this] {
+        return !m_isStatusWanted.load();
+    });
     return m_status;
 }
 
@@ -62,9 +69,12 @@
         const bool hadEvents = drainRings();
         if (std::chrono::steady_clock::now() >= nextTick) {
             handle(decision::Tick{});
-            publishStatus();
+            publishFigures();
             nextTick = m_core->nextTick();
         }
+        if (m_isStatusWanted.load()) {
+            writeStatus();
+        }
         if (hadEvents) {
             // An idle core ticks seldom; the events may have brought a deadline that is nearer than its next tick.
             nextTick = std::min(nextTick, m_core->nextTick());
@@ -108,7 +118,7 @@
     if (auto *const answer = std::get_if<decision::AnswerCaller>(&action)) {
         isTaken = m_outward.toFront.tryPush(std::move(*answer));
     } else if (auto *const send = std::get_if<decision::SendToPeer>(&action)) {
-        isTaken = m_outward.toPeer.tryPush(std::move(*send));
+        isTaken = sendToPeer(std::move(*send));
     } else if (auto *const start = std::get_if<decision::StartRun>(&action)) {
         const ExecutionId execution = start->execution;
         isTaken = m_outward.toBack.tryPush(std::move(*start));
@@ -130,6 +140,8 @@
     } else if (const auto *const inForce = std::get_if<decision::ManifestInForce>(&action)) {
         m_logger.info("configuration in force", {{"version", inForce->version}, {"hash", inForce->hash}});
         isTaken = m_outward.toFront.tryPush(ReadyChanged{.isReady = true});
+    } else if (const auto *const changed = std::get_if<decision::MemberChanged>(&action)) {
+        m_logger.debug("member changed", {{"member", changed->id.value}, {"state", membership::toString(changed->state)}});
     } else if (std::holds_alternative<decision::Drained>(action)) {
         m_onDrained();
     }
@@ -138,6 +150,18 @@
     }
 }
 
+bool DecideThread::sendToPeer(decision::SendToPeer order)
+{
+    const auto *const request = std::get_if<protocol::CallRequest>(&order.message);
+    const std::optional<CallId> call = request == nullptr ? std::nullopt : std::optional{request->call};
+    const DaemonId to = order.to;
+    const bool isTaken = m_outward.toPeer.tryPush(std::move(order));
+    if (!isTaken && call.has_value()) {
+        handle(decision::SendFailed{.to = to, .call = *call});
+    }
+    return isTaken;
+}
+
 void DecideThread::announceFleetSize()
 {
     const int daemons = static_cast<int>(m_core->roster().members().size());
@@ -146,22 +170,28 @@
     }
 }
 
-void DecideThread::publishStatus()
+void DecideThread::publishFigures()
 {
     const SteadyTime now = std::chrono::steady_clock::now();
-    if (now - m_lastStatus < internal::statusInterval) {
+    if (now - m_lastFigures < internal::figuresInterval) {
         return;
     }
-    m_lastStatus = now;
+    m_lastFigures = now;
     announceFleetSize();
     const admission::LoadReport load = m_core->load();
     m_metrics.set("in_flight", load.inFlight);
     m_metrics.set("concurrency_limit", load.limit);
     m_metrics.set("queued", load.queued);
     m_metrics.set("admission_level", load.level.priority + load.level.fraction);
-    std::string document = statusDocument(m_core->roster(), m_core->manifestVersion(), load);
+}
+
+void DecideThread::writeStatus()
+{
+    std::string document = statusDocument(m_core->roster(), m_core->manifestVersion(), m_core->load());
     const std::lock_guard lock{m_statusMutex};
     m_status = std::move(document);
+    m_isStatusWanted.store(false);
+    m_statusWritten.notify_all();
 }
 
 } // namespace egretlatch::daemon
--- a/src/egretlatch/daemon/decide_thread.hpp
+++ b/src/egretlatch/daemon/decide_thread.hpp
@@ -2,6 +2,7 @@
 #define EGRETLATCH_DAEMON_DECIDE_THREAD_HPP
 
 #include <atomic>
+#include <condition_variable>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -51,9 +52,9 @@
 
     /**
      * @brief Describes what this daemon knows, for `/status`; may be called from any thread.
-     * @return A JSON document, at most a second old.
+     * @return A JSON document; an earlier one if the deciding thread is too busy to write it.
      */
-    [[nodiscard]] std::string status() const;
+    [[nodiscard]] std::string status();
 
 private:
     void run();
@@ -61,7 +62,9 @@
     [[nodiscard]] bool drainRing(Ring<decision::Event> &ring);
     void handle(const decision::Event &event);
     void carryOut(decision::Action action);
-    void publishStatus();
+    void publishFigures();
+    void writeStatus();
+    [[nodiscard]] bool sendToPeer(decision::SendToPeer order);
     void announceFleetSize();
 
     std::unique_ptr<decision::Core> m_core;
@@ -72,9 +75,11 @@
     const Logger &m_logger;
     DrainedHandler m_onDrained;
     std::atomic<bool> m_isStopping{false};
-    SteadyTime m_lastStatus;
+    SteadyTime m_lastFigures;
     int m_fleetSize{};
-    mutable std::mutex m_statusMutex;
+    std::atomic<bool> m_isStatusWanted{false};
+    std::mutex m_statusMutex;
+    std::condition_variable m_statusWritten;
     std::string m_status{"{}"};
     std::thread m_thread;
 };
--- a/src/egretlatch/decision/action.hpp
+++ b/src/egretlatch/decision/action.hpp
@@ -14,6 +14,7 @@
 #include <egretlatch/core/header.hpp>
 #include <egretlatch/core/ids.hpp>
 #include <egretlatch/core/verdict.hpp>
+#include <egretlatch/membership/member.hpp>
 #include <egretlatch/platform/requests.hpp>
 #include <egretlatch/protocol/messages.hpp>
 
@@ -131,12 +132,19 @@
     std::string hash;
 };
 
+/*! @brief A member is seen in another state than before, for the log. */
+struct MemberChanged
+{
+    DaemonId id;
+    membership::MemberState state{};
+};
+
 /*! @brief Nothing is in flight any more at a daemon that drains. */
 struct Drained
 {
 };
 
-using Action = std::variant<AnswerCaller, SendToPeer, StartRun, AbortRun, RecordRefusal, RecordSpan, AskPlatform, ManifestInForce, Drained>;
+using Action = std::variant<AnswerCaller, SendToPeer, StartRun, AbortRun, RecordRefusal, RecordSpan, AskPlatform, ManifestInForce, MemberChanged, Drained>;
 using Actions = std::vector<Action>;
 
 } // namespace egretlatch::decision
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -233,6 +233,11 @@
     if (effects.haveMembersChanged) {
         m_surroundings->router->setMembers(m_surroundings->roster.members(), now);
     }
+    for (const DaemonId &id : m_surroundings->roster.takeChanged()) {
+        if (const membership::Member *const member = m_surroundings->roster.find(id)) {
+            m_surroundings->actions.emplace_back(MemberChanged{.id = id, .state = member->state});
+        }
+    }
     for (membership::OutgoingGossip &outgoing : effects.messages) {
         m_surroundings->actions.emplace_back(SendToPeer{.to = outgoing.to.id, .endpoint = outgoing.to.endpoint, .message = std::move(outgoing.message)});
     }
--- a/src/egretlatch/membership/gossip.cpp
+++ b/src/egretlatch/membership/gossip.cpp
@@ -164,6 +164,9 @@
     if (outcome == MergeOutcome::refuted) {
         m_metrics.count("membership", "refuted");
     }
+    if (source == NewsSource::pull) {
+        m_pull.noteNews();
+    }
     // What a pull brings is old news: passed on, a newcomer would spread the whole fleet anew.
     if (outcome == MergeOutcome::refuted || source != NewsSource::pull) {
         queue(id);
--- a/src/egretlatch/membership/prober.cpp
+++ b/src/egretlatch/membership/prober.cpp
@@ -55,6 +55,11 @@
 {
     if (m_probe.has_value() && m_probe->target == target) {
         m_probe->isUnreachable = true;
+        return;
+    }
+    // A lost connection is the first sign of a death; the round would come to it much later.
+    if (m_round.empty() || m_round.back() != target) {
+        m_round.push_back(target);
     }
 }
 
@@ -65,6 +70,7 @@
 
 std::optional<DaemonId> Prober::chooseTarget(const std::vector<DaemonId> &participants)
 {
+    addNewcomers(participants);
     while (!m_round.empty()) {
         const DaemonId target = m_round.back();
         m_round.pop_back();
@@ -72,10 +78,8 @@
             return target;
         }
     }
-    m_round = participants;
-    for (std::size_t left = m_round.size(); left > 1; --left) {
-        std::swap(m_round[left - 1], m_round[m_random.below(left)]);
-    }
+    m_inRound.clear();
+    addNewcomers(participants);
     if (m_round.empty()) {
         return std::nullopt;
     }
@@ -84,4 +88,16 @@
     return target;
 }
 
+void Prober::addNewcomers(const std::vector<DaemonId> &participants)
+{
+    // Each takes a random place among those still to come. A newcomer that had to wait for the next round could die
+    // unseen until then, which at 750 members is a quarter of an hour for each daemon.
+    for (const DaemonId &participant : participants) {
+        if (m_inRound.insert(participant).second) {
+            m_round.push_back(participant);
+            std::swap(m_round.back(), m_round[m_random.below(m_round.size())]);
+        }
+    }
+}
+
 } // namespace egretlatch::membership
--- a/src/egretlatch/membership/prober.hpp
+++ b/src/egretlatch/membership/prober.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include <egretlatch/core/clock.hpp>
@@ -87,9 +88,12 @@
     };
 
     [[nodiscard]] std::optional<DaemonId> chooseTarget(const std::vector<DaemonId> &participants);
+    void addNewcomers(const std::vector<DaemonId> &participants);
 
     RandomSource &m_random;
+    /*! @brief Members still to be probed in this round, the next one last. */
     std::vector<DaemonId> m_round;
+    std::set<DaemonId> m_inRound;
     std::optional<Probe> m_probe;
     std::optional<SteadyTime> m_nextProbe;
     std::uint64_t m_lastSequence{};
--- a/src/egretlatch/membership/roster.cpp
+++ b/src/egretlatch/membership/roster.cpp
@@ -48,7 +48,7 @@
     }
     const auto [found, isNew] = m_others.try_emplace(member.id, Entry{.announced = member, .shown = member, .since = now});
     if (isNew) {
-        ++m_version;
+        noteChanged(member.id);
         return MergeOutcome::changed;
     }
     Entry &entry = found->second;
@@ -92,7 +92,7 @@
     }
     entry.shown.state = MemberState::suspect;
     entry.since = now;
-    ++m_version;
+    noteChanged(suspicion.id);
     return MergeOutcome::changed;
 }
 
@@ -116,7 +116,7 @@
     entry.announced.beat = latestBeat;
     entry.shown = entry.announced;
     entry.since = now;
-    ++m_version;
+    noteChanged(member.id);
     return MergeOutcome::changed;
 }
 
@@ -127,7 +127,7 @@
     m_self.slots = slots;
     m_self.connections = connections;
     ++m_self.revision;
-    ++m_version;
+    noteChanged(m_self.id);
 }
 
 void Roster::beat() noexcept
@@ -143,15 +143,15 @@
         if (entry.shown.state == MemberState::suspect && now - entry.since >= timeout) {
             entry.shown.state = MemberState::gone;
             entry.since = now;
+            noteChanged(id);
             hasChanged = true;
         }
     }
     const auto forgotten = std::erase_if(m_others, [now](const auto &item) {
         return item.second.shown.state == MemberState::gone && now - item.second.since >= internal::forgetAfter;
     });
-    hasChanged = hasChanged || forgotten > 0;
-    m_version += hasChanged ? 1 : 0;
-    return hasChanged;
+    m_version += forgotten > 0 ? 1 : 0;
+    return hasChanged || forgotten > 0;
 }
 
 const Member *Roster::find(const DaemonId &id) const noexcept
@@ -242,6 +242,19 @@
     return sum;
 }
 
+std::vector<DaemonId> Roster::takeChanged()
+{
+    std::vector<DaemonId> changed;
+    changed.swap(m_changed);
+    return changed;
+}
+
+void Roster::noteChanged(const DaemonId &id)
+{
+    ++m_version;
+    m_changed.push_back(id);
+}
+
 Duration Roster::suspicionTimeout() const
 {
     const double scale = std::max(1.0, std::log10(static_cast<double>(m_others.size() + 1)));
--- a/src/egretlatch/membership/roster.hpp
+++ b/src/egretlatch/membership/roster.hpp
@@ -135,6 +135,12 @@
      */
     [[nodiscard]] std::uint64_t digest() const;
 
+    /**
+     * @brief Takes the members whose shown entry changed.
+     * @return Their ids since the last call, in the order of the changes; an id may come more than once.
+     */
+    [[nodiscard]] std::vector<DaemonId> takeChanged();
+
     /**
      * @brief Counts changes.
      * @return A number that grows with each change that members() shows.
@@ -158,10 +164,12 @@
     [[nodiscard]] MergeOutcome mergeSelf(const Member &member);
     [[nodiscard]] MergeOutcome replace(Entry &entry, const Member &member, SteadyTime now);
     [[nodiscard]] Duration suspicionTimeout() const;
+    void noteChanged(const DaemonId &id);
 
     Member m_self;
     std::map<DaemonId, Entry> m_others;
     std::uint64_t m_version{};
+    std::vector<DaemonId> m_changed;
     mutable std::vector<DaemonId> m_participants;
     mutable std::uint64_t m_participantsVersion{};
 };
--- a/src/egretlatch/membership/state_pull.cpp
+++ b/src/egretlatch/membership/state_pull.cpp
@@ -7,6 +7,7 @@
 {
 
 constexpr std::chrono::seconds pullInterval{30};
+constexpr std::chrono::seconds eagerInterval{3};
 constexpr std::chrono::seconds followInterval{10};
 constexpr std::chrono::milliseconds pageInterval{200};
 constexpr std::chrono::seconds replyTimeout{2};
@@ -70,7 +71,10 @@
 {
     m_pull.reset();
     // Between half and one and a half of the interval, so that daemons started together drift apart.
-    m_nextPull = now + std::chrono::duration_cast<Duration>(internal::pullInterval * (0.5 + m_random.fraction()));
+    // A pull that brought news is followed soon: daemons that all start at once each know but a few at first.
+    const std::chrono::seconds interval = m_hasBroughtNews ? internal::eagerInterval : internal::pullInterval;
+    m_nextPull = now + std::chrono::duration_cast<Duration>(interval * (0.5 + m_random.fraction()));
+    m_hasBroughtNews = false;
 }
 
 } // namespace egretlatch::membership
--- a/src/egretlatch/membership/state_pull.hpp
+++ b/src/egretlatch/membership/state_pull.hpp
@@ -69,6 +69,12 @@
      */
     void noteReply(const DaemonId &from, std::uint32_t page, bool hasMore, SteadyTime now);
 
+    /*! @brief Takes it that the pull under way brought something unknown, so that the next one may bring more. */
+    void noteNews() noexcept
+    {
+        m_hasBroughtNews = true;
+    }
+
 private:
     struct Pull
     {
@@ -82,6 +88,7 @@
 
     RandomSource &m_random;
     std::optional<Pull> m_pull;
+    bool m_hasBroughtNews{};
     SteadyTime m_nextPull;
     SteadyTime m_lastBegin;
 };
--- a/test/egretlatch/membership/gossip.cpp
+++ b/test/egretlatch/membership/gossip.cpp
@@ -106,6 +106,24 @@
     CHECK(aged.has_value());
 }
 
+TEST_CASE("a newcomer that dies at once is found dead within seconds")
+{
+    // A VM comes up, is known everywhere and fails a second later. Each daemon chose the order of its probes before it
+    // came, and would come to it only in its next round.
+    GossipNetwork network{40, seed};
+    gather(network);
+    const std::size_t newcomer = network.add();
+    network.run(3s);
+    CHECK(network.allSee(newcomer, MemberState::serving));
+    network.kill(newcomer);
+    const auto suspected = network.runUntil(
+        [&network, newcomer] {
+            return network.allSee(newcomer, MemberState::suspect);
+        },
+        6s);
+    CHECK(suspected.has_value());
+}
+
 TEST_CASE("a rack that fails at once leaves the rest whole")
 {
     // Eight of forty VMs go with a switch. The rest must find all eight dead, and must not suspect one another although
--- a/test/processes/test_membership.py
+++ b/test/processes/test_membership.py
@@ -149,11 +149,12 @@
     def start(self, name, ports, peers, **security):
         settings = {
             "id": name, "dataCentre": "dc1", "callerPort": ports[0], "peerPort": ports[1], "backendUrl": "http://127.0.0.1:9",
-            "logLevel": "error", "peers": [{"id": peer, "endpoint": f"tcp://127.0.0.1:{port}"} for peer, port in peers], **security,
+            "logLevel": "debug", "peers": [{"id": peer, "endpoint": f"tcp://127.0.0.1:{port}"} for peer, port in peers], **security,
         }
         path = pathlib.Path(self.folder.name) / f"{name}.json"
         path.write_text(json.dumps(settings))
-        self.processes.append(subprocess.Popen([str(BUILD / "egretlatch"), "daemon", "--settings", str(path)]))
+        with open(path.with_suffix(".log"), "wb") as log:
+            self.processes.append(subprocess.Popen([str(BUILD / "egretlatch"), "daemon", "--settings", str(path)], stderr=log))
         daemon = {"caller": ports[0]}
         wait_until(lambda: self.is_up(daemon), f"{name} up")
         return daemon
@@ -204,6 +205,13 @@
         ]
         for daemon in daemons:
             wait_until(lambda: set(states(daemon)) == set(ports), "all three members")
+        events = [json.loads(line)["event"] for path in pathlib.Path(self.folder.name).glob("*.log") for line in path.read_text().splitlines()]
+        self.assertIn("member changed", events)
+
+    def test_switched_off_encryption_is_said_at_the_start(self):
+        self.start("plain", self.free_ports(), [], peerEncryption="off")
+        lines = (pathlib.Path(self.folder.name) / "plain.log").read_text().splitlines()
+        self.assertTrue(any("peer encryption is off" in json.loads(line)["event"] for line in lines))
 
 
 if __name__ == "__main__":
