--- a/src/egretlatch/daemon/decide_thread.cpp
+++ b/src/egretlatch/daemon/decide_thread.cpp
@@ -187,7 +187,7 @@
 
 void DecideThread::writeStatus()
 {
-    std::string document = statusDocument(m_core->roster(), m_core->manifestVersion(), m_core->load());
+    std::string document = statusDocument(m_core->roster(), m_core->configurationReport(), m_core->load());
     const std::lock_guard lock{m_statusMutex};
     m_status = std::move(document);
     m_isStatusWanted.store(false);
