--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -200,6 +200,11 @@
 
 void Core::handlePlatform(const PlatformAnswered &answered, const SteadyTime now)
 {
+    if (m_contactRequest == answered.id) {
+        m_contactRequest.reset();
+        m_gossip->addContacts(m_contactBook->handleOutcome(answered.outcome));
+        return;
+    }
     if (!m_configuration->handleOutcome(answered.id, answered.outcome, now)) {
         m_surroundings->metrics.count("messages_dropped", "late-platform-answer");
     }
@@ -212,10 +217,21 @@
     m_configuration->tick(now);
     tickServer(now);
     m_gossip->tick(now);
+    tickContacts(now);
     tickLeaving(now);
     applyGossip(now);
 }
 
+void Core::tickContacts(const SteadyTime now)
+{
+    if (m_contactBook == nullptr || m_contactRequest.has_value()) {
+        return;
+    }
+    if (std::optional<platform::Request> request = m_contactBook->tick(m_surroundings->roster.participants().size(), now)) {
+        m_contactRequest = m_surroundings->askPlatform(std::move(*request));
+    }
+}
+
 void Core::tickServer(const SteadyTime now)
 {
     // A backend server that dies says nothing, and its daemon would go on offering its slots: callers would see one
@@ -392,6 +408,9 @@
     options.hasPlatform = m_followsPlatform;
     options.endpoint = m_self.endpoint;
     core->m_configuration = std::make_unique<configuration::Follower>(*core->m_configurationOutlet, m_random, options);
+    if (m_followsPlatform) {
+        core->m_contactBook = std::make_unique<membership::ContactBook>(membership::Contact{.id = m_self.id, .endpoint = m_self.endpoint}, m_random);
+    }
     core->m_gossip = std::make_unique<membership::Gossip>(core->m_surroundings->roster, m_random, m_metrics, std::move(m_contacts));
     return core;
 }
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -12,6 +12,7 @@
 #include <egretlatch/decision/event.hpp>
 #include <egretlatch/decision/serving_handler.hpp>
 #include <egretlatch/decision/surroundings.hpp>
+#include <egretlatch/membership/contact_book.hpp>
 #include <egretlatch/membership/gossip.hpp>
 
 namespace egretlatch::decision
@@ -75,6 +76,7 @@
     void handleTick(SteadyTime now);
     void handlePeerLost(const PeerLost &lost, SteadyTime now);
     void handleRumour(const membership::Rumour &rumour, SteadyTime now);
+    void tickContacts(SteadyTime now);
     void tickServer(SteadyTime now);
     void tickLeaving(SteadyTime now);
     void updateSelf(membership::MemberState state, const std::string &service, int slots, int connections, SteadyTime now);
@@ -88,6 +90,9 @@
     std::unique_ptr<ConfigurationOutlet> m_configurationOutlet;
     std::unique_ptr<configuration::Follower> m_configuration;
     std::unique_ptr<membership::Gossip> m_gossip;
+    /*! @brief Null without a platform. */
+    std::unique_ptr<membership::ContactBook> m_contactBook;
+    std::optional<platform::RequestId> m_contactRequest;
     /*! @brief What the backend server said last; nothing if there is none. */
     std::optional<ServerAnnounced> m_server;
     SteadyTime m_lastAnnounced;
--- /dev/null
+++ b/src/egretlatch/membership/contact_book.cpp
@@ -0,0 +1,71 @@
+#include <egretlatch/membership/contact_book.hpp>
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+namespace egretlatch::membership
+{
+
+namespace internal
+{
+
+constexpr std::uint64_t contactRows = 16;
+constexpr std::chrono::seconds turnInterval{60};
+constexpr std::chrono::seconds lonelyInterval{10};
+constexpr const char *rowPrefix = "contact/";
+constexpr char separator = '\n';
+
+} // namespace internal
+
+ContactBook::ContactBook(Contact self, RandomSource &random)
+    : m_self{std::move(self)}
+    , m_random{random}
+{
+}
+
+std::optional<platform::Request> ContactBook::tick(const std::size_t others, const SteadyTime now)
+{
+    if (!m_nextTurn.has_value()) {
+        // The first turn comes early, so that a small fleet that starts soon has its rows.
+        m_nextTurn = now + std::chrono::duration_cast<Duration>(internal::lonelyInterval * m_random.fraction());
+    }
+    if (now >= m_nextRead && others == 0) {
+        m_nextRead = now + std::chrono::duration_cast<Duration>(internal::lonelyInterval * (0.5 + m_random.fraction()));
+        return platform::TableScan{.prefix = internal::rowPrefix, .after = {}, .limit = static_cast<int>(internal::contactRows)};
+    }
+    if (now < *m_nextTurn) {
+        return std::nullopt;
+    }
+    m_nextTurn = now + std::chrono::duration_cast<Duration>(internal::turnInterval * (0.5 + m_random.fraction()));
+    const bool isChosen = m_random.below(others + 1) < internal::contactRows;
+    return isChosen ? std::optional{writeRequest()} : std::nullopt;
+}
+
+std::vector<Contact> ContactBook::handleOutcome(const platform::Outcome &outcome) const
+{
+    std::vector<Contact> contacts;
+    const auto *const found = outcome.has_value() ? std::get_if<platform::RowsReply>(&*outcome) : nullptr;
+    if (found == nullptr) {
+        return contacts;
+    }
+    for (const platform::Row &row : found->rows) {
+        const std::size_t middle = row.value.find(internal::separator);
+        if (middle == std::string::npos) {
+            continue;
+        }
+        const Contact contact{.id = {row.value.substr(0, middle)}, .endpoint = row.value.substr(middle + 1)};
+        if (contact.id != m_self.id && contact.endpoint.starts_with("tcp://")) {
+            contacts.push_back(contact);
+        }
+    }
+    return contacts;
+}
+
+platform::Request ContactBook::writeRequest() const
+{
+    const std::uint64_t slot = XXH64(m_self.id.value.data(), m_self.id.value.size(), 0) % internal::contactRows;
+    const std::string value = m_self.id.value + internal::separator + m_self.endpoint;
+    return platform::TableWrite{.conditions = {}, .writes = {{.key = fmt::format("{}{:02}", internal::rowPrefix, slot), .value = value}}};
+}
+
+} // namespace egretlatch::membership
--- /dev/null
+++ b/test/egretlatch/membership/contact_book.cpp
@@ -0,0 +1,69 @@
+#include <doctest/doctest.h>
+
+#include <egretlatch/membership/contact_book.hpp>
+
+using namespace std::chrono_literals;
+using namespace egretlatch;
+using egretlatch::membership::Contact;
+using egretlatch::membership::ContactBook;
+
+namespace
+{
+
+constexpr std::uint64_t seed = 20261202;
+
+struct Counts
+{
+    int reads{};
+    int writes{};
+};
+
+// Lets a fleet of a size go on for ten minutes.
+[[nodiscard]] Counts countRequests(const std::size_t daemons)
+{
+    Counts counts;
+    for (std::size_t index = 0; index < daemons; ++index) {
+        SeededRandom random{seed + index};
+        ContactBook book{{.id = {std::to_string(index)}, .endpoint = "tcp://10.0.0.1:1"}, random};
+        for (SteadyTime now{1h}; now < SteadyTime{1h} + 10min; now += 1s) {
+            const auto request = book.tick(daemons - 1, now);
+            counts.reads += request.has_value() && std::holds_alternative<platform::TableScan>(*request) ? 1 : 0;
+            counts.writes += request.has_value() && std::holds_alternative<platform::TableWrite>(*request) ? 1 : 0;
+        }
+    }
+    return counts;
+}
+
+} // namespace
+
+TEST_CASE("the writes of contact rows do not grow with the fleet")
+{
+    // Cause of concern: 750 daemons that each refresh a row would take a share of the store's writes from configurations
+    // and key grants, and the more so the larger the fleet.
+    const Counts small = countRequests(16);
+    const Counts large = countRequests(750);
+    MESSAGE("writes in ten minutes: ", small.writes, " at 16 daemons, ", large.writes, " at 750");
+    CHECK(large.writes < 2 * small.writes);
+    CHECK(large.reads == 0);
+}
+
+TEST_CASE("a daemon that is alone reads the rows at once and again, and takes what is usable")
+{
+    SeededRandom random{seed};
+    ContactBook book{{.id = {"self"}, .endpoint = "tcp://10.0.0.1:1"}, random};
+    const auto first = book.tick(0, SteadyTime{1h});
+    REQUIRE(first.has_value());
+    CHECK(std::holds_alternative<platform::TableScan>(*first));
+    CHECK(book.handleOutcome(tl::unexpected{Error{ErrorCode::unavailable, "down"}}).empty());
+
+    const platform::RowsReply rows{.rows = {{.key = "contact/01", .value = "self\ntcp://10.0.0.1:1", .version = 1},
+                                            {.key = "contact/02", .value = "other\ntcp://10.0.0.2:1", .version = 1},
+                                            {.key = "contact/03", .value = "torn", .version = 1}}};
+    CHECK(book.handleOutcome(rows) == std::vector<Contact>{{.id = {"other"}, .endpoint = "tcp://10.0.0.2:1"}});
+    bool readsAgain = false;
+    for (SteadyTime now{1h}; now < SteadyTime{1h} + 30s; now += 1s) {
+        const auto request = book.tick(0, now);
+        readsAgain = readsAgain || (request.has_value() && std::holds_alternative<platform::TableScan>(*request));
+    }
+    CHECK(readsAgain);
+}
