--- a/src/egretlatch/daemon/peer_thread.cpp
+++ b/src/egretlatch/daemon/peer_thread.cpp
@@ -75,13 +75,18 @@
 }
 
 PeerThread::~PeerThread()
+{
+    stop();
+    m_context.shutdown();
+}
+
+void PeerThread::stop()
 {
     m_isStopping.store(true);
     m_waker.wake();
     if (m_thread.joinable()) {
         m_thread.join();
     }
-    m_context.shutdown();
 }
 
 Result<void> PeerThread::start(const std::string &endpoint, Ring<decision::SendToPeer> &outward)
--- a/src/egretlatch/daemon/peer_thread.hpp
+++ b/src/egretlatch/daemon/peer_thread.hpp
@@ -78,6 +78,9 @@
      */
     [[nodiscard]] Result<void> start(const std::string &endpoint, Ring<decision::SendToPeer> &outward);
 
+    /*! @brief Stops the thread and waits for it; to be called before the outward ring ends. */
+    void stop();
+
     /**
      * @brief Gives the waker for the outward ring.
      * @return The waker, valid as long as this object.
