--- a/src/egretlatch/membership/news_queue.cpp
+++ b/src/egretlatch/membership/news_queue.cpp
@@ -18,10 +18,11 @@
     for (auto item = m_sendsLeft.begin(); item != m_sendsLeft.end(); ++item) {
         items.push_back(item);
     }
-    std::stable_sort(items.begin(), items.end(), [](const Item left, const Item right) {
-        return left->second > right->second;
+    const std::size_t chosen = std::min(items.size(), limit);
+    std::partial_sort(items.begin(), items.begin() + static_cast<std::ptrdiff_t>(chosen), items.end(), [](const Item left, const Item right) {
+        return left->second != right->second ? left->second > right->second : left->first < right->first;
     });
-    items.resize(std::min(items.size(), limit));
+    items.resize(chosen);
     std::vector<NewsSubject> subjects;
     for (const Item item : items) {
         subjects.push_back(item->first);
--- a/src/egretlatch/membership/prober.cpp
+++ b/src/egretlatch/membership/prober.cpp
@@ -9,7 +9,8 @@
 {
 
 constexpr std::chrono::milliseconds probeInterval{1000};
-constexpr std::chrono::milliseconds directTimeout{300};
+// A probe that one lost message could fail would raise doubts in proportion to the fleet, each told to everyone.
+constexpr std::chrono::milliseconds repeatInterval{250};
 
 } // namespace internal
 
@@ -21,8 +22,11 @@
 std::vector<ProbeOrder> Prober::tick(const std::vector<DaemonId> &participants, const SteadyTime now)
 {
     std::vector<ProbeOrder> orders;
-    if (m_probe.has_value() && !m_probe->isIndirect && (m_probe->isUnreachable || now - m_probe->sent >= internal::directTimeout)) {
-        m_probe->isIndirect = true;
+    if (m_probe.has_value() && now >= m_probe->nextRepeat) {
+        m_probe->nextRepeat = now + internal::repeatInterval;
+        if (!m_probe->isUnreachable) {
+            orders.push_back({.step = ProbeStep::direct, .target = m_probe->target, .sequence = m_probe->sequence});
+        }
         orders.push_back({.step = ProbeStep::indirect, .target = m_probe->target, .sequence = m_probe->sequence});
     }
     if (!m_nextProbe.has_value()) {
@@ -33,12 +37,13 @@
         return orders;
     }
     m_nextProbe = now + internal::probeInterval;
+    orders.clear();
     if (m_probe.has_value()) {
         orders.push_back({.step = ProbeStep::failed, .target = m_probe->target, .sequence = m_probe->sequence});
         m_probe.reset();
     }
     if (const std::optional<DaemonId> target = chooseTarget(participants)) {
-        m_probe = Probe{.target = *target, .sequence = nextSequence(), .sent = now};
+        m_probe = Probe{.target = *target, .sequence = nextSequence(), .nextRepeat = now + internal::repeatInterval};
         orders.push_back({.step = ProbeStep::direct, .target = *target, .sequence = m_probe->sequence});
     }
     return orders;
@@ -54,6 +59,7 @@
 void Prober::noteUnreachable(const DaemonId &target)
 {
     if (m_probe.has_value() && m_probe->target == target) {
+        m_probe->nextRepeat = m_probe->isUnreachable ? m_probe->nextRepeat : SteadyTime{};
         m_probe->isUnreachable = true;
         return;
     }
--- a/src/egretlatch/membership/prober.hpp
+++ b/src/egretlatch/membership/prober.hpp
@@ -34,7 +34,8 @@
 /**
  * @brief Probes one member after the other, each once a round, each round in an order of its own.
  *
- * The random order bounds the time to the next probe of each member and keeps daemons from probing the same one at once.
+ * A probe that is not answered is repeated, directly and by helpers, until its time is up. The random order bounds the time to the next probe of each member
+ * and keeps daemons from probing the same one at once.
  */
 class Prober
 {
@@ -82,9 +83,8 @@
     {
         DaemonId target;
         std::uint64_t sequence{};
-        SteadyTime sent;
+        SteadyTime nextRepeat;
         bool isUnreachable{};
-        bool isIndirect{};
     };
 
     [[nodiscard]] std::optional<DaemonId> chooseTarget(const std::vector<DaemonId> &participants);
