--- a/src/egretlatch/membership/state_pull.cpp
+++ b/src/egretlatch/membership/state_pull.cpp
@@ -1,5 +1,7 @@
 #include <egretlatch/membership/state_pull.hpp>
 
+#include <algorithm>
+
 namespace egretlatch::membership
 {
 
@@ -67,14 +69,19 @@
     m_pull->nextRequest = now + internal::pageInterval;
 }
 
+void StatePull::noteNews() noexcept
+{
+    // A pull that brought news is followed soon: daemons that all start at once each know but a few at first.
+    m_eagerPulls = std::max(m_eagerPulls, 1);
+}
+
 void StatePull::end(const SteadyTime now)
 {
     m_pull.reset();
+    const std::chrono::seconds interval = m_eagerPulls > 0 ? internal::eagerInterval : internal::pullInterval;
+    m_eagerPulls = std::max(m_eagerPulls - 1, 0);
     // Between half and one and a half of the interval, so that daemons started together drift apart.
-    // A pull that brought news is followed soon: daemons that all start at once each know but a few at first.
-    const std::chrono::seconds interval = m_hasBroughtNews ? internal::eagerInterval : internal::pullInterval;
     m_nextPull = now + std::chrono::duration_cast<Duration>(interval * (0.5 + m_random.fraction()));
-    m_hasBroughtNews = false;
 }
 
 } // namespace egretlatch::membership
--- a/src/egretlatch/membership/state_pull.hpp
+++ b/src/egretlatch/membership/state_pull.hpp
@@ -70,10 +70,7 @@
     void noteReply(const DaemonId &from, std::uint32_t page, bool hasMore, SteadyTime now);
 
     /*! @brief Takes it that the pull under way brought something unknown, so that the next one may bring more. */
-    void noteNews() noexcept
-    {
-        m_hasBroughtNews = true;
-    }
+    void noteNews() noexcept;
 
 private:
     struct Pull
@@ -88,7 +85,8 @@
 
     RandomSource &m_random;
     std::optional<Pull> m_pull;
-    bool m_hasBroughtNews{};
+    /*! @brief Pulls that follow one another soon; some at the start, when the first member asked may know as little. */
+    int m_eagerPulls{3};
     SteadyTime m_nextPull;
     SteadyTime m_lastBegin;
 };
