--- a/scripts/experiments/checks.py
+++ b/scripts/experiments/checks.py
@@ -17,9 +17,11 @@
     run_twice: list
     ran_though_not_run: list
     lost: list
+    submissions: list = dataclasses.field(default_factory=list)  # operators.Race
 
     def violations(self):
-        return self.wrong_answers + len(self.run_twice) + len(self.ran_though_not_run) + len(self.lost)
+        wrong_races = sum(1 for race in self.submissions if race.is_violation())
+        return self.wrong_answers + len(self.run_twice) + len(self.ran_though_not_run) + len(self.lost) + wrong_races
 
 
 def repeatable_inner_keys(manifest):
@@ -41,7 +43,7 @@
     return is_direct_call and step[0] not in repeatable[kind_of_key[root]]
 
 
-def check(manifest, history, executions, crashed):
+def check(manifest, history, executions, crashed, submissions=()):
     """Check a run.
 
     history: the attempts in the order in which they ended; executions: what each backend server ran; crashed: whether
@@ -50,20 +52,25 @@
     runs = collections.Counter()
     for server in executions:
         runs.update(server["runs"])
-    kind_of_key, last, completed = {}, {}, set()
+    kind_of_key, last, completed, keys_of_request = {}, {}, set(), {}
     for attempt in history:
         key = attempt["key"]
         if key:
             kind_of_key[key] = attempt["kind"]
             last[key] = attempt
+            keys_of_request.setdefault(attempt["request"], set()).add(key)
             if attempt["outcome"] == "completed":
                 completed.add(key)
     repeatable = repeatable_inner_keys(manifest)
+    run_twice = {key for key, count in runs.items() if count > 1 and is_counted(key, kind_of_key, repeatable)}
+    # After a refusal a caller may go on under a new key; the request must not run under both.
+    run_twice |= {name for name, keys in keys_of_request.items() if len(keys) > 1 and sum(runs[key] for key in keys) > 1}
     return Checks(
         keys=len(kind_of_key),
         attempts=len(history),
         wrong_answers=sum(1 for attempt in history if attempt["cause"] == "wrong-answer"),
-        run_twice=sorted(key for key, count in runs.items() if count > 1 and is_counted(key, kind_of_key, repeatable)),
+        run_twice=sorted(run_twice),
         ran_though_not_run=sorted(key for key, attempt in last.items() if attempt["outcome"] == "refused" and runs[key] > 0),
         lost=[] if crashed else sorted(key for key in completed if runs[key] == 0),
+        submissions=list(submissions),
     )
