Gossip draws from a random source of its own

Cause: it drew from the source of calls, so each change of gossip changed the keys and refusal ids of the golden sessions.

--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -422,10 +422,12 @@
     options.hasPlatform = m_followsPlatform;
     options.endpoint = m_self.endpoint;
     core->m_configuration = std::make_unique<configuration::Follower>(*core->m_configurationOutlet, m_random, options);
+    core->m_gossipRandom = std::make_unique<SeededRandom>(m_random.next());
     if (m_followsPlatform) {
-        core->m_contactBook = std::make_unique<membership::ContactBook>(membership::Contact{.id = m_self.id, .endpoint = m_self.endpoint}, m_random);
+        core->m_contactBook =
+            std::make_unique<membership::ContactBook>(membership::Contact{.id = m_self.id, .endpoint = m_self.endpoint}, *core->m_gossipRandom);
     }
-    core->m_gossip = std::make_unique<membership::Gossip>(core->m_surroundings->roster, m_random, m_metrics, std::move(m_contacts));
+    core->m_gossip = std::make_unique<membership::Gossip>(core->m_surroundings->roster, *core->m_gossipRandom, m_metrics, std::move(m_contacts));
     return core;
 }
 
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -90,6 +90,8 @@
     std::unique_ptr<EntryHandler> m_entry;
     std::unique_ptr<ConfigurationOutlet> m_configurationOutlet;
     std::unique_ptr<configuration::Follower> m_configuration;
+    /*! @brief A source of its own, so that calls draw the same numbers whatever the daemons tell one another. */
+    std::unique_ptr<RandomSource> m_gossipRandom;
     std::unique_ptr<membership::Gossip> m_gossip;
     /*! @brief Null without a platform. */
     std::unique_ptr<membership::ContactBook> m_contactBook;
