One attempt stays with the daemon that makes it, so that a lost daemon's reads are made again elsewhere

Cause: all attempts left were lent with each attempt, and what is lent to a daemon that is lost counts as spent; a read there ended may-have-run although others could have served it. The bound end to end stays: what is kept and lent is what there was.

--- a/src/egretlatch/decision/entry_handler.cpp
+++ b/src/egretlatch/decision/entry_handler.cpp
@@ -174,8 +174,11 @@
     pending.tried.insert(*server);
     pending.attemptTrace = account::childOf(pending.trace, m_surroundings.random);
     pending.sentAt = now;
-    pending.attemptsOut = pending.attemptsLeft;
-    pending.attemptsLeft = 0;
+    // What is lent may have been spent by a daemon that is then lost without an answer, so it counts as spent. One attempt
+    // stays here, or a read at a daemon that fails could not be made again elsewhere.
+    const int kept = std::min(pending.attemptsLeft, 1);
+    pending.attemptsOut = pending.attemptsLeft - kept;
+    pending.attemptsLeft = kept;
     protocol::CallRequest request = requestOf(pending, {++m_lastCall}, now);
     request.receiver = member == nullptr ? Incarnation{} : member->incarnation;
     const std::string endpoint = member == nullptr ? std::string{} : member->endpoint;
@@ -257,7 +260,8 @@
         return;
     }
     Pending pending = take(found);
-    pending.attemptsLeft = std::clamp(answer.attemptsReturned, 0, pending.attemptsOut);
+    const int returned = std::clamp(answer.attemptsReturned, 0, pending.attemptsOut);
+    pending.attemptsLeft = pending.phase == Phase::forwarded ? returned : pending.attemptsLeft + returned;
     pending.slotTime += answer.slotTime;
     if (pending.phase == Phase::forwarded) {
         handleOwnerAnswer(std::move(pending), answer, now);
--- a/test/egretlatch/decision/membership.cpp
+++ b/test/egretlatch/decision/membership.cpp
@@ -18,14 +18,14 @@
 constexpr std::uint64_t seed = 1;
 constexpr Incarnation peerLife{200};
 
-[[nodiscard]] std::shared_ptr<const manifest::Manifest> rosterManifest()
+[[nodiscard]] std::shared_ptr<const manifest::Manifest> rosterManifest(const int retryBudget)
 {
     manifest::KindSpec read;
     read.name = "read";
     read.priority = 5;
     read.worth = 1;
     read.deadline = 20s;
-    read.retryBudget = 0;
+    read.retryBudget = retryBudget;
     manifest::ServiceSpec service;
     service.name = "roster";
     service.slots = 2;
@@ -37,20 +37,20 @@
 // A daemon with its backend server, and one other daemon of the service.
 struct DaemonFixture
 {
-    DaemonFixture()
+    explicit DaemonFixture(const int retryBudget = 0)
     {
         membership::Member self;
         self.id = {"self"};
         self.incarnation = {100};
         core = CoreBuilder{clock, random, metrics}.setSelf(self).addContact({.id = {"other"}, .endpoint = "tcp://other"}).build();
-        static_cast<void>(core->handle(ManifestChanged{.version = 1, .manifest = rosterManifest()}));
+        static_cast<void>(core->handle(ManifestChanged{.version = 1, .manifest = rosterManifest(retryBudget)}));
     }
 
     // Lets the other daemon say that its server takes work.
-    void meetOther()
+    void meetOther(const std::string &id = "other")
     {
         membership::Member other;
-        other.id = {"other"};
+        other.id = {id};
         other.incarnation = peerLife;
         other.state = MemberState::serving;
         other.service = "roster";
@@ -132,6 +132,30 @@
     CHECK((answer->answer.verdict == Verdict::mayHaveRun));
 }
 
+TEST_CASE("a read at a daemon that fails is made again elsewhere, within its budget")
+{
+    // A driver's roster read fails with the VM that served it, although another server of the service is well. All attempts
+    // had been lent to the daemon that is lost, and what is lent comes back with the answer alone.
+    DaemonFixture daemon{1};
+    daemon.meetOther("other");
+    daemon.meetOther("third");
+    const Actions first = daemon.arrive(1);
+    const auto *const sent = DaemonFixture::find<SendToPeer>(first);
+    REQUIRE(sent != nullptr);
+    const DaemonId lost = sent->to;
+    CHECK(std::get<protocol::CallRequest>(sent->message).attemptsLent == 0);
+
+    CHECK(DaemonFixture::find<AnswerCaller>(daemon.core->handle(PeerLost{.daemon = lost, .wasConnected = true})) == nullptr);
+    const Actions later = daemon.pass(5s, false);
+    const auto again = std::find_if(later.begin(), later.end(), [](const Action &action) {
+        const auto *const send = std::get_if<SendToPeer>(&action);
+        return send != nullptr && std::holds_alternative<protocol::CallRequest>(send->message);
+    });
+    REQUIRE(again != later.end());
+    CHECK(std::get<SendToPeer>(*again).to != lost);
+    CHECK(DaemonFixture::find<AnswerCaller>(daemon.core->handle(PeerLost{.daemon = std::get<SendToPeer>(*again).to, .wasConnected = true})) != nullptr);
+}
+
 TEST_CASE("a connection that never opened ends nothing by itself")
 {
     // A caller is told not-run of a request that runs. The event of a connection that failed is read after a later attempt
