A drained backend server that was silent for a while is not put back to work

Cause: silence ended the drain, so a paused server that woke and announced itself again took work. Change: the instance that was told to drain stays so; without an instance name nothing changes.

--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -150,12 +150,14 @@
 {
     m_lastAnnounced = now;
     m_surroundings->metrics.count("announcements", announced.service);
-    // A server goes on announcing itself while it drains, which must not put it back to work. Another process in its
-    // place is a server of its own; it is known by its instance name.
-    const bool isSameProcess = m_server.has_value() && m_server->instance == announced.instance;
-    if (m_isShuttingDown || (m_isDraining && isSameProcess) || m_server == announced) {
+    // A server goes on announcing itself while it drains, which must not put it back to work; nor must it once it has
+    // been silent for a while and wakes. Another process in its place is a server of its own, known by its instance name,
+    // or, without a name, by the silence before it.
+    const bool isDrained = m_drainedInstance == announced.instance && (m_isDraining || !announced.instance.empty());
+    if (m_isShuttingDown || isDrained || m_server == announced) {
         return;
     }
+    m_drainedInstance.reset();
     m_server = announced;
     m_isDraining = false;
     m_serving->setServer(announced.slots);
@@ -173,6 +175,9 @@
         return;
     }
     m_isDraining = true;
+    if (m_server.has_value()) {
+        m_drainedInstance = m_server->instance;
+    }
     m_serving->drain();
     const membership::Member &self = m_surroundings->roster.self();
     updateSelf(membership::MemberState::draining, self.service, self.slots, self.connections, now);
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -98,6 +98,8 @@
     std::optional<platform::RequestId> m_contactRequest;
     /*! @brief What the backend server said last; nothing if there is none. */
     std::optional<ServerAnnounced> m_server;
+    /*! @brief Instance name of the server that was told to drain. */
+    std::optional<std::string> m_drainedInstance;
     SteadyTime m_lastAnnounced;
     bool m_isDraining{};
     bool m_isShuttingDown{};
--- a/test/egretlatch/decision/membership.cpp
+++ b/test/egretlatch/decision/membership.cpp
@@ -197,7 +197,9 @@
     static_cast<void>(daemon.core->handle(ServerDraining{}));
     daemon.announce("first");
     CHECK((daemon.state() == MemberState::draining));
-    CHECK(DaemonFixture::find<Drained>(daemon.pass(3s, false)) == nullptr);
+    CHECK(DaemonFixture::find<Drained>(daemon.pass(10s, false)) == nullptr);
+    daemon.announce("first");
+    CHECK((daemon.state() == MemberState::idle));
     daemon.announce("second");
     CHECK((daemon.state() == MemberState::serving));
 }
