--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -150,12 +150,14 @@
 {
     m_lastAnnounced = now;
     m_surroundings->metrics.count("announcements", announced.service);
-    // A server goes on announcing itself while it drains, which must not put it back to work. Another process in its
-    // place is a server of its own; it is known by its instance name.
-    const bool isSameProcess = m_server.has_value() && m_server->instance == announced.instance;
-    if (m_isShuttingDown || (m_isDraining && isSameProcess) || m_server == announced) {
+    // A server goes on announcing itself while it drains, which must not put it back to work; nor must it once it has
+    // been silent for a while and wakes. Another process in its place is a server of its own, known by its instance name,
+    // or, without a name, by the silence before it.
+    const bool isDrained = m_drainedInstance == announced.instance && (m_isDraining || !announced.instance.empty());
+    if (m_isShuttingDown || isDrained || m_server == announced) {
         return;
     }
+    m_drainedInstance.reset();
     m_server = announced;
     m_isDraining = false;
     m_serving->setServer(announced.slots);
@@ -173,6 +175,9 @@
         return;
     }
     m_isDraining = true;
+    if (m_server.has_value()) {
+        m_drainedInstance = m_server->instance;
+    }
     m_serving->drain();
     const membership::Member &self = m_surroundings->roster.self();
     updateSelf(membership::MemberState::draining, self.service, self.slots, self.connections, now);
@@ -204,6 +209,11 @@
 
 void Core::handlePlatform(const PlatformAnswered &answered, const SteadyTime now)
 {
+    if (m_contactRequest == answered.id) {
+        m_contactRequest.reset();
+        m_gossip->addContacts(m_contactBook->handleOutcome(answered.outcome));
+        return;
+    }
     if (!m_configuration->handleOutcome(answered.id, answered.outcome, now) && !m_entry->handlePlatform(answered, now)) {
         m_surroundings->metrics.count("messages_dropped", "late-platform-answer");
     }
@@ -226,10 +236,21 @@
     m_configuration->tick(now);
     tickServer(now);
     m_gossip->tick(now);
+    tickContacts(now);
     tickLeaving(now);
     applyGossip(now);
 }
 
+void Core::tickContacts(const SteadyTime now)
+{
+    if (m_contactBook == nullptr || m_contactRequest.has_value()) {
+        return;
+    }
+    if (std::optional<platform::Request> request = m_contactBook->tick(m_surroundings->roster.participants().size(), now)) {
+        m_contactRequest = m_surroundings->askPlatform(std::move(*request));
+    }
+}
+
 void Core::tickServer(const SteadyTime now)
 {
     // A backend server that dies says nothing, and its daemon would go on offering its slots: callers would see one
@@ -272,6 +293,11 @@
     if (effects.haveMembersChanged) {
         m_surroundings->router->setMembers(m_surroundings->roster.members(), now);
     }
+    for (const DaemonId &id : m_surroundings->roster.takeChanged()) {
+        if (const membership::Member *const member = m_surroundings->roster.find(id)) {
+            m_surroundings->actions.emplace_back(MemberChanged{.id = id, .state = member->state});
+        }
+    }
     for (membership::OutgoingGossip &outgoing : effects.messages) {
         m_surroundings->actions.emplace_back(SendToPeer{.to = outgoing.to.id, .endpoint = outgoing.to.endpoint, .message = std::move(outgoing.message)});
     }
@@ -411,7 +437,12 @@
     options.hasPlatform = m_followsPlatform;
     options.endpoint = m_self.endpoint;
     core->m_configuration = std::make_unique<configuration::Follower>(*core->m_configurationOutlet, m_random, options);
-    core->m_gossip = std::make_unique<membership::Gossip>(core->m_surroundings->roster, m_random, m_metrics, std::move(m_contacts));
+    core->m_gossipRandom = std::make_unique<SeededRandom>(m_random.next());
+    if (m_followsPlatform) {
+        core->m_contactBook =
+            std::make_unique<membership::ContactBook>(membership::Contact{.id = m_self.id, .endpoint = m_self.endpoint}, *core->m_gossipRandom);
+    }
+    core->m_gossip = std::make_unique<membership::Gossip>(core->m_surroundings->roster, *core->m_gossipRandom, m_metrics, std::move(m_contacts));
     return core;
 }
 
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -12,6 +12,7 @@
 #include <egretlatch/decision/event.hpp>
 #include <egretlatch/decision/serving_handler.hpp>
 #include <egretlatch/decision/surroundings.hpp>
+#include <egretlatch/membership/contact_book.hpp>
 #include <egretlatch/membership/gossip.hpp>
 
 namespace egretlatch::decision
@@ -76,6 +77,7 @@
     void handleTick(SteadyTime now);
     void handlePeerLost(const PeerLost &lost, SteadyTime now);
     void handleRumour(const membership::Rumour &rumour, SteadyTime now);
+    void tickContacts(SteadyTime now);
     void tickServer(SteadyTime now);
     void tickLeaving(SteadyTime now);
     void updateSelf(membership::MemberState state, const std::string &service, int slots, int connections, SteadyTime now);
@@ -88,9 +90,16 @@
     std::unique_ptr<EntryHandler> m_entry;
     std::unique_ptr<ConfigurationOutlet> m_configurationOutlet;
     std::unique_ptr<configuration::Follower> m_configuration;
+    /*! @brief A source of its own, so that calls draw the same numbers whatever the daemons tell one another. */
+    std::unique_ptr<RandomSource> m_gossipRandom;
     std::unique_ptr<membership::Gossip> m_gossip;
+    /*! @brief Null without a platform. */
+    std::unique_ptr<membership::ContactBook> m_contactBook;
+    std::optional<platform::RequestId> m_contactRequest;
     /*! @brief What the backend server said last; nothing if there is none. */
     std::optional<ServerAnnounced> m_server;
+    /*! @brief Instance name of the server that was told to drain. */
+    std::optional<std::string> m_drainedInstance;
     SteadyTime m_lastAnnounced;
     bool m_isDraining{};
     bool m_isShuttingDown{};
--- a/src/egretlatch/membership/prober.cpp
+++ b/src/egretlatch/membership/prober.cpp
@@ -9,7 +9,8 @@
 {
 
 constexpr std::chrono::milliseconds probeInterval{1000};
-constexpr std::chrono::milliseconds directTimeout{300};
+// A probe that one lost message could fail would raise doubts in proportion to the fleet, each told to everyone.
+constexpr std::chrono::milliseconds repeatInterval{250};
 
 } // namespace internal
 
@@ -21,8 +22,11 @@
 std::vector<ProbeOrder> Prober::tick(const std::vector<DaemonId> &participants, const SteadyTime now)
 {
     std::vector<ProbeOrder> orders;
-    if (m_probe.has_value() && !m_probe->isIndirect && (m_probe->isUnreachable || now - m_probe->sent >= internal::directTimeout)) {
-        m_probe->isIndirect = true;
+    if (m_probe.has_value() && now >= m_probe->nextRepeat) {
+        m_probe->nextRepeat = now + internal::repeatInterval;
+        if (!m_probe->isUnreachable) {
+            orders.push_back({.step = ProbeStep::direct, .target = m_probe->target, .sequence = m_probe->sequence});
+        }
         orders.push_back({.step = ProbeStep::indirect, .target = m_probe->target, .sequence = m_probe->sequence});
     }
     if (!m_nextProbe.has_value()) {
@@ -33,12 +37,13 @@
         return orders;
     }
     m_nextProbe = now + internal::probeInterval;
+    orders.clear();
     if (m_probe.has_value()) {
         orders.push_back({.step = ProbeStep::failed, .target = m_probe->target, .sequence = m_probe->sequence});
         m_probe.reset();
     }
     if (const std::optional<DaemonId> target = chooseTarget(participants)) {
-        m_probe = Probe{.target = *target, .sequence = nextSequence(), .sent = now};
+        m_probe = Probe{.target = *target, .sequence = nextSequence(), .nextRepeat = now + internal::repeatInterval};
         orders.push_back({.step = ProbeStep::direct, .target = *target, .sequence = m_probe->sequence});
     }
     return orders;
@@ -54,7 +59,13 @@
 void Prober::noteUnreachable(const DaemonId &target)
 {
     if (m_probe.has_value() && m_probe->target == target) {
+        m_probe->nextRepeat = m_probe->isUnreachable ? m_probe->nextRepeat : SteadyTime{};
         m_probe->isUnreachable = true;
+        return;
+    }
+    // A lost connection is the first sign of a death; the round would come to it much later.
+    if (m_round.empty() || m_round.back() != target) {
+        m_round.push_back(target);
     }
 }
 
@@ -65,6 +76,7 @@
 
 std::optional<DaemonId> Prober::chooseTarget(const std::vector<DaemonId> &participants)
 {
+    addNewcomers(participants);
     while (!m_round.empty()) {
         const DaemonId target = m_round.back();
         m_round.pop_back();
@@ -72,10 +84,8 @@
             return target;
         }
     }
-    m_round = participants;
-    for (std::size_t left = m_round.size(); left > 1; --left) {
-        std::swap(m_round[left - 1], m_round[m_random.below(left)]);
-    }
+    m_inRound.clear();
+    addNewcomers(participants);
     if (m_round.empty()) {
         return std::nullopt;
     }
@@ -84,4 +94,16 @@
     return target;
 }
 
+void Prober::addNewcomers(const std::vector<DaemonId> &participants)
+{
+    // Each takes a random place among those still to come. A newcomer that had to wait for the next round could die
+    // unseen until then, which at 750 members is a quarter of an hour for each daemon.
+    for (const DaemonId &participant : participants) {
+        if (m_inRound.insert(participant).second) {
+            m_round.push_back(participant);
+            std::swap(m_round.back(), m_round[m_random.below(m_round.size())]);
+        }
+    }
+}
+
 } // namespace egretlatch::membership
--- a/src/egretlatch/membership/prober.hpp
+++ b/src/egretlatch/membership/prober.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include <egretlatch/core/clock.hpp>
@@ -33,7 +34,8 @@
 /**
  * @brief Probes one member after the other, each once a round, each round in an order of its own.
  *
- * The random order bounds the time to the next probe of each member and keeps daemons from probing the same one at once.
+ * A probe that is not answered is repeated, directly and by helpers, until its time is up. The random order bounds the time to the next probe of each member
+ * and keeps daemons from probing the same one at once.
  */
 class Prober
 {
@@ -81,15 +83,17 @@
     {
         DaemonId target;
         std::uint64_t sequence{};
-        SteadyTime sent;
+        SteadyTime nextRepeat;
         bool isUnreachable{};
-        bool isIndirect{};
     };
 
     [[nodiscard]] std::optional<DaemonId> chooseTarget(const std::vector<DaemonId> &participants);
+    void addNewcomers(const std::vector<DaemonId> &participants);
 
     RandomSource &m_random;
+    /*! @brief Members still to be probed in this round, the next one last. */
     std::vector<DaemonId> m_round;
+    std::set<DaemonId> m_inRound;
     std::optional<Probe> m_probe;
     std::optional<SteadyTime> m_nextProbe;
     std::uint64_t m_lastSequence{};
--- a/src/egretlatch/membership/state_pull.hpp
+++ b/src/egretlatch/membership/state_pull.hpp
@@ -69,6 +69,9 @@
      */
     void noteReply(const DaemonId &from, std::uint32_t page, bool hasMore, SteadyTime now);
 
+    /*! @brief Takes it that the pull under way brought something unknown, so that the next one may bring more. */
+    void noteNews() noexcept;
+
 private:
     struct Pull
     {
@@ -82,6 +85,8 @@
 
     RandomSource &m_random;
     std::optional<Pull> m_pull;
+    /*! @brief Pulls that follow one another soon; some at the start, when the first member asked may know as little. */
+    int m_eagerPulls{3};
     SteadyTime m_nextPull;
     SteadyTime m_lastBegin;
 };
