--- /dev/null
+++ b/test/egretlatch/decision/serving_handler.cpp
@@ -0,0 +1,87 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include <fakes/counting_metrics.hpp>
+#include <fakes/manual_clock.hpp>
+
+#include <egretlatch/admission/adaptive_gate.hpp>
+#include <egretlatch/admission/priority_gate.hpp>
+#include <egretlatch/admission/static_gate.hpp>
+#include <egretlatch/decision/core.hpp>
+
+using namespace egretlatch;
+using namespace egretlatch::decision;
+
+namespace
+{
+
+constexpr std::uint64_t seed = 1;
+constexpr Incarnation selfLife{100};
+constexpr Incarnation peerLife{200};
+constexpr int offered = 5;
+
+[[nodiscard]] std::shared_ptr<const manifest::Manifest> rosterManifest()
+{
+    manifest::KindSpec read;
+    read.name = "read";
+    read.priority = 5;
+    manifest::ServiceSpec service;
+    service.name = "roster";
+    service.slots = 1;
+    service.kinds = {read};
+    return manifest::ManifestBuilder{}.addService(service).build();
+}
+
+[[nodiscard]] protocol::CallRequest callOf(const std::uint64_t number)
+{
+    protocol::CallRequest request;
+    request.call = {number};
+    request.service = "roster";
+    request.kind = "read";
+    request.remaining = std::chrono::milliseconds{100};
+    return request;
+}
+
+[[nodiscard]] std::ptrdiff_t countAnswers(const Actions &actions)
+{
+    return std::count_if(actions.begin(), actions.end(), [](const Action &action) {
+        const auto *const send = std::get_if<SendToPeer>(&action);
+        return send != nullptr && std::holds_alternative<protocol::CallAnswer>(send->message);
+    });
+}
+
+// Offers five calls with one deadline to a server with one slot, lets the deadline pass and counts the answers.
+[[nodiscard]] std::ptrdiff_t answersToExpired(std::unique_ptr<admission::Gate> gate)
+{
+    fakes::ManualClock clock;
+    SeededRandom random{seed};
+    fakes::CountingMetrics metrics;
+    membership::Member self;
+    self.id = {"serving"};
+    self.incarnation = selfLife;
+    const std::unique_ptr<Core> core = CoreBuilder{clock, random, metrics}.setSelf(self).setGate(std::move(gate)).build();
+    static_cast<void>(core->handle(ManifestChanged{.version = 1, .manifest = rosterManifest()}));
+    static_cast<void>(core->handle(ServerAnnounced{.service = "roster", .slots = 1, .connections = 10, .instance = {}}));
+    std::ptrdiff_t answers = 0;
+    for (std::uint64_t number = 1; number <= offered; ++number) {
+        answers += countAnswers(core->handle(PeerMessage{{.sender = {"entry"}, .incarnation = peerLife, .message = callOf(number)}}));
+    }
+    clock.advance(std::chrono::milliseconds{100});
+    answers += countAnswers(core->handle(Tick{}));
+    return answers;
+}
+
+} // namespace
+
+TEST_CASE("calls whose deadline passes together are each answered once")
+{
+    // A daemon ends in the middle of a surge and takes its backend server out of the mesh. Five calls share a deadline:
+    // one runs, four wait. Giving up the one that runs frees its slot, the gate then finds the next ones expired and
+    // refuses them, and the daemon gives them up a second time though they are gone.
+    constexpr std::size_t queueCapacity = 10;
+
+    CHECK(answersToExpired(std::make_unique<admission::StaticGate>(1, queueCapacity)) == offered);
+    CHECK(answersToExpired(std::make_unique<admission::PriorityGate>(1, queueCapacity)) == offered);
+    CHECK(answersToExpired(std::make_unique<admission::AdaptiveGate>()) == offered);
+}
