The test of expired calls speaks to the daemon's present life

Cause: its calls named no incarnation, so they were refused as meant for an earlier life and the guard was not reached. Now the test passes with the guard and throws map::at without it.

--- a/test/egretlatch/decision/serving_handler.cpp
+++ b/test/egretlatch/decision/serving_handler.cpp
@@ -35,6 +35,7 @@
 {
     protocol::CallRequest request;
     request.call = {number};
+    request.receiver = selfLife;
     request.service = "roster";
     request.kind = "read";
     request.remaining = remaining;
