--- a/src/egretlatch/admission/level_control.cpp
+++ b/src/egretlatch/admission/level_control.cpp
@@ -29,7 +29,7 @@
 // Demand above this share of the capacity is cut at once while the queue is too long.
 constexpr double fullUse = 1.0;
 // Additional cut for each multiple of the target that the queue stands at, so that the queue itself goes away.
-constexpr double cutForQueue = 0.05;
+constexpr double cutForQueue = 0.15;
 constexpr double widestCutForQueue = 0.3;
 
 [[nodiscard]] static double secondsOf(const Duration duration)
