--- a/src/egretlatch/routing/server_record.cpp
+++ b/src/egretlatch/routing/server_record.cpp
@@ -18,6 +18,8 @@
 constexpr std::chrono::seconds expiryGrace{1};
 constexpr int mostDoublings = 3;
 constexpr double fewestAttempts = 4.0;
+// A server that has been taken out lately is not owed four more calls.
+constexpr double fewestAttemptsOnTrial = 0.9;
 constexpr double firstTrust = 0.1;
 constexpr double loadAfterRefusal = 1.5;
 
@@ -75,7 +77,8 @@
 std::optional<double> ServerRecord::failureShare(const SteadyTime now) const
 {
     const double kept = std::exp(-internal::ratio(now - m_decayedAt, internal::healthWindow));
-    if (m_attempts * kept < internal::fewestAttempts) {
+    const bool isOnTrial = m_ejections > 0 && now - m_ejectedUntil < internal::ejectionMemory;
+    if (m_attempts * kept < (isOnTrial ? internal::fewestAttemptsOnTrial : internal::fewestAttempts)) {
         return std::nullopt;
     }
     return m_failures / m_attempts;
