--- a/src/egretlatch/decision/entry_handler.hpp
+++ b/src/egretlatch/decision/entry_handler.hpp
@@ -14,6 +14,7 @@
 #include <egretlatch/decision/serving_handler.hpp>
 #include <egretlatch/decision/surroundings.hpp>
 #include <egretlatch/protocol/messages.hpp>
+#include <egretlatch/retry/preferred_shards.hpp>
 #include <egretlatch/retry/key_ledger.hpp>
 #include <egretlatch/retry/ratio_budget.hpp>
 #include <egretlatch/retry/request_key.hpp>
@@ -181,7 +182,6 @@
     [[nodiscard]] std::optional<retry::RequestKey> keyOf(const Pending &pending, const std::optional<InnerContext> &inner) const;
     [[nodiscard]] retry::KeyLedger &ledgerOf(const Pending &pending);
     void tickGrants(SteadyTime now);
-    [[nodiscard]] bool isPreferredFor(int shard) const;
     void own(Pending pending, const retry::RequestKey &key, SteadyTime now);
     void ownUnnamed(Pending pending, SteadyTime now);
     void answerFinding(Pending pending, const retry::KeyFinding &finding, SteadyTime now);
@@ -221,6 +221,7 @@
     retry::KeyLedger m_grantedLedger;
     std::unique_ptr<retry::ShardGrants> m_grants;
     SteadyTime m_lastGrants;
+    retry::PreferredShards m_preferredShards;
     retry::RatioBudget m_ratio;
     /*! @brief When each pending call is to be looked at: its next attempt, or its deadline. */
     std::set<std::pair<SteadyTime, CallId>> m_wakes;
--- a/src/egretlatch/decision/entry_keys.cpp
+++ b/src/egretlatch/decision/entry_keys.cpp
@@ -338,8 +338,9 @@
         return;
     }
     m_lastGrants = now;
+    m_preferredShards.update(m_surroundings.roster);
     std::vector<platform::Request> requests = m_grants->tick(m_surroundings.clock.wallNow(), now, [this](const int shard) {
-        return isPreferredFor(shard);
+        return m_preferredShards.contains(shard);
     });
     for (platform::Request &request : requests) {
         const platform::RequestId id = m_surroundings.askPlatform(request);
@@ -347,22 +348,6 @@
     }
 }
 
-bool EntryHandler::isPreferredFor(const int shard) const
-{
-    // The highest hash among the daemons that are at work. Views may differ; the table then lets one of them write.
-    const auto weightOf = [shard](const DaemonId &daemon) {
-        const std::string text = fmt::format("{} {}", shard, daemon.value);
-        return XXH3_64bits(text.data(), text.size());
-    };
-    const std::uint64_t own = weightOf(m_surroundings.self);
-    for (const membership::Member &member : m_surroundings.roster.members()) {
-        if (member.state == membership::MemberState::serving && member.id != m_surroundings.self && weightOf(member.id) > own) {
-            return false;
-        }
-    }
-    return m_surroundings.roster.self().state == membership::MemberState::serving;
-}
-
 bool EntryHandler::handlePlatform(const PlatformAnswered &answered, const SteadyTime now)
 {
     return m_grants != nullptr && m_grants->take(answered.id, answered.outcome, now);
--- a/src/egretlatch/retry/fwd.hpp
+++ b/src/egretlatch/retry/fwd.hpp
@@ -22,6 +22,7 @@
 class ShardRow;
 class ShardGrants;
 class RatioBudget;
+class PreferredShards;
 
 } // namespace egretlatch::retry
 
