--- a/src/egretlatch/daemon/daemon.cpp
+++ b/src/egretlatch/daemon/daemon.cpp
@@ -181,6 +181,7 @@
         builder.addContact({.id = peer.id, .endpoint = peer.endpoint});
     }
     if (!m_settings.platformUrl.empty()) {
+        builder.setKeyGrants({});
         builder.followPlatform();
     }
     builder.setUnownedKeys(m_settings.ownsUnnamedKeys ? retry::UnownedKeys::entryMemory : retry::UnownedKeys::refuse);
