The account of refusals: batched, compressed, bounded, explained

Cause: an auditor asks why a request was refused, after the VM that refused it is gone; the store may be down for long.

Change: a ledger that holds refusals by the minute of their ids until the object store has them, the same batch again after a lost answer; what it could not hold, or what never reached it, is an entry with count and span; the last batch of a life says so. egretlatch explain tells of one refusal or sums up a span, from the store or from daemons' /refusals/{id}.

--- a/src/egretlatch/account/fwd.hpp
+++ b/src/egretlatch/account/fwd.hpp
@@ -10,8 +10,14 @@
 struct Refusal;
 struct TraceContext;
 struct Span;
+struct RefusalRecord;
+struct DroppedRefusals;
+struct AccountBatch;
+struct LedgerLimits;
 
 class MetricsSink;
+class DroppedTally;
+class RefusalLedger;
 class MetricsRegistry;
 
 } // namespace egretlatch::account
--- /dev/null
+++ b/src/egretlatch/cli/explain_command.cpp
@@ -0,0 +1,287 @@
+#include <egretlatch/cli/explain_command.hpp>
+
+#include <functional>
+#include <map>
+
+#include <QCoreApplication>
+#include <QDateTime>
+#include <QJsonDocument>
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+
+#include <egretlatch/cli/documents.hpp>
+#include <egretlatch/cli/http_fetch.hpp>
+#include <egretlatch/platform/backoff.hpp>
+
+namespace egretlatch::cli
+{
+
+namespace internal
+{
+
+constexpr int namesAtOnce = 1000;
+constexpr int attempts = 10;
+constexpr std::chrono::milliseconds firstWait{50};
+constexpr std::chrono::seconds longestWait{2};
+
+using BatchVisitor = std::function<bool(const account::AccountBatch &)>;
+
+/*! @brief Reads the account; stops for good at the first request that stays without an answer. */
+class AccountReader
+{
+public:
+    AccountReader(PlatformPort &port, RandomSource &random)
+        : m_port{port}
+        , m_random{random}
+    {
+    }
+
+    // Visits the batches whose names have a prefix and lie between two names; false once the visitor has seen enough.
+    void visit(const std::string &prefix, std::string after, const std::string &end, const BatchVisitor &visitor)
+    {
+        while (true) {
+            const std::optional<platform::Reply> reply = ask(platform::ObjectList{.prefix = prefix, .after = after, .limit = namesAtOnce});
+            const auto *const names = reply.has_value() ? std::get_if<platform::NamesReply>(&*reply) : nullptr;
+            if (names == nullptr || names->names.empty()) {
+                return;
+            }
+            for (const std::string &name : names->names) {
+                if ((!end.empty() && name >= end) || !visitOne(name, visitor)) {
+                    return;
+                }
+            }
+            after = names->names.back();
+        }
+    }
+
+    [[nodiscard]] const std::string &failure() const noexcept
+    {
+        return m_failure;
+    }
+
+    [[nodiscard]] int unreadable() const noexcept
+    {
+        return m_unreadable;
+    }
+
+private:
+    [[nodiscard]] bool visitOne(const std::string &name, const BatchVisitor &visitor)
+    {
+        const std::optional<platform::Reply> reply = ask(platform::ObjectGet{.name = name});
+        if (!reply.has_value()) {
+            return false;
+        }
+        const auto *const object = std::get_if<platform::ObjectReply>(&*reply);
+        const std::optional<account::AccountBatch> batch = object == nullptr ? std::nullopt : account::decodeBatch(object->bytes);
+        if (!batch.has_value()) {
+            ++m_unreadable;
+            return true;
+        }
+        return visitor(*batch);
+    }
+
+    [[nodiscard]] std::optional<platform::Reply> ask(const platform::Request &request)
+    {
+        platform::Backoff backoff{firstWait, longestWait};
+        for (int attempt = 0; attempt < attempts; ++attempt) {
+            platform::Outcome outcome = m_port.ask(request);
+            if (outcome.has_value()) {
+                return std::move(*outcome);
+            }
+            m_failure = outcome.error().message;
+            if (outcome.error().code == ErrorCode::forbidden || outcome.error().code == ErrorCode::notFound) {
+                return std::nullopt;
+            }
+            m_port.wait(backoff.next(m_random));
+            m_failure = attempt + 1 == attempts ? m_failure : std::string{};
+        }
+        return std::nullopt;
+    }
+
+    PlatformPort &m_port;
+    RandomSource &m_random;
+    std::string m_failure;
+    int m_unreadable{};
+};
+
+[[nodiscard]] static std::string toText(const WallTime time)
+{
+    return fmt::format("{:%Y-%m-%d %H:%M:%S}", std::chrono::floor<std::chrono::seconds>(time));
+}
+
+[[nodiscard]] static std::string describe(const DaemonId &daemon, const account::DroppedRefusals &gap)
+{
+    return fmt::format("{} could not keep {} refusals between {} and {} UTC", daemon.value, gap.count, toText(gap.first), toText(gap.last));
+}
+
+/*! @brief What a sum is kept by. */
+struct SumKey
+{
+    std::string kind;
+    std::string reason;
+    std::string verdict;
+
+    friend auto operator<=>(const SumKey &, const SumKey &) = default;
+};
+
+/*! @brief The sum of a span. */
+struct Sum
+{
+    std::map<SumKey, std::uint64_t> counts;
+    std::vector<std::string> gaps;
+    std::uint64_t total{};
+};
+
+static void add(const account::AccountBatch &batch, const AccountSpan &span, Sum &sum)
+{
+    for (const account::RefusalRecord &record : batch.refusals) {
+        const std::string kind = record.service + "/" + record.kind;
+        const bool isInSpan = record.time >= span.since && record.time < span.until;
+        if (!isInSpan || (!span.kind.empty() && span.kind != kind)) {
+            continue;
+        }
+        const SumKey key{.kind = kind, .reason = std::string{toString(record.refusal.reason)}, .verdict = std::string{toString(record.verdict)}};
+        ++sum.counts[key];
+        ++sum.total;
+    }
+    for (const account::DroppedRefusals &gap : batch.dropped) {
+        sum.gaps.push_back(describe(batch.daemon, gap));
+    }
+}
+
+[[nodiscard]] static std::optional<WallTime> parseTime(const std::string &text)
+{
+    const QDateTime time = QDateTime::fromString(QString::fromStdString(text), Qt::ISODate);
+    if (!time.isValid()) {
+        return std::nullopt;
+    }
+    return WallTime{std::chrono::milliseconds{time.toMSecsSinceEpoch()}};
+}
+
+// Refusals of the last minute are held by the daemons alone.
+[[nodiscard]] static std::optional<account::RefusalRecord> askDaemons(const ExplainOptions &options, const Secret &token)
+{
+    for (const std::string &url : options.daemons) {
+        const Result<QByteArray> page = fetchPage(url + "/refusals/" + options.id, token);
+        if (page.has_value()) {
+            return account::refusalRecordFromJson(QJsonDocument::fromJson(*page).object());
+        }
+        if (page.error().code != ErrorCode::notFound) {
+            fmt::print(stderr, "{}: {}\n", url, page.error().message);
+        }
+    }
+    return std::nullopt;
+}
+
+[[nodiscard]] static CommandResult explain(const ExplainOptions &options, const Secret &operatorToken, RandomSource &random)
+{
+    if (!options.id.empty()) {
+        if (const std::optional<account::RefusalRecord> record = askDaemons(options, operatorToken)) {
+            return describeRefusal(*record, options.isJson);
+        }
+        const bool hasPlatform = !options.platform.url.empty() || !options.platform.settingsPath.empty();
+        if (!hasPlatform && !options.daemons.empty()) {
+            return {.code = ExitCode::notFound, .text = "no daemon asked holds that refusal; give --platform to search the store\n"};
+        }
+    }
+    const std::unique_ptr<PlatformPort> port = openPlatform(options.platform);
+    if (port == nullptr) {
+        return {.code = ExitCode::badInput, .text = {}};
+    }
+    if (!options.id.empty()) {
+        return explainOne(*Uuid::parse(options.id), *port, random, options.isJson);
+    }
+    const std::optional<WallTime> since = parseTime(options.since);
+    const std::optional<WallTime> until = options.until.empty() ? std::optional{std::chrono::system_clock::now()} : parseTime(options.until);
+    if (!since.has_value() || !until.has_value()) {
+        return {.code = ExitCode::badInput, .text = "--since and --until are times such as 2026-12-02T22:00:00Z\n"};
+    }
+    return explainSpan({.since = *since, .until = *until, .kind = options.kind}, *port, random);
+}
+
+} // namespace internal
+
+CommandResult describeRefusal(const account::RefusalRecord &record, const bool isJson)
+{
+    if (isJson) {
+        return {.code = ExitCode::success, .text = QJsonDocument{account::toJson(record)}.toJson().toStdString()};
+    }
+    return {.code = ExitCode::success, .text = account::toSentence(record) + "\n"};
+}
+
+CommandResult explainOne(const Uuid &id, PlatformPort &port, RandomSource &random, const bool isJson)
+{
+    const std::optional<WallTime> minted = id.mintedAt();
+    if (!minted.has_value()) {
+        return {.code = ExitCode::badInput, .text = "that is not the id of a refusal\n"};
+    }
+    internal::AccountReader reader{port, random};
+    std::optional<account::RefusalRecord> found;
+    std::string gaps;
+    reader.visit(account::minutePrefix(*minted), {}, {}, [&](const account::AccountBatch &batch) {
+        for (const account::RefusalRecord &record : batch.refusals) {
+            if (record.refusal.id == id) {
+                found = record;
+                return false;
+            }
+        }
+        for (const account::DroppedRefusals &gap : batch.dropped) {
+            gaps += internal::describe(batch.daemon, gap) + "\n";
+        }
+        return true;
+    });
+    if (found.has_value()) {
+        return describeRefusal(*found, isJson);
+    }
+    if (!reader.failure().empty()) {
+        return {.code = ExitCode::unavailable, .text = fmt::format("the account could not be read: {}\n", reader.failure())};
+    }
+    std::string text = fmt::format("the stored account of {} UTC does not hold that refusal\n", internal::toText(*minted));
+    text += gaps + "A refusal is stored within a minute; before that, ask the daemons with --daemon.\n";
+    return {.code = ExitCode::notFound, .text = std::move(text)};
+}
+
+CommandResult explainSpan(const AccountSpan &span, PlatformPort &port, RandomSource &random)
+{
+    internal::AccountReader reader{port, random};
+    internal::Sum sum;
+    const std::string end = account::minutePrefix(span.until + std::chrono::minutes{1});
+    reader.visit(account::accountPrefix, account::minutePrefix(span.since), end, [&](const account::AccountBatch &batch) {
+        internal::add(batch, span, sum);
+        return true;
+    });
+    if (!reader.failure().empty()) {
+        return {.code = ExitCode::unavailable, .text = fmt::format("the account could not be read: {}\n", reader.failure())};
+    }
+    std::string text = fmt::format("{} refusals from {} to {} UTC\n", sum.total, internal::toText(span.since), internal::toText(span.until));
+    for (const auto &[key, count] : sum.counts) {
+        text += fmt::format("{:>10}  {:<40} {:<22} {}\n", count, key.kind, key.reason, key.verdict);
+    }
+    for (const std::string &gap : sum.gaps) {
+        text += "not whole: " + gap + "\n";
+    }
+    if (reader.unreadable() > 0) {
+        text += fmt::format("not whole: {} objects could not be read\n", reader.unreadable());
+    }
+    return {.code = ExitCode::success, .text = std::move(text)};
+}
+
+int runExplain(const ExplainOptions &options, int argc, char **argv)
+{
+    if (!options.id.empty() && !Uuid::parse(options.id).has_value()) {
+        fmt::print(stderr, "egretlatch: {} is not the id of a refusal\n", options.id);
+        return ExitCode::badInput;
+    }
+    const std::optional<Secret> operatorToken = readToken(options.operatorTokenPath);
+    if (!operatorToken.has_value()) {
+        return ExitCode::badInput;
+    }
+    const QCoreApplication application{argc, argv};
+    SeededRandom random{static_cast<std::uint64_t>(std::chrono::steady_clock::now().time_since_epoch().count())};
+    const CommandResult result = internal::explain(options, *operatorToken, random);
+    fmt::print("{}", result.text);
+    return result.code;
+}
+
+} // namespace egretlatch::cli
--- a/src/egretlatch/cli/main.cpp
+++ b/src/egretlatch/cli/main.cpp
@@ -5,6 +5,7 @@
 #include <egretlatch/cli/daemon_command.hpp>
 #include <egretlatch/cli/documents.hpp>
 #include <egretlatch/cli/exit_code.hpp>
+#include <egretlatch/cli/explain_command.hpp>
 #include <egretlatch/cli/status_command.hpp>
 #include <egretlatch/cli/submit_command.hpp>
 
@@ -65,6 +66,22 @@
     return command;
 }
 
+CLI::App *addExplain(CLI::App &app, ExplainOptions &options)
+{
+    CLI::App *const command = app.add_subcommand("explain", "Tell why a request was refused, or sum up the refusals of a span of time.");
+    command->add_option("id", options.id, "Id of a refusal, as the answer gave it");
+    command->add_option("--kind", options.kind, "Sum up only this SERVICE/KIND");
+    command->add_option("--since", options.since, "Sum up from this time on, such as 2026-12-02T22:00:00Z");
+    command->add_option("--until", options.until, "Sum up to this time; by default now");
+    command->add_flag("--json", options.isJson, "All that is known of the refusal, for an auditor");
+    addPlatformOptions(*command, options.platform);
+    command->add_option("--daemon", options.daemons, "Base URL of a daemon to ask for a refusal that is not stored yet");
+    command->add_option("--operator-token-file", options.operatorTokenPath, "File with the operators' token, for --daemon");
+    command->footer("Example: egretlatch explain 019ae1f2-7c40-7a3b-9d11-0c5d2f6e8a90 --settings /etc/egretlatch/daemon.json\n"
+                    "Example: egretlatch explain --kind launch-log/launch-entry --since 2026-12-02T06:00:00Z --settings daemon.json");
+    return command;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -91,6 +108,9 @@
     StatusOptions statusOptions;
     CLI::App *const status = addStatus(app, statusOptions);
 
+    ExplainOptions explainOptions;
+    CLI::App *const explain = addExplain(app, explainOptions);
+
     CLI::App *const version = app.add_subcommand("version", "Print the version.");
     version->footer("Example: egretlatch version");
 
@@ -107,6 +127,8 @@
         result = runSubmit(submitOptions, argc, argv);
     } else if (status->parsed()) {
         result = runStatus(statusOptions, argc, argv);
+    } else if (explain->parsed()) {
+        result = runExplain(explainOptions, argc, argv);
     } else if (version->parsed()) {
         fmt::print("{}\n", versionText);
     }
--- a/src/egretlatch/daemon/caller_server.cpp
+++ b/src/egretlatch/daemon/caller_server.cpp
@@ -149,6 +149,12 @@
 {
 }
 
+void CallerServer::addLookup(const QString &prefix, Lookup lookup)
+{
+    m_lookupPrefix = prefix;
+    m_lookup = std::move(lookup);
+}
+
 void CallerServer::requireToken(Secret token)
 {
     m_token = std::move(token);
@@ -222,23 +228,38 @@
             .write(m_isReady ? "ready\n" : "not ready\n", "text/plain", m_isReady ? internal::StatusCode::Ok : internal::StatusCode::ServiceUnavailable);
         return true;
     }
-    const auto page = m_pages.find(path.toStdString());
-    if (page == m_pages.end()) {
-        return false;
-    }
-    handlePage(page->second, request, socket);
-    return true;
+    return handlePage(request, socket);
 }
 
-void CallerServer::handlePage(const Page &page, const QHttpServerRequest &request, QTcpSocket *const socket)
+bool CallerServer::mayRead(const QHttpServerRequest &request) const
 {
-    if (m_token.has_value() && !m_token->matchesBearer(request.value("Authorization").toStdString())) {
+    return !m_token.has_value() || m_token->matchesBearer(request.value("Authorization").toStdString());
+}
+
+bool CallerServer::handlePage(const QHttpServerRequest &request, QTcpSocket *const socket)
+{
+    const QString path = request.url().path();
+    const auto page = m_pages.find(path.toStdString());
+    const bool isLookup = m_lookup && path.startsWith(m_lookupPrefix);
+    if (page == m_pages.end() && !isLookup) {
+        return false;
+    }
+    if (!mayRead(request)) {
         const char *const mistake = m_token->isEmpty() ? "operators cannot read here: the settings name neither operatorTokenFile nor operatorAccess open"
                                                        : "the page needs the operators' token, as Authorization: Bearer";
         internal::writeMistake(makeResponder(request, socket), internal::StatusCode::Unauthorized, mistake);
-        return;
+        return true;
     }
-    makeResponder(request, socket).write(QByteArray::fromStdString(page.report()), page.contentType);
+    if (!isLookup) {
+        makeResponder(request, socket).write(QByteArray::fromStdString(page->second.report()), page->second.contentType);
+        return true;
+    }
+    const std::optional<std::string> text = m_lookup(path.mid(m_lookupPrefix.size()).toStdString());
+    if (!text.has_value()) {
+        return false;
+    }
+    makeResponder(request, socket).write(QByteArray::fromStdString(*text), "application/json");
+    return true;
 }
 
 void CallerServer::missingHandler(const QHttpServerRequest &request, QTcpSocket *const socket)
--- a/src/egretlatch/daemon/caller_server.hpp
+++ b/src/egretlatch/daemon/caller_server.hpp
@@ -28,6 +28,8 @@
     using EventHandler = std::function<bool(decision::Event)>;
     /*! @brief Gives the text of a page that only reports. */
     using Report = std::function<std::string()>;
+    /*! @brief Gives the text of a page by its name. */
+    using Lookup = std::function<std::optional<std::string>(const std::string &)>;
 
     /**
      * @brief Builds a server that does not listen yet.
@@ -45,7 +47,14 @@
     void addReport(const QString &path, const QByteArray &contentType, Report report);
 
     /**
-     * @brief Lets the pages added by addReport() be read only with a token; until then they are open.
+     * @brief Adds pages below a path, such as one for each refusal; they are JSON.
+     * @param prefix Path up to the name of a page.
+     * @param lookup Called for each read with the rest of the path, on this server's thread; nothing for no such page.
+     */
+    void addLookup(const QString &prefix, Lookup lookup);
+
+    /**
+     * @brief Lets the pages added by addReport() and addLookup() be read only with a token; until then they are open.
      * @param token The token; empty closes the pages to everyone.
      */
     void requireToken(Secret token);
@@ -88,7 +97,8 @@
     };
 
     void handleCall(const QHttpServerRequest &request, QTcpSocket *socket);
-    void handlePage(const Page &page, const QHttpServerRequest &request, QTcpSocket *socket);
+    [[nodiscard]] bool mayRead(const QHttpServerRequest &request) const;
+    [[nodiscard]] bool handlePage(const QHttpServerRequest &request, QTcpSocket *socket);
     void handleKeys(const QHttpServerRequest &request, QTcpSocket *socket);
     void handleBackend(const QHttpServerRequest &request, QTcpSocket *socket);
     void watch(QTcpSocket *socket, ExchangeId exchange);
@@ -97,6 +107,8 @@
     std::int64_t m_maxBodyBytes;
     EventHandler m_onEvent;
     std::unordered_map<std::string, Page> m_pages;
+    QString m_lookupPrefix;
+    Lookup m_lookup;
     std::optional<Secret> m_token;
     std::unordered_map<ExchangeId, Exchange> m_exchanges;
     std::unordered_map<QTcpSocket *, ExchangeId> m_bySocket;
--- a/src/egretlatch/daemon/daemon.cpp
+++ b/src/egretlatch/daemon/daemon.cpp
@@ -75,6 +75,8 @@
         m_back.reset();
     });
     stopThread(m_accountThread, m_accountWaker, [this] {
+        m_refusals->close();
+        m_refusals.reset();
         m_spans.reset();
     });
     stopThread(m_platformThread, m_platformWaker, [this] {
@@ -95,7 +97,7 @@
 
 Result<void> Daemon::start()
 {
-    m_decide = std::make_unique<DecideThread>(makeCore(), m_inward, m_outward, m_decideWaker, m_metrics, m_logger, [] {
+    m_decide = std::make_unique<DecideThread>(makeCore(), m_inward, m_outward, m_decideWaker, m_metrics, m_logger, m_droppedRefusals, [] {
         QMetaObject::invokeMethod(QCoreApplication::instance(), &QCoreApplication::quit, Qt::QueuedConnection);
     });
     m_frontThread.start();
@@ -103,9 +105,10 @@
     m_accountThread.start();
     m_platformThread.start();
     internal::runOn(m_platformWaker, [this] {
-        m_platform = std::make_unique<PlatformClient>(PlatformAccess{.url = m_settings.platformUrl, .token = m_tokens.platform});
+        m_platform = std::make_unique<PlatformClient>(platformAccess());
     });
     internal::runOn(m_accountWaker, [this] {
+        m_refusals = std::make_unique<RefusalRecorder>(platformAccess(), m_settings.id, m_incarnation, m_droppedRefusals, m_metrics);
         m_spans = std::make_unique<SpanExporter>(m_settings.collectorUrl, m_settings.id.value, m_metrics);
     });
     internal::runOn(m_backWaker, [this] {
@@ -152,6 +155,11 @@
     return {};
 }
 
+PlatformAccess Daemon::platformAccess() const
+{
+    return {.url = m_settings.platformUrl, .token = m_tokens.platform};
+}
+
 void Daemon::drain()
 {
     m_logger.info("draining");
@@ -193,6 +201,9 @@
     m_front->addReport(QStringLiteral("/status"), "application/json", [this] {
         return m_decide->status();
     });
+    m_front->addLookup(QStringLiteral("/refusals/"), [this](const std::string &id) {
+        return m_refusals->find(id);
+    });
 }
 
 void Daemon::drainFront()
@@ -222,6 +233,9 @@
     while (const std::unique_ptr<PlatformOrder> order = m_outward.toPlatform.tryPop()) {
         if (const auto *const size = std::get_if<FleetSizeChanged>(order.get())) {
             m_platform->setFleetSize(size->daemons);
+            QMetaObject::invokeMethod(&m_accountWaker, [this, daemons = size->daemons] {
+                m_refusals->setFleetSize(daemons);
+            });
             continue;
         }
         const auto &ask = std::get<decision::AskPlatform>(*order);
@@ -238,6 +252,8 @@
     while (const std::unique_ptr<AccountOrder> order = m_outward.toAccount.tryPop()) {
         if (auto *const span = std::get_if<decision::RecordSpan>(order.get())) {
             m_spans->add(std::move(span->span));
+        } else {
+            m_refusals->add(std::move(std::get<decision::RecordRefusal>(*order).record));
         }
     }
 }
--- a/src/egretlatch/daemon/daemon.hpp
+++ b/src/egretlatch/daemon/daemon.hpp
@@ -16,6 +16,7 @@
 #include <egretlatch/daemon/event_loop_waker.hpp>
 #include <egretlatch/daemon/peer_thread.hpp>
 #include <egretlatch/daemon/platform_client.hpp>
+#include <egretlatch/daemon/refusal_recorder.hpp>
 #include <egretlatch/daemon/rings.hpp>
 #include <egretlatch/daemon/span_exporter.hpp>
 #include <egretlatch/settings/daemon_settings.hpp>
@@ -64,6 +65,7 @@
 
 private:
     [[nodiscard]] std::unique_ptr<decision::Core> makeCore();
+    [[nodiscard]] PlatformAccess platformAccess() const;
     void addReports();
     void drainFront();
     void drainBack();
@@ -76,6 +78,7 @@
     std::shared_ptr<const manifest::Manifest> m_manifest;
     Logger m_logger;
     account::MetricsRegistry m_metrics;
+    account::DroppedTally m_droppedRefusals;
     SystemClock m_clock;
     SeededRandom m_random;
     Incarnation m_incarnation;
@@ -94,6 +97,7 @@
     std::unique_ptr<CallerServer> m_front;
     std::unique_ptr<BackendClient> m_back;
     std::unique_ptr<SpanExporter> m_spans;
+    std::unique_ptr<RefusalRecorder> m_refusals;
     std::unique_ptr<PlatformClient> m_platform;
     std::unique_ptr<DecideThread> m_decide;
 };
--- a/src/egretlatch/daemon/decide_thread.cpp
+++ b/src/egretlatch/daemon/decide_thread.cpp
@@ -22,6 +22,7 @@
                            ConditionWaker &waker,
                            account::MetricsSink &metrics,
                            const Logger &logger,
+                           account::DroppedTally &droppedRefusals,
                            DrainedHandler onDrained)
     : m_core{std::move(core)}
     , m_inward{inward}
@@ -29,6 +30,7 @@
     , m_waker{waker}
     , m_metrics{metrics}
     , m_logger{logger}
+    , m_droppedRefusals{droppedRefusals}
     , m_onDrained{std::move(onDrained)}
 {
 }
@@ -118,7 +120,11 @@
     } else if (const auto *const abort = std::get_if<decision::AbortRun>(&action)) {
         isTaken = m_outward.toBack.tryPush(*abort);
     } else if (auto *const refusal = std::get_if<decision::RecordRefusal>(&action)) {
+        const WallTime time = refusal->record.time;
         isTaken = m_outward.toAccount.tryPush(std::move(*refusal));
+        if (!isTaken) {
+            m_droppedRefusals.add(time);
+        }
     } else if (auto *const span = std::get_if<decision::RecordSpan>(&action)) {
         isTaken = m_outward.toAccount.tryPush(std::move(*span));
     } else if (auto *const ask = std::get_if<decision::AskPlatform>(&action)) {
--- a/src/egretlatch/daemon/decide_thread.hpp
+++ b/src/egretlatch/daemon/decide_thread.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <thread>
 
+#include <egretlatch/account/dropped_tally.hpp>
 #include <egretlatch/account/metrics_sink.hpp>
 #include <egretlatch/core/logger.hpp>
 #include <egretlatch/daemon/condition_waker.hpp>
@@ -31,6 +32,7 @@
      * @param waker The waker of the inward rings; must outlive it.
      * @param metrics Takes counts of dropped orders; must outlive it.
      * @param logger Takes what people should know; must outlive it.
+     * @param droppedRefusals Counts refusals that the account thread had no room for; must outlive it.
      * @param onDrained Called once nothing is in flight after a drain.
      */
     DecideThread(std::unique_ptr<decision::Core> core,
@@ -39,6 +41,7 @@
                  ConditionWaker &waker,
                  account::MetricsSink &metrics,
                  const Logger &logger,
+                 account::DroppedTally &droppedRefusals,
                  DrainedHandler onDrained);
     DecideThread(const DecideThread &) = delete;
     DecideThread &operator=(const DecideThread &) = delete;
@@ -70,6 +73,7 @@
     ConditionWaker &m_waker;
     account::MetricsSink &m_metrics;
     const Logger &m_logger;
+    account::DroppedTally &m_droppedRefusals;
     DrainedHandler m_onDrained;
     std::atomic<bool> m_isStopping{false};
     SteadyTime m_lastStatus;
--- a/src/egretlatch/daemon/fwd.hpp
+++ b/src/egretlatch/daemon/fwd.hpp
@@ -17,6 +17,7 @@
 class BackendClient;
 class HttpClientPool;
 class PlatformClient;
+class RefusalRecorder;
 class SpanExporter;
 class EventLoopWaker;
 class Daemon;
--- /dev/null
+++ b/src/egretlatch/daemon/refusal_recorder.cpp
@@ -0,0 +1,140 @@
+#include <egretlatch/daemon/refusal_recorder.hpp>
+
+#include <QEventLoop>
+#include <QJsonDocument>
+
+namespace egretlatch::daemon
+{
+
+namespace internal
+{
+
+constexpr std::chrono::milliseconds tickInterval{500};
+constexpr std::chrono::milliseconds closingTickInterval{20};
+constexpr std::chrono::seconds storeInterval{30};
+// While more than one batch waits, as after an outage.
+constexpr std::chrono::seconds catchUpInterval{2};
+constexpr std::chrono::seconds firstRetry{1};
+constexpr std::chrono::seconds longestRetry{60};
+constexpr std::chrono::seconds closeTime{2};
+
+} // namespace internal
+
+RefusalRecorder::RefusalRecorder(
+    const PlatformAccess &access, DaemonId daemon, const Incarnation incarnation, account::DroppedTally &tally, account::MetricsSink &metrics)
+    : m_hasPlatform{!access.url.empty()}
+    , m_client{access}
+    , m_tally{tally}
+    , m_metrics{metrics}
+    , m_ledger{std::move(daemon), incarnation}
+    , m_random{incarnation.value}
+    , m_backoff{internal::firstRetry, internal::longestRetry}
+{
+    // A first interval of random length, so that daemons that started together do not store together.
+    const auto interval = static_cast<std::uint64_t>(std::chrono::nanoseconds{internal::storeInterval}.count());
+    m_due = std::chrono::steady_clock::now() + Duration{static_cast<Duration::rep>(m_random.below(interval))};
+    connect(&m_timer, &QTimer::timeout, this, &RefusalRecorder::tick);
+    m_timer.start(internal::tickInterval);
+}
+
+void RefusalRecorder::add(account::RefusalRecord record)
+{
+    const std::lock_guard lock{m_mutex};
+    m_ledger.add(std::move(record));
+}
+
+void RefusalRecorder::setFleetSize(const int daemons)
+{
+    m_client.setFleetSize(daemons);
+}
+
+void RefusalRecorder::close()
+{
+    if (!m_hasPlatform) {
+        return;
+    }
+    {
+        const std::lock_guard lock{m_mutex};
+        m_ledger.close(std::chrono::system_clock::now());
+    }
+    m_isClosing = true;
+    m_due = {};
+    m_timer.setInterval(internal::closingTickInterval);
+    tick();
+    QEventLoop loop;
+    QTimer::singleShot(internal::closeTime, &loop, &QEventLoop::quit);
+    connect(&m_timer, &QTimer::timeout, &loop, [this, &loop] {
+        if (!m_isStoring) {
+            loop.quit();
+        }
+    });
+    if (m_isStoring) {
+        loop.exec();
+    }
+}
+
+std::optional<std::string> RefusalRecorder::find(const std::string &id) const
+{
+    const std::optional<Uuid> parsed = Uuid::parse(id);
+    if (!parsed.has_value()) {
+        return std::nullopt;
+    }
+    const std::lock_guard lock{m_mutex};
+    const std::optional<account::RefusalRecord> record = m_ledger.find(*parsed);
+    return record.has_value() ? std::optional{QJsonDocument{account::toJson(*record)}.toJson(QJsonDocument::Compact).toStdString()} : std::nullopt;
+}
+
+void RefusalRecorder::tick()
+{
+    if (m_hasPlatform && !m_isStoring && std::chrono::steady_clock::now() >= m_due) {
+        store();
+    }
+}
+
+void RefusalRecorder::store()
+{
+    std::optional<account::AccountBatch> batch;
+    {
+        const std::lock_guard lock{m_mutex};
+        if (const std::optional<account::DroppedRefusals> dropped = m_tally.take()) {
+            m_ledger.addDropped(*dropped);
+        }
+        batch = m_ledger.nextBatch();
+    }
+    if (!batch.has_value()) {
+        m_due = std::chrono::steady_clock::now() + internal::storeInterval;
+        return;
+    }
+    m_isStoring = true;
+    const platform::ObjectPut put{.name = account::objectName(*batch), .bytes = account::encodeBatch(*batch)};
+    m_client.ask(put, [this](const platform::Outcome &outcome) {
+        handleOutcome(outcome);
+    });
+}
+
+void RefusalRecorder::handleOutcome(const platform::Outcome &outcome)
+{
+    m_isStoring = false;
+    const SteadyTime now = std::chrono::steady_clock::now();
+    if (!outcome.has_value()) {
+        // The same batch again under the same name: whether the first put took effect does not matter.
+        m_metrics.count("account_batches", "failed");
+        m_due = now + m_backoff.next(m_random);
+        return;
+    }
+    m_metrics.count("account_batches", "stored");
+    m_backoff.reset();
+    bool isMoreWaiting = false;
+    {
+        const std::lock_guard lock{m_mutex};
+        m_ledger.acknowledge();
+        isMoreWaiting = m_ledger.waiting() > 0;
+    }
+    if (m_isClosing) {
+        store();
+        return;
+    }
+    m_due = now + (isMoreWaiting ? Duration{internal::catchUpInterval} : Duration{internal::storeInterval});
+}
+
+} // namespace egretlatch::daemon
--- a/src/egretlatch/decision/action.hpp
+++ b/src/egretlatch/decision/action.hpp
@@ -9,6 +9,7 @@
 #include <QByteArray>
 
 #include <egretlatch/account/refusal.hpp>
+#include <egretlatch/account/refusal_record.hpp>
 #include <egretlatch/account/span.hpp>
 #include <egretlatch/core/clock.hpp>
 #include <egretlatch/core/header.hpp>
@@ -88,22 +89,7 @@
     ExecutionId execution;
 };
 
-/*! @brief One refusal with what the account keeps of its request. */
-struct RefusalRecord
-{
-    account::Refusal refusal;
-    Verdict verdict{};
-    Uuid root;
-    /*! @brief xxHash of the request key; zero without one. The key itself is not kept. */
-    std::uint64_t keyFingerprint{};
-    std::string service;
-    std::string kind;
-    int priority{};
-    double worth{};
-    WallTime time;
-
-    friend bool operator==(const RefusalRecord &, const RefusalRecord &) = default;
-};
+using account::RefusalRecord;
 
 /*! @brief Enter a refusal into the account. */
 struct RecordRefusal
--- /dev/null
+++ b/test/egretlatch/account/refusal_ledger.cpp
@@ -0,0 +1,166 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <fakes/manual_clock.hpp>
+
+#include <egretlatch/account/refusal_ledger.hpp>
+#include <egretlatch/core/random_source.hpp>
+
+using namespace egretlatch;
+using namespace egretlatch::account;
+
+namespace
+{
+
+/*! @brief Makes refusals at the time of a clock. */
+struct Maker
+{
+    RefusalRecord make()
+    {
+        RefusalRecord record;
+        record.time = clock.wallNow();
+        record.refusal.id = mint.mint(record.time);
+        record.refusal.reason = RefusalReason::overloadAtServer;
+        record.refusal.rule = "level (daemon launch-log-0)";
+        record.refusal.figures = {{.name = "level", .value = 5.25}};
+        record.refusal.configurationVersion = 3;
+        record.verdict = Verdict::notRun;
+        record.service = "launch-log";
+        record.kind = "launch-entry";
+        record.priority = 7;
+        record.worth = 5;
+        return record;
+    }
+
+    fakes::ManualClock clock;
+    SeededRandom random{1};
+    UuidMint mint{random};
+};
+
+} // namespace
+
+TEST_CASE("a batch survives the way through the object store")
+{
+    Maker maker;
+    AccountBatch batch;
+    batch.daemon = {"launch-log-0"};
+    batch.incarnation = {0xfedcba9876543210};
+    batch.sequence = 4;
+    batch.minute = std::chrono::floor<std::chrono::minutes>(maker.clock.wallNow());
+    batch.refusals = {maker.make(), maker.make()};
+    batch.dropped = {{.count = 7, .first = maker.clock.wallNow(), .last = maker.clock.wallNow() + std::chrono::seconds{2}}};
+    batch.isLast = true;
+    CHECK(decodeBatch(encodeBatch(batch)) == batch);
+}
+
+TEST_CASE("anything else in the object store is no batch")
+{
+    CHECK_FALSE(decodeBatch({}));
+    CHECK_FALSE(decodeBatch("\xff\xff\xff\xff of four gigabytes"));
+    CHECK_FALSE(decodeBatch(qCompress("{}")));
+    CHECK(rc::check([](const std::string &bytes) {
+        RC_ASSERT_FALSE(decodeBatch(QByteArray::fromStdString(bytes)).has_value());
+    }));
+}
+
+TEST_CASE("a refusal is stored under the minute of its id, once, whatever answers are lost")
+{
+    // An auditor counts refusals twice. The put of a batch takes effect and its answer is lost; a batch made anew under
+    // another name would hold the same refusals again.
+    Maker maker;
+    RefusalLedger ledger{{"a"}, {1}};
+    ledger.add(maker.make());
+    const std::optional<AccountBatch> first = ledger.nextBatch();
+    REQUIRE(first.has_value());
+    ledger.add(maker.make());
+    CHECK(ledger.nextBatch() == first);
+    CHECK(objectName(*first).starts_with(minutePrefix(maker.clock.wallNow())));
+    ledger.acknowledge();
+    const std::optional<AccountBatch> second = ledger.nextBatch();
+    REQUIRE(second.has_value());
+    CHECK(second->refusals.size() == 1);
+    CHECK(second->sequence == 2);
+    ledger.acknowledge();
+    CHECK_FALSE(ledger.nextBatch().has_value());
+    CHECK(ledger.waiting() == 0);
+}
+
+TEST_CASE("in a long outage memory is bounded, and what was dropped is an entry with its span")
+{
+    // The store is down for an hour of overload. The daemon would run out of its 128 MB; or it would drop refusals in
+    // silence, and an auditor would take the account for whole.
+    Maker maker;
+    RefusalLedger ledger{{"a"}, {1}, {.waiting = 100, .batch = 30, .recent = 10}};
+    for (int second = 0; second < 600; ++second) {
+        ledger.add(maker.make());
+        static_cast<void>(ledger.nextBatch());
+        maker.clock.advance(std::chrono::seconds{1});
+    }
+    CHECK(ledger.waiting() == 100);
+    std::size_t refusals = 0;
+    std::uint64_t dropped = 0;
+    while (const std::optional<AccountBatch> batch = ledger.nextBatch()) {
+        refusals += batch->refusals.size();
+        CHECK(batch->refusals.size() <= 30);
+        for (const DroppedRefusals &gap : batch->dropped) {
+            dropped += gap.count;
+            CHECK(gap.last - gap.first == std::chrono::seconds{499});
+        }
+        ledger.acknowledge();
+    }
+    CHECK(refusals == 100);
+    CHECK(dropped == 500);
+}
+
+TEST_CASE("the last batch of a life says that it is the last")
+{
+    Maker maker;
+    RefusalLedger ledger{{"a"}, {1}};
+    ledger.add(maker.make());
+    maker.clock.advance(std::chrono::minutes{3});
+    ledger.close(maker.clock.wallNow());
+    const std::optional<AccountBatch> first = ledger.nextBatch();
+    REQUIRE(first.has_value());
+    CHECK_FALSE(first->isLast);
+    ledger.acknowledge();
+    const std::optional<AccountBatch> last = ledger.nextBatch();
+    REQUIRE(last.has_value());
+    CHECK(last->isLast);
+    ledger.acknowledge();
+    CHECK_FALSE(ledger.nextBatch().has_value());
+}
+
+TEST_CASE("recent refusals can be looked up before and after they are stored")
+{
+    Maker maker;
+    RefusalLedger ledger{{"a"}, {1}, {.recent = 2}};
+    const RefusalRecord first = maker.make();
+    const RefusalRecord second = maker.make();
+    ledger.add(first);
+    ledger.add(second);
+    CHECK(ledger.find(first.refusal.id) == first);
+    ledger.add(maker.make());
+    CHECK_FALSE(ledger.find(first.refusal.id).has_value());
+    CHECK(ledger.find(second.refusal.id) == second);
+}
+
+TEST_CASE("no entry of the account holds a body, a header or a key")
+{
+    Maker maker;
+    const QJsonObject entry = toJson(maker.make());
+    const QStringList allowed{u"configurationVersion"_qs,
+                              u"figures"_qs,
+                              u"id"_qs,
+                              u"keyFingerprint"_qs,
+                              u"kind"_qs,
+                              u"priority"_qs,
+                              u"reason"_qs,
+                              u"retryAfterMs"_qs,
+                              u"root"_qs,
+                              u"rule"_qs,
+                              u"service"_qs,
+                              u"timeMs"_qs,
+                              u"verdict"_qs,
+                              u"worth"_qs};
+    CHECK(entry.keys() == allowed);
+}
