--- a/src/egretlatch/cli/main.cpp
+++ b/src/egretlatch/cli/main.cpp
@@ -6,6 +6,7 @@
 #include <egretlatch/cli/documents.hpp>
 #include <egretlatch/cli/exit_code.hpp>
 #include <egretlatch/cli/explain_command.hpp>
+#include <egretlatch/cli/keys_command.hpp>
 #include <egretlatch/cli/status_command.hpp>
 #include <egretlatch/cli/submit_command.hpp>
 
@@ -103,6 +104,8 @@
     checkCommand->require_option(1, 2);
     checkCommand->footer("Example: egretlatch check --manifest examples/gliding-union.json");
 
+    CLI::App *const keys = app.add_subcommand("keys", "Make a key pair for the connections between daemons and print it as JSON.");
+    keys->footer("Example: egretlatch keys > /etc/egretlatch/peer-keys.json");
     SubmitOptions submitOptions;
     CLI::App *const submit = addSubmit(app, submitOptions);
     StatusOptions statusOptions;
@@ -123,6 +126,8 @@
         result = runDaemon(settingsPath, argc, argv);
     } else if (checkCommand->parsed()) {
         result = check(settingsPath, manifestPath);
+    } else if (keys->parsed()) {
+        result = makeKeys();
     } else if (submit->parsed()) {
         result = runSubmit(submitOptions, argc, argv);
     } else if (status->parsed()) {
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -71,7 +71,7 @@
                        m_entry->handleArrived(arrived, now);
                    },
                    [&](const KeyRequested &requested) {
-                       m_entry->handleKeyRequested(requested, m_isDraining, now);
+                       m_entry->handleKeyRequested(requested, m_isShuttingDown, now);
                    },
                    [&](const CallerGone &gone) {
                        m_entry->handleCallerGone(gone.exchange, now);
@@ -146,6 +146,7 @@
 void Core::handleAnnounced(const ServerAnnounced &announced, const SteadyTime now)
 {
     m_lastAnnounced = now;
+    m_surroundings->metrics.count("announcements", announced.service);
     // A server goes on announcing itself while it drains, which must not put it back to work. Another process in its
     // place is a server of its own; it is known by its instance name.
     const bool isSameProcess = m_server.has_value() && m_server->instance == announced.instance;
@@ -277,6 +278,9 @@
         Actions batch;
         batch.swap(m_surroundings->actions);
         for (Action &action : batch) {
+            if (const auto *const abort = std::get_if<AbortRun>(&action)) {
+                m_entry->cancelInnerCalls(abort->execution, now);
+            }
             auto *const send = std::get_if<SendToPeer>(&action);
             if (send == nullptr || send->to != m_surroundings->self) {
                 outward.push_back(std::move(action));
--- a/standin/load/parse_scenario.cpp
+++ b/standin/load/parse_scenario.cpp
@@ -67,6 +67,7 @@
     callers.cancelShare = reader.number("cancelShare", fractionRange, 0.0);
     callers.cancelAfter = reader.milliseconds("cancelAfterMs", timeRange, defaultCancel);
     callers.bodyBytes = static_cast<int>(reader.integer("bodyBytes", bodyRange, defaultBodyBytes));
+    callers.keys = reader.word("keys", {"daemon", "caller"}, "daemon") == "daemon" ? KeySource::daemon : KeySource::caller;
     reader.finish();
     return callers;
 }
@@ -89,7 +90,7 @@
     JsonObjectReader reader{value, pointer, problems};
     FaultStep step;
     step.at = reader.milliseconds("atMs", timeRange);
-    const std::string action = reader.word("do", {"control", "stop", "continue", "kill", "restart", "drain"});
+    const std::string action = reader.word("do", {"control", "stop", "continue", "kill", "restart", "drain", "replace"});
     step.action = action == "control" ? FaultAction::control : FaultAction::process;
     step.service = reader.text("service", "");
     step.server = static_cast<int>(reader.integer("server", serverRange, -1));
