--- a/src/egretlatch/core/logger.cpp
+++ b/src/egretlatch/core/logger.cpp
@@ -63,7 +63,7 @@
         line.push_back(':');
         internal::appendQuoted(line, field.value);
     }
-    line.push_back('\n');
+    line += "}\n";
     // One write a line, so that lines of several threads do not mix.
     std::fwrite(line.data(), 1, line.size(), stderr);
 }
--- a/test/processes/test_configuration.py
+++ b/test/processes/test_configuration.py
@@ -163,6 +163,9 @@
             daemon.terminate()
             _, log = daemon.communicate()
         self.assertNotIn("a token of the operators", log)
+        # A log collector drops every line: each lacked its closing brace and was no JSON.
+        events = [json.loads(line)["event"] for line in log.splitlines()]
+        self.assertIn("started", events)
 
 
 class StoreDownTest(DeploymentTest):
