Daemons that tests start by themselves say who may read and who may speak

Cause: pages for operators need a token by default and the inner protocol needs keys by default; the daemons that two tests start with settings of their own named neither, so /status answered 401 (test_membership.Keys) and the newcomer's settings were refused (test_configuration).

Change: these settings say operatorAccess open and the mesh's peer security; what the tests check is unchanged.

--- a/test/processes/test_configuration.py
+++ b/test/processes/test_configuration.py
@@ -141,7 +141,7 @@
         token.write_text("a token of the operators\n")
         settings = {
             "id": "closed", "dataCentre": "dc1", "callerPort": caller, "peerPort": peer, "backendUrl": "http://127.0.0.1:9",
-            "operatorTokenFile": str(token), "logLevel": "debug",
+            "operatorTokenFile": str(token), "peerEncryption": "off", "logLevel": "debug",
         }
         path = pathlib.Path(self.folder.name) / "closed.json"
         path.write_text(json.dumps(settings))
@@ -182,6 +182,7 @@
             "id": "newcomer", "dataCentre": "dc1", "callerPort": caller, "peerPort": peer, "backendUrl": "http://127.0.0.1:9",
             "platformUrl": self.platform, "operatorAccess": "open", "logLevel": "error",
             "peers": [{"id": neighbour["id"], "endpoint": f"tcp://127.0.0.1:{neighbour['peer']}"}],
+            **self.mesh["peerSecurity"],
         }
         path = pathlib.Path(self.folder.name) / "newcomer.json"
         path.write_text(json.dumps(settings))
--- a/test/processes/test_membership.py
+++ b/test/processes/test_membership.py
@@ -149,7 +149,7 @@
     def start(self, name, ports, peers, **security):
         settings = {
             "id": name, "dataCentre": "dc1", "callerPort": ports[0], "peerPort": ports[1], "backendUrl": "http://127.0.0.1:9",
-            "logLevel": "error", "peers": [{"id": peer, "endpoint": f"tcp://127.0.0.1:{port}"} for peer, port in peers], **security,
+            "operatorAccess": "open", "logLevel": "error", "peers": [{"id": peer, "endpoint": f"tcp://127.0.0.1:{port}"} for peer, port in peers], **security,
         }
         path = pathlib.Path(self.folder.name) / f"{name}.json"
         path.write_text(json.dumps(settings))
