--- a/src/egretlatch/admission/open_entry.hpp
+++ b/src/egretlatch/admission/open_entry.hpp
@@ -12,7 +12,10 @@
 public:
     void setManifest(std::shared_ptr<const manifest::Manifest> manifest) override;
     [[nodiscard]] Rank rankOf(const std::string &service, const std::string &kind) const override;
-    void noteLoad(const std::string &service, const DaemonId &daemon, const LoadReport &load, SteadyTime now) override;
+    [[nodiscard]] RankClass classAt(const std::string &service, const std::string &kind, const Rank &rank) const override;
+    void noteLoad(const ServerNews &news, SteadyTime now) override;
+    void noteLevel(const DaemonId &teller, const ServiceNews &news) override;
+    [[nodiscard]] std::vector<ServiceNews> levelsBelow(const std::string &service, SteadyTime now) override;
     [[nodiscard]] std::optional<EntryRefusal> check(const EntryRequest &request, SteadyTime now) override;
 
 private:
--- /dev/null
+++ b/src/egretlatch/admission/whole_chain_entry.cpp
@@ -0,0 +1,122 @@
+#include <egretlatch/admission/whole_chain_entry.hpp>
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace egretlatch::admission
+{
+
+namespace internal
+{
+
+constexpr std::chrono::milliseconds retryAfterWithinClass{500};
+constexpr std::chrono::milliseconds retryAfterBelowClass{2000};
+constexpr std::chrono::milliseconds retryAfterSpread{1000};
+
+/*! @brief A root that a service would refuse. */
+struct Obstacle
+{
+    const std::string &service;
+    RankClass rankClass;
+    NotedLevel noted;
+};
+
+[[nodiscard]] static std::chrono::milliseconds retryAfter(const Obstacle &obstacle, const Uuid &root)
+{
+    const bool isWithinClass = obstacle.rankClass == obstacle.noted.level.rankClass();
+    const std::chrono::milliseconds shortest = isWithinClass ? retryAfterWithinClass : retryAfterBelowClass;
+    // Callers that were refused together must not come back together.
+    return shortest + std::chrono::duration_cast<std::chrono::milliseconds>(placeOf(root) * retryAfterSpread);
+}
+
+[[nodiscard]] static EntryRefusal refusalOf(const Obstacle &obstacle, const Uuid &root, const SteadyTime now)
+{
+    const Level &level = obstacle.noted.level;
+    return {
+        .reason = account::RefusalReason::overloadAtEntry,
+        .rule = fmt::format("{} down the chain refuses requests of this rank", obstacle.service),
+        .figures = {{.name = "priority", .value = static_cast<double>(obstacle.rankClass.priority)},
+                    {.name = "densityClass", .value = static_cast<double>(obstacle.rankClass.density)},
+                    {.name = "place", .value = placeOf(root)},
+                    {.name = "levelPriority", .value = static_cast<double>(level.priority)},
+                    {.name = "levelDensityClass", .value = static_cast<double>(level.density)},
+                    {.name = "levelFraction", .value = level.fraction},
+                    {.name = "levelAgeMs", .value = std::chrono::duration<double, std::milli>(now - obstacle.noted.at).count()}},
+        .retryAfter = retryAfter(obstacle, root),
+    };
+}
+
+} // namespace internal
+
+WholeChainEntry::WholeChainEntry(RandomSource &random)
+    : m_random{random}
+{
+}
+
+void WholeChainEntry::setManifest(std::shared_ptr<const manifest::Manifest> manifest)
+{
+    m_costs.setManifest(*manifest);
+    m_manifest = std::move(manifest);
+}
+
+Rank WholeChainEntry::rankOf(const std::string &service, const std::string &kind) const
+{
+    const manifest::KindSpec *const spec = m_manifest == nullptr ? nullptr : m_manifest->findKind(service, kind);
+    if (spec == nullptr) {
+        return {};
+    }
+    return {.priority = spec->priority, .worth = spec->worth, .invested = {}};
+}
+
+RankClass WholeChainEntry::classAt(const std::string &service, const std::string &kind, const Rank &rank) const
+{
+    return classOf(rank, m_costs.held(service, kind));
+}
+
+void WholeChainEntry::noteLoad(const ServerNews &news, const SteadyTime now)
+{
+    // An attempt that never left, and a daemon without a backend server, tell of no limit and so of no load.
+    if (news.load.limit > 0) {
+        m_notes[news.service].own.note(news.daemon, {.level = news.load.level, .at = now});
+    }
+}
+
+void WholeChainEntry::noteLevel(const DaemonId &teller, const ServiceNews &news)
+{
+    m_notes[news.service].passedOn.note(teller, news.noted);
+}
+
+std::vector<ServiceNews> WholeChainEntry::levelsBelow(const std::string &service, const SteadyTime now)
+{
+    std::vector<ServiceNews> news;
+    for (const std::string &below : m_costs.servicesBelow(service)) {
+        const NotedLevel noted = levelOf(below, now);
+        if (noted.at != SteadyTime{}) {
+            news.push_back({.service = below, .noted = noted});
+        }
+    }
+    return news;
+}
+
+std::optional<EntryRefusal> WholeChainEntry::check(const EntryRequest &request, const SteadyTime now)
+{
+    for (const auto &[service, held] : m_costs.stops(request.service, request.kind)) {
+        const internal::Obstacle obstacle{.service = service, .rankClass = classOf(request.rank, held), .noted = levelOf(service, now)};
+        if (admits(obstacle.noted.level, obstacle.rankClass, request.root) || m_random.fraction() < probeChance(obstacle.noted, now)) {
+            continue;
+        }
+        return internal::refusalOf(obstacle, request.root, now);
+    }
+    return std::nullopt;
+}
+
+NotedLevel WholeChainEntry::levelOf(const std::string &service, const SteadyTime now)
+{
+    Notes &notes = m_notes[service];
+    const NotedLevel own = notes.own.aggregate(now);
+    const NotedLevel passedOn = notes.passedOn.aggregate(now);
+    return own.at >= passedOn.at ? own : passedOn;
+}
+
+} // namespace egretlatch::admission
