--- a/src/egretlatch/daemon/daemon.cpp
+++ b/src/egretlatch/daemon/daemon.cpp
@@ -237,7 +237,10 @@
         if (const auto *const size = std::get_if<FleetSizeChanged>(order.get())) {
             m_platform->setFleetSize(size->daemons);
             QMetaObject::invokeMethod(&m_accountWaker, [this, daemons = size->daemons] {
-                m_refusals->setFleetSize(daemons);
+                // The account thread ends before this one; what is still queued for it then finds nothing to tell.
+                if (m_refusals != nullptr) {
+                    m_refusals->setFleetSize(daemons);
+                }
             });
             continue;
         }
