A manifest of version 0 is declared to the gate too

Cause: the core declared a service to the gate when the version of the configuration changed; a manifest of the settings is version 0 where a platform is set, the same number as none, so a gate whose server announced itself first never heard of it.

--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -34,7 +34,7 @@
     const SteadyTime now = m_surroundings->clock.steadyNow();
     m_surroundings->actions.clear();
     dispatch(event, now);
-    if (m_declaredVersion != m_surroundings->manifestVersion) {
+    if (m_declared != m_surroundings->manifest) {
         declareService();
     }
     return deliverToSelf(now);
@@ -211,7 +211,7 @@
 
 void Core::declareService()
 {
-    m_declaredVersion = m_surroundings->manifestVersion;
+    m_declared = m_surroundings->manifest;
     const manifest::Manifest *const manifest = m_surroundings->manifest.get();
     const manifest::ServiceSpec *const service = manifest == nullptr ? nullptr : manifest->findService(m_surroundings->roster.self().service);
     if (service != nullptr) {
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -96,8 +96,8 @@
     bool m_isShuttingDown{};
     std::optional<SteadyTime> m_leftAt;
     bool m_hasReportedDrained{};
-    /*! @brief Version of the configuration that the gate's service was last declared from. */
-    std::uint64_t m_declaredVersion{};
+    /*! @brief Configuration that the gate's service was last declared from; null for none. */
+    std::shared_ptr<const manifest::Manifest> m_declared;
 };
 
 /*! @brief Puts a core together. */
