--- a/src/egretlatch/decision/entry_handler.hpp
+++ b/src/egretlatch/decision/entry_handler.hpp
@@ -14,8 +14,8 @@
 #include <egretlatch/decision/serving_handler.hpp>
 #include <egretlatch/decision/surroundings.hpp>
 #include <egretlatch/protocol/messages.hpp>
-#include <egretlatch/retry/preferred_shards.hpp>
 #include <egretlatch/retry/key_ledger.hpp>
+#include <egretlatch/retry/preferred_shards.hpp>
 #include <egretlatch/retry/ratio_budget.hpp>
 #include <egretlatch/retry/request_key.hpp>
 #include <egretlatch/retry/shard_grants.hpp>
--- a/test/processes/test_command_line.py
+++ b/test/processes/test_command_line.py
@@ -34,7 +34,7 @@
         code, text, _ = run("--help")
         self.assertEqual(SUCCESS, code)
         self.assertIn("Exit codes", text)
-        for subcommand in ("daemon", "check", "submit", "status", "keys", "version"):
+        for subcommand in ("daemon", "check", "submit", "status", "explain", "keys", "version"):
             with self.subTest(subcommand=subcommand):
                 code, text, _ = run(subcommand, "--help")
                 self.assertEqual(SUCCESS, code)
--- a/test/processes/test_configuration.py
+++ b/test/processes/test_configuration.py
@@ -163,6 +163,9 @@
             daemon.terminate()
             _, log = daemon.communicate()
         self.assertNotIn("a token of the operators", log)
+        # A log collector drops every line: each lacked its closing brace and was no JSON.
+        events = [json.loads(line)["event"] for line in log.splitlines()]
+        self.assertIn("started", events)
 
 
 class StoreDownTest(DeploymentTest):
@@ -181,6 +184,7 @@
             "id": "newcomer", "dataCentre": "dc1", "callerPort": caller, "peerPort": peer, "backendUrl": "http://127.0.0.1:9",
             "platformUrl": self.platform, "operatorAccess": "open", "peerEncryption": "off", "logLevel": "error",
             "peers": [{"id": neighbour["id"], "endpoint": f"tcp://127.0.0.1:{neighbour['peer']}"}],
+            **self.mesh["peerSecurity"],
         }
         path = pathlib.Path(self.folder.name) / "newcomer.json"
         path.write_text(json.dumps(settings))
