--- a/src/egretlatch/daemon/caller_server.cpp
+++ b/src/egretlatch/daemon/caller_server.cpp
@@ -143,9 +143,10 @@
 
 } // namespace internal
 
-CallerServer::CallerServer(const std::int64_t maxBodyBytes, EventHandler onEvent)
+CallerServer::CallerServer(const std::int64_t maxBodyBytes, EventHandler onEvent, account::MetricsSink &metrics)
     : m_maxBodyBytes{maxBodyBytes}
     , m_onEvent{std::move(onEvent)}
+    , m_metrics{metrics}
 {
 }
 
@@ -167,7 +168,9 @@
 
 Result<void> CallerServer::start(const std::string &address, const std::uint16_t port)
 {
-    auto server = std::make_unique<GuardedTcpServer>(m_maxBodyBytes + internal::headerAllowance);
+    auto server = std::make_unique<GuardedTcpServer>(m_maxBodyBytes + internal::headerAllowance, [this](const std::string_view reason) {
+        m_metrics.count("requests_dropped", reason);
+    });
     if (!server->listen(QHostAddress{QString::fromStdString(address)}, port)) {
         return tl::unexpected{Error{ErrorCode::unavailable, fmt::format("cannot listen on {}:{}", address, port)}};
     }
--- a/src/egretlatch/daemon/caller_server.hpp
+++ b/src/egretlatch/daemon/caller_server.hpp
@@ -12,6 +12,7 @@
 #include <QPointer>
 #include <QTcpSocket>
 
+#include <egretlatch/account/metrics_sink.hpp>
 #include <egretlatch/core/error.hpp>
 #include <egretlatch/core/secret.hpp>
 #include <egretlatch/decision/action.hpp>
@@ -35,8 +36,9 @@
      * @brief Builds a server that does not listen yet.
      * @param maxBodyBytes Larger bodies are refused.
      * @param onEvent Takes what came in.
+     * @param metrics Takes counts of what was no request; must outlive the server.
      */
-    CallerServer(std::int64_t maxBodyBytes, EventHandler onEvent);
+    CallerServer(std::int64_t maxBodyBytes, EventHandler onEvent, account::MetricsSink &metrics);
 
     /**
      * @brief Adds a page.
@@ -106,6 +108,7 @@
 
     std::int64_t m_maxBodyBytes;
     EventHandler m_onEvent;
+    account::MetricsSink &m_metrics;
     std::unordered_map<std::string, Page> m_pages;
     QString m_lookupPrefix;
     Lookup m_lookup;
--- a/src/egretlatch/daemon/daemon.cpp
+++ b/src/egretlatch/daemon/daemon.cpp
@@ -128,9 +128,10 @@
     m_decide->start();
     Result<void> listening;
     internal::runOn(m_frontWaker, [this, &listening] {
-        m_front = std::make_unique<CallerServer>(m_settings.maxBodyBytes, [this](decision::Event event) {
+        const auto takeEvent = [this](decision::Event event) {
             return m_inward.fromFront.tryPush(std::move(event));
-        });
+        };
+        m_front = std::make_unique<CallerServer>(m_settings.maxBodyBytes, takeEvent, m_metrics);
         if (!m_settings.isOpenToOperators) {
             m_front->requireToken(m_tokens.operators);
         }
--- a/src/egretlatch/daemon/guarded_tcp_server.cpp
+++ b/src/egretlatch/daemon/guarded_tcp_server.cpp
@@ -29,8 +29,9 @@
 
 } // namespace internal
 
-GuardedTcpServer::GuardedTcpServer(const std::int64_t mostBytes)
+GuardedTcpServer::GuardedTcpServer(const std::int64_t mostBytes, DropHandler onDrop)
     : m_mostBytes{mostBytes}
+    , m_onDrop{std::move(onDrop)}
 {
 }
 
@@ -52,19 +53,34 @@
     connect(socket, &QTcpSocket::readyRead, this, [this, socket] {
         count(socket);
     });
+    connect(socket, &QTcpSocket::disconnected, this, [this, socket] {
+        noteEnd(socket);
+    });
     addPendingConnection(socket);
 }
 
 void GuardedTcpServer::count(QTcpSocket *const socket) const
 {
-    const qlonglong received = socket->property(internal::receivedProperty).toLongLong() + socket->bytesAvailable();
+    const qlonglong before = socket->property(internal::receivedProperty).toLongLong();
+    const qlonglong received = before + socket->bytesAvailable();
     socket->setProperty(internal::receivedProperty, received);
     if (received <= m_mostBytes) {
         return;
     }
     socket->readAll();
+    if (before > m_mostBytes) {
+        return;
+    }
     socket->write(internal::tooLargeAnswer(m_mostBytes));
     socket->disconnectFromHost();
 }
 
+void GuardedTcpServer::noteEnd(const QTcpSocket *const socket) const
+{
+    const qlonglong received = socket->property(internal::receivedProperty).toLongLong();
+    if (received > 0) {
+        m_onDrop(received > m_mostBytes ? "too-large" : "incomplete");
+    }
+}
+
 } // namespace egretlatch::daemon
--- a/src/egretlatch/daemon/guarded_tcp_server.hpp
+++ b/src/egretlatch/daemon/guarded_tcp_server.hpp
@@ -2,6 +2,8 @@
 #define EGRETLATCH_DAEMON_GUARDED_TCP_SERVER_HPP
 
 #include <cstdint>
+#include <functional>
+#include <string_view>
 
 #include <QTcpServer>
 #include <QTcpSocket>
@@ -19,11 +21,15 @@
 class GuardedTcpServer final : public QTcpServer
 {
 public:
+    /*! @brief Told of a connection that ended with bytes that never became a request: `too-large` or `incomplete`. */
+    using DropHandler = std::function<void(std::string_view reason)>;
+
     /**
      * @brief Builds a server that does not listen yet.
      * @param mostBytes Bytes that a request may have, headers included.
+     * @param onDrop Called once for each connection that ends so.
      */
-    explicit GuardedTcpServer(std::int64_t mostBytes);
+    GuardedTcpServer(std::int64_t mostBytes, DropHandler onDrop);
 
     /**
      * @brief Starts the count anew.
@@ -36,8 +42,10 @@
 
 private:
     void count(QTcpSocket *socket) const;
+    void noteEnd(const QTcpSocket *socket) const;
 
     std::int64_t m_mostBytes;
+    DropHandler m_onDrop;
 };
 
 } // namespace egretlatch::daemon
--- a/test/processes/test_bad_input.py
+++ b/test/processes/test_bad_input.py
@@ -48,9 +48,17 @@
         status, _, answer = call(f"{self.entry}/call/duty-roster/roster-read/", body)
         self.assertEqual((200, len(body)), (status, len(answer)))
 
-    def test_what_is_not_http_ends_the_connection(self):
-        for data in (b"GARBAGE\r\n\r\n", b"\x00\xff" * 500, b"GET / HTTP/9.9\r\n\r\n", b"GET\r\n"):
+    def dropped(self):
+        text = call(f"{self.entry}/metrics", None, method="GET")[2].decode()
+        return sum(float(line.rsplit(" ", 1)[1]) for line in text.splitlines() if line.startswith("egretlatch_requests_dropped_total"))
+
+    def test_what_is_not_http_ends_the_connection_and_is_counted(self):
+        self.assertNotIn(b"200 OK", exchange(self.port, b"GET / HTTP/9.9\r\n\r\n"))
+        before = self.dropped()
+        inputs = (b"GARBAGE\r\n\r\n", b"\x00\xff" * 500, b"GET\r\n")
+        for data in inputs:
             self.assertNotIn(b"200 OK", exchange(self.port, data))
+        self.assertEqual(before + len(inputs), self.dropped())
 
     def test_wrong_headers_and_paths_are_told_what_is_wrong(self):
         roster = f"{self.entry}/call/duty-roster/roster-read/"
