--- a/test/egretlatch/manifest/parse_manifest.cpp
+++ b/test/egretlatch/manifest/parse_manifest.cpp
@@ -77,6 +77,7 @@
 {
     CHECK(rc::check([](const std::string &text) {
         const auto parsed = parseManifest(QByteArray::fromStdString(text));
-        RC_ASSERT(parsed.has_value() || settings::hasError(parsed.error()));
+        const bool isTold = parsed.has_value() || settings::hasError(parsed.error());
+        RC_ASSERT(isTold);
     }));
 }
--- a/test/egretlatch/settings/daemon_settings.cpp
+++ b/test/egretlatch/settings/daemon_settings.cpp
@@ -96,6 +96,7 @@
 {
     CHECK(rc::check([](const std::string &text) {
         const auto settings = parseDaemonSettings(QByteArray::fromStdString(text));
-        RC_ASSERT(settings.has_value() || hasError(settings.error()));
+        const bool isTold = settings.has_value() || hasError(settings.error());
+        RC_ASSERT(isTold);
     }));
 }
