--- a/src/egretlatch/account/refusal_record.cpp
+++ b/src/egretlatch/account/refusal_record.cpp
@@ -5,6 +5,8 @@
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 
+#include <egretlatch/core/qt_text.hpp>
+
 namespace egretlatch::account
 {
 
@@ -14,11 +16,6 @@
 constexpr double millisecondsPerSecond = 1000.0;
 constexpr int hexadecimal = 16;
 
-[[nodiscard]] static QString toQt(const std::string_view text)
-{
-    return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
-}
-
 [[nodiscard]] static std::optional<Verdict> verdictFromString(const std::string &name)
 {
     for (const Verdict verdict : {Verdict::completed, Verdict::notRun, Verdict::mayHaveRun}) {
@@ -106,21 +103,21 @@
 {
     QJsonArray figures;
     for (const Figure &figure : record.refusal.figures) {
-        figures.append(QJsonObject{{u"name"_qs, internal::toQt(figure.name)}, {u"value"_qs, figure.value}});
+        figures.append(QJsonObject{{u"name"_qs, toQt(figure.name)}, {u"value"_qs, figure.value}});
     }
     return {
-        {u"id"_qs, internal::toQt(record.refusal.id.toString())},
+        {u"id"_qs, toQt(record.refusal.id.toString())},
         {u"timeMs"_qs, static_cast<qint64>(internal::toMilliseconds(record.time))},
-        {u"reason"_qs, internal::toQt(toString(record.refusal.reason))},
-        {u"rule"_qs, internal::toQt(record.refusal.rule)},
+        {u"reason"_qs, toQt(toString(record.refusal.reason))},
+        {u"rule"_qs, toQt(record.refusal.rule)},
         {u"figures"_qs, figures},
         {u"retryAfterMs"_qs, static_cast<qint64>(record.refusal.retryAfter.count())},
         {u"configurationVersion"_qs, static_cast<qint64>(record.refusal.configurationVersion)},
-        {u"verdict"_qs, internal::toQt(toString(record.verdict))},
-        {u"root"_qs, internal::toQt(record.root.toString())},
-        {u"keyFingerprint"_qs, internal::toQt(fmt::format("{:016x}", record.keyFingerprint))},
-        {u"service"_qs, internal::toQt(record.service)},
-        {u"kind"_qs, internal::toQt(record.kind)},
+        {u"verdict"_qs, toQt(toString(record.verdict))},
+        {u"root"_qs, toQt(record.root.toString())},
+        {u"keyFingerprint"_qs, toQt(fmt::format("{:016x}", record.keyFingerprint))},
+        {u"service"_qs, toQt(record.service)},
+        {u"kind"_qs, toQt(record.kind)},
         {u"priority"_qs, record.priority},
         {u"worth"_qs, record.worth},
     };
--- a/src/egretlatch/configuration/head.cpp
+++ b/src/egretlatch/configuration/head.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include <egretlatch/core/qt_text.hpp>
+
 namespace egretlatch::configuration
 {
 
@@ -13,11 +15,6 @@
 
 constexpr qsizetype hashDigits = 64;
 
-[[nodiscard]] static QString toQt(const std::string &text)
-{
-    return QString::fromStdString(text);
-}
-
 } // namespace internal
 
 std::string versionKey(const std::uint64_t version)
@@ -35,9 +32,9 @@
     const auto submitted = std::chrono::duration_cast<std::chrono::milliseconds>(head.submitted.time_since_epoch()).count();
     const QJsonObject object{
         {u"version"_qs, static_cast<qint64>(head.version)},
-        {u"hash"_qs, internal::toQt(head.hash)},
-        {u"submission"_qs, internal::toQt(head.submission)},
-        {u"submitter"_qs, internal::toQt(head.submitter)},
+        {u"hash"_qs, toQt(head.hash)},
+        {u"submission"_qs, toQt(head.submission)},
+        {u"submitter"_qs, toQt(head.submitter)},
         {u"submittedMs"_qs, static_cast<qint64>(submitted)},
     };
     return QJsonDocument{object}.toJson(QJsonDocument::Compact).toStdString();
--- a/src/egretlatch/daemon/problem_document.cpp
+++ b/src/egretlatch/daemon/problem_document.cpp
@@ -6,6 +6,7 @@
 
 #include <fmt/format.h>
 
+#include <egretlatch/core/qt_text.hpp>
 #include <egretlatch/daemon/http_headers.hpp>
 
 namespace egretlatch::daemon
@@ -14,11 +15,6 @@
 namespace internal
 {
 
-[[nodiscard]] static QString toQt(const std::string_view text)
-{
-    return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
-}
-
 static void addRefusal(const account::Refusal &refusal, QJsonObject &document)
 {
     document[u"type"] = toQt(fmt::format("urn:egretlatch:refusal:{}", account::toString(refusal.reason)));
@@ -60,17 +56,17 @@
 {
     QJsonObject document;
     document[u"status"] = answer.status;
-    document[u"verdict"] = internal::toQt(toString(answer.verdict));
+    document[u"verdict"] = toQt(toString(answer.verdict));
     if (!answer.service.empty()) {
-        document[u"service"] = internal::toQt(answer.service);
-        document[u"kind"] = internal::toQt(answer.kind);
+        document[u"service"] = toQt(answer.service);
+        document[u"kind"] = toQt(answer.kind);
     }
     if (answer.refusal.has_value()) {
         internal::addRefusal(*answer.refusal, document);
     } else {
         document[u"type"] = u"urn:egretlatch:bad-request"_qs;
         document[u"title"] = u"bad request"_qs;
-        document[u"detail"] = internal::toQt(answer.mistake);
+        document[u"detail"] = toQt(answer.mistake);
     }
     return QJsonDocument{document}.toJson(QJsonDocument::Compact);
 }
--- a/src/egretlatch/daemon/span_exporter.cpp
+++ b/src/egretlatch/daemon/span_exporter.cpp
@@ -7,6 +7,8 @@
 
 #include <fmt/format.h>
 
+#include <egretlatch/core/qt_text.hpp>
+
 namespace egretlatch::daemon
 {
 
@@ -18,11 +20,6 @@
 constexpr int otlpServerKind = 2;
 constexpr int otlpStatusError = 2;
 
-[[nodiscard]] static QString toQt(const std::string_view text)
-{
-    return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
-}
-
 [[nodiscard]] static QJsonObject attribute(const std::string_view key, const std::string_view value)
 {
     return {{u"key"_qs, toQt(key)}, {u"value"_qs, QJsonObject{{u"stringValue"_qs, toQt(value)}}}};
--- a/src/egretlatch/daemon/status_document.cpp
+++ b/src/egretlatch/daemon/status_document.cpp
@@ -4,17 +4,14 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 
+#include <egretlatch/core/qt_text.hpp>
+
 namespace egretlatch::daemon
 {
 
 namespace internal
 {
 
-[[nodiscard]] static QString toQt(const std::string_view text)
-{
-    return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
-}
-
 [[nodiscard]] static QJsonObject describe(const membership::Member &member)
 {
     QJsonObject object;
@@ -68,7 +65,7 @@
         members.append(internal::describe(member));
     }
     QJsonObject document;
-    document[u"id"] = internal::toQt(roster.self().id.value);
+    document[u"id"] = toQt(roster.self().id.value);
     document[u"configurationVersion"] = static_cast<qint64>(configuration.version);
     document[u"configuration"] = internal::describe(configuration);
     document[u"load"] = internal::describe(load);
--- a/src/egretlatch/platform/http_codec.cpp
+++ b/src/egretlatch/platform/http_codec.cpp
@@ -8,6 +8,8 @@
 
 #include <fmt/format.h>
 
+#include <egretlatch/core/qt_text.hpp>
+
 namespace egretlatch::platform
 {
 
@@ -25,11 +27,6 @@
 constexpr int serviceUnavailable = 503;
 constexpr QLatin1String objectPrefix{"/objects/"};
 
-[[nodiscard]] static QString toQt(const std::string &text)
-{
-    return QString::fromStdString(text);
-}
-
 // A value may hold any bytes, and JSON holds only text.
 [[nodiscard]] static QString toBase64(const std::string &bytes)
 {
--- a/src/egretlatch/settings/json_object_reader.cpp
+++ b/src/egretlatch/settings/json_object_reader.cpp
@@ -9,6 +9,8 @@
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
+#include <egretlatch/core/qt_text.hpp>
+
 namespace egretlatch::settings
 {
 
@@ -30,11 +32,6 @@
     return escaped;
 }
 
-[[nodiscard]] static QString toQt(const std::string_view text)
-{
-    return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
-}
-
 } // namespace internal
 
 std::string describe(const QJsonValue &value)
@@ -97,7 +94,7 @@
 QJsonValue JsonObjectReader::take(const std::string_view key, const bool required, const std::string &allowed)
 {
     m_asked.emplace(key);
-    const auto found = m_object.constFind(internal::toQt(key));
+    const auto found = m_object.constFind(toQt(key));
     if (found != m_object.constEnd()) {
         return found.value();
     }
--- a/standin/load/result_document.cpp
+++ b/standin/load/result_document.cpp
@@ -10,6 +10,8 @@
 
 #include <load/recovery.hpp>
 
+#include <egretlatch/core/qt_text.hpp>
+
 namespace standin::load
 {
 
@@ -19,11 +21,6 @@
 constexpr std::array<double, 4> quantiles{0.5, 0.9, 0.99, 0.999};
 constexpr std::array<const char16_t *, 4> quantileNames{u"p50", u"p90", u"p99", u"p999"};
 
-[[nodiscard]] static QString toQt(const std::string_view text)
-{
-    return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
-}
-
 [[nodiscard]] static double toMilliseconds(const egretlatch::Duration span)
 {
     return std::chrono::duration<double, std::milli>{span}.count();
@@ -33,7 +30,7 @@
 {
     QJsonObject object;
     for (const auto &[name, count] : counts) {
-        object[toQt(name)] = static_cast<qint64>(count);
+        object[egretlatch::toQt(name)] = static_cast<qint64>(count);
     }
     return object;
 }
@@ -121,7 +118,7 @@
     }
     QJsonObject causes;
     for (const auto &[cause, counts] : run.result.causesBySecond) {
-        causes[toQt(cause)] = toArray(counts, seconds);
+        causes[egretlatch::toQt(cause)] = toArray(counts, seconds);
     }
     return {
         {QStringLiteral("worth"), goodput},
@@ -195,16 +192,16 @@
     const int seconds = durationSeconds(run.scenario);
     QJsonObject kinds;
     for (std::size_t index = 0; index < run.kinds.size(); ++index) {
-        kinds[internal::toQt(run.kinds[index].name)] = internal::kindObject(run.kinds[index], run.result.kinds[index], seconds);
+        kinds[egretlatch::toQt(run.kinds[index].name)] = internal::kindObject(run.kinds[index], run.result.kinds[index], seconds);
     }
     QJsonArray phases;
     for (const Phase &phase : run.scenario.phases) {
         phases.append(QJsonObject{
-            {QStringLiteral("name"), internal::toQt(phase.name)}, {QStringLiteral("seconds"), phase.seconds}, {QStringLiteral("rate"), phase.rate}});
+            {QStringLiteral("name"), egretlatch::toQt(phase.name)}, {QStringLiteral("seconds"), phase.seconds}, {QStringLiteral("rate"), phase.rate}});
     }
     const auto startedAt = std::chrono::duration_cast<std::chrono::milliseconds>(run.startedAt.time_since_epoch());
     const QJsonObject document{
-        {QStringLiteral("scenario"), internal::toQt(run.scenario.name)},
+        {QStringLiteral("scenario"), egretlatch::toQt(run.scenario.name)},
         {QStringLiteral("seed"), static_cast<qint64>(run.scenario.seed)},
         {QStringLiteral("startedAtMs"), static_cast<qint64>(startedAt.count())},
         {QStringLiteral("seconds"), seconds},
@@ -258,15 +255,15 @@
     QByteArray lines;
     for (const HistoryRecord &record : history) {
         const QJsonObject line{
-            {QStringLiteral("kind"), internal::toQt(kinds[record.kind].name)},
-            {QStringLiteral("request"), internal::toQt(record.request)},
-            {QStringLiteral("key"), internal::toQt(record.key)},
+            {QStringLiteral("kind"), egretlatch::toQt(kinds[record.kind].name)},
+            {QStringLiteral("request"), egretlatch::toQt(record.request)},
+            {QStringLiteral("key"), egretlatch::toQt(record.key)},
             {QStringLiteral("attempt"), record.attempt},
             {QStringLiteral("sentMs"), internal::toMilliseconds(record.sent)},
             {QStringLiteral("endedMs"), internal::toMilliseconds(record.ended)},
             {QStringLiteral("status"), record.status},
-            {QStringLiteral("outcome"), internal::toQt(toString(record.outcome.outcomeClass))},
-            {QStringLiteral("cause"), internal::toQt(record.outcome.cause)},
+            {QStringLiteral("outcome"), egretlatch::toQt(toString(record.outcome.outcomeClass))},
+            {QStringLiteral("cause"), egretlatch::toQt(record.outcome.cause)},
         };
         lines += QJsonDocument{line}.toJson(QJsonDocument::Compact) + '\n';
     }
