--- a/src/egretlatch/cli/daemon_command.cpp
+++ b/src/egretlatch/cli/daemon_command.cpp
@@ -1,9 +1,7 @@
 #include <egretlatch/cli/daemon_command.hpp>
 
-#include <csignal>
 #include <cstdint>
 
-#include <sys/signalfd.h>
 #include <unistd.h>
 
 #include <QCoreApplication>
@@ -13,28 +11,12 @@
 
 #include <egretlatch/cli/documents.hpp>
 #include <egretlatch/cli/exit_code.hpp>
+#include <egretlatch/cli/signal_descriptor.hpp>
 #include <egretlatch/daemon/daemon.hpp>
 
 namespace egretlatch::cli
 {
 
-namespace internal
-{
-
-// Signals are read from a descriptor, on the main thread: a handler may call next to nothing. All threads inherit the
-// mask, so none is interrupted.
-[[nodiscard]] static int openSignals()
-{
-    sigset_t signalSet;
-    sigemptyset(&signalSet);
-    sigaddset(&signalSet, SIGTERM);
-    sigaddset(&signalSet, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signalSet, nullptr);
-    return signalfd(-1, &signalSet, SFD_NONBLOCK | SFD_CLOEXEC);
-}
-
-} // namespace internal
-
 int runDaemon(const std::string &settingsPath, int argc, char **argv)
 {
     const std::optional<settings::DaemonSettings> settings = readSettings(settingsPath);
@@ -56,7 +38,7 @@
     daemon::Tokens tokens{.operators = std::move(*operatorToken), .platform = std::move(*platformToken)};
     // GLib's event loop, which Qt takes where it finds it, costs about a sixth more processor time a call (docs/DESIGN.md).
     qputenv("QT_NO_GLIB", "1");
-    const int signalDescriptor = internal::openSignals();
+    const int signalDescriptor = openSignals({SIGTERM, SIGINT});
     QCoreApplication application{argc, argv};
     daemon::Daemon daemon{*settings, std::move(tokens), std::move(manifest)};
     QSocketNotifier notifier{signalDescriptor, QSocketNotifier::Read};
--- a/src/egretlatch/cli/explain_command.cpp
+++ b/src/egretlatch/cli/explain_command.cpp
@@ -12,7 +12,7 @@
 
 #include <egretlatch/cli/documents.hpp>
 #include <egretlatch/cli/http_fetch.hpp>
-#include <egretlatch/platform/backoff.hpp>
+#include <egretlatch/store/backoff.hpp>
 
 namespace egretlatch::cli
 {
@@ -41,8 +41,8 @@
     void visit(const std::string &prefix, std::string after, const std::string &end, const BatchVisitor &visitor)
     {
         while (true) {
-            const std::optional<platform::Reply> reply = ask(platform::ObjectList{.prefix = prefix, .after = after, .limit = namesAtOnce});
-            const auto *const names = reply.has_value() ? std::get_if<platform::NamesReply>(&*reply) : nullptr;
+            const std::optional<store::Reply> reply = ask(store::ObjectList{.prefix = prefix, .after = after, .limit = namesAtOnce});
+            const auto *const names = reply.has_value() ? std::get_if<store::NamesReply>(&*reply) : nullptr;
             if (names == nullptr || names->names.empty()) {
                 return;
             }
@@ -68,11 +68,11 @@
 private:
     [[nodiscard]] bool visitOne(const std::string &name, const BatchVisitor &visitor)
     {
-        const std::optional<platform::Reply> reply = ask(platform::ObjectGet{.name = name});
+        const std::optional<store::Reply> reply = ask(store::ObjectGet{.name = name});
         if (!reply.has_value()) {
             return false;
         }
-        const auto *const object = std::get_if<platform::ObjectReply>(&*reply);
+        const auto *const object = std::get_if<store::ObjectReply>(&*reply);
         const std::optional<account::AccountBatch> batch = object == nullptr ? std::nullopt : account::decodeBatch(object->bytes);
         if (!batch.has_value()) {
             ++m_unreadable;
@@ -81,11 +81,11 @@
         return visitor(*batch);
     }
 
-    [[nodiscard]] std::optional<platform::Reply> ask(const platform::Request &request)
+    [[nodiscard]] std::optional<store::Reply> ask(const store::Request &request)
     {
-        platform::Backoff backoff{firstWait, longestWait};
+        store::Backoff backoff{firstWait, longestWait};
         for (int attempt = 0; attempt < attempts; ++attempt) {
-            platform::Outcome outcome = m_port.ask(request);
+            store::Outcome outcome = m_port.ask(request);
             if (outcome.has_value()) {
                 return std::move(*outcome);
             }
--- a/src/egretlatch/cli/http_platform_port.cpp
+++ b/src/egretlatch/cli/http_platform_port.cpp
@@ -13,11 +13,11 @@
 {
 }
 
-platform::Outcome HttpPlatformPort::ask(const platform::Request &request)
+store::Outcome HttpPlatformPort::ask(const store::Request &request)
 {
     QEventLoop loop;
-    std::optional<platform::Outcome> answer;
-    m_client.ask(request, [&loop, &answer](platform::Outcome outcome) {
+    std::optional<store::Outcome> answer;
+    m_client.ask(request, [&loop, &answer](store::Outcome outcome) {
         answer = std::move(outcome);
         loop.quit();
     });
--- a/src/egretlatch/cli/main.cpp
+++ b/src/egretlatch/cli/main.cpp
@@ -7,6 +7,7 @@
 #include <egretlatch/cli/exit_code.hpp>
 #include <egretlatch/cli/explain_command.hpp>
 #include <egretlatch/cli/keys_command.hpp>
+#include <egretlatch/cli/sidecar_command.hpp>
 #include <egretlatch/cli/status_command.hpp>
 #include <egretlatch/cli/submit_command.hpp>
 
@@ -97,6 +98,10 @@
     daemon->add_option("--settings", settingsPath, "Settings file (JSON)")->required();
     daemon->footer("Example: egretlatch daemon --settings /etc/egretlatch/daemon.json");
 
+    CLI::App *const sidecar = app.add_subcommand("sidecar", "Run the daemon of a VM that the users' platform runs, until SIGTERM.");
+    sidecar->add_option("--settings", settingsPath, "Settings file (JSON)")->envname("EGRETLATCH_NODE_FILE")->required();
+    sidecar->footer("Example: EGRETLATCH_NODE_FILE=/etc/egretlatch/local.yaml egretlatch sidecar");
+
     std::string manifestPath;
     CLI::App *const checkCommand = app.add_subcommand("check", "Check settings or a manifest without using them.");
     checkCommand->add_option("--settings", settingsPath, "Settings file (JSON)");
@@ -124,6 +129,8 @@
     }
     if (daemon->parsed()) {
         result = runDaemon(settingsPath, argc, argv);
+    } else if (sidecar->parsed()) {
+        result = runSidecar(settingsPath, argc, argv);
     } else if (checkCommand->parsed()) {
         result = check(settingsPath, manifestPath);
     } else if (keys->parsed()) {
--- a/src/egretlatch/cli/platform_port.hpp
+++ b/src/egretlatch/cli/platform_port.hpp
@@ -2,7 +2,7 @@
 #define EGRETLATCH_CLI_PLATFORM_PORT_HPP
 
 #include <egretlatch/core/clock.hpp>
-#include <egretlatch/platform/requests.hpp>
+#include <egretlatch/store/requests.hpp>
 
 namespace egretlatch::cli
 {
@@ -18,7 +18,7 @@
      * @param request What is asked.
      * @return The outcome.
      */
-    [[nodiscard]] virtual platform::Outcome ask(const platform::Request &request) = 0;
+    [[nodiscard]] virtual store::Outcome ask(const store::Request &request) = 0;
 
     /**
      * @brief Lets time pass.
--- /dev/null
+++ b/src/egretlatch/cli/sidecar_command.cpp
@@ -0,0 +1,75 @@
+#include <egretlatch/cli/sidecar_command.hpp>
+
+#include <cstdint>
+
+#include <unistd.h>
+
+#include <QCoreApplication>
+#include <QFile>
+#include <QSocketNotifier>
+
+#include <fmt/format.h>
+
+#include <egretlatch/cli/exit_code.hpp>
+#include <egretlatch/cli/signal_descriptor.hpp>
+#include <egretlatch/sidecar/sidecar.hpp>
+
+namespace egretlatch::cli
+{
+
+namespace internal
+{
+
+[[nodiscard]] static std::optional<settings::SidecarSettings> readSidecarSettings(const std::string &path)
+{
+    QFile file{QString::fromStdString(path)};
+    if (!file.open(QIODevice::ReadOnly)) {
+        fmt::print(stderr, "egretlatch: cannot read {}: {}\n", path, file.errorString().toStdString());
+        return std::nullopt;
+    }
+    const tl::expected<settings::SidecarSettings, settings::Problems> settings = settings::parseSidecarSettings(file.readAll());
+    if (settings.has_value()) {
+        return *settings;
+    }
+    for (const settings::Problem &problem : settings.error()) {
+        fmt::print(stderr, "{}\n", settings::toLine(path, problem));
+    }
+    return std::nullopt;
+}
+
+} // namespace internal
+
+int runSidecar(const std::string &settingsPath, int argc, char **argv)
+{
+    const std::optional<settings::SidecarSettings> settings = internal::readSidecarSettings(settingsPath);
+    if (!settings.has_value()) {
+        return ExitCode::badInput;
+    }
+    // GLib's event loop, which Qt takes where it finds it, costs about a sixth more processor time a call (docs/DESIGN.md).
+    qputenv("QT_NO_GLIB", "1");
+    const int signalDescriptor = openSignals({SIGTERM, SIGINT, SIGHUP});
+    QCoreApplication application{argc, argv};
+    sidecar::Sidecar sidecar{*settings, [] {
+                                 QCoreApplication::quit();
+                             }};
+    QSocketNotifier notifier{signalDescriptor, QSocketNotifier::Read};
+    QObject::connect(&notifier, &QSocketNotifier::activated, &application, [&sidecar, signalDescriptor, settingsPath] {
+        signalfd_siginfo info{};
+        static_cast<void>(::read(signalDescriptor, &info, sizeof info));
+        if (info.ssi_signo != SIGHUP) {
+            sidecar.drain();
+            return;
+        }
+        if (const std::optional<settings::SidecarSettings> changed = internal::readSidecarSettings(settingsPath)) {
+            sidecar.reload(*changed);
+        }
+    });
+    const Result<void> started = sidecar.start();
+    if (!started.has_value()) {
+        fmt::print(stderr, "egretlatch: {}\n", started.error().message);
+        return ExitCode::unavailable;
+    }
+    return QCoreApplication::exec();
+}
+
+} // namespace egretlatch::cli
--- /dev/null
+++ b/src/egretlatch/cli/signal_descriptor.hpp
@@ -0,0 +1,32 @@
+#ifndef EGRETLATCH_CLI_SIGNAL_DESCRIPTOR_HPP
+#define EGRETLATCH_CLI_SIGNAL_DESCRIPTOR_HPP
+
+#include <csignal>
+#include <initializer_list>
+
+#include <sys/signalfd.h>
+
+namespace egretlatch::cli
+{
+
+/**
+ * @brief Makes signals readable from a descriptor, on the main thread: a handler may call next to nothing.
+ *
+ * To be called before any thread starts, so that all inherit the mask and none is interrupted.
+ * @param signals The signals.
+ * @return The descriptor, which does not block.
+ */
+[[nodiscard]] inline int openSignals(const std::initializer_list<int> signals)
+{
+    sigset_t signalSet;
+    sigemptyset(&signalSet);
+    for (const int signal : signals) {
+        sigaddset(&signalSet, signal);
+    }
+    pthread_sigmask(SIG_BLOCK, &signalSet, nullptr);
+    return signalfd(-1, &signalSet, SFD_NONBLOCK | SFD_CLOEXEC);
+}
+
+} // namespace egretlatch::cli
+
+#endif
--- a/src/egretlatch/cli/submit_command.cpp
+++ b/src/egretlatch/cli/submit_command.cpp
@@ -10,7 +10,7 @@
 #include <egretlatch/cli/documents.hpp>
 #include <egretlatch/cli/http_platform_port.hpp>
 #include <egretlatch/core/uuid.hpp>
-#include <egretlatch/platform/backoff.hpp>
+#include <egretlatch/store/backoff.hpp>
 
 namespace egretlatch::cli
 {
@@ -93,10 +93,10 @@
 CommandResult submit(const configuration::SubmissionRequest &request, PlatformPort &port, RandomSource &random, const Duration patience)
 {
     configuration::Submission submission{request};
-    platform::Backoff backoff{internal::firstWait, internal::longestWait};
+    store::Backoff backoff{internal::firstWait, internal::longestWait};
     Duration waited{};
     while (true) {
-        const platform::Outcome outcome = port.ask(submission.request());
+        const store::Outcome outcome = port.ask(submission.request());
         const configuration::SubmissionStep step = submission.take(outcome);
         if (step == configuration::SubmissionStep::finished) {
             return internal::describeEnd(request, submission.result());
--- a/src/egretlatch/configuration/follower.cpp
+++ b/src/egretlatch/configuration/follower.cpp
@@ -39,7 +39,7 @@
     if (!m_options.hasPlatform) {
         return;
     }
-    if (now >= m_nextPoll && !m_headRequest.has_value()) {
+    if (!m_options.isFed && now >= m_nextPoll && !m_headRequest.has_value()) {
         poll(now);
     }
     if (now >= m_nextAdvert) {
@@ -73,6 +73,17 @@
     }
 }
 
+void Follower::takeAccepted(const std::uint64_t version, const QByteArray &manifest, const SteadyTime now)
+{
+    if (version <= m_inForce.version || version < m_target.version) {
+        return;
+    }
+    m_target = {.version = version, .hash = contentHash(manifest)};
+    m_sources.clear();
+    m_isUnusable = false;
+    takeBody(manifest, now);
+}
+
 void Follower::handleBodyRequest(const DaemonId &sender, const BodyRequest &request)
 {
     const bool isHeld = m_inForce.version > 0 && request.hash == m_inForce.hash;
@@ -91,7 +102,7 @@
     takeBody(reply.manifest, now);
 }
 
-bool Follower::handleOutcome(const platform::RequestId id, const platform::Outcome &outcome, const SteadyTime now)
+bool Follower::handleOutcome(const store::RequestId id, const store::Outcome &outcome, const SteadyTime now)
 {
     if (m_headRequest == id) {
         m_headRequest.reset();
@@ -144,6 +155,10 @@
     // Peers and the store in turn: either may be out of reach for long.
     if (m_sources.empty() || m_wasPeerAskedLast) {
         m_wasPeerAskedLast = false;
+        if (m_options.isFed) {
+            retryFetch(now);
+            return;
+        }
         fetchFromStore();
         return;
     }
@@ -155,7 +170,7 @@
 
 void Follower::fetchFromStore()
 {
-    m_objectRequest = m_outlet.ask(platform::ObjectGet{.name = objectName(m_target.hash)});
+    m_objectRequest = m_outlet.ask(store::ObjectGet{.name = objectName(m_target.hash)});
 }
 
 void Follower::retryFetch(const SteadyTime now)
@@ -189,7 +204,7 @@
     advertise(m_options.fanout);
 }
 
-void Follower::takeHead(const platform::Outcome &outcome, const SteadyTime now)
+void Follower::takeHead(const store::Outcome &outcome, const SteadyTime now)
 {
     if (!outcome.has_value()) {
         m_nextPoll = now + m_pollBackoff.next(m_random);
@@ -197,7 +212,7 @@
     }
     m_pollBackoff.reset();
     schedulePoll(now);
-    const auto *const reply = std::get_if<platform::RowsReply>(&*outcome);
+    const auto *const reply = std::get_if<store::RowsReply>(&*outcome);
     if (reply == nullptr || reply->rows.empty()) {
         return;
     }
@@ -209,9 +224,9 @@
     learn(head->version, head->hash, nullptr, now);
 }
 
-void Follower::takeObject(const platform::Outcome &outcome, const SteadyTime now)
+void Follower::takeObject(const store::Outcome &outcome, const SteadyTime now)
 {
-    const auto *const object = outcome.has_value() ? std::get_if<platform::ObjectReply>(&*outcome) : nullptr;
+    const auto *const object = outcome.has_value() ? std::get_if<store::ObjectReply>(&*outcome) : nullptr;
     if (object == nullptr) {
         retryFetch(now);
         return;
@@ -222,7 +237,7 @@
 void Follower::poll(const SteadyTime now)
 {
     schedulePoll(now);
-    m_headRequest = m_outlet.ask(platform::TableRead{.key = headKey});
+    m_headRequest = m_outlet.ask(store::TableRead{.key = headKey});
 }
 
 void Follower::schedulePoll(const SteadyTime now)
--- a/src/egretlatch/configuration/follower.hpp
+++ b/src/egretlatch/configuration/follower.hpp
@@ -13,7 +13,7 @@
 #include <egretlatch/configuration/outlet.hpp>
 #include <egretlatch/core/clock.hpp>
 #include <egretlatch/core/random_source.hpp>
-#include <egretlatch/platform/backoff.hpp>
+#include <egretlatch/store/backoff.hpp>
 
 namespace egretlatch::configuration
 {
@@ -23,6 +23,8 @@
 {
     /*! @brief Without a platform there is nothing to follow. */
     bool hasPlatform{};
+    /*! @brief Manifests are handed over whole, by takeAccepted(), so the store is not asked for them. */
+    bool isFed{};
     /*! @brief Reads of the head row a second by the whole fleet. */
     double fleetPollsPerSecond{10.0};
     Duration shortestPoll{std::chrono::seconds{2}};
@@ -78,6 +80,14 @@
      */
     void handleAdvert(const DaemonId &sender, const Advert &advert, SteadyTime now);
 
+    /**
+     * @brief Takes an accepted manifest from where operators submit it.
+     * @param version Its version; one that is not above the one in force is passed over.
+     * @param manifest The whole document.
+     * @param now Current time.
+     */
+    void takeAccepted(std::uint64_t version, const QByteArray &manifest, SteadyTime now);
+
     /**
      * @brief Answers a peer that asks for a manifest.
      * @param sender The peer.
@@ -99,7 +109,7 @@
      * @param now Current time.
      * @return False if the request is not one of this follower's.
      */
-    bool handleOutcome(platform::RequestId id, const platform::Outcome &outcome, SteadyTime now);
+    bool handleOutcome(store::RequestId id, const store::Outcome &outcome, SteadyTime now);
 
     [[nodiscard]] std::uint64_t version() const noexcept
     {
@@ -141,8 +151,8 @@
     void fetchFromStore();
     void retryFetch(SteadyTime now);
     void takeBody(const QByteArray &manifest, SteadyTime now);
-    void takeHead(const platform::Outcome &outcome, SteadyTime now);
-    void takeObject(const platform::Outcome &outcome, SteadyTime now);
+    void takeHead(const store::Outcome &outcome, SteadyTime now);
+    void takeObject(const store::Outcome &outcome, SteadyTime now);
     void poll(SteadyTime now);
     void schedulePoll(SteadyTime now);
     void advertise(std::size_t count);
@@ -161,10 +171,10 @@
     bool m_wasPeerAskedLast{};
     bool m_isUnusable{};
     std::optional<SteadyTime> m_fetchDue;
-    std::optional<platform::RequestId> m_objectRequest;
-    std::optional<platform::RequestId> m_headRequest;
-    platform::Backoff m_pollBackoff;
-    platform::Backoff m_fetchBackoff;
+    std::optional<store::RequestId> m_objectRequest;
+    std::optional<store::RequestId> m_headRequest;
+    store::Backoff m_pollBackoff;
+    store::Backoff m_fetchBackoff;
     SteadyTime m_nextPoll;
     SteadyTime m_nextAdvert;
     std::map<DaemonId, FleetEntry> m_fleet;
--- a/src/egretlatch/configuration/outlet.hpp
+++ b/src/egretlatch/configuration/outlet.hpp
@@ -10,7 +10,7 @@
 #include <egretlatch/configuration/messages.hpp>
 #include <egretlatch/core/ids.hpp>
 #include <egretlatch/manifest/manifest.hpp>
-#include <egretlatch/platform/requests.hpp>
+#include <egretlatch/store/requests.hpp>
 
 namespace egretlatch::configuration
 {
@@ -38,7 +38,7 @@
      * @param request What is asked.
      * @return The id that the outcome will carry.
      */
-    [[nodiscard]] virtual platform::RequestId ask(platform::Request request) = 0;
+    [[nodiscard]] virtual store::RequestId ask(store::Request request) = 0;
 
     /**
      * @brief Sends a message.
--- a/src/egretlatch/configuration/submission.cpp
+++ b/src/egretlatch/configuration/submission.cpp
@@ -35,22 +35,22 @@
 {
 }
 
-platform::Request Submission::request() const
+store::Request Submission::request() const
 {
     switch (m_stage) {
     case Stage::readHead:
-        return platform::TableRead{.key = headKey};
+        return store::TableRead{.key = headKey};
     case Stage::readVersion:
-        return platform::TableRead{.key = versionKey(m_head.version)};
+        return store::TableRead{.key = versionKey(m_head.version)};
     case Stage::putManifest:
-        return platform::ObjectPut{.name = objectName(m_head.hash), .bytes = m_request.manifest};
+        return store::ObjectPut{.name = objectName(m_head.hash), .bytes = m_request.manifest};
     case Stage::writeHead:
         break;
     }
     return m_write->request();
 }
 
-SubmissionStep Submission::take(const platform::Outcome &outcome)
+SubmissionStep Submission::take(const store::Outcome &outcome)
 {
     if (!outcome.has_value() && internal::isFinal(outcome.error())) {
         return finish(SubmissionEnd::refused);
@@ -66,14 +66,14 @@
         m_stage = Stage::writeHead;
         return SubmissionStep::ask;
     }
-    const auto *const rows = std::get_if<platform::RowsReply>(&*outcome);
+    const auto *const rows = std::get_if<store::RowsReply>(&*outcome);
     if (rows == nullptr) {
         return SubmissionStep::askLater;
     }
     return m_stage == Stage::readHead ? takeHead(*rows) : takeVersion(*rows);
 }
 
-SubmissionStep Submission::takeHead(const platform::RowsReply &reply)
+SubmissionStep Submission::takeHead(const store::RowsReply &reply)
 {
     const std::optional<Head> head = reply.rows.empty() ? std::nullopt : decodeHead(reply.rows.front().value);
     if (!reply.rows.empty() && !head.has_value()) {
@@ -89,7 +89,7 @@
     return SubmissionStep::ask;
 }
 
-SubmissionStep Submission::takeVersion(const platform::RowsReply &reply)
+SubmissionStep Submission::takeVersion(const store::RowsReply &reply)
 {
     const std::optional<Head> row = reply.rows.empty() ? std::nullopt : decodeHead(reply.rows.front().value);
     if (!row.has_value()) {
@@ -98,20 +98,20 @@
     return finish(internal::isSame(*row, m_head) ? SubmissionEnd::accepted : SubmissionEnd::conflict, row);
 }
 
-SubmissionStep Submission::takeWrite(const platform::Outcome &outcome)
+SubmissionStep Submission::takeWrite(const store::Outcome &outcome)
 {
     switch (m_write->take(outcome)) {
-    case platform::WriteStep::ask:
+    case store::WriteStep::ask:
         return SubmissionStep::ask;
-    case platform::WriteStep::askLater:
+    case store::WriteStep::askLater:
         return SubmissionStep::askLater;
-    case platform::WriteStep::effected:
+    case store::WriteStep::effected:
         m_result.newest = std::max(m_result.newest, m_head.version);
         return finish(SubmissionEnd::accepted, m_head);
-    case platform::WriteStep::rejected:
+    case store::WriteStep::rejected:
         break;
     }
-    const std::optional<platform::Row> &witness = m_write->witness();
+    const std::optional<store::Row> &witness = m_write->witness();
     const std::optional<Head> winner = witness.has_value() ? decodeHead(witness->value) : std::nullopt;
     m_result.newest = std::max(m_result.newest, m_head.version);
     return finish(SubmissionEnd::conflict, winner);
@@ -124,11 +124,11 @@
     return SubmissionStep::finished;
 }
 
-platform::IdentifiedWrite Submission::makeWrite(const std::uint64_t headRowVersion) const
+store::IdentifiedWrite Submission::makeWrite(const std::uint64_t headRowVersion) const
 {
     const std::string key = versionKey(m_head.version);
     const std::string value = encodeHead(m_head);
-    platform::TableWrite write;
+    store::TableWrite write;
     write.conditions = {{.key = headKey, .version = headRowVersion}, {.key = key, .version = 0}};
     write.writes = {{.key = headKey, .value = value}, {.key = key, .value = value}};
     if (m_head.version > versionsKept) {
--- a/src/egretlatch/configuration/submission.hpp
+++ b/src/egretlatch/configuration/submission.hpp
@@ -7,8 +7,8 @@
 #include <QByteArray>
 
 #include <egretlatch/configuration/head.hpp>
-#include <egretlatch/platform/identified_write.hpp>
-#include <egretlatch/platform/requests.hpp>
+#include <egretlatch/store/identified_write.hpp>
+#include <egretlatch/store/requests.hpp>
 
 namespace egretlatch::configuration
 {
@@ -83,14 +83,14 @@
      * @brief Gives what to ask the platform next.
      * @return The request.
      */
-    [[nodiscard]] platform::Request request() const;
+    [[nodiscard]] store::Request request() const;
 
     /**
      * @brief Takes the outcome of request().
      * @param outcome The outcome.
      * @return How it goes on.
      */
-    [[nodiscard]] SubmissionStep take(const platform::Outcome &outcome);
+    [[nodiscard]] SubmissionStep take(const store::Outcome &outcome);
 
     [[nodiscard]] const SubmissionResult &result() const noexcept
     {
@@ -114,17 +114,17 @@
         writeHead,
     };
 
-    [[nodiscard]] SubmissionStep takeHead(const platform::RowsReply &reply);
-    [[nodiscard]] SubmissionStep takeVersion(const platform::RowsReply &reply);
-    [[nodiscard]] SubmissionStep takeWrite(const platform::Outcome &outcome);
+    [[nodiscard]] SubmissionStep takeHead(const store::RowsReply &reply);
+    [[nodiscard]] SubmissionStep takeVersion(const store::RowsReply &reply);
+    [[nodiscard]] SubmissionStep takeWrite(const store::Outcome &outcome);
     [[nodiscard]] SubmissionStep finish(SubmissionEnd end, const std::optional<Head> &row = std::nullopt);
-    [[nodiscard]] platform::IdentifiedWrite makeWrite(std::uint64_t headRowVersion) const;
+    [[nodiscard]] store::IdentifiedWrite makeWrite(std::uint64_t headRowVersion) const;
 
     SubmissionRequest m_request;
     Head m_head;
     Stage m_stage{Stage::readHead};
     std::uint64_t m_headRowVersion{};
-    std::optional<platform::IdentifiedWrite> m_write;
+    std::optional<store::IdentifiedWrite> m_write;
     SubmissionResult m_result;
 };
 
--- a/src/egretlatch/daemon/daemon.cpp
+++ b/src/egretlatch/daemon/daemon.cpp
@@ -247,7 +247,7 @@
             continue;
         }
         const auto &ask = std::get<decision::AskPlatform>(*order);
-        m_platform->ask(ask.request, [this, id = ask.id](platform::Outcome outcome) {
+        m_platform->ask(ask.request, [this, id = ask.id](store::Outcome outcome) {
             if (!m_inward.fromPlatform.tryPush(decision::PlatformAnswered{.id = id, .outcome = std::move(outcome)})) {
                 m_metrics.count("events_dropped", "ring-full");
             }
--- a/src/egretlatch/daemon/decide_thread.cpp
+++ b/src/egretlatch/daemon/decide_thread.cpp
@@ -138,7 +138,7 @@
     } else if (auto *const span = std::get_if<decision::RecordSpan>(&action)) {
         isTaken = m_outward.toAccount.tryPush(std::move(*span));
     } else if (auto *const ask = std::get_if<decision::AskPlatform>(&action)) {
-        const platform::RequestId id = ask->id;
+        const store::RequestId id = ask->id;
         isTaken = m_outward.toPlatform.tryPush(std::move(*ask));
         if (!isTaken) {
             handle(decision::PlatformAnswered{.id = id, .outcome = tl::unexpected{Error{ErrorCode::unavailable, "the ring to the platform is full"}}});
--- a/src/egretlatch/daemon/platform_client.cpp
+++ b/src/egretlatch/daemon/platform_client.cpp
@@ -2,7 +2,7 @@
 
 #include <QUrl>
 
-#include <egretlatch/platform/http_codec.hpp>
+#include <egretlatch/store/http_codec.hpp>
 
 namespace egretlatch::daemon
 {
@@ -15,7 +15,7 @@
 constexpr double fleetWritesPerSecond = 200.0;
 constexpr double burst = 16.0;
 
-[[nodiscard]] static QNetworkRequest toQt(const PlatformAccess &access, const platform::HttpRequest &http)
+[[nodiscard]] static QNetworkRequest toQt(const PlatformAccess &access, const store::HttpRequest &http)
 {
     QNetworkRequest request{QUrl::fromEncoded(QByteArray::fromStdString(access.url + http.target))};
     request.setTransferTimeout(static_cast<int>(access.timeout.count()));
@@ -35,11 +35,11 @@
     return status != 0 && (reply.error() == QNetworkReply::NoError || (status >= firstError && reply.error() >= QNetworkReply::ContentAccessDenied));
 }
 
-[[nodiscard]] static platform::Outcome outcomeOf(const platform::Request &request, QNetworkReply &reply)
+[[nodiscard]] static store::Outcome outcomeOf(const store::Request &request, QNetworkReply &reply)
 {
     const int status = reply.attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
     if (isAnsweredWhole(reply, status)) {
-        return platform::decodeOutcome(request, status, reply.readAll());
+        return store::decodeOutcome(request, status, reply.readAll());
     }
     if (reply.error() == QNetworkReply::ConnectionRefusedError) {
         // No connection was ever open, so no byte of the request has left.
@@ -63,20 +63,20 @@
     m_writes.setFleetSize(daemons);
 }
 
-void PlatformClient::ask(const platform::Request &request, OutcomeHandler onOutcome)
+void PlatformClient::ask(const store::Request &request, OutcomeHandler onOutcome)
 {
     if (m_access.url.empty()) {
         onOutcome(tl::unexpected{Error{ErrorCode::unavailable, "the settings name no platform"}});
         return;
     }
-    platform::RateCap &cap = platform::isWrite(request) ? m_writes : m_reads;
+    store::RateCap &cap = store::isWrite(request) ? m_writes : m_reads;
     if (!cap.tryTake(std::chrono::steady_clock::now())) {
         onOutcome(tl::unexpected{Error{ErrorCode::rateLimited, "this daemon's share of the platform is used up"}});
         return;
     }
-    const platform::HttpRequest http = platform::encodeRequest(request);
+    const store::HttpRequest http = store::encodeRequest(request);
     // A read may reach the platform twice; a write that Qt sends again would find its own first effect as a conflict.
-    const Resend resend = platform::isWrite(request) ? Resend::never : Resend::allowed;
+    const Resend resend = store::isWrite(request) ? Resend::never : Resend::allowed;
     QNetworkReply *const reply = m_pool.send(http.method, internal::toQt(m_access, http), http.body, resend);
     connect(reply, &QNetworkReply::finished, this, [request, reply, handler = std::move(onOutcome)] {
         reply->deleteLater();
--- a/src/egretlatch/daemon/platform_client.hpp
+++ b/src/egretlatch/daemon/platform_client.hpp
@@ -8,8 +8,8 @@
 
 #include <egretlatch/core/secret.hpp>
 #include <egretlatch/daemon/http_client_pool.hpp>
-#include <egretlatch/platform/rate_cap.hpp>
-#include <egretlatch/platform/requests.hpp>
+#include <egretlatch/store/rate_cap.hpp>
+#include <egretlatch/store/requests.hpp>
 
 namespace egretlatch::daemon
 {
@@ -29,7 +29,7 @@
 class PlatformClient final : public QObject
 {
 public:
-    using OutcomeHandler = std::function<void(platform::Outcome)>;
+    using OutcomeHandler = std::function<void(store::Outcome)>;
 
     /**
      * @brief Builds a client.
@@ -50,13 +50,13 @@
      * @param request What is asked.
      * @param onOutcome Takes the outcome, on this thread.
      */
-    void ask(const platform::Request &request, OutcomeHandler onOutcome);
+    void ask(const store::Request &request, OutcomeHandler onOutcome);
 
 private:
     PlatformAccess m_access;
     HttpClientPool m_pool;
-    platform::RateCap m_reads;
-    platform::RateCap m_writes;
+    store::RateCap m_reads;
+    store::RateCap m_writes;
 };
 
 } // namespace egretlatch::daemon
--- a/src/egretlatch/daemon/refusal_recorder.cpp
+++ b/src/egretlatch/daemon/refusal_recorder.cpp
@@ -106,13 +106,13 @@
         return;
     }
     m_isStoring = true;
-    const platform::ObjectPut put{.name = account::objectName(*batch), .bytes = account::encodeBatch(*batch)};
-    m_client.ask(put, [this](const platform::Outcome &outcome) {
+    const store::ObjectPut put{.name = account::objectName(*batch), .bytes = account::encodeBatch(*batch)};
+    m_client.ask(put, [this](const store::Outcome &outcome) {
         handleOutcome(outcome);
     });
 }
 
-void RefusalRecorder::handleOutcome(const platform::Outcome &outcome)
+void RefusalRecorder::handleOutcome(const store::Outcome &outcome)
 {
     m_isStoring = false;
     const SteadyTime now = std::chrono::steady_clock::now();
--- a/src/egretlatch/daemon/refusal_recorder.hpp
+++ b/src/egretlatch/daemon/refusal_recorder.hpp
@@ -12,7 +12,7 @@
 #include <egretlatch/account/refusal_ledger.hpp>
 #include <egretlatch/core/random_source.hpp>
 #include <egretlatch/daemon/platform_client.hpp>
-#include <egretlatch/platform/backoff.hpp>
+#include <egretlatch/store/backoff.hpp>
 
 namespace egretlatch::daemon
 {
@@ -56,7 +56,7 @@
 private:
     void tick();
     void store();
-    void handleOutcome(const platform::Outcome &outcome);
+    void handleOutcome(const store::Outcome &outcome);
 
     bool m_hasPlatform;
     PlatformClient m_client;
@@ -65,7 +65,7 @@
     mutable std::mutex m_mutex;
     account::RefusalLedger m_ledger;
     SeededRandom m_random;
-    platform::Backoff m_backoff;
+    store::Backoff m_backoff;
     SteadyTime m_due;
     bool m_isStoring{};
     bool m_isClosing{};
--- a/src/egretlatch/decision/action.hpp
+++ b/src/egretlatch/decision/action.hpp
@@ -16,8 +16,8 @@
 #include <egretlatch/core/ids.hpp>
 #include <egretlatch/core/verdict.hpp>
 #include <egretlatch/membership/member.hpp>
-#include <egretlatch/platform/requests.hpp>
 #include <egretlatch/protocol/messages.hpp>
+#include <egretlatch/store/requests.hpp>
 
 namespace egretlatch::decision
 {
@@ -107,8 +107,8 @@
 /*! @brief Ask the platform; a PlatformAnswered with the same id follows. */
 struct AskPlatform
 {
-    platform::RequestId id;
-    platform::Request request;
+    store::RequestId id;
+    store::Request request;
 };
 
 /*! @brief A configuration has been put in force. */
--- a/src/egretlatch/decision/configuration_outlet.cpp
+++ b/src/egretlatch/decision/configuration_outlet.cpp
@@ -9,7 +9,7 @@
 {
 }
 
-platform::RequestId ConfigurationOutlet::ask(platform::Request request)
+store::RequestId ConfigurationOutlet::ask(store::Request request)
 {
     return m_surroundings.askPlatform(std::move(request));
 }
--- a/src/egretlatch/decision/configuration_outlet.hpp
+++ b/src/egretlatch/decision/configuration_outlet.hpp
@@ -18,7 +18,7 @@
      */
     ConfigurationOutlet(Surroundings &surroundings, std::vector<configuration::Peer> contacts);
 
-    [[nodiscard]] platform::RequestId ask(platform::Request request) override;
+    [[nodiscard]] store::RequestId ask(store::Request request) override;
     void send(const configuration::Peer &peer, configuration::PeerNews news) override;
     [[nodiscard]] std::vector<configuration::Peer> peers() const override;
     void putInForce(std::uint64_t version, const std::shared_ptr<const manifest::Manifest> &manifest) override;
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -103,6 +103,9 @@
                    [&](const ManifestChanged &changed) {
                        handleManifest(changed);
                    },
+                   [&](const ManifestAccepted &accepted) {
+                       m_configuration->takeAccepted(accepted.version, accepted.document, now);
+                   },
                    [&](const PlatformAnswered &answered) {
                        handlePlatform(answered, now);
                    },
@@ -246,7 +249,7 @@
     if (m_contactBook == nullptr || m_contactRequest.has_value()) {
         return;
     }
-    if (std::optional<platform::Request> request = m_contactBook->tick(m_surroundings->roster.participants().size(), now)) {
+    if (std::optional<store::Request> request = m_contactBook->tick(m_surroundings->roster.participants().size(), now)) {
         m_contactRequest = m_surroundings->askPlatform(std::move(*request));
     }
 }
@@ -375,6 +378,24 @@
     return *this;
 }
 
+CoreBuilder &CoreBuilder::setConfigurationFeed()
+{
+    m_isFed = true;
+    return *this;
+}
+
+CoreBuilder &CoreBuilder::setRetrySlack(const double slack)
+{
+    m_retrySlack = slack;
+    return *this;
+}
+
+CoreBuilder &CoreBuilder::moveFreely()
+{
+    m_movesFreely = true;
+    return *this;
+}
+
 CoreBuilder &CoreBuilder::setUnownedKeys(const retry::UnownedKeys unownedKeys)
 {
     m_unownedKeys = unownedKeys;
@@ -428,6 +449,12 @@
         grants = std::make_unique<retry::ShardGrants>(retry::KeyOwner{.daemon = m_self.id, .incarnation = m_self.incarnation}, m_random, *m_grantTimes);
     }
     core->m_entry = std::make_unique<EntryHandler>(*core->m_surroundings, *core->m_serving, m_ledgerLimits, std::move(grants));
+    if (m_retrySlack.has_value()) {
+        core->m_entry->setRetrySlack(*m_retrySlack);
+    }
+    if (m_movesFreely) {
+        core->m_entry->moveFreely();
+    }
     std::vector<configuration::Peer> peers;
     for (const membership::Contact &contact : m_contacts) {
         peers.push_back({.id = contact.id, .endpoint = contact.endpoint});
@@ -435,6 +462,7 @@
     core->m_configurationOutlet = std::make_unique<ConfigurationOutlet>(*core->m_surroundings, std::move(peers));
     configuration::FollowerOptions options;
     options.hasPlatform = m_followsPlatform;
+    options.isFed = m_isFed;
     options.endpoint = m_self.endpoint;
     core->m_configuration = std::make_unique<configuration::Follower>(*core->m_configurationOutlet, m_random, options);
     core->m_gossipRandom = std::make_unique<SeededRandom>(m_random.next());
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -54,6 +54,12 @@
         return m_surroundings->manifestVersion;
     }
 
+    /*! @brief The configuration in force; null for none. */
+    [[nodiscard]] std::shared_ptr<const manifest::Manifest> manifest() const
+    {
+        return m_surroundings->manifest;
+    }
+
     /**
      * @brief Gives what this daemon knows of the configurations in force.
      * @return A report for operators.
@@ -95,7 +101,7 @@
     std::unique_ptr<membership::Gossip> m_gossip;
     /*! @brief Null without a platform. */
     std::unique_ptr<membership::ContactBook> m_contactBook;
-    std::optional<platform::RequestId> m_contactRequest;
+    std::optional<store::RequestId> m_contactRequest;
     /*! @brief What the backend server said last; nothing if there is none. */
     std::optional<ServerAnnounced> m_server;
     /*! @brief Instance name of the server that was told to drain. */
@@ -162,6 +168,25 @@
      */
     CoreBuilder &followPlatform();
 
+    /**
+     * @brief Takes configurations from ManifestAccepted events and from other daemons, not from the store.
+     * @return This builder.
+     */
+    CoreBuilder &setConfigurationFeed();
+
+    /**
+     * @brief Bounds the repeats that a service takes beyond its ratio, from all daemons together.
+     * @param slack Their number; by default each daemon has a number of its own.
+     * @return This builder.
+     */
+    CoreBuilder &setRetrySlack(double slack);
+
+    /**
+     * @brief Counts only what reaches a backend server as an attempt; by default each message to a daemon counts.
+     * @return This builder.
+     */
+    CoreBuilder &moveFreely();
+
     /**
      * @brief Sets what is done with keys that name no owner.
      * @param unownedKeys The rule; by default they are refused.
@@ -199,6 +224,9 @@
     std::unique_ptr<admission::EntryControl> m_entryControl;
     std::unique_ptr<admission::Gate> m_gate;
     bool m_followsPlatform{};
+    bool m_isFed{};
+    bool m_movesFreely{};
+    std::optional<double> m_retrySlack;
     retry::UnownedKeys m_unownedKeys{retry::UnownedKeys::refuse};
     retry::KeyLedgerLimits m_ledgerLimits;
     std::optional<retry::GrantTimes> m_grantTimes;
--- a/src/egretlatch/decision/entry_handler.cpp
+++ b/src/egretlatch/decision/entry_handler.cpp
@@ -17,6 +17,8 @@
 constexpr int badRequest = 400;
 constexpr int notFound = 404;
 constexpr int firstServerError = 500;
+// Another daemon's server is usually known by then: deaths are known everywhere within about a second.
+constexpr std::chrono::milliseconds retryAfterNoServer{500};
 
 [[nodiscard]] static std::uint64_t fingerprint(const std::string &key)
 {
@@ -58,7 +60,8 @@
 std::optional<std::string> EntryHandler::mistakeOf(const CallerCall &call, const bool isInner) const
 {
     const manifest::KindSpec *const kind = m_surroundings.manifest->findKind(call.service, call.kind);
-    if (!kind->idempotent && call.key.empty() && !isInner) {
+    const bool isKeyNeeded = m_surroundings.unownedKeys != retry::UnownedKeys::notNeeded;
+    if (isKeyNeeded && !kind->idempotent && call.key.empty() && !isInner) {
         return fmt::format("{}/{} is not idempotent: an Idempotency-Key header is required", call.service, call.kind);
     }
     if (!retry::isUsableKey(call.key)) {
@@ -102,8 +105,11 @@
             return;
         }
     }
+    if (!call.parentName.empty()) {
+        inner = m_serving.findRunNamed(call.parentName);
+    }
     Pending pending = begin(arrived, *kind, inner, now);
-    if (!kind->idempotent) {
+    if (!kind->idempotent && m_surroundings.unownedKeys != retry::UnownedKeys::notNeeded) {
         findOwner(std::move(pending), inner, now);
         return;
     }
@@ -167,10 +173,14 @@
 
 void EntryHandler::makeAttempt(Pending pending, const SteadyTime now)
 {
+    if (pending.tried.empty()) {
+        m_surroundings.metrics.count("first_attempts", pending.call.service);
+    }
     const routing::RouteRequest route{.service = pending.call.service, .root = pending.root, .excluded = pending.tried, .deadline = pending.deadline};
     const std::optional<DaemonId> server = m_surroundings.router->choose(route, now);
     if (!server.has_value()) {
-        finishRefused(std::move(pending), m_surroundings.refuse(account::RefusalReason::noServer, "no backend server is left to try"), now);
+        const std::chrono::milliseconds retryAfter = m_movesFreely ? internal::retryAfterNoServer : std::chrono::milliseconds{};
+        finishRefused(std::move(pending), m_surroundings.refuse(account::RefusalReason::noServer, "no backend server is left to try", {}, retryAfter), now);
         return;
     }
     const membership::Member *const member = m_surroundings.roster.find(*server);
@@ -205,6 +215,7 @@
     request.headers = pending.call.headers;
     request.body = pending.call.body;
     request.key = pending.call.key;
+    request.requestName = pending.call.requestName;
     request.remaining = pending.deadline - now;
     request.trace = pending.attemptTrace;
     request.rank = pending.rank;
@@ -278,6 +289,11 @@
         return;
     }
     pending.verdict = retry::combine(pending.verdict, answer.verdict);
+    if (mayMoveOn(pending, answer, now)) {
+        m_surroundings.metrics.count("moves", pending.call.service);
+        makeAttempt(std::move(pending), now);
+        return;
+    }
     if (mayRetry(pending, answer, now)) {
         retryLater(std::move(pending), now);
         return;
@@ -327,9 +343,21 @@
     }
 }
 
+void EntryHandler::shareRetrySlack()
+{
+    // Daemons agree on nothing: each takes its part of what the fleet may repeat, so the sum stays within the whole. A
+    // daemon that knows few others would take too much, so it takes none before it knows some.
+    const std::size_t daemons = m_surroundings.roster.participants().size() + 1;
+    if (m_retrySlack.has_value() && daemons != m_daemons) {
+        m_daemons = daemons;
+        m_ratio.setMostSaved(daemons < 2 ? 0.0 : *m_retrySlack / static_cast<double>(daemons));
+    }
+}
+
 void EntryHandler::tick(const SteadyTime now)
 {
     tickGrants(now);
+    shareRetrySlack();
     while (!m_wakes.empty() && m_wakes.begin()->first <= now) {
         const auto found = m_pending.find(m_wakes.begin()->second);
         if (found->second.deadline > now) {
@@ -353,6 +381,25 @@
     return m_wakes.empty() ? std::nullopt : std::optional{m_wakes.begin()->first};
 }
 
+bool EntryHandler::mayMoveOn(const Pending &pending, const protocol::CallAnswer &answer, const SteadyTime now) const
+{
+    if (!m_movesFreely || answer.verdict != Verdict::notRun || answer.hasReachedServer || pending.deadline <= now || !answer.refusal.has_value()) {
+        return false;
+    }
+    // The request reached no backend server, so trying the next daemon is no retry: nothing multiplies down the chain.
+    // A daemon that is full is left once, since another may be nearly empty; when all are full, asking each is waste.
+    switch (answer.refusal->reason) {
+    case account::RefusalReason::draining:
+    case account::RefusalReason::noServer:
+    case account::RefusalReason::serverLost:
+        return pending.tried.size() < mostMoves;
+    case account::RefusalReason::overloadAtServer:
+        return pending.tried.size() < 2;
+    default:
+        return false;
+    }
+}
+
 bool EntryHandler::mayRetry(const Pending &pending, const protocol::CallAnswer &answer, const SteadyTime now)
 {
     if (pending.attemptsLeft <= 0 || pending.deadline <= now || !answer.refusal.has_value()) {
@@ -361,6 +408,10 @@
     if (answer.verdict == Verdict::mayHaveRun && !pending.idempotent) {
         return false;
     }
+    if (m_movesFreely && answer.verdict == Verdict::notRun && answer.hasReachedServer) {
+        // One server had no room in its queue; the gate of another one may know of some.
+        return m_ratio.take(pending.call.service);
+    }
     // A refusal for overload is not retried: it would add load where there is too much, and multiply with each hop.
     const account::RefusalReason reason = answer.refusal->reason;
     const bool isWorthIt =
--- a/src/egretlatch/decision/entry_handler.hpp
+++ b/src/egretlatch/decision/entry_handler.hpp
@@ -111,6 +111,26 @@
      */
     void tick(SteadyTime now);
 
+    /**
+     * @brief Sets how many repeats a service takes beyond its ratio, from all daemons together.
+     * @param slack Their number; each daemon uses its part.
+     */
+    void setRetrySlack(double slack) noexcept
+    {
+        m_retrySlack = slack;
+    }
+
+    /**
+     * @brief Counts only what reaches a backend server as an attempt.
+     *
+     * A call that a daemon refuses before its server got it then goes to another daemon at once, without a backoff and
+     * without being paid for: nothing multiplies down the chain, since nothing ran.
+     */
+    void moveFreely() noexcept
+    {
+        m_movesFreely = true;
+    }
+
     /*! @brief Refuses all new roots from now on; calls that are under way, and the inner calls of runs, go on. */
     void drain();
 
@@ -175,6 +195,9 @@
 
     using PendingMap = std::map<CallId, Pending>;
 
+    /*! @brief Daemons that one call is offered to at most while none of their servers gets it. */
+    static constexpr std::size_t mostMoves = 4;
+
     [[nodiscard]] std::optional<std::string> mistakeOf(const CallerCall &call, bool isInner) const;
     void answerMistake(ExchangeId exchange, const CallerCall &call, int status, std::string mistake);
     void admit(Pending pending, SteadyTime now);
@@ -182,6 +205,7 @@
     [[nodiscard]] std::optional<retry::RequestKey> keyOf(const Pending &pending, const std::optional<InnerContext> &inner) const;
     [[nodiscard]] retry::KeyLedger &ledgerOf(const Pending &pending);
     void tickGrants(SteadyTime now);
+    void shareRetrySlack();
     void own(Pending pending, const retry::RequestKey &key, SteadyTime now);
     void ownUnnamed(Pending pending, SteadyTime now);
     void answerFinding(Pending pending, const retry::KeyFinding &finding, SteadyTime now);
@@ -204,6 +228,7 @@
     void makeAttempt(Pending pending, SteadyTime now);
     void endAttempt(const Pending &pending, const routing::AttemptResult &result, const protocol::CallAnswer *answer, SteadyTime now);
     void noteAnswer(const Pending &pending, const protocol::CallAnswer &answer, SteadyTime now);
+    [[nodiscard]] bool mayMoveOn(const Pending &pending, const protocol::CallAnswer &answer, SteadyTime now) const;
     [[nodiscard]] bool mayRetry(const Pending &pending, const protocol::CallAnswer &answer, SteadyTime now);
     void finish(Pending pending, CallerAnswer answer, SteadyTime now);
     void finishRefused(Pending pending, account::Refusal refusal, SteadyTime now);
@@ -223,6 +248,9 @@
     SteadyTime m_lastGrants;
     retry::PreferredShards m_preferredShards;
     retry::RatioBudget m_ratio;
+    std::optional<double> m_retrySlack;
+    std::size_t m_daemons{};
+    bool m_movesFreely{};
     /*! @brief When each pending call is to be looked at: its next attempt, or its deadline. */
     std::set<std::pair<SteadyTime, CallId>> m_wakes;
     std::uint64_t m_lastCall{};
--- a/src/egretlatch/decision/entry_keys.cpp
+++ b/src/egretlatch/decision/entry_keys.cpp
@@ -339,11 +339,11 @@
     }
     m_lastGrants = now;
     m_preferredShards.update(m_surroundings.roster);
-    std::vector<platform::Request> requests = m_grants->tick(m_surroundings.clock.wallNow(), now, [this](const int shard) {
+    std::vector<store::Request> requests = m_grants->tick(m_surroundings.clock.wallNow(), now, [this](const int shard) {
         return m_preferredShards.contains(shard);
     });
-    for (platform::Request &request : requests) {
-        const platform::RequestId id = m_surroundings.askPlatform(request);
+    for (store::Request &request : requests) {
+        const store::RequestId id = m_surroundings.askPlatform(request);
         m_grants->noteAsked(id, request);
     }
 }
--- a/src/egretlatch/decision/event.hpp
+++ b/src/egretlatch/decision/event.hpp
@@ -14,8 +14,8 @@
 #include <egretlatch/core/header.hpp>
 #include <egretlatch/core/ids.hpp>
 #include <egretlatch/manifest/manifest.hpp>
-#include <egretlatch/platform/requests.hpp>
 #include <egretlatch/protocol/messages.hpp>
+#include <egretlatch/store/requests.hpp>
 
 namespace egretlatch::decision
 {
@@ -38,6 +38,10 @@
     std::optional<account::TraceContext> trace;
     /*! @brief Value of `Egretlatch-Call`: the run that makes this call; empty for a root. */
     std::string runToken;
+    /*! @brief What the caller calls this request, for logs and for telling whose inner call another one is; may be empty. */
+    std::string requestName;
+    /*! @brief Name of the request whose run seems to make this call; empty for none. A hint: if it leads to no run here, the call is a root. */
+    std::string parentName;
 
     friend bool operator==(const CallerCall &, const CallerCall &) = default;
 };
@@ -142,11 +146,18 @@
     std::shared_ptr<const manifest::Manifest> manifest;
 };
 
+/*! @brief Where operators submit, a configuration has been accepted. */
+struct ManifestAccepted
+{
+    std::uint64_t version{};
+    QByteArray document;
+};
+
 /*! @brief The platform answered, or did not in time. */
 struct PlatformAnswered
 {
-    platform::RequestId id;
-    platform::Outcome outcome;
+    store::RequestId id;
+    store::Outcome outcome;
 };
 
 /*! @brief Time passed. */
@@ -165,6 +176,7 @@
                            ServerDraining,
                            ServerLeft,
                            ManifestChanged,
+                           ManifestAccepted,
                            PlatformAnswered,
                            Tick>;
 
--- a/src/egretlatch/decision/serving_handler.cpp
+++ b/src/egretlatch/decision/serving_handler.cpp
@@ -39,10 +39,12 @@
         answer.refusal = surroundings.refuse(account::RefusalReason::serverLost, "the backend server took no connection");
         break;
     case RunFailure::rejected:
+        answer.hasReachedServer = true;
         answer.verdict = retry::verdictOf(retry::AttemptEnd::rejectedByServer);
         answer.refusal = surroundings.refuse(account::RefusalReason::overloadAtServer, "the backend server said that it did not start the request");
         break;
     case RunFailure::lost:
+        answer.hasReachedServer = true;
         answer.verdict = retry::verdictOf(retry::AttemptEnd::connectionLost);
         answer.refusal = surroundings.refuse(account::RefusalReason::serverLost, "the connection to the backend server was lost before it answered");
         break;
@@ -99,6 +101,9 @@
     attempt.attemptsLeft = request.attemptsLent;
     const admission::Ticket ticket = ticketOf(execution, attempt);
     m_byOrigin.emplace(origin, execution);
+    if (!attempt.request.requestName.empty()) {
+        m_byName.insert_or_assign(attempt.request.requestName, execution);
+    }
     m_attempts.emplace(execution, std::move(attempt));
     apply(m_gate->offer(ticket, now), now);
 }
@@ -173,6 +178,12 @@
     m_isDraining = true;
 }
 
+std::optional<InnerContext> ServingHandler::findRunNamed(const std::string &name) const
+{
+    const auto found = m_byName.find(name);
+    return found == m_byName.end() ? std::nullopt : findRun(tokenOf(found->second));
+}
+
 std::optional<InnerContext> ServingHandler::findRun(const std::string &token) const
 {
     const std::size_t dash = token.find('-');
@@ -293,6 +304,10 @@
     recordSpan(attempt, answer, now);
     const Origin origin = attempt.origin;
     m_byOrigin.erase(origin);
+    const auto named = m_byName.find(attempt.request.requestName);
+    if (named != m_byName.end() && named->second == execution) {
+        m_byName.erase(named);
+    }
     m_attempts.erase(found);
     send(origin, std::move(answer), now);
 }
--- a/src/egretlatch/decision/serving_handler.hpp
+++ b/src/egretlatch/decision/serving_handler.hpp
@@ -93,6 +93,13 @@
      */
     [[nodiscard]] std::optional<InnerContext> findRun(const std::string &token) const;
 
+    /**
+     * @brief Finds the run of a request by what its caller calls it.
+     * @param name The name.
+     * @return What an inner call of the run inherits, or nothing if no such run is running here.
+     */
+    [[nodiscard]] std::optional<InnerContext> findRunNamed(const std::string &name) const;
+
     /**
      * @brief Takes attempts for an inner call out of what its run was lent.
      * @param execution The run.
@@ -160,6 +167,7 @@
     std::unique_ptr<admission::Gate> m_gate;
     std::map<ExecutionId, Attempt> m_attempts;
     std::map<Origin, ExecutionId> m_byOrigin;
+    std::map<std::string, ExecutionId> m_byName;
     retry::CallWindow m_window;
     std::uint64_t m_lastExecution{};
     bool m_hasServer{};
--- a/src/egretlatch/decision/surroundings.cpp
+++ b/src/egretlatch/decision/surroundings.cpp
@@ -33,7 +33,7 @@
     actions.emplace_back(ManifestInForce{.version = version, .hash = configuration->hash()});
 }
 
-platform::RequestId Surroundings::askPlatform(platform::Request request)
+store::RequestId Surroundings::askPlatform(store::Request request)
 {
     ++lastPlatformRequest.value;
     actions.emplace_back(AskPlatform{.id = lastPlatformRequest, .request = std::move(request)});
--- a/src/egretlatch/decision/surroundings.hpp
+++ b/src/egretlatch/decision/surroundings.hpp
@@ -37,7 +37,7 @@
     SteadyTime born;
     /*! @brief What the event at hand has led to so far. */
     Actions actions;
-    platform::RequestId lastPlatformRequest;
+    store::RequestId lastPlatformRequest;
 
     /**
      * @brief Mints a refusal in the name of this daemon.
@@ -62,7 +62,7 @@
      * @param request What is asked.
      * @return The id that the answer will carry.
      */
-    [[nodiscard]] platform::RequestId askPlatform(platform::Request request);
+    [[nodiscard]] store::RequestId askPlatform(store::Request request);
 };
 
 } // namespace egretlatch::decision
--- /dev/null
+++ b/src/egretlatch/http/fwd.hpp
@@ -0,0 +1,21 @@
+#ifndef EGRETLATCH_HTTP_FWD_HPP
+#define EGRETLATCH_HTTP_FWD_HPP
+
+namespace egretlatch::http
+{
+
+struct Request;
+struct Response;
+struct RequestLimits;
+struct ServerLimits;
+enum class Failure;
+class RequestReader;
+class ResponseReader;
+class Server;
+class ServerConnection;
+class ClientConnection;
+class ClientPool;
+
+} // namespace egretlatch::http
+
+#endif
--- /dev/null
+++ b/src/egretlatch/http/server.cpp
@@ -0,0 +1,106 @@
+#include <egretlatch/http/server.hpp>
+
+namespace egretlatch::http
+{
+
+Server::Server(net::Poller &poller, const Clock &clock, RequestHandler onRequest, AbandonedHandler onAbandoned)
+    : m_poller{poller}
+    , m_clock{clock}
+    , m_onRequest{std::move(onRequest)}
+    , m_onAbandoned{std::move(onAbandoned)}
+    , m_acceptor{poller, [this](const int descriptor) {
+                     accept(descriptor);
+                 }}
+{
+}
+
+Result<void> Server::listen(const net::Endpoint &endpoint)
+{
+    return m_acceptor.listen(endpoint);
+}
+
+void Server::setLimits(const ServerLimits &limits)
+{
+    m_limits = limits;
+}
+
+void Server::answer(const ExchangeId exchange, const Response &response)
+{
+    const auto found = m_awaiting.find(exchange);
+    if (found == m_awaiting.end()) {
+        return;
+    }
+    ServerConnection *const connection = found->second;
+    m_awaiting.erase(found);
+    connection->answer(response);
+}
+
+void Server::retire()
+{
+    m_isRetiring = true;
+    for (const auto &[key, connection] : m_connections) {
+        connection->retire();
+    }
+}
+
+void Server::closeIdle()
+{
+    m_acceptor.stop();
+    std::vector<ServerConnection *> idle;
+    for (const auto &[key, connection] : m_connections) {
+        if (connection->isIdle()) {
+            idle.push_back(key);
+        }
+    }
+    for (ServerConnection *const connection : idle) {
+        connection->close();
+    }
+}
+
+void Server::tick()
+{
+    std::vector<ServerConnection *> all;
+    all.reserve(m_connections.size());
+    for (const auto &[key, connection] : m_connections) {
+        all.push_back(key);
+    }
+    for (ServerConnection *const connection : all) {
+        connection->checkTimes();
+    }
+    m_over.clear();
+}
+
+void Server::accept(const int descriptor)
+{
+    auto connection = std::make_unique<ServerConnection>(m_poller, *this, descriptor, m_limits, m_clock);
+    if (m_isRetiring) {
+        connection->retire();
+    }
+    ServerConnection *const key = connection.get();
+    m_connections.emplace(key, std::move(connection));
+}
+
+void Server::onRequest(ServerConnection &connection, Request request)
+{
+    ++m_lastExchange.value;
+    connection.exchange = m_lastExchange;
+    m_awaiting.emplace(m_lastExchange, &connection);
+    m_onRequest(m_lastExchange, std::move(request));
+}
+
+void Server::onAbandoned(ServerConnection &connection)
+{
+    m_awaiting.erase(connection.exchange);
+    m_onAbandoned(connection.exchange);
+}
+
+void Server::onClosed(ServerConnection &connection)
+{
+    const auto found = m_connections.find(&connection);
+    if (found != m_connections.end()) {
+        m_over.push_back(std::move(found->second));
+        m_connections.erase(found);
+    }
+}
+
+} // namespace egretlatch::http
--- a/src/egretlatch/manifest/kind_spec.hpp
+++ b/src/egretlatch/manifest/kind_spec.hpp
@@ -31,6 +31,8 @@
     bool idempotent{true};
     /*! @brief Time from arrival to answer where the caller names none. */
     std::chrono::milliseconds deadline{1000};
+    /*! @brief Time within which an answer is worth all that it can be. */
+    std::chrono::milliseconds answerTarget{1000};
     /*! @brief Time that one run holds a slot of the backend server, as declared; observation overrules it. */
     std::chrono::milliseconds cost{10};
     /*! @brief Attempts over the whole tree of a root of this kind beyond the first of each call. */
--- a/src/egretlatch/manifest/manifest.cpp
+++ b/src/egretlatch/manifest/manifest.cpp
@@ -1,10 +1,28 @@
 #include <egretlatch/manifest/manifest.hpp>
 
 #include <algorithm>
+#include <cctype>
 
 namespace egretlatch::manifest
 {
 
+namespace internal
+{
+
+[[nodiscard]] static std::string placeKey(const std::string_view host, const std::string_view prefix)
+{
+    std::string key;
+    key.reserve(host.size() + 1 + prefix.size());
+    for (const char letter : host.substr(0, host.find(':'))) {
+        key.push_back(static_cast<char>(std::tolower(static_cast<unsigned char>(letter))));
+    }
+    key.push_back(' ');
+    key.append(prefix);
+    return key;
+}
+
+} // namespace internal
+
 const ServiceSpec *Manifest::findService(const std::string_view service) const noexcept
 {
     const auto found = std::find_if(m_services.begin(), m_services.end(), [service](const ServiceSpec &candidate) {
@@ -25,12 +43,41 @@
     return found == spec->kinds.end() ? nullptr : &*found;
 }
 
+const RouteSpec *Manifest::findRoute(const std::string_view host, const std::string_view path) const
+{
+    // Prefixes end with a slash, so only the places of slashes can end one; the last is tried first.
+    std::size_t slash = path.rfind('/');
+    while (slash != std::string_view::npos) {
+        const auto found = m_routePlaces.find(internal::placeKey(host, path.substr(0, slash + 1)));
+        if (found != m_routePlaces.end()) {
+            return &m_routes[found->second];
+        }
+        if (slash == 0) {
+            break;
+        }
+        slash = path.rfind('/', slash - 1);
+    }
+    return nullptr;
+}
+
 ManifestBuilder &ManifestBuilder::addService(ServiceSpec service)
 {
     m_services.push_back(std::move(service));
     return *this;
 }
 
+ManifestBuilder &ManifestBuilder::addRoute(RouteSpec route)
+{
+    m_routes.push_back(std::move(route));
+    return *this;
+}
+
+ManifestBuilder &ManifestBuilder::setCallerLimits(const CallerLimits &limits)
+{
+    m_callerLimits = limits;
+    return *this;
+}
+
 ManifestBuilder &ManifestBuilder::setHash(std::string hash)
 {
     m_hash = std::move(hash);
@@ -41,6 +88,11 @@
 {
     Manifest manifest;
     manifest.m_services = m_services;
+    manifest.m_routes = m_routes;
+    for (std::size_t place = 0; place < m_routes.size(); ++place) {
+        manifest.m_routePlaces.emplace(internal::placeKey(m_routes[place].host, m_routes[place].prefix), place);
+    }
+    manifest.m_callerLimits = m_callerLimits;
     manifest.m_hash = m_hash;
     return std::make_shared<const Manifest>(std::move(manifest));
 }
--- a/src/egretlatch/manifest/manifest.hpp
+++ b/src/egretlatch/manifest/manifest.hpp
@@ -5,12 +5,14 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include <QByteArray>
 
 #include <tl/expected.hpp>
 
+#include <egretlatch/manifest/route_spec.hpp>
 #include <egretlatch/manifest/service_spec.hpp>
 #include <egretlatch/settings/problem.hpp>
 
@@ -54,6 +56,24 @@
         return m_hash;
     }
 
+    [[nodiscard]] const std::vector<RouteSpec> &routes() const noexcept
+    {
+        return m_routes;
+    }
+
+    /**
+     * @brief Finds the route of a plain HTTP request.
+     * @param host Value of its `Host`, with or without a port, in any case.
+     * @param path Its path, without a query.
+     * @return Of the host's routes the one with the longest prefix that begins the path, or null.
+     */
+    [[nodiscard]] const RouteSpec *findRoute(std::string_view host, std::string_view path) const;
+
+    [[nodiscard]] const CallerLimits &callerLimits() const noexcept
+    {
+        return m_callerLimits;
+    }
+
     friend bool operator==(const Manifest &, const Manifest &) = default;
 
 private:
@@ -61,6 +81,10 @@
     Manifest() = default;
 
     std::vector<ServiceSpec> m_services;
+    std::vector<RouteSpec> m_routes;
+    /*! @brief Place in m_routes by host and prefix; with many routes a walk over all would cost each request its time. */
+    std::unordered_map<std::string, std::size_t> m_routePlaces;
+    CallerLimits m_callerLimits;
     std::string m_hash;
 };
 
@@ -75,6 +99,20 @@
      */
     ManifestBuilder &addService(ServiceSpec service);
 
+    /**
+     * @brief Adds a route.
+     * @param route The route; of two with the same host and prefix the first counts.
+     * @return This builder.
+     */
+    ManifestBuilder &addRoute(RouteSpec route);
+
+    /**
+     * @brief Sets what callers of routes may send.
+     * @param limits The limits.
+     * @return This builder.
+     */
+    ManifestBuilder &setCallerLimits(const CallerLimits &limits);
+
     /**
      * @brief Sets the hash of the document.
      * @param hash Its contentHash().
@@ -90,6 +128,8 @@
 
 private:
     std::vector<ServiceSpec> m_services;
+    std::vector<RouteSpec> m_routes;
+    CallerLimits m_callerLimits;
     std::string m_hash;
 };
 
--- a/src/egretlatch/manifest/parse_manifest.cpp
+++ b/src/egretlatch/manifest/parse_manifest.cpp
@@ -1,5 +1,6 @@
 #include <egretlatch/manifest/manifest.hpp>
 
+#include <algorithm>
 #include <set>
 
 #include <fmt/format.h>
@@ -27,6 +28,10 @@
 constexpr Range<std::int64_t> slotsRange{.least = 1, .most = 10'000};
 constexpr Range<std::int64_t> connectionsRange{.least = 1, .most = 100'000};
 constexpr Range<std::int64_t> queueTargetRange{.least = 1, .most = 60'000};
+constexpr Range<std::int64_t> weightRange{.least = 0, .most = 1'000'000};
+constexpr Range<std::int64_t> headerBytesRange{.least = 256, .most = 1024 * 1024};
+constexpr Range<std::int64_t> bodyBytesRange{.least = 0, .most = 1024LL * 1024 * 1024};
+constexpr Range<std::int64_t> timeoutRange{.least = 1, .most = 3'600'000};
 constexpr Range<double> retryRatioRange{.least = 0.0, .most = 1.0};
 
 [[nodiscard]] static InnerCall readCall(const QJsonValue &value, const std::string &pointer, Problems &problems)
@@ -51,6 +56,7 @@
     kind.idempotent = reader.flag("idempotent");
     kind.deadline = reader.milliseconds("deadlineMs", deadlineRange, defaults.deadline.count());
     kind.cost = reader.milliseconds("costMs", costRange, defaults.cost.count());
+    kind.answerTarget = reader.milliseconds("answerTargetMs", deadlineRange, kind.deadline.count());
     kind.retryBudget = static_cast<int>(reader.integer("retryBudget", retryBudgetRange, defaults.retryBudget));
     reader.list("calls", false, [&](const QJsonValue &element, const std::string &elementPointer) {
         kind.calls.push_back(readCall(element, elementPointer, problems));
@@ -83,6 +89,68 @@
     return service;
 }
 
+[[nodiscard]] static RouteTarget readTarget(const QJsonValue &value, const std::string &pointer, Problems &problems)
+{
+    JsonObjectReader reader{value, pointer, problems};
+    RouteTarget target;
+    target.service = reader.text("service");
+    target.weight = static_cast<int>(reader.integer("weight", weightRange, 1));
+    reader.finish();
+    return target;
+}
+
+[[nodiscard]] static RouteSpec readRoute(const QJsonValue &value, const std::string &pointer, Problems &problems)
+{
+    JsonObjectReader reader{value, pointer, problems};
+    RouteSpec route;
+    route.name = reader.text("name");
+    route.host = reader.text("host");
+    route.prefix = reader.text("prefix");
+    route.kind = reader.text("kind");
+    if (!route.prefix.starts_with('/') || !route.prefix.ends_with('/')) {
+        reader.report("prefix", "\"" + route.prefix + "\"", "a path that begins and ends with a slash");
+    }
+    reader.list("targets", true, [&](const QJsonValue &element, const std::string &elementPointer) {
+        route.targets.push_back(readTarget(element, elementPointer, problems));
+    });
+    const bool hasWeight = std::any_of(route.targets.begin(), route.targets.end(), [](const RouteTarget &target) {
+        return target.weight > 0;
+    });
+    if (!hasWeight) {
+        reader.report("targets", "no target with a weight", "at least one service with a weight above zero");
+    }
+    reader.finish();
+    return route;
+}
+
+// A target that does not declare the route's kind would refuse what the route sends it.
+static void checkTargets(const Manifest &manifest, Problems &problems)
+{
+    for (std::size_t place = 0; place < manifest.routes().size(); ++place) {
+        const RouteSpec &route = manifest.routes()[place];
+        for (const RouteTarget &target : route.targets) {
+            if (manifest.findKind(target.service, route.kind) == nullptr) {
+                problems.push_back({.pointer = fmt::format("/routes/{}/targets", place),
+                                    .found = fmt::format("{}/{}, which is not declared", target.service, route.kind),
+                                    .allowed = "services that declare the kind of the route"});
+            }
+        }
+    }
+}
+
+[[nodiscard]] static CallerLimits readCallerLimits(const QJsonValue &value, const std::string &pointer, Problems &problems)
+{
+    const CallerLimits defaults;
+    JsonObjectReader reader{value, pointer, problems};
+    CallerLimits limits;
+    limits.headerBytes = static_cast<std::uint32_t>(reader.integer("headerBytes", headerBytesRange, defaults.headerBytes));
+    limits.bodyBytes = static_cast<std::uint64_t>(reader.integer("bodyBytes", bodyBytesRange, static_cast<std::int64_t>(defaults.bodyBytes)));
+    limits.headerTimeout = reader.milliseconds("headerTimeoutMs", timeoutRange, defaults.headerTimeout.count());
+    limits.idleTimeout = reader.milliseconds("idleTimeoutMs", timeoutRange, defaults.idleTimeout.count());
+    reader.finish();
+    return limits;
+}
+
 } // namespace internal
 
 tl::expected<ParsedManifest, settings::Problems> parseManifest(const QByteArray &json)
@@ -102,10 +170,17 @@
         }
         builder.addService(std::move(service));
     });
+    reader.list("routes", false, [&](const QJsonValue &element, const std::string &pointer) {
+        builder.addRoute(internal::readRoute(element, pointer, problems));
+    });
+    if (const std::optional<QJsonValue> limits = reader.member("callerLimits")) {
+        builder.setCallerLimits(internal::readCallerLimits(*limits, reader.pointerTo("callerLimits"), problems));
+    }
     reader.finish();
     builder.setHash(contentHash(json));
     std::shared_ptr<const Manifest> manifest = builder.build();
     const settings::Problems graphProblems = checkCallGraph(*manifest);
+    internal::checkTargets(*manifest, problems);
     problems.insert(problems.end(), graphProblems.begin(), graphProblems.end());
     if (settings::hasError(problems)) {
         return tl::unexpected{problems};
--- a/src/egretlatch/membership/contact_book.cpp
+++ b/src/egretlatch/membership/contact_book.cpp
@@ -11,7 +11,10 @@
 
 constexpr std::uint64_t contactRows = 16;
 constexpr std::chrono::seconds turnInterval{60};
+// A daemon without others reads again this often at first, and twice as rarely each time, up to the last.
+constexpr std::chrono::milliseconds firstLonelyInterval{1000};
 constexpr std::chrono::seconds lonelyInterval{10};
+constexpr std::chrono::milliseconds firstTurnAlone{300};
 constexpr const char *rowPrefix = "contact/";
 constexpr char separator = '\n';
 
@@ -20,18 +23,21 @@
 ContactBook::ContactBook(Contact self, RandomSource &random)
     : m_self{std::move(self)}
     , m_random{random}
+    , m_readBackoff{internal::firstLonelyInterval, internal::lonelyInterval}
 {
 }
 
-std::optional<platform::Request> ContactBook::tick(const std::size_t others, const SteadyTime now)
+std::optional<store::Request> ContactBook::tick(const std::size_t others, const SteadyTime now)
 {
     if (!m_nextTurn.has_value()) {
-        // The first turn comes early, so that a small fleet that starts soon has its rows.
-        m_nextTurn = now + std::chrono::duration_cast<Duration>(internal::lonelyInterval * m_random.fraction());
+        // The first turn comes early, so that a small fleet that starts soon has its rows. One that is alone may be the
+        // first of a fleet that starts all at once, and the others wait for its row.
+        const Duration latest = others == 0 ? Duration{internal::firstTurnAlone} : Duration{internal::lonelyInterval};
+        m_nextTurn = now + Duration{static_cast<Duration::rep>(static_cast<double>(latest.count()) * m_random.fraction())};
     }
     if (now >= m_nextRead && others == 0) {
-        m_nextRead = now + std::chrono::duration_cast<Duration>(internal::lonelyInterval * (0.5 + m_random.fraction()));
-        return platform::TableScan{.prefix = internal::rowPrefix, .after = {}, .limit = static_cast<int>(internal::contactRows)};
+        m_nextRead = now + m_readBackoff.next(m_random);
+        return store::TableScan{.prefix = internal::rowPrefix, .after = {}, .limit = static_cast<int>(internal::contactRows)};
     }
     if (now < *m_nextTurn) {
         return std::nullopt;
@@ -41,14 +47,14 @@
     return isChosen ? std::optional{writeRequest()} : std::nullopt;
 }
 
-std::vector<Contact> ContactBook::handleOutcome(const platform::Outcome &outcome) const
+std::vector<Contact> ContactBook::handleOutcome(const store::Outcome &outcome) const
 {
     std::vector<Contact> contacts;
-    const auto *const found = outcome.has_value() ? std::get_if<platform::RowsReply>(&*outcome) : nullptr;
+    const auto *const found = outcome.has_value() ? std::get_if<store::RowsReply>(&*outcome) : nullptr;
     if (found == nullptr) {
         return contacts;
     }
-    for (const platform::Row &row : found->rows) {
+    for (const store::Row &row : found->rows) {
         const std::size_t middle = row.value.find(internal::separator);
         if (middle == std::string::npos) {
             continue;
@@ -61,11 +67,11 @@
     return contacts;
 }
 
-platform::Request ContactBook::writeRequest() const
+store::Request ContactBook::writeRequest() const
 {
     const std::uint64_t slot = XXH64(m_self.id.value.data(), m_self.id.value.size(), 0) % internal::contactRows;
     const std::string value = m_self.id.value + internal::separator + m_self.endpoint;
-    return platform::TableWrite{.conditions = {}, .writes = {{.key = fmt::format("{}{:02}", internal::rowPrefix, slot), .value = value}}};
+    return store::TableWrite{.conditions = {}, .writes = {{.key = fmt::format("{}{:02}", internal::rowPrefix, slot), .value = value}}};
 }
 
 } // namespace egretlatch::membership
--- a/src/egretlatch/membership/contact_book.hpp
+++ b/src/egretlatch/membership/contact_book.hpp
@@ -7,7 +7,8 @@
 #include <egretlatch/core/clock.hpp>
 #include <egretlatch/core/random_source.hpp>
 #include <egretlatch/membership/member.hpp>
-#include <egretlatch/platform/requests.hpp>
+#include <egretlatch/store/backoff.hpp>
+#include <egretlatch/store/requests.hpp>
 
 namespace egretlatch::membership
 {
@@ -34,20 +35,21 @@
      * @param now Current time.
      * @return What to ask the platform, if anything; its outcome goes to handleOutcome().
      */
-    [[nodiscard]] std::optional<platform::Request> tick(std::size_t others, SteadyTime now);
+    [[nodiscard]] std::optional<store::Request> tick(std::size_t others, SteadyTime now);
 
     /**
      * @brief Takes what the platform answered.
      * @param outcome The rows, or why there are none; a failure is tried again in time.
      * @return The daemons of the rows, without this one.
      */
-    [[nodiscard]] std::vector<Contact> handleOutcome(const platform::Outcome &outcome) const;
+    [[nodiscard]] std::vector<Contact> handleOutcome(const store::Outcome &outcome) const;
 
 private:
-    [[nodiscard]] platform::Request writeRequest() const;
+    [[nodiscard]] store::Request writeRequest() const;
 
     Contact m_self;
     RandomSource &m_random;
+    store::Backoff m_readBackoff;
     SteadyTime m_nextRead;
     std::optional<SteadyTime> m_nextTurn;
 };
--- /dev/null
+++ b/src/egretlatch/net/endpoint.hpp
@@ -0,0 +1,34 @@
+#ifndef EGRETLATCH_NET_ENDPOINT_HPP
+#define EGRETLATCH_NET_ENDPOINT_HPP
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace egretlatch::net
+{
+
+/*! @brief An IPv4 number and a port. */
+struct Endpoint
+{
+    /*! @brief In dotted form. */
+    std::string address;
+    std::uint16_t port{};
+
+    /**
+     * @brief Reads the form `ADDRESS:PORT`.
+     * @param text The text.
+     * @return The endpoint, or nothing if it has another form.
+     */
+    [[nodiscard]] static std::optional<Endpoint> parse(std::string_view text);
+
+    [[nodiscard]] std::string text() const;
+
+    friend auto operator<=>(const Endpoint &, const Endpoint &) = default;
+};
+
+} // namespace egretlatch::net
+
+#endif
--- /dev/null
+++ b/src/egretlatch/net/fwd.hpp
@@ -0,0 +1,16 @@
+#ifndef EGRETLATCH_NET_FWD_HPP
+#define EGRETLATCH_NET_FWD_HPP
+
+namespace egretlatch::net
+{
+
+enum class StreamEnd;
+struct Endpoint;
+class StreamListener;
+class Poller;
+class TcpStream;
+class TcpAcceptor;
+
+} // namespace egretlatch::net
+
+#endif
--- /dev/null
+++ b/src/egretlatch/net/tcp_acceptor.cpp
@@ -0,0 +1,79 @@
+#include <egretlatch/net/tcp_acceptor.hpp>
+
+#include <cerrno>
+#include <cstring>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <fmt/format.h>
+
+namespace egretlatch::net
+{
+
+namespace internal
+{
+
+// Connections that wait to be accepted. A full queue drops the opening packet, which comes again after seconds.
+constexpr int backlog = 1024;
+// Accepted in one go, so that a flood of connections leaves the others their turn.
+constexpr int acceptBatch = 32;
+
+} // namespace internal
+
+TcpAcceptor::TcpAcceptor(Poller &poller, Handler handler)
+    : m_poller{poller}
+    , m_handler{std::move(handler)}
+{
+}
+
+TcpAcceptor::~TcpAcceptor()
+{
+    stop();
+}
+
+Result<void> TcpAcceptor::listen(const Endpoint &endpoint)
+{
+    m_descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(m_descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
+    const bool isBound = ::bind(m_descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0;
+    if (!isBound || ::listen(m_descriptor, internal::backlog) != 0) {
+        const std::string message = fmt::format("cannot listen at {}: {}", endpoint.text(), std::strerror(errno));
+        ::close(m_descriptor);
+        m_descriptor = -1;
+        return tl::unexpected{Error{ErrorCode::unavailable, message}};
+    }
+    m_poller.add(m_descriptor, {.read = true}, [this](std::uint32_t /*events*/) {
+        acceptAvailable();
+    });
+    return {};
+}
+
+void TcpAcceptor::stop()
+{
+    if (m_descriptor >= 0) {
+        m_poller.remove(m_descriptor);
+        ::close(m_descriptor);
+        m_descriptor = -1;
+    }
+}
+
+void TcpAcceptor::acceptAvailable()
+{
+    for (int count = 0; count < internal::acceptBatch && m_descriptor >= 0; ++count) {
+        const int accepted = ::accept4(m_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (accepted < 0) {
+            return;
+        }
+        m_handler(accepted);
+    }
+}
+
+} // namespace egretlatch::net
--- /dev/null
+++ b/src/egretlatch/net/tcp_stream.cpp
@@ -0,0 +1,208 @@
+#include <egretlatch/net/tcp_stream.hpp>
+
+#include <array>
+#include <cerrno>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace egretlatch::net
+{
+
+namespace internal
+{
+
+constexpr std::size_t readSize = 65536;
+// Bytes that nobody acknowledges for this long end the connection: a VM that lost its power, or a network that is cut,
+// sends no reset, and the connection would hang for minutes. Longer than a second of lost packets with their resends.
+constexpr unsigned unacknowledgedMs = 3000;
+// A caller that reads slowly holds its window shut, which counts as unacknowledged too, so callers have longer.
+constexpr unsigned unacknowledgedByCallerMs = 15'000;
+
+static void prepare(const int descriptor, const unsigned limitMs)
+{
+    const int on = 1;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &limitMs, sizeof limitMs);
+}
+
+} // namespace internal
+
+TcpStream::TcpStream(Poller &poller, StreamListener &listener)
+    : m_poller{poller}
+    , m_listener{listener}
+{
+}
+
+TcpStream::~TcpStream()
+{
+    close();
+}
+
+bool TcpStream::open(const Endpoint &endpoint)
+{
+    m_descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (m_descriptor < 0) {
+        return false;
+    }
+    internal::prepare(m_descriptor, internal::unacknowledgedMs);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
+    const int result = ::connect(m_descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address);
+    if (result != 0 && errno != EINPROGRESS) {
+        ::close(m_descriptor);
+        m_descriptor = -1;
+        return false;
+    }
+    m_isConnecting = true;
+    watch();
+    return true;
+}
+
+void TcpStream::adopt(const int descriptor)
+{
+    m_descriptor = descriptor;
+    internal::prepare(m_descriptor, internal::unacknowledgedByCallerMs);
+    watch();
+}
+
+void TcpStream::watch()
+{
+    m_interest = {.read = !m_isConnecting, .write = m_isConnecting};
+    m_poller.add(m_descriptor, m_interest, [this](const std::uint32_t events) {
+        take(events);
+    });
+}
+
+void TcpStream::write(const QByteArray &bytes)
+{
+    if (m_descriptor < 0 || m_hasEnded) {
+        return;
+    }
+    m_unsent.append(bytes);
+    if (!m_isConnecting) {
+        flush();
+    }
+}
+
+void TcpStream::setReading(const bool isReading)
+{
+    m_isReading = isReading;
+    updateInterest();
+}
+
+void TcpStream::finishWriting()
+{
+    m_mustFinish = true;
+    if (m_descriptor >= 0 && m_unsent.isEmpty()) {
+        ::shutdown(m_descriptor, SHUT_WR);
+    }
+}
+
+void TcpStream::close()
+{
+    if (m_descriptor < 0) {
+        return;
+    }
+    m_poller.remove(m_descriptor);
+    ::close(m_descriptor);
+    m_descriptor = -1;
+    m_unsent.clear();
+}
+
+void TcpStream::take(const std::uint32_t events)
+{
+    if (m_isConnecting) {
+        finishConnecting();
+        return;
+    }
+    if ((events & EPOLLOUT) != 0U) {
+        flush();
+    }
+    if (m_descriptor >= 0 && (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0U) {
+        readAvailable();
+    }
+}
+
+void TcpStream::finishConnecting()
+{
+    int error = 0;
+    socklen_t size = sizeof error;
+    getsockopt(m_descriptor, SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) {
+        end(StreamEnd::neverOpened);
+        return;
+    }
+    m_isConnecting = false;
+    updateInterest();
+    m_listener.onOpen();
+    if (m_descriptor >= 0) {
+        flush();
+    }
+}
+
+void TcpStream::readAvailable()
+{
+    static thread_local std::array<char, internal::readSize> buffer;
+    const ssize_t count = ::recv(m_descriptor, buffer.data(), buffer.size(), 0);
+    if (count > 0) {
+        m_listener.onBytes(QByteArray{buffer.data(), static_cast<qsizetype>(count)});
+        return;
+    }
+    if (count == 0) {
+        end(StreamEnd::finished);
+        return;
+    }
+    if (errno != EAGAIN && errno != EINTR) {
+        end(StreamEnd::broken);
+    }
+}
+
+void TcpStream::flush()
+{
+    while (!m_unsent.isEmpty()) {
+        const ssize_t count = ::send(m_descriptor, m_unsent.constData(), static_cast<std::size_t>(m_unsent.size()), MSG_NOSIGNAL);
+        if (count < 0) {
+            // A broken connection is told of by the read side, which also delivers what came before the break.
+            if (errno != EAGAIN && errno != EINTR) {
+                m_unsent.clear();
+            }
+            break;
+        }
+        m_unsent.remove(0, static_cast<qsizetype>(count));
+    }
+    if (m_unsent.isEmpty() && m_mustFinish) {
+        ::shutdown(m_descriptor, SHUT_WR);
+    }
+    updateInterest();
+}
+
+void TcpStream::updateInterest()
+{
+    if (m_descriptor < 0 || m_isConnecting || m_hasEnded) {
+        return;
+    }
+    const Poller::Interest interest{.read = m_isReading, .write = !m_unsent.isEmpty()};
+    if (interest.read != m_interest.read || interest.write != m_interest.write) {
+        m_interest = interest;
+        m_poller.change(m_descriptor, interest);
+    }
+}
+
+void TcpStream::end(const StreamEnd how)
+{
+    m_hasEnded = true;
+    // The descriptor stays until close(), but nothing more is to be heard of it.
+    m_poller.remove(m_descriptor);
+    ::close(m_descriptor);
+    m_descriptor = -1;
+    m_listener.onEnd(how);
+}
+
+} // namespace egretlatch::net
--- /dev/null
+++ b/src/egretlatch/platform/configuration_document.cpp
@@ -0,0 +1,169 @@
+#include <egretlatch/platform/configuration_document.hpp>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <fmt/format.h>
+
+#include <egretlatch/platform/duration_text.hpp>
+
+namespace egretlatch::platform
+{
+
+namespace internal
+{
+
+constexpr int lowestRank = 9;
+constexpr int hexadecimal = 16;
+// What a route is given that does not say: waits as long as any deadline that has been seen.
+constexpr std::chrono::milliseconds defaultTimeout{10'000};
+constexpr int defaultConnections = 100;
+
+struct Services
+{
+    /*! @brief By name. */
+    std::map<QString, QJsonObject> services;
+    std::map<QString, QJsonArray> kinds;
+};
+
+[[nodiscard]] static QJsonValue field(const QJsonObject &object, const char *const name)
+{
+    return object[QLatin1String{name}];
+}
+
+[[nodiscard]] static std::chrono::milliseconds durationOf(const QJsonValue &value, const std::chrono::milliseconds fallback)
+{
+    const auto read = parseDuration(value.toString().toStdString());
+    return std::max(read.value_or(fallback), std::chrono::milliseconds{1});
+}
+
+[[nodiscard]] static QJsonArray targetsOf(const QJsonObject &spec)
+{
+    QJsonArray targets;
+    std::set<QString> names;
+    for (const QJsonValue &value : field(spec, "weighted_services").toArray()) {
+        const QString service = field(value.toObject(), "service").toString();
+        if (!service.isEmpty() && names.insert(service).second) {
+            targets.append(QJsonObject{{QLatin1String{"service"}, service}, {QLatin1String{"weight"}, field(value.toObject(), "weight").toInt(1)}});
+        }
+    }
+    const QString only = field(spec, "service").toString();
+    if (targets.isEmpty() && !only.isEmpty()) {
+        targets.append(QJsonObject{{QLatin1String{"service"}, only}, {QLatin1String{"weight"}, 1}});
+    }
+    return targets;
+}
+
+[[nodiscard]] static QJsonObject kindOf(const QString &name, const QJsonObject &spec)
+{
+    const QString kind = field(spec, "kind").toString();
+    // An unknown kind counts as one that may not be repeated: that is the promise that holds for any.
+    const bool isIdempotent = kind == QLatin1String{"idempotent"} || kind == QLatin1String{"download"};
+    const std::chrono::milliseconds timeout = durationOf(field(spec, "timeout"), defaultTimeout);
+    const std::chrono::milliseconds target = durationOf(field(spec, "target_latency"), timeout);
+    return {
+        {QLatin1String{"name"}, name},
+        {QLatin1String{"priority"}, lowestRank - std::clamp(field(spec, "priority").toInt(lowestRank), 0, lowestRank)},
+        {QLatin1String{"worth"}, 1.0},
+        {QLatin1String{"idempotent"}, isIdempotent},
+        {QLatin1String{"deadlineMs"}, static_cast<qint64>(timeout.count())},
+        {QLatin1String{"answerTargetMs"}, static_cast<qint64>(target.count())},
+        {QLatin1String{"retryBudget"}, std::clamp(field(spec, "max_attempts").toInt(1) - 1, 0, hexadecimal)},
+    };
+}
+
+static void addService(Services &services, const QString &name, const QJsonObject &spec, const double retryRatio)
+{
+    const int connections = std::max(field(spec, "max_connections").toInt(defaultConnections), 1);
+    services.services[name] = {
+        {QLatin1String{"name"}, name},
+        // How many it runs at a time is told by each backend server itself.
+        {QLatin1String{"slots"}, 1},
+        {QLatin1String{"connections"}, connections},
+        {QLatin1String{"retryRatio"}, retryRatio},
+    };
+}
+
+[[nodiscard]] static QJsonObject routeOf(const QString &name, const QJsonObject &spec, const QJsonArray &targets)
+{
+    return {
+        {QLatin1String{"name"}, name},
+        {QLatin1String{"host"}, field(spec, "host").toString().toLower()},
+        {QLatin1String{"prefix"}, field(spec, "prefix").toString()},
+        {QLatin1String{"kind"}, name},
+        {QLatin1String{"targets"}, targets},
+    };
+}
+
+[[nodiscard]] static QJsonObject limitsOf(const QJsonObject &spec)
+{
+    QJsonObject limits;
+    const QJsonValue headerBytes = field(spec, "max_header_bytes");
+    const QJsonValue bodyBytes = field(spec, "max_body_bytes");
+    if (headerBytes.isDouble()) {
+        limits.insert(QLatin1String{"headerBytes"}, headerBytes);
+    }
+    if (bodyBytes.isDouble()) {
+        limits.insert(QLatin1String{"bodyBytes"}, bodyBytes);
+    }
+    if (const auto header = parseDuration(field(spec, "header_timeout").toString().toStdString())) {
+        limits.insert(QLatin1String{"headerTimeoutMs"}, static_cast<qint64>(header->count()));
+    }
+    if (const auto idle = parseDuration(field(spec, "idle_timeout").toString().toStdString())) {
+        limits.insert(QLatin1String{"idleTimeoutMs"}, static_cast<qint64>(idle->count()));
+    }
+    return limits;
+}
+
+} // namespace internal
+
+Result<AcceptedConfiguration> readConfiguration(const QByteArray &document, const double retryRatio)
+{
+    const QJsonObject root = QJsonDocument::fromJson(document).object();
+    bool isNumber = false;
+    const std::uint64_t version = internal::field(root, "version").toString().toULongLong(&isNumber, internal::hexadecimal);
+    if (!isNumber || version == 0 || !internal::field(root, "resources").isArray()) {
+        return tl::unexpected{Error{ErrorCode::malformed, "a configuration without a version or resources"}};
+    }
+    internal::Services services;
+    QJsonArray routes;
+    QJsonObject limits;
+    const QJsonArray resources = internal::field(root, "resources").toArray();
+    for (const QJsonValue &value : resources) {
+        const QString type = internal::field(value.toObject(), "resource_type").toString();
+        const QString name = internal::field(internal::field(value.toObject(), "metadata").toObject(), "name").toString();
+        const QJsonObject spec = internal::field(value.toObject(), "spec").toObject();
+        if (type == QLatin1String{"services"}) {
+            internal::addService(services, name, spec, retryRatio);
+        } else if (type == QLatin1String{"limits"}) {
+            limits = internal::limitsOf(spec);
+        } else if (type == QLatin1String{"routes"}) {
+            const QJsonArray targets = internal::targetsOf(spec);
+            routes.append(internal::routeOf(name, spec, targets));
+            for (const QJsonValue &target : targets) {
+                services.kinds[internal::field(target.toObject(), "service").toString()].append(internal::kindOf(name, spec));
+            }
+        }
+    }
+    QJsonArray list;
+    for (const auto &[name, kinds] : services.kinds) {
+        if (!services.services.contains(name)) {
+            internal::addService(services, name, {}, retryRatio);
+        }
+    }
+    for (auto &[name, service] : services.services) {
+        service.insert(QLatin1String{"kinds"}, services.kinds[name]);
+        list.append(service);
+    }
+    const QJsonObject manifest{{QLatin1String{"services"}, list}, {QLatin1String{"routes"}, routes}, {QLatin1String{"callerLimits"}, limits}};
+    return AcceptedConfiguration{.version = version, .manifest = QJsonDocument{manifest}.toJson(QJsonDocument::Compact)};
+}
+
+} // namespace egretlatch::platform
--- a/src/egretlatch/platform/fwd.hpp
+++ b/src/egretlatch/platform/fwd.hpp
@@ -4,19 +4,12 @@
 namespace egretlatch::platform
 {
 
-struct Row;
-struct TableRead;
-struct TableScan;
-struct RowCondition;
-struct RowWrite;
-struct TableWrite;
-struct ObjectPut;
-struct ObjectGet;
-struct ObjectList;
-struct HttpRequest;
-class Backoff;
-class IdentifiedWrite;
-class RateCap;
+struct CallerRequest;
+struct ConfigurationRow;
+struct FeedPage;
+struct Bounds;
+struct ServerReport;
+enum class ServerReportState;
 
 } // namespace egretlatch::platform
 
--- /dev/null
+++ b/src/egretlatch/platform/server_wire.cpp
@@ -0,0 +1,72 @@
+#include <egretlatch/platform/server_wire.hpp>
+
+#include <algorithm>
+#include <array>
+
+#include <egretlatch/platform/names.hpp>
+
+namespace egretlatch::platform
+{
+
+namespace internal
+{
+
+constexpr int firstSuccess = 200;
+constexpr int firstRedirect = 300;
+// Statuses that promise callers that the request has not run and never will.
+constexpr std::array<int, 4> promises{408, 421, 429, 503};
+
+[[nodiscard]] static bool isPromise(const int status)
+{
+    return std::find(promises.begin(), promises.end(), status) != promises.end();
+}
+
+} // namespace internal
+
+http::Request writeRun(const decision::RunRequest &run, const std::string &instance)
+{
+    http::Request request;
+    request.method = run.method;
+    request.target = run.path;
+    request.headers = run.headers;
+    request.body = run.body;
+    const auto left = std::max(std::chrono::duration_cast<std::chrono::milliseconds>(run.remaining), std::chrono::milliseconds{1});
+    request.headers.push_back({.name = deadlineHeader, .value = std::to_string(left.count())});
+    if (!instance.empty()) {
+        request.headers.push_back({.name = expectedInstanceHeader, .value = instance});
+    }
+    return request;
+}
+
+std::string requestNameOf(const decision::RunRequest &run)
+{
+    const std::string *const name = http::findHeader(run.headers, requestIdHeader);
+    return name == nullptr ? std::string{} : *name;
+}
+
+bool isAnswerTo(const http::Response &answer, const std::string &requestName)
+{
+    const std::string *const name = http::findHeader(answer.headers, requestIdHeader);
+    return name == nullptr || *name == requestName;
+}
+
+std::variant<decision::RunAnswer, decision::RunFailure> readRun(const http::Response &answer)
+{
+    if (http::findHeader(answer.headers, notExecutedHeader) != nullptr) {
+        return decision::RunFailure::rejected;
+    }
+    const bool isSuccess = answer.status >= internal::firstSuccess && answer.status < internal::firstRedirect;
+    const bool isSigned = http::findHeader(answer.headers, serverStampHeader) != nullptr;
+    const bool isEncoded = http::findHeader(answer.headers, contentEncodingHeader) != nullptr;
+    // A success without the server's signature, or with other bytes than it made, would pass for its answer.
+    if (isEncoded || (isSuccess && !isSigned)) {
+        return decision::RunFailure::lost;
+    }
+    // Passed on, such a status would promise the caller that nothing ran, which the server did not say.
+    if (internal::isPromise(answer.status)) {
+        return decision::RunFailure::lost;
+    }
+    return decision::RunAnswer{.status = answer.status, .headers = http::forwardable(answer.headers), .body = answer.body};
+}
+
+} // namespace egretlatch::platform
--- a/src/egretlatch/protocol/codec.cpp
+++ b/src/egretlatch/protocol/codec.cpp
@@ -65,6 +65,7 @@
     writeHeaders(request.headers, wire);
     wire.set_body(toBytes(request.body));
     wire.set_key(request.key);
+    wire.set_request_name(request.requestName);
     wire.set_remaining_ns(request.remaining.count());
     wire.mutable_trace()->set_trace_id(request.trace.traceId);
     wire.mutable_trace()->set_span_id(request.trace.spanId);
@@ -98,6 +99,7 @@
     request.headers = readHeaders(wire);
     request.body = toBody(wire.body());
     request.key = wire.key();
+    request.requestName = wire.request_name();
     request.remaining = toDuration(wire.remaining_ns());
     request.trace = {.traceId = wire.trace().trace_id(), .spanId = wire.trace().span_id(), .sampled = wire.trace().sampled()};
     request.rank = {.priority = wire.rank().priority(), .worth = wire.rank().worth(), .invested = toDuration(wire.rank().invested_ns())};
@@ -213,6 +215,7 @@
     wire.set_attempts_returned(answer.attemptsReturned);
     wire.set_slot_time_ns(answer.slotTime.count());
     wire.set_next_key(answer.nextKey);
+    wire.set_has_reached_server(answer.hasReachedServer);
     for (const ServiceLevel &level : answer.levels) {
         wire::ServiceLevel &added = *wire.add_levels();
         added.set_service(level.service);
@@ -241,6 +244,7 @@
     answer.attemptsReturned = wire.attempts_returned();
     answer.slotTime = toDuration(wire.slot_time_ns());
     answer.nextKey = wire.next_key();
+    answer.hasReachedServer = wire.has_reached_server();
     for (const wire::ServiceLevel &level : wire.levels()) {
         answer.levels.push_back({.service = level.service(), .level = read(level.level()), .age = toDuration(level.age_ns())});
     }
--- a/src/egretlatch/protocol/messages.hpp
+++ b/src/egretlatch/protocol/messages.hpp
@@ -37,6 +37,8 @@
     QByteArray body;
     /*! @brief The caller's idempotency key; empty if it gave none. */
     std::string key;
+    /*! @brief What the caller calls its request; may be empty. */
+    std::string requestName;
     /*! @brief Time left when the message was sent; counted from its arrival by the receiver. */
     Duration remaining{};
     account::TraceContext trace;
@@ -78,6 +80,8 @@
     Headers headers;
     QByteArray body;
     std::optional<account::Refusal> refusal;
+    /*! @brief Whether a refused attempt was handed to the backend server all the same. */
+    bool hasReachedServer{};
     admission::LoadReport load;
     /*! @brief Part of the lent attempts that was not spent. */
     int attemptsReturned{};
--- a/src/egretlatch/retry/key_ledger.hpp
+++ b/src/egretlatch/retry/key_ledger.hpp
@@ -23,6 +23,8 @@
     refuse,
     /*! @brief The entry that the key comes to owns it. Safe only where all resends come to that entry, and it does not restart. */
     entryMemory,
+    /*! @brief Callers name each attempt anew, so none repeats another: an attempt runs at most once, and no key is asked for. */
+    notNeeded,
 };
 
 /*! @brief What the owner knows of a key. */
--- a/src/egretlatch/retry/ratio_budget.hpp
+++ b/src/egretlatch/retry/ratio_budget.hpp
@@ -19,6 +19,12 @@
     /*! @brief Retries that may be saved up, so that a service with few calls can retry at all. */
     static constexpr double mostSaved = 10.0;
 
+    /**
+     * @brief Sets how many retries may be saved up for a service; by default mostSaved.
+     * @param mostSaved Their number; what is saved beyond it is lost.
+     */
+    void setMostSaved(double mostSaved);
+
     /**
      * @brief Notes a first attempt.
      * @param service Name of the service.
@@ -34,6 +40,7 @@
     [[nodiscard]] bool take(const std::string &service);
 
 private:
+    double m_mostSaved{mostSaved};
     std::map<std::string, double> m_saved;
 };
 
--- a/src/egretlatch/retry/shard_grants.cpp
+++ b/src/egretlatch/retry/shard_grants.cpp
@@ -47,26 +47,25 @@
     return ownerOf(key) == m_self && !isGivenUp;
 }
 
-std::vector<platform::Request> ShardGrants::tick(const WallTime wall, const SteadyTime now, const IsPreferred &isPreferred)
+std::vector<store::Request> ShardGrants::tick(const WallTime wall, const SteadyTime now, const IsPreferred &isPreferred)
 {
-    std::vector<platform::Request> requests;
+    std::vector<store::Request> requests;
     if (!m_isReading && now >= m_readAt) {
         m_isReading = true;
-        requests.emplace_back(platform::TableScan{.prefix = std::string{internal::rowPrefix}, .after = {}, .limit = shardCount});
+        requests.emplace_back(store::TableScan{.prefix = std::string{internal::rowPrefix}, .after = {}, .limit = shardCount});
     }
     if (!m_hasRead) {
         return requests;
     }
     for (int number = 0; number < shardCount; ++number) {
-        if (std::optional<platform::Request> request = askFor(number, internal::toMilliseconds(wall), now, isPreferred)) {
+        if (std::optional<store::Request> request = askFor(number, internal::toMilliseconds(wall), now, isPreferred)) {
             requests.push_back(std::move(*request));
         }
     }
     return requests;
 }
 
-std::optional<platform::Request>
-ShardGrants::askFor(const int number, const std::chrono::milliseconds wall, const SteadyTime now, const IsPreferred &isPreferred)
+std::optional<store::Request> ShardGrants::askFor(const int number, const std::chrono::milliseconds wall, const SteadyTime now, const IsPreferred &isPreferred)
 {
     Shard &shard = m_shards.at(static_cast<std::size_t>(number));
     if (shard.isAsked || now < shard.askAt) {
@@ -103,7 +102,7 @@
     Shard &shard = m_shards.at(static_cast<std::size_t>(number));
     const std::string key = rowKey(number);
     const std::string writer = fmt::format("{} {:x} {:016x}", m_self.daemon.value, m_self.incarnation.value, m_random.next());
-    platform::TableWrite write;
+    store::TableWrite write;
     write.conditions.push_back({.key = key, .version = shard.version});
     write.writes.push_back({.key = key, .value = row.toText(writer)});
     shard.written = std::move(row);
@@ -112,18 +111,18 @@
     });
 }
 
-void ShardGrants::noteAsked(const platform::RequestId id, const platform::Request &request)
+void ShardGrants::noteAsked(const store::RequestId id, const store::Request &request)
 {
-    if (std::holds_alternative<platform::TableScan>(request)) {
+    if (std::holds_alternative<store::TableScan>(request)) {
         m_asked.emplace(id, std::nullopt);
         return;
     }
-    const auto *const write = std::get_if<platform::TableWrite>(&request);
-    const std::string &key = write != nullptr ? write->writes.front().key : std::get<platform::TableRead>(request).key;
+    const auto *const write = std::get_if<store::TableWrite>(&request);
+    const std::string &key = write != nullptr ? write->writes.front().key : std::get<store::TableRead>(request).key;
     m_asked.emplace(id, shardOfRow(key));
 }
 
-bool ShardGrants::take(const platform::RequestId id, const platform::Outcome &outcome, const SteadyTime now)
+bool ShardGrants::take(const store::RequestId id, const store::Outcome &outcome, const SteadyTime now)
 {
     const auto found = m_asked.find(id);
     if (found == m_asked.end()) {
@@ -136,9 +135,9 @@
         return true;
     }
     m_isReading = false;
-    const bool isRead = outcome.has_value() && std::holds_alternative<platform::RowsReply>(*outcome);
+    const bool isRead = outcome.has_value() && std::holds_alternative<store::RowsReply>(*outcome);
     if (isRead) {
-        takeRows(std::get<platform::RowsReply>(*outcome).rows);
+        takeRows(std::get<store::RowsReply>(*outcome).rows);
         m_hasRead = true;
     }
     const std::chrono::milliseconds wait = isRead ? m_times.readInterval : m_times.retryInterval;
@@ -147,9 +146,9 @@
     return true;
 }
 
-void ShardGrants::takeRows(const std::vector<platform::Row> &rows)
+void ShardGrants::takeRows(const std::vector<store::Row> &rows)
 {
-    for (const platform::Row &row : rows) {
+    for (const store::Row &row : rows) {
         const std::optional<int> number = shardOfRow(row.key);
         if (!number.has_value()) {
             continue;
@@ -166,19 +165,19 @@
     }
 }
 
-void ShardGrants::takeWrite(Shard &shard, const platform::Outcome &outcome, const SteadyTime now)
+void ShardGrants::takeWrite(Shard &shard, const store::Outcome &outcome, const SteadyTime now)
 {
     shard.isAsked = false;
     switch (shard.write->take(outcome)) {
-    case platform::WriteStep::ask:
+    case store::WriteStep::ask:
         return;
-    case platform::WriteStep::askLater:
+    case store::WriteStep::askLater:
         shard.askAt = now + m_times.retryInterval / 2 + std::chrono::milliseconds{m_random.below(static_cast<std::uint64_t>(m_times.retryInterval.count()))};
         return;
-    case platform::WriteStep::effected:
+    case store::WriteStep::effected:
         shard.row = shard.written;
         break;
-    case platform::WriteStep::rejected:
+    case store::WriteStep::rejected:
         break;
     }
     shard.write.reset();
--- a/src/egretlatch/retry/shard_grants.hpp
+++ b/src/egretlatch/retry/shard_grants.hpp
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include <egretlatch/core/random_source.hpp>
-#include <egretlatch/platform/identified_write.hpp>
-#include <egretlatch/platform/requests.hpp>
 #include <egretlatch/retry/shard_row.hpp>
+#include <egretlatch/store/identified_write.hpp>
+#include <egretlatch/store/requests.hpp>
 
 namespace egretlatch::retry
 {
@@ -71,14 +71,14 @@
      * @param isPreferred Which shards to hold.
      * @return At most one request for each shard, or a read of all.
      */
-    [[nodiscard]] std::vector<platform::Request> tick(WallTime wall, SteadyTime now, const IsPreferred &isPreferred);
+    [[nodiscard]] std::vector<store::Request> tick(WallTime wall, SteadyTime now, const IsPreferred &isPreferred);
 
     /**
      * @brief Notes under which id a request of tick() was sent.
      * @param id The id.
      * @param request The request.
      */
-    void noteAsked(platform::RequestId id, const platform::Request &request);
+    void noteAsked(store::RequestId id, const store::Request &request);
 
     /**
      * @brief Takes an outcome.
@@ -87,7 +87,7 @@
      * @param now Steady time.
      * @return True if the request was one of these.
      */
-    bool take(platform::RequestId id, const platform::Outcome &outcome, SteadyTime now);
+    bool take(store::RequestId id, const store::Outcome &outcome, SteadyTime now);
 
     /*! @brief Holds nothing from now on: takes no shards, and ends its grants early. */
     void leave();
@@ -97,7 +97,7 @@
     {
         ShardRow row;
         std::uint64_t version{};
-        std::optional<platform::IdentifiedWrite> write;
+        std::optional<store::IdentifiedWrite> write;
         ShardRow written;
         bool isAsked{};
         SteadyTime askAt;
@@ -105,10 +105,10 @@
         std::optional<std::chrono::milliseconds> cutAt;
     };
 
-    [[nodiscard]] std::optional<platform::Request> askFor(int number, std::chrono::milliseconds wall, SteadyTime now, const IsPreferred &isPreferred);
+    [[nodiscard]] std::optional<store::Request> askFor(int number, std::chrono::milliseconds wall, SteadyTime now, const IsPreferred &isPreferred);
     void startWrite(int number, ShardRow row);
-    void takeRows(const std::vector<platform::Row> &rows);
-    void takeWrite(Shard &shard, const platform::Outcome &outcome, SteadyTime now);
+    void takeRows(const std::vector<store::Row> &rows);
+    void takeWrite(Shard &shard, const store::Outcome &outcome, SteadyTime now);
     [[nodiscard]] static std::string rowKey(int number);
     [[nodiscard]] static std::optional<int> shardOfRow(const std::string &key);
 
@@ -116,7 +116,7 @@
     RandomSource &m_random;
     GrantTimes m_times;
     std::array<Shard, shardCount> m_shards;
-    std::map<platform::RequestId, std::optional<int>> m_asked;
+    std::map<store::RequestId, std::optional<int>> m_asked;
     bool m_hasRead{};
     bool m_isReading{};
     bool m_isLeaving{};
--- /dev/null
+++ b/src/egretlatch/settings/common_readers.hpp
@@ -0,0 +1,18 @@
+#ifndef EGRETLATCH_SETTINGS_COMMON_READERS_HPP
+#define EGRETLATCH_SETTINGS_COMMON_READERS_HPP
+
+#include <egretlatch/settings/daemon_settings.hpp>
+#include <egretlatch/settings/json_object_reader.hpp>
+
+namespace egretlatch::settings
+{
+
+/*! @brief Reads `policy`; `adaptive` if it is missing. */
+[[nodiscard]] Policy readPolicy(JsonObjectReader &reader);
+
+/*! @brief Reads `logLevel`; `info` if it is missing. */
+[[nodiscard]] LogLevel readLogLevel(JsonObjectReader &reader);
+
+} // namespace egretlatch::settings
+
+#endif
--- a/src/egretlatch/settings/daemon_settings.cpp
+++ b/src/egretlatch/settings/daemon_settings.cpp
@@ -3,7 +3,7 @@
 #include <QHostAddress>
 #include <QUrl>
 
-#include <egretlatch/settings/json_object_reader.hpp>
+#include <egretlatch/settings/common_readers.hpp>
 
 namespace egretlatch::settings
 {
@@ -93,24 +93,6 @@
     return text;
 }
 
-[[nodiscard]] static Policy readPolicy(JsonObjectReader &reader)
-{
-    const std::string word = reader.word("policy", {"adaptive", "none", "static-limit", "priority-only"}, "adaptive");
-    if (word == "none") {
-        return Policy::none;
-    }
-    if (word == "static-limit") {
-        return Policy::staticLimit;
-    }
-    return word == "priority-only" ? Policy::priorityOnly : Policy::adaptive;
-}
-
-[[nodiscard]] static LogLevel readLogLevel(JsonObjectReader &reader)
-{
-    const std::string word = reader.word("logLevel", {"debug", "info", "warning", "error"}, "info");
-    return logLevelFromString(word).value_or(LogLevel::info);
-}
-
 [[nodiscard]] static std::optional<std::uint64_t> readSeed(JsonObjectReader &reader)
 {
     constexpr std::int64_t noSeed = -1;
@@ -147,9 +129,9 @@
     settings.isOpenToOperators = reader.word("operatorAccess", {"token", "open"}, "token") == "open";
     settings.collectorUrl = internal::readUrl(reader, "collectorUrl", "");
     settings.maxBodyBytes = reader.integer("maxBodyBytes", internal::bodyRange, internal::defaultMaxBody);
-    settings.policy = internal::readPolicy(reader);
+    settings.policy = readPolicy(reader);
     settings.ownsUnnamedKeys = reader.word("keysWithoutOwner", {"refuse", "entry-memory"}, "refuse") == "entry-memory";
-    settings.logLevel = internal::readLogLevel(reader);
+    settings.logLevel = readLogLevel(reader);
     settings.seed = internal::readSeed(reader);
     if (settings.callerPort == settings.peerPort) {
         reader.report("peerPort", "the same port as callerPort", "a port of its own");
--- /dev/null
+++ b/src/egretlatch/settings/sidecar_settings.cpp
@@ -0,0 +1,77 @@
+#include <egretlatch/settings/sidecar_settings.hpp>
+
+#include <egretlatch/settings/common_readers.hpp>
+
+namespace egretlatch::settings
+{
+
+namespace internal
+{
+
+constexpr Range<std::int64_t> sidecarPortRange{.least = 1, .most = 65535};
+
+[[nodiscard]] static net::Endpoint readEndpoint(JsonObjectReader &reader, const std::string &key)
+{
+    const std::string text = reader.text(key);
+    const std::optional<net::Endpoint> endpoint = net::Endpoint::parse(text);
+    if (!endpoint.has_value()) {
+        reader.report(key, "\"" + text + "\"", "ADDRESS:PORT with an IP number");
+    }
+    return endpoint.value_or(net::Endpoint{});
+}
+
+[[nodiscard]] static std::uint16_t readFirstPort(JsonObjectReader &reader)
+{
+    std::vector<int> ports;
+    reader.list("peerPorts", true, [&ports](const QJsonValue &element, const std::string & /*pointer*/) {
+        ports.push_back(element.toInt(-1));
+    });
+    const bool isUsable = !ports.empty() && ports.front() >= sidecarPortRange.least && ports.front() <= sidecarPortRange.most;
+    if (!isUsable) {
+        reader.report("peerPorts", "no port", "a list whose first number is a port");
+        return 0;
+    }
+    return static_cast<std::uint16_t>(ports.front());
+}
+
+[[nodiscard]] static std::vector<std::string> readTexts(JsonObjectReader &reader, const std::string &key)
+{
+    std::vector<std::string> texts;
+    reader.list(key, false, [&texts](const QJsonValue &element, const std::string & /*pointer*/) {
+        texts.push_back(element.toString().toStdString());
+    });
+    return texts;
+}
+
+} // namespace internal
+
+tl::expected<SidecarSettings, Problems> parseSidecarSettings(const QByteArray &json)
+{
+    Problems problems;
+    const QJsonValue document = parseJson(json, problems);
+    if (hasError(problems)) {
+        return tl::unexpected{problems};
+    }
+    JsonObjectReader reader{document, "", problems};
+    SidecarSettings settings;
+    settings.id = {reader.text("id")};
+    settings.region = reader.text("region", "");
+    settings.dataCentre = reader.text("dataCentre");
+    settings.service = reader.text("service");
+    settings.address = reader.text("address");
+    settings.callers = internal::readEndpoint(reader, "callers");
+    settings.readiness = internal::readEndpoint(reader, "readiness");
+    settings.serverReports = internal::readEndpoint(reader, "serverReports");
+    settings.backend = internal::readEndpoint(reader, "backend");
+    settings.store = internal::readEndpoint(reader, "store");
+    settings.peerPort = internal::readFirstPort(reader);
+    settings.boundTexts = internal::readTexts(reader, "bounds");
+    settings.policy = readPolicy(reader);
+    settings.logLevel = readLogLevel(reader);
+    if (hasError(problems)) {
+        return tl::unexpected{problems};
+    }
+    return settings;
+}
+
+} // namespace egretlatch::settings
--- /dev/null
+++ b/src/egretlatch/sidecar/backend_runner.cpp
@@ -0,0 +1,60 @@
+#include <egretlatch/sidecar/backend_runner.hpp>
+
+#include <egretlatch/platform/server_wire.hpp>
+
+namespace egretlatch::sidecar
+{
+
+namespace internal
+{
+
+// The decisions end a run at its deadline; this only frees the connection should they forget it.
+constexpr std::chrono::milliseconds deadlineMargin{500};
+constexpr http::ReadLimits answerLimits{.headerBytes = 64U * 1024U, .bodyBytes = 64ULL * 1024U * 1024U};
+
+[[nodiscard]] static std::variant<decision::RunAnswer, decision::RunFailure> endOf(const http::Outcome &result)
+{
+    if (const auto *const answer = std::get_if<http::Response>(&result)) {
+        return platform::readRun(*answer);
+    }
+    const bool hasNeverLeft = std::get<http::Failure>(result) == http::Failure::neverConnected;
+    return hasNeverLeft ? decision::RunFailure::neverConnected : decision::RunFailure::lost;
+}
+
+} // namespace internal
+
+BackendRunner::BackendRunner(net::Poller &poller, const Clock &clock, const net::Endpoint &endpoint, EndedHandler onEnded)
+    : m_clock{clock}
+    , m_onEnded{std::move(onEnded)}
+    , m_pool{poller, clock, endpoint, internal::answerLimits}
+{
+}
+
+void BackendRunner::start(const decision::StartRun &start, const std::string &instance)
+{
+    http::Outgoing outgoing;
+    outgoing.bytes = http::encode(platform::writeRun(start.request, instance));
+    outgoing.isOwn = [name = platform::requestNameOf(start.request)](const http::Response &answer) {
+        return platform::isAnswerTo(answer, name);
+    };
+    outgoing.deadline = m_clock.steadyNow() + start.request.remaining + internal::deadlineMargin;
+    const ExecutionId execution = start.execution;
+    outgoing.onResult = [this, execution](const http::Outcome &result) {
+        m_tickets.erase(execution.value);
+        m_onEnded({.execution = execution, .result = internal::endOf(result)});
+    };
+    const http::TicketId ticket = m_pool.send(std::move(outgoing));
+    m_tickets.emplace(execution.value, ticket);
+}
+
+void BackendRunner::abort(const ExecutionId execution)
+{
+    const auto found = m_tickets.find(execution.value);
+    if (found != m_tickets.end()) {
+        const http::TicketId ticket = found->second;
+        m_tickets.erase(found);
+        m_pool.cancel(ticket);
+    }
+}
+
+} // namespace egretlatch::sidecar
--- /dev/null
+++ b/src/egretlatch/sidecar/backend_runner.hpp
@@ -0,0 +1,63 @@
+#ifndef EGRETLATCH_SIDECAR_BACKEND_RUNNER_HPP
+#define EGRETLATCH_SIDECAR_BACKEND_RUNNER_HPP
+
+#include <functional>
+#include <string>
+#include <unordered_map>
+
+#include <egretlatch/decision/action.hpp>
+#include <egretlatch/decision/event.hpp>
+#include <egretlatch/http/client_pool.hpp>
+
+namespace egretlatch::sidecar
+{
+
+/*! @brief Hands requests to the backend server on this VM and reads what it answers. */
+class BackendRunner
+{
+public:
+    using EndedHandler = std::function<void(decision::RunEnded ended)>;
+
+    /**
+     * @brief Builds a runner.
+     * @param poller Watches its sockets; must outlive it.
+     * @param clock Source of time; must outlive it.
+     * @param endpoint The backend server.
+     * @param onEnded Takes the end of each run that is not aborted.
+     */
+    BackendRunner(net::Poller &poller, const Clock &clock, const net::Endpoint &endpoint, EndedHandler onEnded);
+
+    /**
+     * @brief Starts a run.
+     * @param start The run.
+     * @param instance The life of the backend server that is to run it; empty if it is not known.
+     */
+    void start(const decision::StartRun &start, const std::string &instance);
+
+    /**
+     * @brief Closes the connection of a run whose answer nobody waits for.
+     * @param execution The run; one that has ended is passed over.
+     */
+    void abort(ExecutionId execution);
+
+    /*! @brief Drops the connections to a server whose life has ended. */
+    void forgetConnections()
+    {
+        m_pool.closeFree();
+    }
+
+    void tick()
+    {
+        m_pool.tick();
+    }
+
+private:
+    const Clock &m_clock;
+    EndedHandler m_onEnded;
+    http::ClientPool m_pool;
+    std::unordered_map<std::uint64_t, http::TicketId> m_tickets;
+};
+
+} // namespace egretlatch::sidecar
+
+#endif
--- /dev/null
+++ b/src/egretlatch/sidecar/caller_front.hpp
@@ -0,0 +1,71 @@
+#ifndef EGRETLATCH_SIDECAR_CALLER_FRONT_HPP
+#define EGRETLATCH_SIDECAR_CALLER_FRONT_HPP
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include <egretlatch/core/random_source.hpp>
+#include <egretlatch/decision/action.hpp>
+#include <egretlatch/decision/event.hpp>
+#include <egretlatch/http/server.hpp>
+#include <egretlatch/manifest/manifest.hpp>
+#include <egretlatch/routing/weighted_targets.hpp>
+
+namespace egretlatch::sidecar
+{
+
+/*! @brief Takes plain HTTP requests of callers on this VM, finds their routes, and carries the answers back. */
+class CallerFront
+{
+public:
+    using EventHandler = std::function<void(decision::Event event)>;
+
+    /**
+     * @brief Builds a front that does not listen yet.
+     * @param poller Watches its sockets; must outlive it.
+     * @param clock Source of time; must outlive it.
+     * @param random Source of random numbers; must outlive it.
+     * @param service Service of the backend server on this VM.
+     * @param onEvent Takes what callers do.
+     */
+    CallerFront(net::Poller &poller, const Clock &clock, RandomSource &random, std::string service, EventHandler onEvent);
+
+    [[nodiscard]] Result<void> listen(const net::Endpoint &endpoint)
+    {
+        return m_server.listen(endpoint);
+    }
+
+    /**
+     * @brief Routes requests by another configuration from now on.
+     * @param manifest The configuration.
+     */
+    void setManifest(std::shared_ptr<const manifest::Manifest> manifest);
+
+    /**
+     * @brief Answers a request.
+     * @param order The answer.
+     */
+    void answer(const decision::AnswerCaller &order);
+
+    [[nodiscard]] http::Server &server() noexcept
+    {
+        return m_server;
+    }
+
+private:
+    void take(ExchangeId exchange, http::Request request);
+
+    std::string m_service;
+    EventHandler m_onEvent;
+    routing::WeightedTargets m_targets;
+    std::shared_ptr<const manifest::Manifest> m_manifest;
+    /*! @brief Names of the requests that are under way. */
+    std::unordered_map<ExchangeId, std::string> m_names;
+    http::Server m_server;
+};
+
+} // namespace egretlatch::sidecar
+
+#endif
--- /dev/null
+++ b/src/egretlatch/sidecar/configuration_feed.cpp
@@ -0,0 +1,74 @@
+#include <egretlatch/sidecar/configuration_feed.hpp>
+
+#include <egretlatch/platform/store_wire.hpp>
+
+namespace egretlatch::sidecar
+{
+
+namespace internal
+{
+
+constexpr std::chrono::milliseconds readTimeout{2000};
+// Below the shortest history that the store keeps, twenty seconds, so that the next call finds where it goes on.
+constexpr std::chrono::milliseconds waitTime{14'000};
+constexpr std::chrono::milliseconds waitTimeout{16'000};
+constexpr std::chrono::milliseconds firstRetry{200};
+// Calls to a store that refuses are charged and bring nothing; back within two seconds of its return all the same.
+constexpr std::chrono::milliseconds longestRetry{1500};
+
+} // namespace internal
+
+ConfigurationFeed::ConfigurationFeed(StoreClient &client, const Clock &clock, RandomSource &random, DocumentHandler onDocument)
+    : m_client{client}
+    , m_clock{clock}
+    , m_random{random}
+    , m_onDocument{std::move(onDocument)}
+    , m_backoff{internal::firstRetry, internal::longestRetry}
+{
+}
+
+void ConfigurationFeed::tick()
+{
+    if (m_isOut || m_clock.steadyNow() < m_nextCall) {
+        return;
+    }
+    m_isOut = true;
+    const bool isWait = m_position.has_value();
+    const http::Request request = isWait ? platform::writeConfigurationWait(*m_position, internal::waitTime) : platform::writeConfigurationRead();
+    m_client.call(request, isWait ? internal::waitTimeout : internal::readTimeout, [this](const http::Outcome &result) {
+        m_isOut = false;
+        take(result);
+    });
+}
+
+void ConfigurationFeed::take(const http::Outcome &result)
+{
+    const auto *const answer = std::get_if<http::Response>(&result);
+    if (answer == nullptr) {
+        retryLater();
+        return;
+    }
+    const Result<platform::ConfigurationPage> page = platform::readConfigurationPage(*answer);
+    if (!page.has_value()) {
+        if (page.error().code == ErrorCode::notFound) {
+            m_position.reset();
+        }
+        retryLater();
+        return;
+    }
+    m_backoff.reset();
+    m_position = page->position;
+    for (const QByteArray &document : page->documents) {
+        m_onDocument(document);
+    }
+    // A store that answers at once with nothing new must not be asked in a circle.
+    m_nextCall = page->documents.empty() ? m_clock.steadyNow() + internal::firstRetry : m_clock.steadyNow();
+    tick();
+}
+
+void ConfigurationFeed::retryLater()
+{
+    m_nextCall = m_clock.steadyNow() + m_backoff.next(m_random);
+}
+
+} // namespace egretlatch::sidecar
--- /dev/null
+++ b/src/egretlatch/sidecar/server_life.cpp
@@ -0,0 +1,56 @@
+#include <egretlatch/sidecar/server_life.hpp>
+
+#include <fmt/format.h>
+
+namespace egretlatch::sidecar
+{
+
+ServerLife::ServerLife(std::string service, std::string address)
+    : m_service{std::move(service)}
+    , m_address{std::move(address)}
+{
+}
+
+ReportEffect ServerLife::take(const platform::ServerReport &report)
+{
+    const bool isFarewell = report.state == platform::ServerReportState::left;
+    if (isFarewell) {
+        const bool isPresent = report.instance == m_instance && (report.bornMs == 0 || report.bornMs == m_bornMs);
+        m_isLeaving = m_isLeaving || isPresent;
+        return isPresent ? ReportEffect::leaving : ReportEffect::none;
+    }
+    if (report.service != m_service || report.address != m_address || isStale(report)) {
+        return ReportEffect::none;
+    }
+    const bool isNewLife = report.instance != m_instance || report.bornMs != m_bornMs;
+    if (isNewLife) {
+        m_earlierInstance = m_instance;
+        m_instance = report.instance;
+        m_bornMs = report.bornMs;
+        m_isLeaving = false;
+    }
+    m_sequence = report.sequence;
+    m_slots = report.slots;
+    // A server that has said that it leaves does not come back within the same life.
+    m_isLeaving = m_isLeaving || report.state == platform::ServerReportState::draining;
+    return m_isLeaving ? ReportEffect::leaving : ReportEffect::serving;
+}
+
+std::string ServerLife::lifeName() const
+{
+    return fmt::format("{}#{}", m_instance, m_bornMs);
+}
+
+bool ServerLife::isStale(const platform::ServerReport &report) const
+{
+    if (report.instance == m_instance && report.bornMs == m_bornMs) {
+        return report.sequence <= m_sequence;
+    }
+    // Of two lives at one address the later one is the present one.
+    if (report.bornMs != 0 && m_bornMs != 0) {
+        return report.bornMs < m_bornMs;
+    }
+    return !report.instance.empty() && report.instance == m_earlierInstance;
+}
+
+} // namespace egretlatch::sidecar
--- /dev/null
+++ b/src/egretlatch/sidecar/server_life.hpp
@@ -0,0 +1,76 @@
+#ifndef EGRETLATCH_SIDECAR_SERVER_LIFE_HPP
+#define EGRETLATCH_SIDECAR_SERVER_LIFE_HPP
+
+#include <optional>
+#include <string>
+
+#include <egretlatch/platform/server_report.hpp>
+
+namespace egretlatch::sidecar
+{
+
+/*! @brief What a report of the backend server leads to. */
+enum class ReportEffect {
+    /*! @brief It is from another server, or older than what is known; nothing changes. */
+    none,
+    /*! @brief The server takes work. */
+    serving,
+    /*! @brief The server takes no more work. */
+    leaving,
+};
+
+/**
+ * @brief Follows the lives of the backend server on this VM by its reports.
+ *
+ * Reports come late and out of order: one that a partition held up may speak of a life that has ended, under the same
+ * address and even the same id. A life is told by its id and time of start, and reports within it by their number.
+ */
+class ServerLife
+{
+public:
+    /**
+     * @brief Builds it without a server.
+     * @param service Service that the server here belongs to.
+     * @param address Where it listens, as `ADDRESS:PORT`.
+     */
+    ServerLife(std::string service, std::string address);
+
+    /**
+     * @brief Takes a report.
+     * @param report The report.
+     * @return What it leads to.
+     */
+    [[nodiscard]] ReportEffect take(const platform::ServerReport &report);
+
+    /*! @brief Id that the server of the present life goes by; empty if none is known. */
+    [[nodiscard]] const std::string &instance() const noexcept
+    {
+        return m_instance;
+    }
+
+    /*! @brief Tells the present life from all others. */
+    [[nodiscard]] std::string lifeName() const;
+
+    /*! @brief Requests that the server runs at a time. */
+    [[nodiscard]] int slots() const noexcept
+    {
+        return m_slots;
+    }
+
+private:
+    [[nodiscard]] bool isStale(const platform::ServerReport &report) const;
+
+    std::string m_service;
+    std::string m_address;
+    std::string m_instance;
+    std::int64_t m_bornMs{};
+    std::int64_t m_sequence{-1};
+    int m_slots{};
+    bool m_isLeaving{};
+    /*! @brief Id of the life before the present one, whose reports may still come. */
+    std::string m_earlierInstance;
+};
+
+} // namespace egretlatch::sidecar
+
+#endif
--- /dev/null
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -0,0 +1,340 @@
+#include <egretlatch/sidecar/sidecar.hpp>
+
+#include <algorithm>
+#include <random>
+
+#include <fmt/format.h>
+
+#include <egretlatch/daemon/core_options.hpp>
+#include <egretlatch/platform/bounds.hpp>
+#include <egretlatch/platform/configuration_document.hpp>
+#include <egretlatch/platform/names.hpp>
+#include <egretlatch/platform/server_report.hpp>
+
+namespace egretlatch::sidecar
+{
+
+namespace internal
+{
+
+constexpr std::size_t peerRingCapacity = 4096;
+constexpr std::chrono::milliseconds houseInterval{100};
+// After the signal to end, callers are still sent here until the platform has asked twice, a second apart, and got no good
+// answer; what they send meanwhile is served.
+constexpr std::chrono::milliseconds noticeTime{2300};
+// Kept from the time that the platform gives, so that the process ends by itself.
+constexpr std::chrono::milliseconds graceMargin{400};
+// Part of what the fleet may repeat that daemons use. The rest is for what they do not see: the inner calls of a request
+// that is run again are repeats, too, and a daemon counts those it was told of only.
+constexpr double usedShareOfRetries = 0.5;
+constexpr int ok = 200;
+constexpr int badRequest = 400;
+constexpr int notFound = 404;
+constexpr int serviceUnavailable = 503;
+
+[[nodiscard]] static std::uint64_t freshSeed()
+{
+    std::random_device device;
+    constexpr int halfBits = 32;
+    return (static_cast<std::uint64_t>(device()) << halfBits) | device();
+}
+
+[[nodiscard]] static Incarnation incarnationOf(const Clock &clock)
+{
+    // Calendar time, so that the next life of this daemon has a higher number without anything being kept.
+    return {static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count())};
+}
+
+} // namespace internal
+
+Sidecar::Sidecar(settings::SidecarSettings settings, std::function<void()> onEnded)
+    : m_settings{std::move(settings)}
+    , m_bounds{platform::readBounds(m_settings.boundTexts)}
+    , m_onEnded{std::move(onEnded)}
+    , m_logger{m_settings.logLevel, m_settings.id.value}
+    , m_random{internal::freshSeed()}
+    , m_incarnation{internal::incarnationOf(m_clock)}
+    , m_peerWaker{[this] {
+        drainPeers();
+    }}
+    , m_fromPeers{internal::peerRingCapacity, m_peerWaker}
+    , m_peers{m_settings.id, m_incarnation, std::nullopt, m_fromPeers, m_metrics}
+    , m_toPeers{internal::peerRingCapacity, m_peers.waker()}
+    , m_store{m_poller, m_clock, m_settings.store, m_logger, m_metrics}
+    , m_feed{m_store,
+             m_clock,
+             m_random,
+             [this](const QByteArray &document) {
+                 takeConfiguration(document);
+             }}
+    , m_backend{m_poller,
+                m_clock,
+                m_settings.backend,
+                [this](decision::RunEnded ended) {
+                    post(std::move(ended));
+                }}
+    , m_front{m_poller,
+              m_clock,
+              m_random,
+              m_settings.service,
+              [this](decision::Event event) {
+                  post(std::move(event));
+              }}
+    , m_readiness{m_poller,
+                  m_clock,
+                  [this](const ExchangeId exchange, const http::Request & /*request*/) {
+                      answerReadiness(exchange);
+                  },
+                  [](ExchangeId /*exchange*/) {}}
+    , m_reports{m_poller,
+                m_clock,
+                [this](const ExchangeId exchange, const http::Request &request) {
+                    takeReport(exchange, request);
+                },
+                [](ExchangeId /*exchange*/) {}}
+    , m_server{m_settings.service, m_settings.backend.text()}
+    , m_core{makeCore()}
+{
+    m_tickTimer.setSingleShot(true);
+    m_tickTimer.setTimerType(Qt::PreciseTimer);
+    QObject::connect(&m_tickTimer, &QTimer::timeout, &m_tickTimer, [this] {
+        tick();
+    });
+    m_houseTimer.setInterval(internal::houseInterval);
+    QObject::connect(&m_houseTimer, &QTimer::timeout, &m_houseTimer, [this] {
+        keepHouse();
+    });
+}
+
+Sidecar::~Sidecar()
+{
+    m_peers.stop();
+}
+
+std::unique_ptr<decision::Core> Sidecar::makeCore()
+{
+    membership::Member self;
+    self.id = m_settings.id;
+    self.incarnation = m_incarnation;
+    self.endpoint = fmt::format("tcp://{}:{}", m_settings.address, m_settings.peerPort);
+    self.region = m_settings.region;
+    self.dataCentre = m_settings.dataCentre;
+    decision::CoreBuilder builder{m_clock, m_random, m_metrics};
+    builder.setSelf(self);
+    builder.followPlatform();
+    builder.setConfigurationFeed();
+    builder.setUnownedKeys(retry::UnownedKeys::notNeeded);
+    builder.moveFreely();
+    builder.setRetrySlack(m_bounds.retrySlack * internal::usedShareOfRetries);
+    daemon::applyPolicy(m_settings.policy, m_random, builder);
+    return builder.build();
+}
+
+Result<void> Sidecar::start()
+{
+    if (Result<void> listening = listen(); !listening.has_value()) {
+        return listening;
+    }
+    m_houseTimer.start();
+    m_feed.tick();
+    m_logger.info("started", {{"callers", m_settings.callers.text()}, {"backend", m_settings.backend.text()}, {"service", m_settings.service}});
+    post(decision::Tick{});
+    return {};
+}
+
+Result<void> Sidecar::listen()
+{
+    const std::string peerEndpoint = fmt::format("tcp://{}:{}", m_settings.address, m_settings.peerPort);
+    if (Result<void> bound = m_peers.start(peerEndpoint, m_toPeers); !bound.has_value()) {
+        return bound;
+    }
+    if (Result<void> listening = m_front.listen(m_settings.callers); !listening.has_value()) {
+        return listening;
+    }
+    if (Result<void> listening = m_reports.listen(m_settings.serverReports); !listening.has_value()) {
+        return listening;
+    }
+    return m_readiness.listen(m_settings.readiness);
+}
+
+void Sidecar::drain()
+{
+    if (m_drainSince.has_value()) {
+        return;
+    }
+    m_logger.info("draining");
+    m_drainSince = m_clock.steadyNow();
+    m_front.server().retire();
+    post(decision::ServerDraining{.isShutdown = false});
+}
+
+void Sidecar::reload(const settings::SidecarSettings &settings)
+{
+    m_settings.boundTexts = settings.boundTexts;
+    m_bounds = platform::readBounds(m_settings.boundTexts);
+    m_logger.info("settings reloaded");
+}
+
+void Sidecar::post(decision::Event event)
+{
+    m_events.push_back(std::move(event));
+    if (m_isHandling) {
+        return;
+    }
+    m_isHandling = true;
+    while (!m_events.empty()) {
+        const decision::Event next = std::move(m_events.front());
+        m_events.pop_front();
+        handle(next);
+    }
+    m_isHandling = false;
+    rearm();
+}
+
+void Sidecar::handle(const decision::Event &event)
+{
+    for (decision::Action &action : m_core->handle(event)) {
+        carryOut(std::move(action));
+    }
+}
+
+void Sidecar::carryOut(decision::Action action)
+{
+    if (const auto *const answer = std::get_if<decision::AnswerCaller>(&action)) {
+        m_front.answer(*answer);
+    } else if (auto *const send = std::get_if<decision::SendToPeer>(&action)) {
+        sendToPeer(std::move(*send));
+    } else if (const auto *const start = std::get_if<decision::StartRun>(&action)) {
+        m_backend.start(*start, m_server.instance());
+    } else if (const auto *const abort = std::get_if<decision::AbortRun>(&action)) {
+        m_backend.abort(abort->execution);
+    } else if (const auto *const ask = std::get_if<decision::AskPlatform>(&action)) {
+        m_store.ask(ask->request, [this, id = ask->id](store::Outcome outcome) {
+            post(decision::PlatformAnswered{.id = id, .outcome = std::move(outcome)});
+        });
+    } else if (const auto *const inForce = std::get_if<decision::ManifestInForce>(&action)) {
+        m_logger.info("configuration in force", {{"version", inForce->version}, {"hash", inForce->hash}});
+        putInForce();
+    } else if (const auto *const changed = std::get_if<decision::MemberChanged>(&action)) {
+        m_logger.info("member changed", {{"member", changed->id.value}, {"state", membership::toString(changed->state)}});
+    } else if (std::holds_alternative<decision::Drained>(action)) {
+        endNow("nothing is under way");
+    }
+}
+
+void Sidecar::sendToPeer(decision::SendToPeer order)
+{
+    const auto *const request = std::get_if<protocol::CallRequest>(&order.message);
+    const std::optional<CallId> call = request == nullptr ? std::nullopt : std::optional{request->call};
+    const DaemonId to = order.to;
+    if (!m_toPeers.tryPush(std::move(order))) {
+        m_metrics.count("orders_dropped", "ring-full");
+        if (call.has_value()) {
+            post(decision::SendFailed{.to = to, .call = *call});
+        }
+    }
+}
+
+void Sidecar::drainPeers()
+{
+    while (std::unique_ptr<decision::Event> event = m_fromPeers.tryPop()) {
+        post(std::move(*event));
+    }
+}
+
+void Sidecar::rearm()
+{
+    const SteadyTime next = m_core->nextTick();
+    if (m_tickTimer.isActive() && next >= m_nextTick) {
+        return;
+    }
+    m_nextTick = next;
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(next - m_clock.steadyNow());
+    m_tickTimer.start(std::max(wait, std::chrono::milliseconds{0}));
+}
+
+void Sidecar::tick()
+{
+    post(decision::Tick{});
+}
+
+void Sidecar::keepHouse()
+{
+    m_front.server().tick();
+    m_readiness.tick();
+    m_reports.tick();
+    m_backend.tick();
+    m_store.tick();
+    m_feed.tick();
+    if (!m_drainSince.has_value()) {
+        return;
+    }
+    const Duration drained = m_clock.steadyNow() - *m_drainSince;
+    if (!m_isShuttingDown && drained >= internal::noticeTime) {
+        m_isShuttingDown = true;
+        post(decision::ServerDraining{.isShutdown = true});
+    }
+    if (drained >= m_bounds.grace - internal::graceMargin) {
+        endNow("the time to drain is over");
+    }
+}
+
+void Sidecar::takeReport(const ExchangeId exchange, const http::Request &request)
+{
+    const Result<platform::ServerReport> report = platform::readServerReport(request);
+    if (!report.has_value()) {
+        const bool isUnknown = report.error().code == ErrorCode::notFound;
+        m_logger.warning("report not taken", {{"reason", report.error().message}});
+        m_reports.answer(exchange, http::bareResponse(isUnknown ? internal::notFound : internal::badRequest));
+        return;
+    }
+    const std::string lifeBefore = m_server.lifeName();
+    const ReportEffect effect = m_server.take(*report);
+    if (m_server.lifeName() != lifeBefore) {
+        m_logger.info("backend server's life began", {{"instance", m_server.instance()}, {"born", report->bornMs}, {"slots", m_server.slots()}});
+        m_backend.forgetConnections();
+    }
+    if (effect == ReportEffect::serving) {
+        post(decision::ServerAnnounced{
+            .service = m_settings.service, .slots = m_server.slots(), .connections = m_server.slots(), .instance = m_server.lifeName()});
+    } else if (effect == ReportEffect::leaving) {
+        // Before the acknowledgement: from then on no new request may reach the server.
+        post(decision::ServerDraining{.isShutdown = false});
+    }
+    m_reports.answer(exchange, platform::acknowledgement());
+}
+
+void Sidecar::answerReadiness(const ExchangeId exchange)
+{
+    const bool isReady = m_isConfigured && !m_drainSince.has_value();
+    m_readiness.answer(exchange, http::bareResponse(isReady ? internal::ok : internal::serviceUnavailable));
+}
+
+void Sidecar::takeConfiguration(const QByteArray &document)
+{
+    Result<platform::AcceptedConfiguration> accepted = platform::readConfiguration(document, m_bounds.retryRatio * internal::usedShareOfRetries);
+    if (!accepted.has_value()) {
+        m_logger.warning("configuration not taken", {{"reason", accepted.error().message}});
+        return;
+    }
+    post(decision::ManifestAccepted{.version = accepted->version, .document = std::move(accepted->manifest)});
+}
+
+void Sidecar::putInForce()
+{
+    m_isConfigured = true;
+    m_front.setManifest(m_core->manifest());
+}
+
+void Sidecar::endNow(const std::string_view reason)
+{
+    if (m_hasEnded) {
+        return;
+    }
+    m_hasEnded = true;
+    m_logger.info("stopped", {{"reason", reason}});
+    m_front.server().closeIdle();
+    m_onEnded();
+}
+
+} // namespace egretlatch::sidecar
--- /dev/null
+++ b/src/egretlatch/sidecar/sidecar.hpp
@@ -0,0 +1,114 @@
+#ifndef EGRETLATCH_SIDECAR_SIDECAR_HPP
+#define EGRETLATCH_SIDECAR_SIDECAR_HPP
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include <QTimer>
+
+#include <egretlatch/account/metrics_registry.hpp>
+#include <egretlatch/core/clock.hpp>
+#include <egretlatch/core/logger.hpp>
+#include <egretlatch/daemon/event_loop_waker.hpp>
+#include <egretlatch/daemon/peer_thread.hpp>
+#include <egretlatch/decision/core.hpp>
+#include <egretlatch/settings/fleet_bounds.hpp>
+#include <egretlatch/settings/sidecar_settings.hpp>
+#include <egretlatch/sidecar/backend_runner.hpp>
+#include <egretlatch/sidecar/caller_front.hpp>
+#include <egretlatch/sidecar/configuration_feed.hpp>
+#include <egretlatch/sidecar/server_life.hpp>
+#include <egretlatch/sidecar/store_client.hpp>
+
+namespace egretlatch::sidecar
+{
+
+/**
+ * @brief A daemon on a VM that the platform runs.
+ *
+ * Callers, the backend server, the store and the decisions share one event loop: on a part of one core each hand-over to
+ * another thread is a wake-up and a system call that buys no parallel work. The connections between daemons have a thread
+ * of their own, which their library needs anyway.
+ */
+class Sidecar
+{
+public:
+    /**
+     * @brief Builds a daemon that does nothing yet.
+     * @param settings Its settings.
+     * @param onEnded Called once it has drained, or has had its time for that.
+     */
+    Sidecar(settings::SidecarSettings settings, std::function<void()> onEnded);
+    Sidecar(const Sidecar &) = delete;
+    Sidecar &operator=(const Sidecar &) = delete;
+    ~Sidecar();
+
+    /**
+     * @brief Begins to listen and to look for the fleet.
+     * @return Nothing, or why an address cannot be had.
+     */
+    [[nodiscard]] Result<void> start();
+
+    /*! @brief Takes itself out of the fleet, finishes what is under way, and ends. */
+    void drain();
+
+    /**
+     * @brief Takes changed settings; addresses stay as they are until the next start.
+     * @param settings The settings.
+     */
+    void reload(const settings::SidecarSettings &settings);
+
+private:
+    [[nodiscard]] std::unique_ptr<decision::Core> makeCore();
+    [[nodiscard]] Result<void> listen();
+    void post(decision::Event event);
+    void handle(const decision::Event &event);
+    void carryOut(decision::Action action);
+    void sendToPeer(decision::SendToPeer order);
+    void drainPeers();
+    void rearm();
+    void tick();
+    void keepHouse();
+    void takeReport(ExchangeId exchange, const http::Request &request);
+    void answerReadiness(ExchangeId exchange);
+    void takeConfiguration(const QByteArray &document);
+    void putInForce();
+    void endNow(std::string_view reason);
+
+    settings::SidecarSettings m_settings;
+    settings::FleetBounds m_bounds;
+    std::function<void()> m_onEnded;
+    Logger m_logger;
+    account::MetricsRegistry m_metrics;
+    SystemClock m_clock;
+    SeededRandom m_random;
+    Incarnation m_incarnation;
+    net::Poller m_poller;
+    daemon::EventLoopWaker m_peerWaker;
+    Ring<decision::Event> m_fromPeers;
+    daemon::PeerThread m_peers;
+    Ring<decision::SendToPeer> m_toPeers;
+    StoreClient m_store;
+    ConfigurationFeed m_feed;
+    BackendRunner m_backend;
+    CallerFront m_front;
+    http::Server m_readiness;
+    http::Server m_reports;
+    ServerLife m_server;
+    std::unique_ptr<decision::Core> m_core;
+    std::deque<decision::Event> m_events;
+    QTimer m_tickTimer;
+    QTimer m_houseTimer;
+    SteadyTime m_nextTick;
+    std::optional<SteadyTime> m_drainSince;
+    bool m_isHandling{};
+    bool m_isConfigured{};
+    bool m_isShuttingDown{};
+    bool m_hasEnded{};
+};
+
+} // namespace egretlatch::sidecar
+
+#endif
--- a/src/egretlatch/platform/backoff.hpp
+++ b/src/egretlatch/store/backoff.hpp
@@ -1,12 +1,12 @@
-#ifndef EGRETLATCH_PLATFORM_BACKOFF_HPP
-#define EGRETLATCH_PLATFORM_BACKOFF_HPP
+#ifndef EGRETLATCH_STORE_BACKOFF_HPP
+#define EGRETLATCH_STORE_BACKOFF_HPP
 
 #include <algorithm>
 
 #include <egretlatch/core/clock.hpp>
 #include <egretlatch/core/random_source.hpp>
 
-namespace egretlatch::platform
+namespace egretlatch::store
 {
 
 /*! @brief Waits between attempts: doubled with each failure up to a bound, each drawn from the upper half. */
@@ -52,6 +52,6 @@
     Duration m_next;
 };
 
-} // namespace egretlatch::platform
+} // namespace egretlatch::store
 
 #endif
--- /dev/null
+++ b/src/egretlatch/store/fwd.hpp
@@ -0,0 +1,23 @@
+#ifndef EGRETLATCH_STORE_FWD_HPP
+#define EGRETLATCH_STORE_FWD_HPP
+
+namespace egretlatch::store
+{
+
+struct Row;
+struct TableRead;
+struct TableScan;
+struct RowCondition;
+struct RowWrite;
+struct TableWrite;
+struct ObjectPut;
+struct ObjectGet;
+struct ObjectList;
+struct HttpRequest;
+class Backoff;
+class IdentifiedWrite;
+class RateCap;
+
+} // namespace egretlatch::store
+
+#endif
--- a/src/egretlatch/platform/http_codec.cpp
+++ b/src/egretlatch/store/http_codec.cpp
@@ -1,4 +1,4 @@
-#include <egretlatch/platform/http_codec.hpp>
+#include <egretlatch/store/http_codec.hpp>
 
 #include <QJsonArray>
 #include <QJsonDocument>
@@ -10,7 +10,7 @@
 
 #include <egretlatch/core/qt_text.hpp>
 
-namespace egretlatch::platform
+namespace egretlatch::store
 {
 
 namespace internal
@@ -310,4 +310,4 @@
     }
 }
 
-} // namespace egretlatch::platform
+} // namespace egretlatch::store
--- a/src/egretlatch/platform/http_codec.hpp
+++ b/src/egretlatch/store/http_codec.hpp
@@ -1,14 +1,14 @@
-#ifndef EGRETLATCH_PLATFORM_HTTP_CODEC_HPP
-#define EGRETLATCH_PLATFORM_HTTP_CODEC_HPP
+#ifndef EGRETLATCH_STORE_HTTP_CODEC_HPP
+#define EGRETLATCH_STORE_HTTP_CODEC_HPP
 
 #include <string>
 
 #include <QByteArray>
 
 #include <egretlatch/core/error.hpp>
-#include <egretlatch/platform/requests.hpp>
+#include <egretlatch/store/requests.hpp>
 
-namespace egretlatch::platform
+namespace egretlatch::store
 {
 
 /*! @brief A request to the platform in the form that HTTP carries; docs/PLATFORM.md gives the paths. */
@@ -66,6 +66,6 @@
  */
 [[nodiscard]] Outcome decodeOutcome(const Request &request, int status, const QByteArray &body);
 
-} // namespace egretlatch::platform
+} // namespace egretlatch::store
 
 #endif
--- a/src/egretlatch/platform/identified_write.cpp
+++ b/src/egretlatch/store/identified_write.cpp
@@ -1,6 +1,6 @@
-#include <egretlatch/platform/identified_write.hpp>
+#include <egretlatch/store/identified_write.hpp>
 
-namespace egretlatch::platform
+namespace egretlatch::store
 {
 
 IdentifiedWrite::IdentifiedWrite(TableWrite write, std::string witness, IsMine isMine)
@@ -68,4 +68,4 @@
     return WriteStep::ask;
 }
 
-} // namespace egretlatch::platform
+} // namespace egretlatch::store
--- a/src/egretlatch/platform/identified_write.hpp
+++ b/src/egretlatch/store/identified_write.hpp
@@ -1,13 +1,13 @@
-#ifndef EGRETLATCH_PLATFORM_IDENTIFIED_WRITE_HPP
-#define EGRETLATCH_PLATFORM_IDENTIFIED_WRITE_HPP
+#ifndef EGRETLATCH_STORE_IDENTIFIED_WRITE_HPP
+#define EGRETLATCH_STORE_IDENTIFIED_WRITE_HPP
 
 #include <functional>
 #include <optional>
 #include <string>
 
-#include <egretlatch/platform/requests.hpp>
+#include <egretlatch/store/requests.hpp>
 
-namespace egretlatch::platform
+namespace egretlatch::store
 {
 
 /*! @brief How a write goes on after an outcome. */
@@ -89,6 +89,6 @@
     bool m_isUnsure{};
 };
 
-} // namespace egretlatch::platform
+} // namespace egretlatch::store
 
 #endif
--- a/src/egretlatch/platform/rate_cap.cpp
+++ b/src/egretlatch/store/rate_cap.cpp
@@ -1,8 +1,8 @@
-#include <egretlatch/platform/rate_cap.hpp>
+#include <egretlatch/store/rate_cap.hpp>
 
 #include <algorithm>
 
-namespace egretlatch::platform
+namespace egretlatch::store
 {
 
 RateCap::RateCap(const double fleetRate, const double burst)
@@ -29,4 +29,4 @@
     return true;
 }
 
-} // namespace egretlatch::platform
+} // namespace egretlatch::store
--- a/src/egretlatch/platform/rate_cap.hpp
+++ b/src/egretlatch/store/rate_cap.hpp
@@ -1,9 +1,9 @@
-#ifndef EGRETLATCH_PLATFORM_RATE_CAP_HPP
-#define EGRETLATCH_PLATFORM_RATE_CAP_HPP
+#ifndef EGRETLATCH_STORE_RATE_CAP_HPP
+#define EGRETLATCH_STORE_RATE_CAP_HPP
 
 #include <egretlatch/core/clock.hpp>
 
-namespace egretlatch::platform
+namespace egretlatch::store
 {
 
 /**
@@ -43,6 +43,6 @@
     SteadyTime m_filled;
 };
 
-} // namespace egretlatch::platform
+} // namespace egretlatch::store
 
 #endif
--- a/src/egretlatch/platform/requests.hpp
+++ b/src/egretlatch/store/requests.hpp
@@ -1,5 +1,5 @@
-#ifndef EGRETLATCH_PLATFORM_REQUESTS_HPP
-#define EGRETLATCH_PLATFORM_REQUESTS_HPP
+#ifndef EGRETLATCH_STORE_REQUESTS_HPP
+#define EGRETLATCH_STORE_REQUESTS_HPP
 
 #include <compare>
 #include <cstdint>
@@ -12,7 +12,7 @@
 
 #include <egretlatch/core/error.hpp>
 
-namespace egretlatch::platform
+namespace egretlatch::store
 {
 
 /*! @brief A row of the platform's table. */
@@ -152,6 +152,6 @@
     friend auto operator<=>(const RequestId &, const RequestId &) = default;
 };
 
-} // namespace egretlatch::platform
+} // namespace egretlatch::store
 
 #endif
--- a/standin/platform_server.cpp
+++ b/standin/platform_server.cpp
@@ -11,8 +11,8 @@
 #include <fmt/format.h>
 
 #include <egretlatch/cli/documents.hpp>
-#include <egretlatch/platform/http_codec.hpp>
 #include <egretlatch/settings/json_object_reader.hpp>
+#include <egretlatch/store/http_codec.hpp>
 
 namespace standin
 {
@@ -29,7 +29,7 @@
 constexpr settings::Range<double> shareRange{.least = 0.0, .most = 1.0};
 constexpr settings::Range<double> rateRange{.least = 0.0, .most = 1e6};
 
-[[nodiscard]] static platform::RateCap makeCap(const double rate)
+[[nodiscard]] static store::RateCap makeCap(const double rate)
 {
     return {rate, rate * burstSeconds};
 }
@@ -39,10 +39,10 @@
     return request.method() == QHttpServerRequest::Method::Put ? "PUT" : "GET";
 }
 
-static void answer(QHttpServerResponder &responder, const platform::Outcome &outcome)
+static void answer(QHttpServerResponder &responder, const store::Outcome &outcome)
 {
-    const QByteArray body = outcome.has_value() ? platform::encodeReply(*outcome) : QByteArray{"{}"};
-    responder.write(body, "application/json", static_cast<StatusCode>(platform::httpStatus(outcome)));
+    const QByteArray body = outcome.has_value() ? store::encodeReply(*outcome) : QByteArray{"{}"};
+    responder.write(body, "application/json", static_cast<StatusCode>(store::httpStatus(outcome)));
 }
 
 } // namespace internal
@@ -117,9 +117,9 @@
         return;
     }
     const std::string target = request.url().toEncoded(QUrl::RemoveScheme | QUrl::RemoveAuthority).toStdString();
-    const Result<platform::Request> asked = platform::decodeRequest({.method = internal::methodName(request), .target = target, .body = request.body()});
-    const platform::Outcome outcome = asked.has_value() ? carryOut(*asked) : platform::Outcome{tl::unexpected{asked.error()}};
-    const bool hasWritten = asked.has_value() && outcome.has_value() && platform::isWrite(*asked);
+    const Result<store::Request> asked = store::decodeRequest({.method = internal::methodName(request), .target = target, .body = request.body()});
+    const store::Outcome outcome = asked.has_value() ? carryOut(*asked) : store::Outcome{tl::unexpected{asked.error()}};
+    const bool hasWritten = asked.has_value() && outcome.has_value() && store::isWrite(*asked);
     if (hasWritten && m_random.fraction() < m_behaviour.loseAnswerShare) {
         ++m_lost;
         socket->abort();
@@ -135,9 +135,9 @@
     });
 }
 
-platform::Outcome PlatformServer::carryOut(const platform::Request &request)
+store::Outcome PlatformServer::carryOut(const store::Request &request)
 {
-    const bool isWrite = platform::isWrite(request);
+    const bool isWrite = store::isWrite(request);
     ++(isWrite ? m_writes : m_reads);
     if (m_behaviour.isDown) {
         return tl::unexpected{Error{ErrorCode::unavailable, "told to be down"}};
--- a/standin/platform_server.hpp
+++ b/standin/platform_server.hpp
@@ -13,7 +13,7 @@
 
 #include <egretlatch/core/random_source.hpp>
 #include <egretlatch/core/secret.hpp>
-#include <egretlatch/platform/rate_cap.hpp>
+#include <egretlatch/store/rate_cap.hpp>
 #include <platform_store.hpp>
 
 namespace standin
@@ -61,14 +61,14 @@
     void handleControl(const QHttpServerRequest &request, QTcpSocket *socket);
     void handleCounts(const QHttpServerRequest &request, QTcpSocket *socket);
     void handleStore(const QHttpServerRequest &request, QTcpSocket *socket);
-    [[nodiscard]] egretlatch::platform::Outcome carryOut(const egretlatch::platform::Request &request);
+    [[nodiscard]] egretlatch::store::Outcome carryOut(const egretlatch::store::Request &request);
 
     egretlatch::Secret m_token;
     PlatformStore m_store;
     PlatformBehaviour m_behaviour;
     egretlatch::SeededRandom m_random;
-    egretlatch::platform::RateCap m_readCap;
-    egretlatch::platform::RateCap m_writeCap;
+    egretlatch::store::RateCap m_readCap;
+    egretlatch::store::RateCap m_writeCap;
     std::uint64_t m_reads{};
     std::uint64_t m_writes{};
     std::uint64_t m_limited{};
--- a/standin/platform_store.cpp
+++ b/standin/platform_store.cpp
@@ -26,29 +26,29 @@
 
 } // namespace internal
 
-platform::Outcome PlatformStore::apply(const platform::Request &request)
+store::Outcome PlatformStore::apply(const store::Request &request)
 {
-    if (const auto *const asked = std::get_if<platform::TableRead>(&request)) {
+    if (const auto *const asked = std::get_if<store::TableRead>(&request)) {
         return read(*asked);
     }
-    if (const auto *const asked = std::get_if<platform::TableScan>(&request)) {
+    if (const auto *const asked = std::get_if<store::TableScan>(&request)) {
         return scan(*asked);
     }
-    if (const auto *const asked = std::get_if<platform::TableWrite>(&request)) {
+    if (const auto *const asked = std::get_if<store::TableWrite>(&request)) {
         return write(*asked);
     }
-    if (const auto *const asked = std::get_if<platform::ObjectPut>(&request)) {
+    if (const auto *const asked = std::get_if<store::ObjectPut>(&request)) {
         return put(*asked);
     }
-    if (const auto *const asked = std::get_if<platform::ObjectGet>(&request)) {
+    if (const auto *const asked = std::get_if<store::ObjectGet>(&request)) {
         return get(*asked);
     }
-    return list(std::get<platform::ObjectList>(request));
+    return list(std::get<store::ObjectList>(request));
 }
 
-platform::Outcome PlatformStore::read(const platform::TableRead &read) const
+store::Outcome PlatformStore::read(const store::TableRead &read) const
 {
-    platform::RowsReply reply;
+    store::RowsReply reply;
     const auto found = m_rows.find(read.key);
     if (found != m_rows.end()) {
         reply.rows.push_back(found->second);
@@ -56,52 +56,52 @@
     return reply;
 }
 
-platform::Outcome PlatformStore::scan(const platform::TableScan &scan) const
+store::Outcome PlatformStore::scan(const store::TableScan &scan) const
 {
-    platform::RowsReply reply;
+    store::RowsReply reply;
     internal::visitPrefix(m_rows, scan.prefix, scan.after, scan.limit, [&reply](const auto &entry) {
         reply.rows.push_back(entry.second);
     });
     return reply;
 }
 
-platform::Outcome PlatformStore::write(const platform::TableWrite &write)
+store::Outcome PlatformStore::write(const store::TableWrite &write)
 {
-    for (const platform::RowCondition &condition : write.conditions) {
+    for (const store::RowCondition &condition : write.conditions) {
         const auto found = m_rows.find(condition.key);
         const std::uint64_t version = found == m_rows.end() ? 0 : found->second.version;
         if (version != condition.version) {
             return tl::unexpected{Error{ErrorCode::conflict, "a condition did not hold"}};
         }
     }
-    for (const platform::RowWrite &row : write.writes) {
+    for (const store::RowWrite &row : write.writes) {
         if (row.value.has_value()) {
             m_rows[row.key] = {.key = row.key, .value = *row.value, .version = ++m_lastVersion};
         } else {
             m_rows.erase(row.key);
         }
     }
-    return platform::WrittenReply{};
+    return store::WrittenReply{};
 }
 
-platform::Outcome PlatformStore::put(const platform::ObjectPut &put)
+store::Outcome PlatformStore::put(const store::ObjectPut &put)
 {
     m_objects[put.name] = put.bytes;
-    return platform::WrittenReply{};
+    return store::WrittenReply{};
 }
 
-platform::Outcome PlatformStore::get(const platform::ObjectGet &get) const
+store::Outcome PlatformStore::get(const store::ObjectGet &get) const
 {
     const auto found = m_objects.find(get.name);
     if (found == m_objects.end()) {
         return tl::unexpected{Error{ErrorCode::notFound, "no such object"}};
     }
-    return platform::ObjectReply{.bytes = found->second};
+    return store::ObjectReply{.bytes = found->second};
 }
 
-platform::Outcome PlatformStore::list(const platform::ObjectList &list) const
+store::Outcome PlatformStore::list(const store::ObjectList &list) const
 {
-    platform::NamesReply reply;
+    store::NamesReply reply;
     internal::visitPrefix(m_objects, list.prefix, list.after, list.limit, [&reply](const auto &entry) {
         reply.names.push_back(entry.first);
     });
--- a/standin/platform_store.hpp
+++ b/standin/platform_store.hpp
@@ -5,7 +5,7 @@
 #include <map>
 #include <string>
 
-#include <egretlatch/platform/requests.hpp>
+#include <egretlatch/store/requests.hpp>
 
 namespace standin
 {
@@ -19,17 +19,17 @@
      * @param request The request.
      * @return The reply; `conflict` and `notFound` as the interface says.
      */
-    [[nodiscard]] egretlatch::platform::Outcome apply(const egretlatch::platform::Request &request);
+    [[nodiscard]] egretlatch::store::Outcome apply(const egretlatch::store::Request &request);
 
 private:
-    [[nodiscard]] egretlatch::platform::Outcome read(const egretlatch::platform::TableRead &read) const;
-    [[nodiscard]] egretlatch::platform::Outcome scan(const egretlatch::platform::TableScan &scan) const;
-    [[nodiscard]] egretlatch::platform::Outcome write(const egretlatch::platform::TableWrite &write);
-    [[nodiscard]] egretlatch::platform::Outcome put(const egretlatch::platform::ObjectPut &put);
-    [[nodiscard]] egretlatch::platform::Outcome get(const egretlatch::platform::ObjectGet &get) const;
-    [[nodiscard]] egretlatch::platform::Outcome list(const egretlatch::platform::ObjectList &list) const;
-
-    std::map<std::string, egretlatch::platform::Row> m_rows;
+    [[nodiscard]] egretlatch::store::Outcome read(const egretlatch::store::TableRead &read) const;
+    [[nodiscard]] egretlatch::store::Outcome scan(const egretlatch::store::TableScan &scan) const;
+    [[nodiscard]] egretlatch::store::Outcome write(const egretlatch::store::TableWrite &write);
+    [[nodiscard]] egretlatch::store::Outcome put(const egretlatch::store::ObjectPut &put);
+    [[nodiscard]] egretlatch::store::Outcome get(const egretlatch::store::ObjectGet &get) const;
+    [[nodiscard]] egretlatch::store::Outcome list(const egretlatch::store::ObjectList &list) const;
+
+    std::map<std::string, egretlatch::store::Row> m_rows;
     std::map<std::string, QByteArray> m_objects;
     std::uint64_t m_lastVersion{};
 };
--- a/test/egretlatch/cli/sessions.cpp
+++ b/test/egretlatch/cli/sessions.cpp
@@ -134,7 +134,7 @@
         ledger.add(makeRefusal(session, account::RefusalReason::overloadAtEntry, "history-query"));
     }
     while (const std::optional<account::AccountBatch> batch = ledger.nextBatch()) {
-        static_cast<void>(session.store.apply(platform::ObjectPut{.name = account::objectName(*batch), .bytes = account::encodeBatch(*batch)}));
+        static_cast<void>(session.store.apply(store::ObjectPut{.name = account::objectName(*batch), .bytes = account::encodeBatch(*batch)}));
         ledger.acknowledge();
     }
     fakes::FakePlatformPort port{session.store};
--- a/test/egretlatch/configuration/follower.cpp
+++ b/test/egretlatch/configuration/follower.cpp
@@ -25,9 +25,9 @@
 class RecordingOutlet final : public Outlet
 {
 public:
-    platform::RequestId ask(platform::Request request) override
+    store::RequestId ask(store::Request request) override
     {
-        asked.emplace_back(platform::RequestId{++m_lastRequest}, std::move(request));
+        asked.emplace_back(store::RequestId{++m_lastRequest}, std::move(request));
         return {m_lastRequest};
     }
 
@@ -52,7 +52,7 @@
         counted.emplace_back(what);
     }
 
-    std::deque<std::pair<platform::RequestId, platform::Request>> asked;
+    std::deque<std::pair<store::RequestId, store::Request>> asked;
     std::deque<std::pair<Peer, PeerNews>> sent;
     std::vector<Peer> known;
     std::vector<std::uint64_t> inForce;
@@ -63,7 +63,7 @@
     std::uint64_t m_lastRequest{};
 };
 
-const platform::Outcome down = tl::unexpected{Error{ErrorCode::unavailable, "down"}};
+const store::Outcome down = tl::unexpected{Error{ErrorCode::unavailable, "down"}};
 
 /*! @brief One follower with a platform that can be down. */
 struct Fixture
--- a/test/egretlatch/configuration/submission.cpp
+++ b/test/egretlatch/configuration/submission.cpp
@@ -35,7 +35,7 @@
 
 [[nodiscard]] Head readHead(standin::PlatformStore &store)
 {
-    return *decodeHead(std::get<platform::RowsReply>(*store.apply(platform::TableRead{.key = headKey})).rows.front().value);
+    return *decodeHead(std::get<store::RowsReply>(*store.apply(store::TableRead{.key = headKey})).rows.front().value);
 }
 
 constexpr std::deque<fakes::Fate>::size_type requestsOfASubmission = 3;
@@ -50,7 +50,7 @@
     const Head head = readHead(store);
     CHECK(head.version == 1);
     CHECK(head.hash == contentHash(request.manifest));
-    const auto object = std::get<platform::ObjectReply>(*store.apply(platform::ObjectGet{.name = objectName(head.hash)}));
+    const auto object = std::get<store::ObjectReply>(*store.apply(store::ObjectGet{.name = objectName(head.hash)}));
     CHECK(object.bytes == request.manifest);
 }
 
@@ -102,7 +102,7 @@
 {
     standin::PlatformStore store;
     CHECK(run(store, makeRequest(4, "first")).code == cli::ExitCode::badInput);
-    CHECK(std::get<platform::RowsReply>(*store.apply(platform::TableRead{.key = headKey})).rows.empty());
+    CHECK(std::get<store::RowsReply>(*store.apply(store::TableRead{.key = headKey})).rows.empty());
 }
 
 TEST_CASE("operators who race have one winner for each version, and none is told wrong")
@@ -119,9 +119,9 @@
         };
         std::vector<Operator> operators(5);
         std::map<std::uint64_t, std::set<std::string>> acceptedAs;
-        std::vector<platform::Request> delayed;
+        std::vector<store::Request> delayed;
         int submitted = 0;
-        const platform::Outcome lost = tl::unexpected{Error{ErrorCode::timedOut, "lost"}};
+        const store::Outcome lost = tl::unexpected{Error{ErrorCode::timedOut, "lost"}};
         std::uint64_t newest = 0;
         for (int round = 0; round < 600; ++round) {
             Operator &one = operators[random.below(operators.size())];
@@ -129,9 +129,9 @@
                 one.base = newest;
                 one.submission.emplace(makeRequest(newest, "submission-" + std::to_string(++submitted)));
             }
-            const platform::Request request = one.submission->request();
+            const store::Request request = one.submission->request();
             const std::uint64_t fate = random.below(6);
-            platform::Outcome outcome = lost;
+            store::Outcome outcome = lost;
             if (fate > 1) {
                 outcome = store.apply(request);
             } else if (fate == 1) {
@@ -150,14 +150,14 @@
                 }
                 one.submission.reset();
             }
-            const auto rows = std::get<platform::RowsReply>(*store.apply(platform::TableRead{.key = headKey})).rows;
+            const auto rows = std::get<store::RowsReply>(*store.apply(store::TableRead{.key = headKey})).rows;
             const std::uint64_t head = rows.empty() ? 0 : decodeHead(rows.front().value)->version;
             RC_ASSERT(head >= newest);
             newest = head;
         }
         for (const auto &[version, winners] : acceptedAs) {
             RC_ASSERT(winners.size() == 1U);
-            const auto rows = std::get<platform::RowsReply>(*store.apply(platform::TableRead{.key = versionKey(version)})).rows;
+            const auto rows = std::get<store::RowsReply>(*store.apply(store::TableRead{.key = versionKey(version)})).rows;
             RC_ASSERT(decodeHead(rows.front().value)->submission == *winners.begin());
         }
     }));
--- a/test/egretlatch/membership/contact_book.cpp
+++ b/test/egretlatch/membership/contact_book.cpp
@@ -27,8 +27,8 @@
         ContactBook book{{.id = {std::to_string(index)}, .endpoint = "tcp://10.0.0.1:1"}, random};
         for (SteadyTime now{1h}; now < SteadyTime{1h} + 10min; now += 1s) {
             const auto request = book.tick(daemons - 1, now);
-            counts.reads += request.has_value() && std::holds_alternative<platform::TableScan>(*request) ? 1 : 0;
-            counts.writes += request.has_value() && std::holds_alternative<platform::TableWrite>(*request) ? 1 : 0;
+            counts.reads += request.has_value() && std::holds_alternative<store::TableScan>(*request) ? 1 : 0;
+            counts.writes += request.has_value() && std::holds_alternative<store::TableWrite>(*request) ? 1 : 0;
         }
     }
     return counts;
@@ -53,17 +53,17 @@
     ContactBook book{{.id = {"self"}, .endpoint = "tcp://10.0.0.1:1"}, random};
     const auto first = book.tick(0, SteadyTime{1h});
     REQUIRE(first.has_value());
-    CHECK(std::holds_alternative<platform::TableScan>(*first));
+    CHECK(std::holds_alternative<store::TableScan>(*first));
     CHECK(book.handleOutcome(tl::unexpected{Error{ErrorCode::unavailable, "down"}}).empty());
 
-    const platform::RowsReply rows{.rows = {{.key = "contact/01", .value = "self\ntcp://10.0.0.1:1", .version = 1},
-                                            {.key = "contact/02", .value = "other\ntcp://10.0.0.2:1", .version = 1},
-                                            {.key = "contact/03", .value = "torn", .version = 1}}};
+    const store::RowsReply rows{.rows = {{.key = "contact/01", .value = "self\ntcp://10.0.0.1:1", .version = 1},
+                                         {.key = "contact/02", .value = "other\ntcp://10.0.0.2:1", .version = 1},
+                                         {.key = "contact/03", .value = "torn", .version = 1}}};
     CHECK(book.handleOutcome(rows) == std::vector<Contact>{{.id = {"other"}, .endpoint = "tcp://10.0.0.2:1"}});
     bool readsAgain = false;
     for (SteadyTime now{1h}; now < SteadyTime{1h} + 30s; now += 1s) {
         const auto request = book.tick(0, now);
-        readsAgain = readsAgain || (request.has_value() && std::holds_alternative<platform::TableScan>(*request));
+        readsAgain = readsAgain || (request.has_value() && std::holds_alternative<store::TableScan>(*request));
     }
     CHECK(readsAgain);
 }
--- a/test/egretlatch/retry/shard_grants.cpp
+++ b/test/egretlatch/retry/shard_grants.cpp
@@ -48,10 +48,10 @@
             const std::size_t place = static_cast<std::size_t>(shard) % daemons.size();
             return std::next(daemons.begin(), static_cast<std::ptrdiff_t>(place))->first == number;
         };
-        for (const platform::Request &request : grants.tick(clock.wallNow(), clock.steadyNow(), isPreferred)) {
-            const platform::RequestId id{++asked};
+        for (const store::Request &request : grants.tick(clock.wallNow(), clock.steadyNow(), isPreferred)) {
+            const store::RequestId id{++asked};
             grants.noteAsked(id, request);
-            const platform::Outcome down = tl::unexpected{Error{ErrorCode::unavailable, "down"}};
+            const store::Outcome down = tl::unexpected{Error{ErrorCode::unavailable, "down"}};
             static_cast<void>(grants.take(id, isDown ? down : table.ask(request), clock.steadyNow()));
         }
     }
--- a/test/egretlatch/platform/http_codec.cpp
+++ b/test/egretlatch/store/http_codec.cpp
@@ -1,10 +1,10 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
-#include <egretlatch/platform/http_codec.hpp>
+#include <egretlatch/store/http_codec.hpp>
 
 using namespace egretlatch;
-using namespace egretlatch::platform;
+using namespace egretlatch::store;
 
 namespace
 {
--- a/test/egretlatch/platform/identified_write.cpp
+++ b/test/egretlatch/store/identified_write.cpp
@@ -4,10 +4,10 @@
 #include <platform_store.hpp>
 
 #include <egretlatch/core/random_source.hpp>
-#include <egretlatch/platform/identified_write.hpp>
+#include <egretlatch/store/identified_write.hpp>
 
 using namespace egretlatch;
-using namespace egretlatch::platform;
+using namespace egretlatch::store;
 
 namespace
 {
--- a/test/egretlatch/platform/rate_cap.cpp
+++ b/test/egretlatch/store/rate_cap.cpp
@@ -1,10 +1,10 @@
 #include <doctest/doctest.h>
 
-#include <egretlatch/platform/backoff.hpp>
-#include <egretlatch/platform/rate_cap.hpp>
+#include <egretlatch/store/backoff.hpp>
+#include <egretlatch/store/rate_cap.hpp>
 
 using namespace egretlatch;
-using namespace egretlatch::platform;
+using namespace egretlatch::store;
 
 TEST_CASE("a fleet that asks as fast as it can stays under its rate")
 {
--- a/test/fakes/fake_platform_port.hpp
+++ b/test/fakes/fake_platform_port.hpp
@@ -37,7 +37,7 @@
     {
     }
 
-    [[nodiscard]] egretlatch::platform::Outcome ask(const egretlatch::platform::Request &request) override
+    [[nodiscard]] egretlatch::store::Outcome ask(const egretlatch::store::Request &request) override
     {
         using egretlatch::Error;
         using egretlatch::ErrorCode;
@@ -54,7 +54,7 @@
         if (fate == Fate::requestLost) {
             return tl::unexpected{Error{ErrorCode::timedOut, "the platform did not answer"}};
         }
-        egretlatch::platform::Outcome outcome = m_store.apply(request);
+        egretlatch::store::Outcome outcome = m_store.apply(request);
         if (fate == Fate::answerLost) {
             return tl::unexpected{Error{ErrorCode::timedOut, "the platform did not answer"}};
         }
@@ -66,7 +66,7 @@
     }
 
     /*! @brief Called before each request, so that a test can let others act in between. */
-    std::function<void(const egretlatch::platform::Request &)> onAsk;
+    std::function<void(const egretlatch::store::Request &)> onAsk;
 
 private:
     standin::PlatformStore &m_store;
--- a/test/fakes/table.hpp
+++ b/test/fakes/table.hpp
@@ -6,7 +6,7 @@
 #include <map>
 #include <string>
 
-#include <egretlatch/platform/requests.hpp>
+#include <egretlatch/store/requests.hpp>
 
 namespace fakes
 {
@@ -20,9 +20,9 @@
      * @param request A read, a scan or a write of the table; objects are not kept.
      * @return What the platform answers if nothing fails.
      */
-    [[nodiscard]] egretlatch::platform::Outcome ask(const egretlatch::platform::Request &request)
+    [[nodiscard]] egretlatch::store::Outcome ask(const egretlatch::store::Request &request)
     {
-        using namespace egretlatch::platform;
+        using namespace egretlatch::store;
         if (const auto *const read = std::get_if<TableRead>(&request)) {
             return rowsFrom(read->key, read->key, 1);
         }
@@ -42,16 +42,16 @@
     }
 
 private:
-    [[nodiscard]] egretlatch::platform::Outcome rowsFrom(const std::string &first, const std::string &last, const int limit) const
+    [[nodiscard]] egretlatch::store::Outcome rowsFrom(const std::string &first, const std::string &last, const int limit) const
     {
-        egretlatch::platform::RowsReply reply;
+        egretlatch::store::RowsReply reply;
         for (auto row = m_rows.lower_bound(first); row != m_rows.end() && row->first <= last && static_cast<int>(reply.rows.size()) < limit; ++row) {
             reply.rows.push_back(row->second);
         }
         return reply;
     }
 
-    [[nodiscard]] egretlatch::platform::Outcome carryOut(const egretlatch::platform::TableWrite &write)
+    [[nodiscard]] egretlatch::store::Outcome carryOut(const egretlatch::store::TableWrite &write)
     {
         for (const auto &condition : write.conditions) {
             const auto row = m_rows.find(condition.key);
@@ -63,13 +63,13 @@
         for (const auto &change : write.writes) {
             m_rows.erase(change.key);
             if (change.value.has_value()) {
-                m_rows.emplace(change.key, egretlatch::platform::Row{.key = change.key, .value = *change.value, .version = ++m_version});
+                m_rows.emplace(change.key, egretlatch::store::Row{.key = change.key, .value = *change.value, .version = ++m_version});
             }
         }
-        return egretlatch::platform::WrittenReply{};
+        return egretlatch::store::WrittenReply{};
     }
 
-    std::map<std::string, egretlatch::platform::Row> m_rows;
+    std::map<std::string, egretlatch::store::Row> m_rows;
     std::uint64_t m_version{};
     int m_writes{};
 };
--- a/test/history/schedule.cpp
+++ b/test/history/schedule.cpp
@@ -330,7 +330,7 @@
 
 void Schedule::askTable(const std::size_t index, const decision::AskPlatform &ask)
 {
-    const auto reply = [this, index, life = m_nodes[index].life, id = ask.id](const platform::Outcome &outcome) {
+    const auto reply = [this, index, life = m_nodes[index].life, id = ask.id](const store::Outcome &outcome) {
         if (m_nodes[index].life == life) {
             give(index, decision::PlatformAnswered{.id = id, .outcome = outcome});
         }
