Store calls carry Host; bounds are read as an object

Bounds come as an object, not as a list; and the store refuses calls without Host with 400, which counted as an answer and was not logged. Change: Host is sent; a call that is not understood is a loss of the store, with a line.

--- a/src/egretlatch/settings/sidecar_settings.cpp
+++ b/src/egretlatch/settings/sidecar_settings.cpp
@@ -1,5 +1,8 @@
 #include <egretlatch/settings/sidecar_settings.hpp>
 
+#include <QJsonObject>
+#include <QVariant>
+
 #include <egretlatch/settings/common_readers.hpp>
 
 namespace egretlatch::settings
@@ -34,12 +37,19 @@
     return static_cast<std::uint16_t>(ports.front());
 }
 
-[[nodiscard]] static std::vector<std::string> readTexts(JsonObjectReader &reader, const std::string &key)
+// The bounds as texts of the form `name=value`, whatever the type of the value.
+[[nodiscard]] static std::vector<std::string> readBoundTexts(JsonObjectReader &reader, Problems &problems)
 {
     std::vector<std::string> texts;
-    reader.list(key, false, [&texts](const QJsonValue &element, const std::string & /*pointer*/) {
-        texts.push_back(element.toString().toStdString());
-    });
+    const std::optional<QJsonValue> member = reader.member("bounds");
+    if (member.has_value() && !member->isObject()) {
+        problems.push_back({.pointer = reader.pointerTo("bounds"), .found = describe(*member), .allowed = "an object of bounds by name"});
+        return texts;
+    }
+    const QJsonObject bounds = member.value_or(QJsonValue{}).toObject();
+    for (auto bound = bounds.begin(); bound != bounds.end(); ++bound) {
+        texts.push_back(bound.key().toStdString() + '=' + bound.value().toVariant().toString().toStdString());
+    }
     return texts;
 }
 
@@ -65,7 +75,7 @@
     settings.backend = internal::readEndpoint(reader, "backend");
     settings.store = internal::readEndpoint(reader, "store");
     settings.peerPort = internal::readFirstPort(reader);
-    settings.boundTexts = internal::readTexts(reader, "bounds");
+    settings.boundTexts = internal::readBoundTexts(reader, problems);
     settings.policy = readPolicy(reader);
     settings.logLevel = readLogLevel(reader);
     if (hasError(problems)) {
--- a/src/egretlatch/sidecar/store_client.cpp
+++ b/src/egretlatch/sidecar/store_client.cpp
@@ -11,11 +11,16 @@
 // The store answers in milliseconds; one that is slow by sixty times still answers in time.
 constexpr std::chrono::milliseconds answerTimeout{2000};
 constexpr int firstServerError = 500;
+constexpr int badRequest = 400;
+constexpr int tooManyRequests = 429;
 
 [[nodiscard]] static std::string_view outcomeName(const http::Outcome &result)
 {
     if (const auto *const answer = std::get_if<http::Response>(&result)) {
-        return answer->status < firstServerError ? "answered" : "refused";
+        if (answer->status == badRequest) {
+            return "not-understood";
+        }
+        return answer->status < firstServerError && answer->status != tooManyRequests ? "answered" : "refused";
     }
     switch (std::get<http::Failure>(result)) {
     case http::Failure::neverConnected:
@@ -45,6 +50,7 @@
     : m_clock{clock}
     , m_logger{logger}
     , m_metrics{metrics}
+    , m_host{endpoint.text()}
     , m_pool{poller, clock, endpoint, {}}
 {
 }
@@ -64,7 +70,9 @@
 void StoreClient::call(const http::Request &request, const std::chrono::milliseconds timeout, AnswerHandler onAnswer)
 {
     http::Outgoing outgoing;
-    outgoing.bytes = http::encode(request);
+    http::Request addressed = request;
+    addressed.headers.push_back({.name = "Host", .value = m_host});
+    outgoing.bytes = http::encode(addressed);
     outgoing.isOwn = [](const http::Response & /*response*/) {
         return true;
     };
--- a/src/egretlatch/sidecar/store_client.hpp
+++ b/src/egretlatch/sidecar/store_client.hpp
@@ -54,6 +54,7 @@
     const Clock &m_clock;
     const Logger &m_logger;
     account::MetricsSink &m_metrics;
+    std::string m_host;
     http::ClientPool m_pool;
     bool m_isLost{};
 };
