--- /dev/null
+++ b/standin/fleet/client.py
@@ -0,0 +1,48 @@
+"""Clients: one request at a time, with their own retries, and a record of how each ended."""
+
+import asyncio
+import time
+
+from . import wire
+
+
+class Answer:
+    """How one client attempt ended: the status (None for no answer), the fields, the body and the seconds it took."""
+
+    def __init__(self, name, status, fields, body, seconds):
+        self.name = name
+        self.status = status
+        self.fields = fields
+        self.body = body
+        self.seconds = seconds
+
+
+class Client:
+    """Keeps one connection to a daemon and opens a new one where the daemon closed it."""
+
+    def __init__(self, outbound):
+        self.host, self.port = outbound.split(":")
+        self.reader = None
+        self.writer = None
+
+    async def send(self, name, host, path, method="GET", body=b"", patience=5.0, fields=None):
+        began = time.monotonic()
+        try:
+            if self.writer is None:
+                self.reader, self.writer = await asyncio.open_connection(self.host, int(self.port))
+            self.writer.write(wire.encode(f"{method} {path} HTTP/1.1", {
+                "Host": host, "X-Request-Id": name, "X-Deadline-Ms": int(patience * 1000), **(fields or {})}, body))
+            answer = await asyncio.wait_for(wire.read_message(self.reader), patience)
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            answer = None
+        if answer is None or answer.fields.get("connection") == "close":
+            self.close()
+        seconds = time.monotonic() - began
+        if answer is None:
+            return Answer(name, None, {}, b"", seconds)
+        return Answer(name, answer.status, answer.fields, answer.body, seconds)
+
+    def close(self):
+        if self.writer is not None:
+            self.writer.close()
+        self.writer = None
--- /dev/null
+++ b/standin/fleet/server.py
@@ -0,0 +1,194 @@
+"""A server of a service: slots and a queue, inner calls, and the faults that servers have."""
+
+import asyncio
+import collections
+import json
+import random
+import time
+
+from . import wire
+
+STAMP = "x-server-stamp"
+
+
+class Fault:
+    """What a server does wrong, each as a share of its answers."""
+
+    def __init__(self, **shares):
+        self.extra = shares.get("extra", 0.0)
+        self.lost = shares.get("lost", 0.0)
+        self.cut = shares.get("cut", 0.0)
+        self.unsigned = shares.get("unsigned", 0.0)
+        self.failed = shares.get("failed", 0.0)
+        self.slowness = shares.get("slowness", 1.0)
+
+
+class Server:
+    """Runs requests of any kind for `work` seconds by kind; a kind may make calls through the daemon beside the server."""
+
+    def __init__(self, instance, service, address, slots, queue, kinds, seed=1):
+        self.instance = instance
+        self.service = service
+        self.address = address
+        self.slots = slots
+        self.queue = queue
+        self.kinds = kinds
+        self.outbound = None
+        self.random = random.Random(f"{seed}/{instance}")
+        self.fault = Fault()
+        self.running = 0
+        self.waiting = collections.deque()
+        self.runs = collections.Counter()
+        self.callers = set()
+        self.arrivals = 0
+        self.rejected = 0
+        self.cancelled = 0
+        self.state = "ready"
+        self.sequence = 0
+        self.born = int(time.time() * 1000)
+        self.accepts_after_drain = None
+
+    async def start(self):
+        host, port = self.address.split(":")
+        self.server = await asyncio.start_server(self.serve, host, int(port), backlog=1024)
+
+    async def stop(self):
+        self.server.close()
+
+    async def serve(self, reader, writer):
+        try:
+            while (request := await wire.read_message(reader)) is not None:
+                if not await self.take(request, reader, writer):
+                    break
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    async def take(self, request, reader, writer):
+        name = request.fields.get("x-request-id", "")
+        expected = request.fields.get("x-expected-instance")
+        if expected not in (None, self.instance):
+            writer.write(wire.response(421, {"X-Instance-Id": self.instance, "X-Request-Id": name, "X-Not-Executed": "1"}))
+            return True
+        self.arrivals += 1
+        if self.state != "ready" and self.accepts_after_drain is None:
+            self.accepts_after_drain = time.monotonic()
+        if self.running >= self.slots and len(self.waiting) >= self.queue:
+            self.rejected += 1
+            writer.write(wire.response(503, {"X-Not-Executed": "1", "X-Request-Id": name, "X-Server-Load": self.load()}))
+            return True
+        run = asyncio.ensure_future(self.run(request, name))
+        gone = asyncio.ensure_future(reader.read(1))
+        await asyncio.wait({run, gone}, return_when=asyncio.FIRST_COMPLETED)
+        if not run.done():
+            self.cancelled += 1
+            run.cancel()
+            return False
+        # The reader is back in order for the next request: nothing had come.
+        gone.cancel()
+        try:
+            await gone
+        except asyncio.CancelledError:
+            pass
+        return await self.send(run.result(), name, writer)
+
+    def load(self):
+        return f"{self.running},{len(self.waiting)},{self.slots}"
+
+    async def slot(self):
+        if self.running < self.slots:
+            self.running += 1
+            return
+        turn = asyncio.get_running_loop().create_future()
+        self.waiting.append(turn)
+        try:
+            await turn
+        except asyncio.CancelledError:
+            if turn in self.waiting:
+                self.waiting.remove(turn)
+            elif turn.done():
+                self.free()
+            raise
+
+    def free(self):
+        while self.waiting:
+            turn = self.waiting.popleft()
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self.running -= 1
+
+    async def run(self, request, name):
+        await self.slot()
+        try:
+            self.runs[name] += 1
+            self.callers.add(request.fields.get("x-caller-service"))
+            kind = self.kinds.get(request.target.strip("/").split("/")[0], {})
+            deadline = time.monotonic() + int(request.fields.get("x-deadline-ms", 60000)) / 1000
+            await asyncio.sleep(kind.get("work", 0.005) * self.fault.slowness * self.random.uniform(0.6, 1.4))
+            for target in kind.get("calls", []):
+                if not await self.call(target, name, deadline):
+                    return 500, b"call failed"
+            if self.random.random() < self.fault.failed:
+                return 500, b"failed"
+            return 200, json.dumps({"name": name, "server": self.instance}).encode() + request.body
+        finally:
+            self.free()
+
+    async def call(self, target, parent, deadline):
+        """Makes an inner call through the daemon beside this server."""
+        host, path = target
+        left = int((deadline - time.monotonic()) * 1000)
+        if left <= 0:
+            return False
+        name = f"{parent}.{self.random.getrandbits(64):016x}"
+        address, port = self.outbound.split(":")
+        try:
+            reader, writer = await asyncio.open_connection(address, int(port))
+            writer.write(wire.encode(f"GET {path} HTTP/1.1", {"Host": host, "X-Request-Id": name, "X-Deadline-Ms": left}))
+            answer = await asyncio.wait_for(wire.read_message(reader), left / 1000)
+            writer.close()
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            return False
+        return answer is not None and answer.status == 200
+
+    async def send(self, result, name, writer):
+        status, body = result
+        fields = {"X-Request-Id": name, "X-Server-Stamp": f"{self.instance}.{name}", "X-Server-Load": self.load()}
+        if self.random.random() < self.fault.lost:
+            writer.transport.abort()
+            return False
+        if self.random.random() < self.fault.unsigned:
+            del fields["X-Server-Stamp"]
+        answer = wire.response(status, fields, body)
+        if self.random.random() < self.fault.cut:
+            writer.write(answer[:-3])
+            return False
+        writer.write(answer)
+        if self.random.random() < self.fault.extra:
+            writer.write(answer)
+        await writer.drain()
+        return True
+
+    async def report(self, control, state=None):
+        """Sends one heartbeat; gives the status of the acknowledgement, or None."""
+        self.state = state or self.state
+        self.sequence += 1
+        body = {"address": self.address, "born": self.born,
+                "info": {"service": self.service, "version": "v1", "zone": "z1", "slots": self.slots},
+                "status": {"state": self.state, "seq": self.sequence, "cold_remaining": "0ms"}}
+        return await post(control, f"/api/instances/{self.instance}/heartbeat", json.dumps(body).encode())
+
+
+async def post(endpoint, path, body, method="POST"):
+    """Makes one call; gives the status, or None if no answer came."""
+    host, port = endpoint.split(":")
+    try:
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(wire.encode(f"{method} {path} HTTP/1.1", {"Host": endpoint, "Content-Type": "application/json"}, body))
+        answer = await asyncio.wait_for(wire.read_message(reader), 2)
+        writer.close()
+        return None if answer is None else answer.status
+    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+        return None
