The call graph is learned from runs and told with answers

Ruled out: a table of chains by gossip (answers pass where the chain passes, and cost nothing more). Change: LearnedChains; every eighth answer carries the chain of its kind.

--- a/src/egretlatch/admission/entry_control.hpp
+++ b/src/egretlatch/admission/entry_control.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <egretlatch/account/refusal.hpp>
+#include <egretlatch/admission/learned_chains.hpp>
 #include <egretlatch/admission/load_report.hpp>
 #include <egretlatch/admission/noted_level.hpp>
 #include <egretlatch/admission/rank.hpp>
@@ -59,6 +60,17 @@
     friend bool operator==(const ServiceNews &, const ServiceNews &) = default;
 };
 
+/*! @brief A run that ended well, and the calls that it made. */
+struct RunCalls
+{
+    KindName kind;
+    std::map<KindName, int> calls;
+    /*! @brief Time that it held its slot. */
+    Duration held{};
+
+    friend bool operator==(const RunCalls &, const RunCalls &) = default;
+};
+
 /*! @brief Refuses roots at the entry that a service down their chain would refuse anyway. */
 class EntryControl
 {
@@ -109,6 +121,32 @@
      */
     [[nodiscard]] virtual std::vector<ServiceNews> levelsBelow(const std::string &service, SteadyTime now) = 0;
 
+    /**
+     * @brief Notes a run that ended well at the backend server here, with the calls that it made.
+     * @param run The run.
+     */
+    virtual void noteRun(const RunCalls & /*run*/)
+    {
+    }
+
+    /**
+     * @brief Notes what a serving daemon told of the chain of a kind that it serves.
+     * @param kind The kind.
+     * @param stops Its chain.
+     */
+    virtual void noteChain(const KindName & /*kind*/, const ChainStops & /*stops*/)
+    {
+    }
+
+    /**
+     * @brief Gives the chain of a kind that is served here, for those who call it.
+     * @return Empty if nothing is known, or nobody asks.
+     */
+    [[nodiscard]] virtual ChainStops learnedChain(const KindName & /*kind*/) const
+    {
+        return {};
+    }
+
     /**
      * @brief Decides about a root.
      * @param request The root.
--- /dev/null
+++ b/src/egretlatch/admission/learned_chains.cpp
@@ -0,0 +1,90 @@
+#include <egretlatch/admission/learned_chains.hpp>
+
+namespace egretlatch::admission
+{
+
+namespace internal
+{
+
+// Runs that an average reaches back over: a graph changes with a release, and a few dozen runs take a second or less.
+constexpr int samplesInMean = 20;
+// Calls for each run below which a call counts as none, so that what is no longer made is forgotten.
+constexpr double fewestCalls = 0.02;
+
+} // namespace internal
+
+void LearnedChains::noteRun(const KindName &kind, const std::map<KindName, int> &calls, const Duration held)
+{
+    const bool isFirst = !m_seen.contains(kind);
+    Seen &seen = m_seen[kind];
+    if (isFirst) {
+        seen.held = held;
+        for (const auto &[callee, count] : calls) {
+            seen.calls[callee] = count;
+        }
+        return;
+    }
+    seen.held += (held - seen.held) / internal::samplesInMean;
+    for (const auto &[callee, count] : calls) {
+        seen.calls.try_emplace(callee, 0.0);
+    }
+    for (auto &[callee, mean] : seen.calls) {
+        const auto made = calls.find(callee);
+        const double count = made == calls.end() ? 0.0 : made->second;
+        mean += (count - mean) / internal::samplesInMean;
+    }
+    std::erase_if(seen.calls, [](const auto &entry) {
+        return entry.second < internal::fewestCalls;
+    });
+}
+
+void LearnedChains::noteChain(const KindName &kind, const ChainStops &stops)
+{
+    if (!stops.empty()) {
+        m_told[kind] = stops;
+    }
+}
+
+ChainStops LearnedChains::chain(const KindName &kind) const
+{
+    const auto seen = m_seen.find(kind);
+    if (seen != m_seen.end()) {
+        return chainOfSeen(kind, seen->second);
+    }
+    const auto told = m_told.find(kind);
+    return told == m_told.end() ? ChainStops{} : told->second;
+}
+
+ChainStops LearnedChains::chainOfSeen(const KindName &kind, const Seen &seen) const
+{
+    ChainStops stops;
+    stops[kind.first] = seen.held;
+    for (const auto &[callee, count] : seen.calls) {
+        const auto told = m_told.find(callee);
+        if (told == m_told.end()) {
+            stops.try_emplace(callee.first, Duration{});
+            continue;
+        }
+        for (const auto &[service, held] : told->second) {
+            stops[service] += std::chrono::duration_cast<Duration>(held * count);
+        }
+    }
+    return stops;
+}
+
+std::set<std::string> LearnedChains::servicesBelow(const std::string &service) const
+{
+    std::set<std::string> below;
+    for (const auto &[kind, seen] : m_seen) {
+        if (kind.first != service) {
+            continue;
+        }
+        for (const auto &[stop, held] : chainOfSeen(kind, seen)) {
+            below.insert(stop);
+        }
+    }
+    below.erase(service);
+    return below;
+}
+
+} // namespace egretlatch::admission
--- a/src/egretlatch/admission/whole_chain_entry.cpp
+++ b/src/egretlatch/admission/whole_chain_entry.cpp
@@ -96,7 +96,9 @@
 std::vector<ServiceNews> WholeChainEntry::levelsBelow(const std::string &service, const SteadyTime now)
 {
     std::vector<ServiceNews> news;
-    for (const std::string &below : m_costs.servicesBelow(service)) {
+    std::set<std::string> services = m_learned.servicesBelow(service);
+    services.insert(m_costs.servicesBelow(service).begin(), m_costs.servicesBelow(service).end());
+    for (const std::string &below : services) {
         const NotedLevel noted = levelOf(below, now);
         if (noted.at != SteadyTime{}) {
             news.push_back({.service = below, .noted = noted});
@@ -107,16 +109,47 @@
 
 std::optional<EntryRefusal> WholeChainEntry::check(const EntryRequest &request, const SteadyTime now)
 {
-    for (const auto &[service, held] : m_costs.stops(request.service, request.kind)) {
-        const internal::Obstacle obstacle{.service = service, .rankClass = classOf(request.rank, held), .noted = levelOf(service, now)};
-        if (admits(obstacle.noted.level, obstacle.rankClass, request.root) || m_random.fraction() < probeChance(obstacle.noted, now)) {
+    const ChainCosts::Stops &declared = m_costs.stops(request.service, request.kind);
+    for (const auto &[service, held] : declared) {
+        if (auto refusal = checkAt(service, held, request, now)) {
+            return refusal;
+        }
+    }
+    for (const auto &[service, held] : m_learned.chain({request.service, request.kind})) {
+        if (declared.contains(service)) {
             continue;
         }
-        return internal::refusalOf(obstacle, request.root, now);
+        if (auto refusal = checkAt(service, held, request, now)) {
+            return refusal;
+        }
     }
     return std::nullopt;
 }
 
+std::optional<EntryRefusal> WholeChainEntry::checkAt(const std::string &service, const Duration held, const EntryRequest &request, const SteadyTime now)
+{
+    const internal::Obstacle obstacle{.service = service, .rankClass = classOf(request.rank, held), .noted = levelOf(service, now)};
+    if (admits(obstacle.noted.level, obstacle.rankClass, request.root) || m_random.fraction() < probeChance(obstacle.noted, now)) {
+        return std::nullopt;
+    }
+    return internal::refusalOf(obstacle, request.root, now);
+}
+
+void WholeChainEntry::noteRun(const RunCalls &run)
+{
+    m_learned.noteRun(run.kind, run.calls, run.held);
+}
+
+void WholeChainEntry::noteChain(const KindName &kind, const ChainStops &stops)
+{
+    m_learned.noteChain(kind, stops);
+}
+
+ChainStops WholeChainEntry::learnedChain(const KindName &kind) const
+{
+    return m_learned.chain(kind);
+}
+
 NotedLevel WholeChainEntry::levelOf(const std::string &service, const SteadyTime now)
 {
     Notes &notes = m_notes[service];
--- a/src/egretlatch/admission/whole_chain_entry.hpp
+++ b/src/egretlatch/admission/whole_chain_entry.hpp
@@ -32,6 +32,9 @@
     void noteLoad(const ServerNews &news, SteadyTime now) override;
     void noteLevel(const ServiceNews &news) override;
     [[nodiscard]] std::vector<ServiceNews> levelsBelow(const std::string &service, SteadyTime now) override;
+    void noteRun(const RunCalls &run) override;
+    void noteChain(const KindName &kind, const ChainStops &stops) override;
+    [[nodiscard]] ChainStops learnedChain(const KindName &kind) const override;
     [[nodiscard]] std::optional<EntryRefusal> check(const EntryRequest &request, SteadyTime now) override;
 
 private:
@@ -43,11 +46,13 @@
         NotedLevel passedOn;
     };
 
+    [[nodiscard]] std::optional<EntryRefusal> checkAt(const std::string &service, Duration held, const EntryRequest &request, SteadyTime now);
     [[nodiscard]] NotedLevel levelOf(const std::string &service, SteadyTime now);
 
     RandomSource &m_random;
     std::shared_ptr<const manifest::Manifest> m_manifest;
     ChainCosts m_costs;
+    LearnedChains m_learned;
     std::map<std::string, Notes> m_notes;
 };
 
--- a/src/egretlatch/decision/entry_handler.cpp
+++ b/src/egretlatch/decision/entry_handler.cpp
@@ -108,6 +108,9 @@
     if (!call.parentName.empty()) {
         inner = m_serving.findRunNamed(call.parentName);
     }
+    if (inner.has_value()) {
+        m_serving.noteInnerBegan(inner->execution, {call.service, call.kind});
+    }
     Pending pending = begin(arrived, *kind, inner, now);
     if (!kind->idempotent && m_surroundings.unownedKeys != retry::UnownedKeys::notNeeded) {
         findOwner(std::move(pending), inner, now);
@@ -461,6 +464,7 @@
 {
     admission::EntryControl &control = *m_surroundings.entryControl;
     control.noteLoad({.service = pending.call.service, .daemon = pending.server, .load = answer.load}, now);
+    control.noteChain({pending.call.service, pending.call.kind}, answer.chain);
     for (const protocol::ServiceLevel &level : answer.levels) {
         control.noteLevel({.service = level.service, .noted = {.level = level.level, .at = now - level.age}});
     }
--- a/src/egretlatch/decision/serving_handler.cpp
+++ b/src/egretlatch/decision/serving_handler.cpp
@@ -14,6 +14,8 @@
 {
 
 constexpr int firstServerError = 500;
+// Chains change with releases, so telling one with each answer would only cost bytes.
+constexpr std::uint64_t answersPerChain = 8;
 
 [[nodiscard]] static admission::RunOutcome outcomeOf(const std::variant<RunAnswer, RunFailure> &result)
 {
@@ -148,6 +150,7 @@
         .latency = now - *attempt.started,
         .waitedForInner = attempt.innerWait,
     };
+    learn(attempt, ended, now);
     const admission::GateRelease release = m_gate->finish(ended.execution, observation, now);
     answer(ended.execution, internal::answerOf(ended.result, m_surroundings), now);
     apply(release, now);
@@ -238,6 +241,26 @@
     return found == m_attempts.end() ? 0 : found->second.ordinals[call]++;
 }
 
+void ServingHandler::noteInnerBegan(const ExecutionId execution, const admission::KindName &kind)
+{
+    const auto found = m_attempts.find(execution);
+    if (found != m_attempts.end()) {
+        ++found->second.innerCalls[kind];
+    }
+}
+
+void ServingHandler::learn(const Attempt &attempt, const RunEnded &ended, const SteadyTime now)
+{
+    // A run that failed may have ended before it made all its calls.
+    if (internal::outcomeOf(ended.result) == admission::RunOutcome::succeeded) {
+        m_surroundings.entryControl->noteRun({
+            .kind = {attempt.request.service, attempt.request.kind},
+            .calls = attempt.innerCalls,
+            .held = now - *attempt.started,
+        });
+    }
+}
+
 void ServingHandler::noteInnerEnded(const ExecutionId execution, const int attempts, const Duration slotTime, const SteadyTime now)
 {
     const auto found = m_attempts.find(execution);
@@ -297,6 +320,9 @@
     const auto found = m_attempts.find(execution);
     const Attempt &attempt = found->second;
     answer.attemptsReturned = attempt.attemptsLeft;
+    if (m_answers++ % internal::answersPerChain == 0) {
+        answer.chain = m_surroundings.entryControl->learnedChain({attempt.request.service, attempt.request.kind});
+    }
     answer.slotTime = attempt.innerSlotTime;
     if (attempt.started.has_value()) {
         answer.slotTime += now - *attempt.started;
--- a/src/egretlatch/decision/serving_handler.hpp
+++ b/src/egretlatch/decision/serving_handler.hpp
@@ -115,6 +115,13 @@
      */
     [[nodiscard]] int nextOrdinal(ExecutionId execution, std::uint64_t call);
 
+    /**
+     * @brief Notes that a run makes an inner call.
+     * @param execution The run.
+     * @param kind What it calls.
+     */
+    void noteInnerBegan(ExecutionId execution, const admission::KindName &kind);
+
     /**
      * @brief Ends an inner call.
      * @param execution The run that made it; may have ended.
@@ -146,6 +153,7 @@
         SteadyTime innerSince;
         Duration innerWait{};
         Duration innerSlotTime{};
+        std::map<admission::KindName, int> innerCalls;
         /*! @brief How many inner calls of each content the run has made. */
         std::map<std::uint64_t, int> ordinals;
     };
@@ -161,6 +169,7 @@
     void recordSpan(const Attempt &attempt, const protocol::CallAnswer &answer, SteadyTime now);
     void abandonExpired(SteadyTime now);
     void abandon(ExecutionId execution, account::RefusalReason reason, SteadyTime now);
+    void learn(const Attempt &attempt, const RunEnded &ended, SteadyTime now);
     [[nodiscard]] std::string tokenOf(ExecutionId execution) const;
 
     Surroundings &m_surroundings;
@@ -170,6 +179,7 @@
     std::map<std::string, ExecutionId> m_byName;
     retry::CallWindow m_window;
     std::uint64_t m_lastExecution{};
+    std::uint64_t m_answers{};
     bool m_hasServer{};
     bool m_isDraining{};
 };
--- a/src/egretlatch/protocol/codec.cpp
+++ b/src/egretlatch/protocol/codec.cpp
@@ -216,6 +216,11 @@
     wire.set_slot_time_ns(answer.slotTime.count());
     wire.set_next_key(answer.nextKey);
     wire.set_has_reached_server(answer.hasReachedServer);
+    for (const auto &[service, slotTime] : answer.chain) {
+        wire::ChainStop &added = *wire.add_chain();
+        added.set_service(service);
+        added.set_slot_time_ns(slotTime.count());
+    }
     for (const ServiceLevel &level : answer.levels) {
         wire::ServiceLevel &added = *wire.add_levels();
         added.set_service(level.service);
@@ -245,6 +250,9 @@
     answer.slotTime = toDuration(wire.slot_time_ns());
     answer.nextKey = wire.next_key();
     answer.hasReachedServer = wire.has_reached_server();
+    for (const wire::ChainStop &stop : wire.chain()) {
+        answer.chain[stop.service()] = toDuration(stop.slot_time_ns());
+    }
     for (const wire::ServiceLevel &level : wire.levels()) {
         answer.levels.push_back({.service = level.service(), .level = read(level.level()), .age = toDuration(level.age_ns())});
     }
--- a/src/egretlatch/protocol/messages.hpp
+++ b/src/egretlatch/protocol/messages.hpp
@@ -9,6 +9,7 @@
 
 #include <egretlatch/account/refusal.hpp>
 #include <egretlatch/account/trace_context.hpp>
+#include <egretlatch/admission/learned_chains.hpp>
 #include <egretlatch/admission/load_report.hpp>
 #include <egretlatch/admission/rank.hpp>
 #include <egretlatch/configuration/messages.hpp>
@@ -91,6 +92,8 @@
     std::string nextKey;
     /*! @brief Levels at services further down, as far as the serving daemon has been told. */
     std::vector<ServiceLevel> levels;
+    /*! @brief What a request of the kind takes at the services down its chain; told now and then. */
+    admission::ChainStops chain;
 
     friend bool operator==(const CallAnswer &, const CallAnswer &) = default;
 };
