The gate keeps inner calls and trusts the announced slots

Cause: the limit of a server that sheds or loses answers at random fell to one slot; inner calls of admitted roots were refused in queues. Ruled out: the server's own word on its load (not needed: all its requests pass this gate). Change: GateRules; roots are shed by what waits before them, inner calls only where their deadline cannot be met.

--- a/src/egretlatch/admission/adaptive_gate.cpp
+++ b/src/egretlatch/admission/adaptive_gate.cpp
@@ -28,6 +28,14 @@
 
 } // namespace internal
 
+AdaptiveGate::AdaptiveGate(const GateRules &rules)
+    : m_rules{rules}
+{
+    if (m_rules.areSlotsTrusted) {
+        m_limit.trustSlots();
+    }
+}
+
 GateRelease AdaptiveGate::offer(const Ticket &ticket, const SteadyTime now)
 {
     GateRelease release;
@@ -128,8 +136,9 @@
 void AdaptiveGate::startWaiting(const SteadyTime now, GateRelease &release)
 {
     while (!m_waiting.empty() && static_cast<int>(m_running.size()) < m_limit.value()) {
-        // Under pressure the oldest are the likeliest to be given up by their callers before they end.
-        const bool isUnderPressure = drainTime() > aimedDrainTime();
+        // Under pressure the oldest are the likeliest to be given up by their callers before they end. Where inner calls are
+        // kept, the oldest has the most to lose.
+        const bool isUnderPressure = !m_rules.keepsInnerCalls && drainTime() > aimedDrainTime();
         const Waiting next = m_waiting.popBest(isUnderPressure);
         const Ticket &ticket = next.ticket;
         if (std::optional<GateRefusal> refusal = refusalOfHopeless(ticket, now)) {
@@ -143,19 +152,35 @@
 
 void AdaptiveGate::shedExcess(const Ticket *const arrived, const SteadyTime now, GateRelease &release)
 {
-    while (m_waiting.size() > 1 && drainTime() > longestDrainTime(m_waiting.worst().ticket)) {
-        const Waiting shed = m_waiting.popWorst();
+    while (const Waiting *const next = nextToShed()) {
+        const Waiting shed = *next;
+        m_waiting.remove(shed.ticket.execution);
         const bool hasJustArrived = arrived != nullptr && shed.ticket.execution == arrived->execution;
         m_level.noteShed(shed.ticket, shed.expected, now);
         release.refused.push_back(refusalOf(shed, hasJustArrived, now));
     }
 }
 
+const Waiting *AdaptiveGate::nextToShed() const
+{
+    if (m_waiting.size() <= 1) {
+        return nullptr;
+    }
+    if (!m_rules.keepsInnerCalls) {
+        const Waiting &worst = m_waiting.worst();
+        return drainTime() > longestDrainTime(worst.ticket) ? &worst : nullptr;
+    }
+    // What waits behind a root does not keep it waiting.
+    const Waiting *const root = m_waiting.worstRoot();
+    const bool isTooLong = root != nullptr && m_waiting.workUpTo(root->ticket) / std::max(1, m_limit.value()) > longestDrainTime(root->ticket);
+    return isTooLong ? root : nullptr;
+}
+
 void AdaptiveGate::shedOverdue(const SteadyTime now, GateRelease &release)
 {
     const SteadyTime latest = now - internal::longestWaitFactor * aimedDrainTime();
-    for (const Waiting &overdue : m_waiting.removeIf([latest](const Waiting &waiting) {
-             return waiting.ticket.arrived < latest;
+    for (const Waiting &overdue : m_waiting.removeIf([this, latest](const Waiting &waiting) {
+             return waiting.ticket.arrived < latest && !(m_rules.keepsInnerCalls && waiting.ticket.isInner);
          })) {
         m_level.noteShed(overdue.ticket, overdue.expected, now);
         release.refused.push_back(refusalOf(overdue, false, now));
--- a/src/egretlatch/admission/adaptive_gate.hpp
+++ b/src/egretlatch/admission/adaptive_gate.hpp
@@ -5,6 +5,7 @@
 
 #include <egretlatch/admission/concurrency_limit.hpp>
 #include <egretlatch/admission/gate.hpp>
+#include <egretlatch/admission/gate_rules.hpp>
 #include <egretlatch/admission/level_control.hpp>
 #include <egretlatch/admission/run_estimator.hpp>
 #include <egretlatch/admission/waiting_line.hpp>
@@ -21,6 +22,12 @@
 class AdaptiveGate final : public Gate
 {
 public:
+    /**
+     * @brief Builds a gate without slots.
+     * @param rules What it may rely on, and whom it refuses.
+     */
+    explicit AdaptiveGate(const GateRules &rules = {});
+
     [[nodiscard]] GateRelease offer(const Ticket &ticket, SteadyTime now) override;
     [[nodiscard]] GateRelease finish(ExecutionId execution, const Observation &observation, SteadyTime now) override;
     [[nodiscard]] bool withdraw(ExecutionId execution) override;
@@ -45,10 +52,12 @@
     [[nodiscard]] std::chrono::milliseconds retryAfter(const Ticket &ticket) const;
     [[nodiscard]] Duration drainTime() const;
     [[nodiscard]] Duration aimedDrainTime() const;
+    [[nodiscard]] const Waiting *nextToShed() const;
     [[nodiscard]] Duration longestDrainTime(const Ticket &ticket) const;
     void noteEnd(const Running &running, const Observation &observation, bool wasSaturated, SteadyTime now);
     void moveLevel(SteadyTime now);
 
+    GateRules m_rules;
     Duration m_queueTarget{std::chrono::milliseconds{20}};
     Duration m_meanHeld{};
     ConcurrencyLimit m_limit;
--- a/src/egretlatch/admission/concurrency_limit.cpp
+++ b/src/egretlatch/admission/concurrency_limit.cpp
@@ -45,6 +45,9 @@
     switch (sample.outcome) {
     case RunOutcome::rejected:
     case RunOutcome::lost:
+        if (m_areSlotsTrusted) {
+            return;
+        }
         ++m_window.troubles;
         backOff(now);
         return;
--- a/src/egretlatch/admission/concurrency_limit.hpp
+++ b/src/egretlatch/admission/concurrency_limit.hpp
@@ -43,6 +43,17 @@
      */
     void note(const LimitSample &sample, SteadyTime now);
 
+    /**
+     * @brief Says that the announced slots are what the server runs at a time, and that nobody else sends it requests.
+     *
+     * Never sent more than that, a server that rejects requests or loses connections does so for reasons of its own, and a
+     * lower limit would only leave its slots empty.
+     */
+    void trustSlots() noexcept
+    {
+        m_areSlotsTrusted = true;
+    }
+
     [[nodiscard]] int value() const noexcept
     {
         return m_limit;
@@ -65,6 +76,7 @@
     void beginTrial(double throughput);
     void grow();
 
+    bool m_areSlotsTrusted{};
     int m_slots{};
     int m_limit{};
     Window m_window;
--- /dev/null
+++ b/src/egretlatch/admission/gate_rules.hpp
@@ -0,0 +1,25 @@
+#ifndef EGRETLATCH_ADMISSION_GATE_RULES_HPP
+#define EGRETLATCH_ADMISSION_GATE_RULES_HPP
+
+namespace egretlatch::admission
+{
+
+/*! @brief What an adaptive gate may rely on, and whom it refuses. */
+struct GateRules
+{
+    /*! @brief The announced slots are what the server runs at a time, and nobody else sends it requests. */
+    bool areSlotsTrusted{};
+    /**
+     * @brief An inner call is refused only if its deadline cannot be met.
+     *
+     * All that its root has cost so far is lost with it, so what is too much is refused as roots, at their entry. For
+     * configurations without worth, where the queue's order cannot tell a cheap loss from a dear one.
+     */
+    bool keepsInnerCalls{};
+
+    friend bool operator==(const GateRules &, const GateRules &) = default;
+};
+
+} // namespace egretlatch::admission
+
+#endif
--- a/src/egretlatch/admission/waiting_line.cpp
+++ b/src/egretlatch/admission/waiting_line.cpp
@@ -41,6 +41,31 @@
     return m_groups.rbegin()->second.front();
 }
 
+const Waiting *WaitingLine::worstRoot() const
+{
+    for (auto group = m_groups.rbegin(); group != m_groups.rend(); ++group) {
+        if (group->first.invested == 0) {
+            return &group->second.front();
+        }
+    }
+    return nullptr;
+}
+
+Duration WaitingLine::workUpTo(const Ticket &ticket) const
+{
+    const auto last = m_groups.find(groupOf(ticket));
+    Duration work{};
+    for (auto group = m_groups.begin(); group != m_groups.end(); ++group) {
+        for (const Waiting &waiting : group->second) {
+            work += waiting.expected;
+        }
+        if (group == last) {
+            break;
+        }
+    }
+    return work;
+}
+
 Waiting WaitingLine::popWorst()
 {
     const auto group = std::prev(m_groups.end());
--- a/src/egretlatch/admission/waiting_line.hpp
+++ b/src/egretlatch/admission/waiting_line.hpp
@@ -54,6 +54,19 @@
      */
     [[nodiscard]] const Waiting &worst() const;
 
+    /**
+     * @brief Gives the least valuable request that no other service's run makes, the oldest of the equals.
+     * @return The request, or null if all are inner calls.
+     */
+    [[nodiscard]] const Waiting *worstRoot() const;
+
+    /**
+     * @brief Gives the slot time that is expected to go by before a request's group has been served.
+     * @param ticket A request of the line.
+     * @return The sum over its group and all more valuable ones.
+     */
+    [[nodiscard]] Duration workUpTo(const Ticket &ticket) const;
+
     /**
      * @brief Takes the least valuable request, the oldest of the equals.
      * @return The request; the line must not be empty.
--- a/src/egretlatch/daemon/core_options.cpp
+++ b/src/egretlatch/daemon/core_options.cpp
@@ -31,10 +31,10 @@
 
 } // namespace internal
 
-void applyPolicy(const settings::Policy policy, RandomSource &random, decision::CoreBuilder &builder)
+void applyPolicy(const settings::Policy policy, RandomSource &random, decision::CoreBuilder &builder, const admission::GateRules &rules)
 {
     if (policy == settings::Policy::adaptive) {
-        builder.setGate(std::make_unique<admission::AdaptiveGate>());
+        builder.setGate(std::make_unique<admission::AdaptiveGate>(rules));
         builder.setEntryControl(std::make_unique<admission::WholeChainEntry>(random));
         builder.setRouter(std::make_unique<routing::AdaptiveRouter>(random));
         return;
--- a/src/egretlatch/daemon/core_options.hpp
+++ b/src/egretlatch/daemon/core_options.hpp
@@ -1,6 +1,7 @@
 #ifndef EGRETLATCH_DAEMON_CORE_OPTIONS_HPP
 #define EGRETLATCH_DAEMON_CORE_OPTIONS_HPP
 
+#include <egretlatch/admission/gate_rules.hpp>
 #include <egretlatch/core/random_source.hpp>
 #include <egretlatch/decision/core.hpp>
 #include <egretlatch/settings/daemon_settings.hpp>
@@ -13,8 +14,9 @@
  * @param policy The policy of the settings.
  * @param random Source of random numbers; must outlive the core.
  * @param builder The builder to set them on.
+ * @param rules Rules of an adaptive gate; the baselines have none.
  */
-void applyPolicy(settings::Policy policy, RandomSource &random, decision::CoreBuilder &builder);
+void applyPolicy(settings::Policy policy, RandomSource &random, decision::CoreBuilder &builder, const admission::GateRules &rules = {});
 
 } // namespace egretlatch::daemon
 
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -126,7 +126,7 @@
     builder.setUnownedKeys(retry::UnownedKeys::notNeeded);
     builder.moveFreely();
     builder.setRetrySlack(m_bounds.retrySlack * internal::usedShareOfRetries);
-    daemon::applyPolicy(m_settings.policy, m_random, builder);
+    daemon::applyPolicy(m_settings.policy, m_random, builder, {.areSlotsTrusted = true, .keepsInnerCalls = true});
     return builder.build();
 }
 
