Levels follow demand more slowly; a bounded log on standard output

Cause: roster reads were refused for the load of histories, which rank below them: demand averaged over 150 ms at eleven slots is noise, and its peaks cut the rank above. Found by the refusals' lines, which this brings: 1,191 refusals of roster reads with the level at the priority above theirs. Ruled out: the order of the queue (4 refusals there). Change: demand over 600 ms, steps of 100 to 600 ms, queue of 80 ms; BoundedLogSink.

--- a/src/egretlatch/admission/adaptive_gate.cpp
+++ b/src/egretlatch/admission/adaptive_gate.cpp
@@ -30,6 +30,7 @@
 
 AdaptiveGate::AdaptiveGate(const GateRules &rules)
     : m_rules{rules}
+    , m_level{rules.level}
 {
     if (m_rules.areSlotsTrusted) {
         m_limit.trustSlots();
@@ -220,7 +221,7 @@
 
 Duration AdaptiveGate::aimedDrainTime() const
 {
-    return std::max(m_queueTarget, m_meanHeld / internal::shortestQueueDivisor);
+    return std::max<Duration>({m_queueTarget, m_meanHeld / internal::shortestQueueDivisor, m_rules.shortestQueue});
 }
 
 Duration AdaptiveGate::longestDrainTime(const Ticket &ticket) const
--- a/src/egretlatch/admission/gate_rules.hpp
+++ b/src/egretlatch/admission/gate_rules.hpp
@@ -1,6 +1,10 @@
 #ifndef EGRETLATCH_ADMISSION_GATE_RULES_HPP
 #define EGRETLATCH_ADMISSION_GATE_RULES_HPP
 
+#include <chrono>
+
+#include <egretlatch/admission/level_times.hpp>
+
 namespace egretlatch::admission
 {
 
@@ -16,6 +20,9 @@
      * configurations without worth, where the queue's order cannot tell a cheap loss from a dear one.
      */
     bool keepsInnerCalls{};
+    /*! @brief Time that a queue may take to drain, whatever is declared and however short the runs are. */
+    std::chrono::milliseconds shortestQueue{0};
+    LevelTimes level;
 
     friend bool operator==(const GateRules &, const GateRules &) = default;
 };
--- a/src/egretlatch/admission/level_control.cpp
+++ b/src/egretlatch/admission/level_control.cpp
@@ -9,9 +9,6 @@
 namespace internal
 {
 
-constexpr std::chrono::milliseconds demandWindow{150};
-constexpr std::chrono::milliseconds shortestStep{20};
-constexpr std::chrono::milliseconds longestStep{200};
 // A class that is shed whole sends nothing; forgotten early, it would be opened in one go with all that lie below it.
 constexpr std::chrono::seconds demandMemory{60};
 constexpr int samplesInUnderWay = 20;
@@ -61,13 +58,13 @@
 void LevelControl::add(Demand &demand, const Duration slotTime, const SteadyTime now) const
 {
     decay(demand, now);
-    demand.rate += internal::secondsOf(slotTime) / internal::secondsOf(internal::demandWindow);
+    demand.rate += internal::secondsOf(slotTime) / internal::secondsOf(m_times.demandWindow);
 }
 
 void LevelControl::decay(Demand &demand, const SteadyTime now) const
 {
     if (now > demand.updated) {
-        demand.rate *= std::exp(-internal::secondsOf(now - demand.updated) / internal::secondsOf(internal::demandWindow));
+        demand.rate *= std::exp(-internal::secondsOf(now - demand.updated) / internal::secondsOf(m_times.demandWindow));
         demand.updated = now;
     }
 }
@@ -84,12 +81,12 @@
 
 Duration LevelControl::stepInterval() const
 {
-    return std::clamp<Duration>(m_underWay + m_underWay / 2, internal::shortestStep, internal::longestStep);
+    return std::clamp<Duration>(m_underWay + m_underWay / 2, m_times.shortestStep, m_times.longestStep);
 }
 
 void LevelControl::update(const Pressure &pressure, const SteadyTime now)
 {
-    if (now - m_lastStep < internal::shortestStep) {
+    if (now - m_lastStep < m_times.shortestStep) {
         return;
     }
     m_lastStep = now;
--- a/src/egretlatch/admission/level_control.hpp
+++ b/src/egretlatch/admission/level_control.hpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <map>
 
+#include <egretlatch/admission/level_times.hpp>
 #include <egretlatch/admission/rank.hpp>
 #include <egretlatch/admission/waiting_line.hpp>
 #include <egretlatch/core/clock.hpp>
@@ -41,6 +42,15 @@
 class LevelControl
 {
 public:
+    /**
+     * @brief Builds a control that lets all pass.
+     * @param times How fast it follows demand.
+     */
+    explicit LevelControl(const LevelTimes &times = {})
+        : m_times{times}
+    {
+    }
+
     /**
      * @brief Counts a request that came to the gate, whatever becomes of it.
      * @param ticket The request.
@@ -90,6 +100,7 @@
     void lower(double factor);
     void forgetIdle(SteadyTime now);
 
+    LevelTimes m_times;
     Level m_level;
     std::map<RankClass, Demand> m_demand;
     /*! @brief Slot seconds shed a second of inner calls that the present level admits. */
--- /dev/null
+++ b/src/egretlatch/admission/level_times.hpp
@@ -0,0 +1,23 @@
+#ifndef EGRETLATCH_ADMISSION_LEVEL_TIMES_HPP
+#define EGRETLATCH_ADMISSION_LEVEL_TIMES_HPP
+
+#include <chrono>
+
+namespace egretlatch::admission
+{
+
+/*! @brief How fast a level follows demand. The defaults suit servers with dozens of short runs at a time. */
+struct LevelTimes
+{
+    /*! @brief Time over which demand is averaged. */
+    std::chrono::milliseconds demandWindow{150};
+    std::chrono::milliseconds shortestStep{20};
+    /*! @brief Longest wait between two steps that let more in. */
+    std::chrono::milliseconds longestStep{200};
+
+    friend bool operator==(const LevelTimes &, const LevelTimes &) = default;
+};
+
+} // namespace egretlatch::admission
+
+#endif
--- a/src/egretlatch/core/logger.cpp
+++ b/src/egretlatch/core/logger.cpp
@@ -31,6 +31,16 @@
     line.push_back('"');
 }
 
+class StandardErrorSink final : public LogSink
+{
+public:
+    void write(std::string_view /*event*/, const std::string &line) override
+    {
+        // One write a line, so that lines of several threads do not mix.
+        std::fwrite(line.data(), 1, line.size(), stderr);
+    }
+};
+
 } // namespace internal
 
 std::optional<LogLevel> logLevelFromString(const std::string_view name) noexcept
@@ -43,11 +53,8 @@
     return std::nullopt;
 }
 
-void Logger::log(const LogLevel level, const std::string_view event, const std::initializer_list<LogField> fields) const
+std::string Logger::line(const LogLevel level, const std::string_view event, const std::initializer_list<LogField> fields) const
 {
-    if (level < m_least) {
-        return;
-    }
     const auto now = std::chrono::floor<std::chrono::milliseconds>(std::chrono::system_clock::now());
     const auto millisecond = now.time_since_epoch().count() % 1000;
     std::string line = fmt::format(R"({{"time":"{:%FT%T}.{:03}Z","level":"{}","source":)",
@@ -64,8 +71,20 @@
         internal::appendQuoted(line, field.value);
     }
     line.append("}\n");
-    // One write a line, so that lines of several threads do not mix.
-    std::fwrite(line.data(), 1, line.size(), stderr);
+    return line;
+}
+
+void Logger::log(const LogLevel level, const std::string_view event, const std::initializer_list<LogField> fields) const
+{
+    if (level >= m_least) {
+        m_sink.write(event, line(level, event, fields));
+    }
+}
+
+LogSink &standardErrorSink()
+{
+    static internal::StandardErrorSink sink;
+    return sink;
 }
 
 } // namespace egretlatch
--- a/src/egretlatch/core/logger.hpp
+++ b/src/egretlatch/core/logger.hpp
@@ -9,6 +9,8 @@
 
 #include <fmt/format.h>
 
+#include <egretlatch/core/log_sink.hpp>
+
 namespace egretlatch
 {
 
@@ -46,7 +48,7 @@
     std::string value;
 };
 
-/*! @brief Writes structured lines to standard error; safe to use from any thread. */
+/*! @brief Writes structured lines, by default to standard error; as safe to use from several threads as its sink is. */
 class Logger
 {
 public:
@@ -54,10 +56,12 @@
      * @brief Builds a logger.
      * @param least Lines below this level are dropped.
      * @param source Name that each line carries, such as the daemon's.
+     * @param sink Takes the lines; must outlive the logger.
      */
-    Logger(LogLevel least, std::string source)
+    Logger(LogLevel least, std::string source, LogSink &sink = standardErrorSink())
         : m_least{least}
         , m_source{std::move(source)}
+        , m_sink{sink}
     {
     }
 
@@ -69,6 +73,15 @@
      */
     void log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {}) const;
 
+    /**
+     * @brief Gives a line without writing it.
+     * @param level How much it matters.
+     * @param event What happened, in a few words without variable parts.
+     * @param fields The variable parts.
+     * @return The line with its end.
+     */
+    [[nodiscard]] std::string line(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) const;
+
     void debug(std::string_view event, std::initializer_list<LogField> fields = {}) const
     {
         log(LogLevel::debug, event, fields);
@@ -92,6 +105,7 @@
 private:
     LogLevel m_least;
     std::string m_source;
+    LogSink &m_sink;
 };
 
 } // namespace egretlatch
--- a/src/egretlatch/decision/action.hpp
+++ b/src/egretlatch/decision/action.hpp
@@ -96,6 +96,24 @@
 struct RecordRefusal
 {
     RefusalRecord record;
+    /*! @brief What the caller calls its request; empty if it did not say. */
+    std::string requestName;
+};
+
+/*! @brief Something was decided about a request on its way that its answer does not show, for the log. */
+struct NoteRequest
+{
+    /*! @brief What was decided, in a few words without variable parts. */
+    std::string_view what;
+    std::string requestName;
+    std::string service;
+    std::string kind;
+    /*! @brief The daemon that the attempt was made at. */
+    DaemonId server;
+    /*! @brief Why, as the attempt's end gave it. */
+    std::string reason;
+    /*! @brief Since the request came. */
+    Duration elapsed{};
 };
 
 /*! @brief Export a finished span. */
@@ -130,7 +148,8 @@
 {
 };
 
-using Action = std::variant<AnswerCaller, SendToPeer, StartRun, AbortRun, RecordRefusal, RecordSpan, AskPlatform, ManifestInForce, MemberChanged, Drained>;
+using Action =
+    std::variant<AnswerCaller, SendToPeer, StartRun, AbortRun, RecordRefusal, NoteRequest, RecordSpan, AskPlatform, ManifestInForce, MemberChanged, Drained>;
 using Actions = std::vector<Action>;
 
 } // namespace egretlatch::decision
--- a/src/egretlatch/decision/entry_handler.cpp
+++ b/src/egretlatch/decision/entry_handler.cpp
@@ -294,10 +294,12 @@
     pending.verdict = retry::combine(pending.verdict, answer.verdict);
     if (mayMoveOn(pending, answer, now)) {
         m_surroundings.metrics.count("moves", pending.call.service);
+        note("moved on", pending, answer, now);
         makeAttempt(std::move(pending), now);
         return;
     }
     if (mayRetry(pending, answer, now)) {
+        note("sent again", pending, answer, now);
         retryLater(std::move(pending), now);
         return;
     }
@@ -384,6 +386,19 @@
     return m_wakes.empty() ? std::nullopt : std::optional{m_wakes.begin()->first};
 }
 
+void EntryHandler::note(const std::string_view what, const Pending &pending, const protocol::CallAnswer &answer, const SteadyTime now)
+{
+    m_surroundings.actions.emplace_back(NoteRequest{
+        .what = what,
+        .requestName = pending.call.requestName,
+        .service = pending.call.service,
+        .kind = pending.call.kind,
+        .server = pending.server,
+        .reason = answer.refusal.has_value() ? answer.refusal->rule : fmt::format("status {}", answer.status),
+        .elapsed = now - pending.arrived,
+    });
+}
+
 bool EntryHandler::mayMoveOn(const Pending &pending, const protocol::CallAnswer &answer, const SteadyTime now) const
 {
     if (!m_movesFreely || answer.verdict != Verdict::notRun || answer.hasReachedServer || pending.deadline <= now || !answer.refusal.has_value()) {
@@ -560,7 +575,7 @@
     }
     record.time = m_surroundings.clock.wallNow();
     m_surroundings.metrics.count("refusals", account::toString(answer.refusal->reason));
-    m_surroundings.actions.emplace_back(RecordRefusal{.record = std::move(record)});
+    m_surroundings.actions.emplace_back(RecordRefusal{.record = std::move(record), .requestName = pending.call.requestName});
 }
 
 void EntryHandler::giveUp(const PendingMap::iterator found, const account::RefusalReason reason, const std::string &rule, const SteadyTime now)
--- a/src/egretlatch/decision/entry_handler.hpp
+++ b/src/egretlatch/decision/entry_handler.hpp
@@ -228,6 +228,7 @@
     void makeAttempt(Pending pending, SteadyTime now);
     void endAttempt(const Pending &pending, const routing::AttemptResult &result, const protocol::CallAnswer *answer, SteadyTime now);
     void noteAnswer(const Pending &pending, const protocol::CallAnswer &answer, SteadyTime now);
+    void note(std::string_view what, const Pending &pending, const protocol::CallAnswer &answer, SteadyTime now);
     [[nodiscard]] bool mayMoveOn(const Pending &pending, const protocol::CallAnswer &answer, SteadyTime now) const;
     [[nodiscard]] bool mayRetry(const Pending &pending, const protocol::CallAnswer &answer, SteadyTime now);
     void finish(Pending pending, CallerAnswer answer, SteadyTime now);
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <random>
 
+#include <unistd.h>
+
 #include <fmt/format.h>
 
 #include <egretlatch/daemon/core_options.hpp>
@@ -27,6 +29,12 @@
 // Part of what the fleet may repeat that daemons use. The rest is for what they do not see: the inner calls of a request
 // that is run again are repeats, too, and a daemon counts those it was told of only.
 constexpr double usedShareOfRetries = 0.5;
+constexpr admission::GateRules gateRules{
+    .areSlotsTrusted = true,
+    .keepsInnerCalls = true,
+    .shortestQueue = std::chrono::milliseconds{80},
+    .level = {.demandWindow = std::chrono::milliseconds{600}, .shortestStep = std::chrono::milliseconds{100}, .longestStep = std::chrono::milliseconds{600}},
+};
 constexpr int ok = 200;
 constexpr int badRequest = 400;
 constexpr int notFound = 404;
@@ -51,7 +59,8 @@
     : m_settings{std::move(settings)}
     , m_bounds{platform::readBounds(m_settings.boundTexts)}
     , m_onEnded{std::move(onEnded)}
-    , m_logger{m_settings.logLevel, m_settings.id.value}
+    , m_logSink{STDOUT_FILENO, m_clock}
+    , m_logger{m_settings.logLevel, m_settings.id.value, m_logSink}
     , m_random{internal::freshSeed()}
     , m_incarnation{internal::incarnationOf(m_clock)}
     , m_peerWaker{[this] {
@@ -95,6 +104,9 @@
     , m_server{m_settings.service, m_settings.backend.text()}
     , m_core{makeCore()}
 {
+    m_logSink.setOmissionLine([this](const std::string &event, const std::uint64_t count) {
+        return m_logger.line(LogLevel::warning, "lines left out", {{"of", event}, {"count", count}});
+    });
     m_tickTimer.setSingleShot(true);
     m_tickTimer.setTimerType(Qt::PreciseTimer);
     QObject::connect(&m_tickTimer, &QTimer::timeout, &m_tickTimer, [this] {
@@ -126,7 +138,7 @@
     builder.setUnownedKeys(retry::UnownedKeys::notNeeded);
     builder.moveFreely();
     builder.setRetrySlack(m_bounds.retrySlack * internal::usedShareOfRetries);
-    daemon::applyPolicy(m_settings.policy, m_random, builder, {.areSlotsTrusted = true, .keepsInnerCalls = true});
+    daemon::applyPolicy(m_settings.policy, m_random, builder, internal::gateRules);
     return builder.build();
 }
 
@@ -212,6 +224,10 @@
         m_store.ask(ask->request, [this, id = ask->id](store::Outcome outcome) {
             post(decision::PlatformAnswered{.id = id, .outcome = std::move(outcome)});
         });
+    } else if (const auto *const refusal = std::get_if<decision::RecordRefusal>(&action)) {
+        logRefusal(*refusal);
+    } else if (const auto *const note = std::get_if<decision::NoteRequest>(&action)) {
+        logNote(*note);
     } else if (const auto *const inForce = std::get_if<decision::ManifestInForce>(&action)) {
         m_logger.info("configuration in force", {{"version", inForce->version}, {"hash", inForce->hash}});
         putInForce();
@@ -222,6 +238,36 @@
     }
 }
 
+void Sidecar::logRefusal(const decision::RecordRefusal &refused)
+{
+    const account::RefusalRecord &record = refused.record;
+    std::string figures;
+    for (const account::Figure &figure : record.refusal.figures) {
+        figures += fmt::format("{}{}={:g}", figures.empty() ? "" : " ", figure.name, figure.value);
+    }
+    m_logger.info("refused",
+                  {{"request", refused.requestName},
+                   {"service", record.service},
+                   {"kind", record.kind},
+                   {"reason", account::toString(record.refusal.reason)},
+                   {"rule", record.refusal.rule},
+                   {"figures", figures},
+                   {"verdict", toString(record.verdict)},
+                   {"retryAfterMs", record.refusal.retryAfter.count()},
+                   {"configuration", record.refusal.configurationVersion}});
+}
+
+void Sidecar::logNote(const decision::NoteRequest &note)
+{
+    m_logger.info(note.what,
+                  {{"request", note.requestName},
+                   {"service", note.service},
+                   {"kind", note.kind},
+                   {"server", note.server.value},
+                   {"reason", note.reason},
+                   {"elapsedMs", std::chrono::duration_cast<std::chrono::milliseconds>(note.elapsed).count()}});
+}
+
 void Sidecar::sendToPeer(decision::SendToPeer order)
 {
     const auto *const request = std::get_if<protocol::CallRequest>(&order.message);
@@ -260,6 +306,7 @@
 
 void Sidecar::keepHouse()
 {
+    m_logSink.flush();
     m_front.server().tick();
     m_readiness.tick();
     m_reports.tick();
--- a/src/egretlatch/sidecar/sidecar.hpp
+++ b/src/egretlatch/sidecar/sidecar.hpp
@@ -9,6 +9,7 @@
 #include <QTimer>
 
 #include <egretlatch/account/metrics_registry.hpp>
+#include <egretlatch/core/bounded_log_sink.hpp>
 #include <egretlatch/core/clock.hpp>
 #include <egretlatch/core/logger.hpp>
 #include <egretlatch/daemon/event_loop_waker.hpp>
@@ -71,6 +72,8 @@
     void rearm();
     void tick();
     void keepHouse();
+    void logRefusal(const decision::RecordRefusal &refused);
+    void logNote(const decision::NoteRequest &note);
     void takeReport(ExchangeId exchange, const http::Request &request);
     void answerReadiness(ExchangeId exchange);
     void takeConfiguration(const QByteArray &document);
@@ -80,9 +83,10 @@
     settings::SidecarSettings m_settings;
     settings::FleetBounds m_bounds;
     std::function<void()> m_onEnded;
+    SystemClock m_clock;
+    BoundedLogSink m_logSink;
     Logger m_logger;
     account::MetricsRegistry m_metrics;
-    SystemClock m_clock;
     SeededRandom m_random;
     Incarnation m_incarnation;
     net::Poller m_poller;
