Members that are gone are looked for at their last address

Change: those that said that they leave are pinged, too, as those that died were; the rate is bounded for the fleet.

--- a/src/egretlatch/membership/gossip.cpp
+++ b/src/egretlatch/membership/gossip.cpp
@@ -11,7 +11,10 @@
 
 constexpr std::chrono::seconds beatInterval{10};
 constexpr std::chrono::milliseconds spreadInterval{200};
-constexpr std::chrono::seconds unheardInterval{5};
+// One daemon of a small fleet looks this often for one that is gone; of a larger one each looks more rarely, so that the
+// fleet as a whole sends eight such pings a second at most.
+constexpr std::chrono::milliseconds shortestUnheardInterval{2000};
+constexpr std::chrono::milliseconds unheardIntervalPerMember{125};
 constexpr std::chrono::seconds joinInterval{1};
 constexpr std::chrono::seconds relayTimeout{1};
 constexpr std::chrono::seconds longestTickGap{2};
@@ -92,7 +95,8 @@
         follow(order, now);
     }
     if (now >= m_nextUnheard) {
-        m_nextUnheard = now + (participants.empty() ? internal::joinInterval : internal::unheardInterval);
+        const std::chrono::milliseconds shared = internal::unheardIntervalPerMember * static_cast<int>(participants.size());
+        m_nextUnheard = now + (participants.empty() ? Duration{internal::joinInterval} : Duration{std::max(internal::shortestUnheardInterval, shared)});
         pingUnheard(now);
     }
     pull(now);
@@ -277,7 +281,7 @@
 void Gossip::pingUnheard(const SteadyTime now)
 {
     std::vector<Contact> unheard;
-    for (const DaemonId &id : m_roster.aged()) {
+    for (const DaemonId &id : m_roster.absent()) {
         unheard.push_back({.id = id, .endpoint = m_roster.find(id)->endpoint});
     }
     for (const Contact &contact : m_contacts) {
--- a/src/egretlatch/membership/roster.cpp
+++ b/src/egretlatch/membership/roster.cpp
@@ -202,11 +202,11 @@
     return m_participants;
 }
 
-std::vector<DaemonId> Roster::aged() const
+std::vector<DaemonId> Roster::absent() const
 {
     std::vector<DaemonId> ids;
     for (const auto &[id, entry] : m_others) {
-        if (entry.shown.state == MemberState::gone && entry.announced.state != MemberState::gone) {
+        if (entry.shown.state == MemberState::gone) {
             ids.push_back(id);
         }
     }
--- a/src/egretlatch/membership/roster.hpp
+++ b/src/egretlatch/membership/roster.hpp
@@ -116,10 +116,13 @@
     [[nodiscard]] const std::vector<DaemonId> &participants() const;
 
     /**
-     * @brief Lists the other members that are taken for gone without having said so.
+     * @brief Lists the other members that are gone, whether they said so or not.
+     *
+     * A VM may start its daemon again at the same address. While the store is away, a daemon that has just started learns of
+     * the fleet only by being asked.
      * @return Their ids, in order.
      */
-    [[nodiscard]] std::vector<DaemonId> aged() const;
+    [[nodiscard]] std::vector<DaemonId> absent() const;
 
     /**
      * @brief Lists entries to tell another daemon.
