--- a/src/egretlatch/admission/whole_chain_entry.cpp
+++ b/src/egretlatch/admission/whole_chain_entry.cpp
@@ -10,9 +10,10 @@
 namespace internal
 {
 
-constexpr std::chrono::milliseconds retryAfterWithinClass{500};
+// A class that is let in by shares has room for a caller that comes back while its answer is still worth all it can be.
+constexpr std::chrono::milliseconds retryAfterWithinClass{250};
 constexpr std::chrono::milliseconds retryAfterBelowClass{2000};
-constexpr std::chrono::milliseconds retryAfterSpread{1000};
+constexpr std::chrono::milliseconds retryAfterSpread{500};
 
 /*! @brief A root that a service would refuse. */
 struct Obstacle
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -163,6 +163,8 @@
     m_drainedInstance.reset();
     m_server = announced;
     m_isDraining = false;
+    m_doorClosesAt.reset();
+    m_lastStartAt.reset();
     m_serving->setServer(announced.slots);
     updateSelf(membership::MemberState::serving, announced.service, announced.slots, announced.connections, now);
     declareService();
@@ -175,13 +177,22 @@
         m_entry->drain();
     }
     if (m_isDraining) {
+        // The server's own word, after the signal, may leave it less time.
+        if (m_doorClosesAt.has_value() && !draining.isShutdown && !draining.isSignal) {
+            m_doorClosesAt = std::min(*m_doorClosesAt, now + m_doorTimes.afterReport);
+            boundLastStart(now);
+        }
         return;
     }
     m_isDraining = true;
     if (m_server.has_value()) {
         m_drainedInstance = m_server->instance;
     }
-    m_serving->drain();
+    m_doorClosesAt = now + (draining.isShutdown || draining.isSignal ? m_doorTimes.afterSignal : m_doorTimes.afterReport);
+    if (!draining.isShutdown && !draining.isSignal) {
+        boundLastStart(now);
+    }
+    tickDoor(now);
     const membership::Member &self = m_surroundings->roster.self();
     updateSelf(membership::MemberState::draining, self.service, self.slots, self.connections, now);
 }
@@ -238,6 +249,7 @@
     m_serving->tick(now);
     m_configuration->tick(now);
     tickServer(now);
+    tickDoor(now);
     m_gossip->tick(now);
     tickContacts(now);
     tickLeaving(now);
@@ -264,6 +276,25 @@
     }
 }
 
+void Core::boundLastStart(const SteadyTime now)
+{
+    if (m_doorTimes.lastStart > Duration{} && !m_lastStartAt.has_value()) {
+        m_lastStartAt = now + m_doorTimes.lastStart;
+    }
+}
+
+void Core::tickDoor(const SteadyTime now)
+{
+    if (m_doorClosesAt.has_value() && now >= *m_doorClosesAt) {
+        m_doorClosesAt.reset();
+        m_serving->drain();
+    }
+    if (m_lastStartAt.has_value() && now >= *m_lastStartAt) {
+        m_lastStartAt.reset();
+        m_serving->refuseWaiting(now);
+    }
+}
+
 void Core::tickLeaving(const SteadyTime now)
 {
     if (!m_isShuttingDown || m_hasReportedDrained || !m_serving->isIdle() || !m_entry->isIdle()) {
@@ -384,15 +415,15 @@
     return *this;
 }
 
-CoreBuilder &CoreBuilder::setRetrySlack(const double slack)
+CoreBuilder &CoreBuilder::setEntryRules(const EntryRules &rules)
 {
-    m_retrySlack = slack;
+    m_entryRules = rules;
     return *this;
 }
 
-CoreBuilder &CoreBuilder::moveFreely()
+CoreBuilder &CoreBuilder::setDoorTimes(const DoorTimes &times)
 {
-    m_movesFreely = true;
+    m_doorTimes = times;
     return *this;
 }
 
@@ -449,12 +480,8 @@
         grants = std::make_unique<retry::ShardGrants>(retry::KeyOwner{.daemon = m_self.id, .incarnation = m_self.incarnation}, m_random, *m_grantTimes);
     }
     core->m_entry = std::make_unique<EntryHandler>(*core->m_surroundings, *core->m_serving, m_ledgerLimits, std::move(grants));
-    if (m_retrySlack.has_value()) {
-        core->m_entry->setRetrySlack(*m_retrySlack);
-    }
-    if (m_movesFreely) {
-        core->m_entry->moveFreely();
-    }
+    core->m_entry->setRules(m_entryRules);
+    core->m_doorTimes = m_doorTimes;
     std::vector<configuration::Peer> peers;
     for (const membership::Contact &contact : m_contacts) {
         peers.push_back({.id = contact.id, .endpoint = contact.endpoint});
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -8,6 +8,7 @@
 #include <egretlatch/configuration/report.hpp>
 #include <egretlatch/decision/action.hpp>
 #include <egretlatch/decision/configuration_outlet.hpp>
+#include <egretlatch/decision/door_times.hpp>
 #include <egretlatch/decision/entry_handler.hpp>
 #include <egretlatch/decision/event.hpp>
 #include <egretlatch/decision/serving_handler.hpp>
@@ -86,6 +87,8 @@
     void tickContacts(SteadyTime now);
     void tickServer(SteadyTime now);
     void tickLeaving(SteadyTime now);
+    void tickDoor(SteadyTime now);
+    void boundLastStart(SteadyTime now);
     void updateSelf(membership::MemberState state, const std::string &service, int slots, int connections, SteadyTime now);
     void applyGossip(SteadyTime now);
     [[nodiscard]] bool isIdle() const noexcept;
@@ -108,6 +111,11 @@
     std::optional<std::string> m_drainedInstance;
     SteadyTime m_lastAnnounced;
     bool m_isDraining{};
+    DoorTimes m_doorTimes;
+    /*! @brief When a backend server that leaves gets no more requests; nothing while it does not leave, or once it gets none. */
+    std::optional<SteadyTime> m_doorClosesAt;
+    /*! @brief When what still waits for a slot of such a server is refused. */
+    std::optional<SteadyTime> m_lastStartAt;
     bool m_isShuttingDown{};
     std::optional<SteadyTime> m_leftAt;
     bool m_hasReportedDrained{};
@@ -175,17 +183,18 @@
     CoreBuilder &setConfigurationFeed();
 
     /**
-     * @brief Bounds the repeats that a service takes beyond its ratio, from all daemons together.
-     * @param slack Their number; by default each daemon has a number of its own.
+     * @brief Sets how attempts are made.
+     * @param rules The rules.
      * @return This builder.
      */
-    CoreBuilder &setRetrySlack(double slack);
+    CoreBuilder &setEntryRules(const EntryRules &rules);
 
     /**
-     * @brief Counts only what reaches a backend server as an attempt; by default each message to a daemon counts.
+     * @brief Sets how long a leaving backend server takes requests of daemons that do not know yet.
+     * @param times The times; by default none at all.
      * @return This builder.
      */
-    CoreBuilder &moveFreely();
+    CoreBuilder &setDoorTimes(const DoorTimes &times);
 
     /**
      * @brief Sets what is done with keys that name no owner.
@@ -225,8 +234,8 @@
     std::unique_ptr<admission::Gate> m_gate;
     bool m_followsPlatform{};
     bool m_isFed{};
-    bool m_movesFreely{};
-    std::optional<double> m_retrySlack;
+    EntryRules m_entryRules;
+    DoorTimes m_doorTimes;
     retry::UnownedKeys m_unownedKeys{retry::UnownedKeys::refuse};
     retry::KeyLedgerLimits m_ledgerLimits;
     std::optional<retry::GrantTimes> m_grantTimes;
--- a/src/egretlatch/decision/entry_handler.cpp
+++ b/src/egretlatch/decision/entry_handler.cpp
@@ -158,16 +158,27 @@
         pending.parent = inner->execution;
         pending.deadline = std::min(pending.deadline, inner->deadline);
         pending.attemptsLeft = m_serving.lendAttempts(inner->execution);
-        pending.scope = innerScope(*inner, call);
-        pending.parentSpanId = inner->trace.spanId;
-        pending.trace = account::childOf(inner->trace, m_surroundings.random);
+        if (m_rules.countsOnlyArrivals) {
+            pending.attemptsLeft = kind.retryBudget;
+        } else {
+            pending.scope = innerScope(*inner, call);
+        }
+        if (m_rules.traces) {
+            pending.parentSpanId = inner->trace.spanId;
+            pending.trace = account::childOf(inner->trace, m_surroundings.random);
+        }
         return pending;
     }
     pending.root = m_surroundings.mint.mint(m_surroundings.clock.wallNow());
     pending.rank = m_surroundings.entryControl->rankOf(call.service, call.kind);
     pending.attemptsLeft = kind.retryBudget;
-    const retry::KeyOwner self{.daemon = m_surroundings.self, .incarnation = m_surroundings.incarnation};
-    pending.scope = retry::RequestKey::mint(self, ageOf(now), m_surroundings.random).text();
+    if (m_surroundings.unownedKeys != retry::UnownedKeys::notNeeded) {
+        const retry::KeyOwner self{.daemon = m_surroundings.self, .incarnation = m_surroundings.incarnation};
+        pending.scope = retry::RequestKey::mint(self, ageOf(now), m_surroundings.random).text();
+    }
+    if (!m_rules.traces) {
+        return pending;
+    }
     const account::TraceContext above = call.trace.value_or(account::startTrace(m_surroundings.random));
     pending.parentSpanId = call.trace.has_value() ? above.spanId : std::string{};
     pending.trace = account::childOf(above, m_surroundings.random);
@@ -182,7 +193,7 @@
     const routing::RouteRequest route{.service = pending.call.service, .root = pending.root, .excluded = pending.tried, .deadline = pending.deadline};
     const std::optional<DaemonId> server = m_surroundings.router->choose(route, now);
     if (!server.has_value()) {
-        const std::chrono::milliseconds retryAfter = m_movesFreely ? internal::retryAfterNoServer : std::chrono::milliseconds{};
+        const std::chrono::milliseconds retryAfter = m_rules.countsOnlyArrivals ? internal::retryAfterNoServer : std::chrono::milliseconds{};
         finishRefused(std::move(pending), m_surroundings.refuse(account::RefusalReason::noServer, "no backend server is left to try", {}, retryAfter), now);
         return;
     }
@@ -190,11 +201,11 @@
     pending.phase = Phase::attempting;
     pending.server = *server;
     pending.tried.insert(*server);
-    pending.attemptTrace = account::childOf(pending.trace, m_surroundings.random);
+    pending.attemptTrace = m_rules.traces ? account::childOf(pending.trace, m_surroundings.random) : account::TraceContext{};
     pending.sentAt = now;
     // What is lent may have been spent by a daemon that is then lost without an answer, so it counts as spent. One attempt
     // stays here, or a read at a daemon that fails could not be made again elsewhere.
-    const int kept = std::min(pending.attemptsLeft, 1);
+    const int kept = m_rules.countsOnlyArrivals ? pending.attemptsLeft : std::min(pending.attemptsLeft, 1);
     pending.attemptsOut = pending.attemptsLeft - kept;
     pending.attemptsLeft = kept;
     protocol::CallRequest request = requestOf(pending, {++m_lastCall}, now);
@@ -287,6 +298,13 @@
         return;
     }
     endAttempt(pending, {.outcome = internal::outcomeOf(answer), .latency = now - pending.sentAt, .load = answer.load}, &answer, now);
+    if (mayTryElsewhere(pending, answer, now)) {
+        note("sent again", pending, answer, now);
+        --pending.attemptsLeft;
+        m_surroundings.metrics.count("retries", pending.call.service);
+        makeAttempt(std::move(pending), now);
+        return;
+    }
     if (answer.verdict == Verdict::completed) {
         finish(std::move(pending), internal::callerAnswerOf(answer), now);
         return;
@@ -353,9 +371,9 @@
     // Daemons agree on nothing: each takes its part of what the fleet may repeat, so the sum stays within the whole. A
     // daemon that knows few others would take too much, so it takes none before it knows some.
     const std::size_t daemons = m_surroundings.roster.participants().size() + 1;
-    if (m_retrySlack.has_value() && daemons != m_daemons) {
+    if (m_rules.retrySlack.has_value() && daemons != m_daemons) {
         m_daemons = daemons;
-        m_ratio.setMostSaved(daemons < 2 ? 0.0 : *m_retrySlack / static_cast<double>(daemons));
+        m_ratio.setMostSaved(daemons < 2 ? 0.0 : *m_rules.retrySlack / static_cast<double>(daemons));
     }
 }
 
@@ -401,7 +419,7 @@
 
 bool EntryHandler::mayMoveOn(const Pending &pending, const protocol::CallAnswer &answer, const SteadyTime now) const
 {
-    if (!m_movesFreely || answer.verdict != Verdict::notRun || answer.hasReachedServer || pending.deadline <= now || !answer.refusal.has_value()) {
+    if (!m_rules.countsOnlyArrivals || answer.verdict != Verdict::notRun || answer.hasReachedServer || pending.deadline <= now || !answer.refusal.has_value()) {
         return false;
     }
     // The request reached no backend server, so trying the next daemon is no retry: nothing multiplies down the chain.
@@ -418,6 +436,18 @@
     }
 }
 
+bool EntryHandler::mayTryElsewhere(const Pending &pending, const protocol::CallAnswer &answer, const SteadyTime now)
+{
+    // A backend server that fails part of its requests while it looks healthy is told by a failure that no inner call
+    // brought about: there another server may do better, while a failure from below would only be repeated.
+    const bool hasFailedHere = answer.verdict == Verdict::completed && answer.status == internal::firstServerError && !answer.hasFailedBelow;
+    if (!m_rules.countsOnlyArrivals || !hasFailedHere || !pending.idempotent || pending.attemptsLeft <= 0) {
+        return false;
+    }
+    const Duration spent = now - pending.sentAt;
+    return pending.deadline - now > spent && m_ratio.take(pending.call.service);
+}
+
 bool EntryHandler::mayRetry(const Pending &pending, const protocol::CallAnswer &answer, const SteadyTime now)
 {
     if (pending.attemptsLeft <= 0 || pending.deadline <= now || !answer.refusal.has_value()) {
@@ -426,7 +456,7 @@
     if (answer.verdict == Verdict::mayHaveRun && !pending.idempotent) {
         return false;
     }
-    if (m_movesFreely && answer.verdict == Verdict::notRun && answer.hasReachedServer) {
+    if (m_rules.countsOnlyArrivals && answer.verdict == Verdict::notRun && answer.hasReachedServer) {
         // One server had no room in its queue; the gate of another one may know of some.
         return m_ratio.take(pending.call.service);
     }
@@ -493,7 +523,9 @@
         releaseKey(pending, answer);
     }
     if (pending.parent.has_value()) {
-        m_serving.noteInnerEnded(*pending.parent, pending.attemptsLeft, pending.slotTime, now);
+        const bool hasFailed = answer.refusal.has_value() || answer.status >= internal::firstServerError;
+        const int returned = m_rules.countsOnlyArrivals ? 0 : pending.attemptsLeft;
+        m_serving.noteInnerEnded(*pending.parent, {.attempts = returned, .slotTime = pending.slotTime, .hasFailed = hasFailed}, now);
     }
     m_surroundings.metrics.count("answers", toString(answer.verdict));
     m_surroundings.metrics.observe("call_duration", answer.service, now - pending.arrived);
--- a/src/egretlatch/decision/entry_handler.hpp
+++ b/src/egretlatch/decision/entry_handler.hpp
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include <egretlatch/decision/entry_rules.hpp>
 #include <egretlatch/decision/event.hpp>
 #include <egretlatch/decision/requester.hpp>
 #include <egretlatch/decision/serving_handler.hpp>
@@ -112,23 +113,12 @@
     void tick(SteadyTime now);
 
     /**
-     * @brief Sets how many repeats a service takes beyond its ratio, from all daemons together.
-     * @param slack Their number; each daemon uses its part.
+     * @brief Sets how attempts are made.
+     * @param rules The rules.
      */
-    void setRetrySlack(double slack) noexcept
+    void setRules(const EntryRules &rules)
     {
-        m_retrySlack = slack;
-    }
-
-    /**
-     * @brief Counts only what reaches a backend server as an attempt.
-     *
-     * A call that a daemon refuses before its server got it then goes to another daemon at once, without a backoff and
-     * without being paid for: nothing multiplies down the chain, since nothing ran.
-     */
-    void moveFreely() noexcept
-    {
-        m_movesFreely = true;
+        m_rules = rules;
     }
 
     /*! @brief Refuses all new roots from now on; calls that are under way, and the inner calls of runs, go on. */
@@ -230,6 +220,7 @@
     void noteAnswer(const Pending &pending, const protocol::CallAnswer &answer, SteadyTime now);
     void note(std::string_view what, const Pending &pending, const protocol::CallAnswer &answer, SteadyTime now);
     [[nodiscard]] bool mayMoveOn(const Pending &pending, const protocol::CallAnswer &answer, SteadyTime now) const;
+    [[nodiscard]] bool mayTryElsewhere(const Pending &pending, const protocol::CallAnswer &answer, SteadyTime now);
     [[nodiscard]] bool mayRetry(const Pending &pending, const protocol::CallAnswer &answer, SteadyTime now);
     void finish(Pending pending, CallerAnswer answer, SteadyTime now);
     void finishRefused(Pending pending, account::Refusal refusal, SteadyTime now);
@@ -249,9 +240,8 @@
     SteadyTime m_lastGrants;
     retry::PreferredShards m_preferredShards;
     retry::RatioBudget m_ratio;
-    std::optional<double> m_retrySlack;
+    EntryRules m_rules;
     std::size_t m_daemons{};
-    bool m_movesFreely{};
     /*! @brief When each pending call is to be looked at: its next attempt, or its deadline. */
     std::set<std::pair<SteadyTime, CallId>> m_wakes;
     std::uint64_t m_lastCall{};
--- a/src/egretlatch/decision/event.hpp
+++ b/src/egretlatch/decision/event.hpp
@@ -132,6 +132,8 @@
 {
     /*! @brief Whether the daemon itself is to end once nothing is in flight. */
     bool isShutdown{};
+    /*! @brief Whether the daemon was told to end, rather than its backend server. */
+    bool isSignal{};
 };
 
 /*! @brief The backend server has gone. */
--- a/src/egretlatch/decision/serving_handler.cpp
+++ b/src/egretlatch/decision/serving_handler.cpp
@@ -97,7 +97,9 @@
     Attempt attempt;
     attempt.origin = origin;
     attempt.request = request;
-    attempt.trace = account::childOf(request.trace, m_surroundings.random);
+    if (!request.trace.traceId.empty()) {
+        attempt.trace = account::childOf(request.trace, m_surroundings.random);
+    }
     attempt.arrived = now;
     attempt.deadline = now + request.remaining;
     attempt.attemptsLeft = request.attemptsLent;
@@ -181,6 +183,23 @@
     m_isDraining = true;
 }
 
+void ServingHandler::refuseWaiting(const SteadyTime now)
+{
+    std::vector<ExecutionId> waiting;
+    for (const auto &[execution, attempt] : m_attempts) {
+        if (!attempt.started.has_value()) {
+            waiting.push_back(execution);
+        }
+    }
+    for (const ExecutionId execution : waiting) {
+        // Taking one out may let the gate start, or refuse, another of the list.
+        const auto found = m_attempts.find(execution);
+        if (found != m_attempts.end() && !found->second.started.has_value()) {
+            abandon(execution, account::RefusalReason::draining, now);
+        }
+    }
+}
+
 std::optional<InnerContext> ServingHandler::findRunNamed(const std::string &name) const
 {
     const auto found = m_byName.find(name);
@@ -261,15 +280,16 @@
     }
 }
 
-void ServingHandler::noteInnerEnded(const ExecutionId execution, const int attempts, const Duration slotTime, const SteadyTime now)
+void ServingHandler::noteInnerEnded(const ExecutionId execution, const InnerEnd &end, const SteadyTime now)
 {
     const auto found = m_attempts.find(execution);
     if (found == m_attempts.end()) {
         return;
     }
     Attempt &attempt = found->second;
-    attempt.attemptsLeft += attempts;
-    attempt.innerSlotTime += slotTime;
+    attempt.attemptsLeft += end.attempts;
+    attempt.innerSlotTime += end.slotTime;
+    attempt.hasFailedBelow = attempt.hasFailedBelow || end.hasFailed;
     --attempt.innerOpen;
     if (attempt.innerOpen == 0) {
         attempt.innerWait += now - attempt.innerSince;
@@ -324,6 +344,7 @@
         answer.chain = m_surroundings.entryControl->learnedChain({attempt.request.service, attempt.request.kind});
     }
     answer.slotTime = attempt.innerSlotTime;
+    answer.hasFailedBelow = attempt.hasFailedBelow;
     if (attempt.started.has_value()) {
         answer.slotTime += now - *attempt.started;
     }
@@ -420,7 +441,8 @@
 {
     const Attempt &attempt = m_attempts.at(execution);
     protocol::CallAnswer abandoned;
-    abandoned.refusal = m_surroundings.refuse(reason, "nobody waits for the answer any more");
+    const bool isLeaving = reason == account::RefusalReason::draining;
+    abandoned.refusal = m_surroundings.refuse(reason, isLeaving ? "the backend server is leaving" : "nobody waits for the answer any more");
     abandoned.status = account::httpStatus(abandoned.refusal->reason);
     if (!attempt.started.has_value()) {
         abandoned.verdict = retry::verdictOf(m_gate->withdraw(execution) ? retry::AttemptEnd::leftQueue : retry::AttemptEnd::aborted);
--- a/src/egretlatch/decision/serving_handler.hpp
+++ b/src/egretlatch/decision/serving_handler.hpp
@@ -29,6 +29,17 @@
     std::string scope;
 };
 
+/*! @brief How an inner call ended, as far as the run that made it is concerned. */
+struct InnerEnd
+{
+    /*! @brief Attempts that were not spent. */
+    int attempts{};
+    /*! @brief Slot time that the call took. */
+    Duration slotTime{};
+    /*! @brief Whether it brought no good answer. */
+    bool hasFailed{};
+};
+
 /*! @brief Runs attempts at the backend server beside this daemon. */
 class ServingHandler
 {
@@ -86,6 +97,12 @@
     /*! @brief Refuses all new attempts from now on; what runs or waits goes on. */
     void drain();
 
+    /**
+     * @brief Refuses what still waits for a slot.
+     * @param now Current time.
+     */
+    void refuseWaiting(SteadyTime now);
+
     /**
      * @brief Finds the run that an inner call names.
      * @param token Value of `Egretlatch-Call`.
@@ -125,10 +142,9 @@
     /**
      * @brief Ends an inner call.
      * @param execution The run that made it; may have ended.
-     * @param attempts Attempts that were not spent.
-     * @param slotTime Slot time that the call took.
+     * @param end How it ended.
      */
-    void noteInnerEnded(ExecutionId execution, int attempts, Duration slotTime, SteadyTime now);
+    void noteInnerEnded(ExecutionId execution, const InnerEnd &end, SteadyTime now);
 
     [[nodiscard]] bool isIdle() const noexcept
     {
@@ -153,6 +169,7 @@
         SteadyTime innerSince;
         Duration innerWait{};
         Duration innerSlotTime{};
+        bool hasFailedBelow{};
         std::map<admission::KindName, int> innerCalls;
         /*! @brief How many inner calls of each content the run has made. */
         std::map<std::uint64_t, int> ordinals;
--- a/src/egretlatch/protocol/codec.cpp
+++ b/src/egretlatch/protocol/codec.cpp
@@ -67,9 +67,11 @@
     wire.set_key(request.key);
     wire.set_request_name(request.requestName);
     wire.set_remaining_ns(request.remaining.count());
-    wire.mutable_trace()->set_trace_id(request.trace.traceId);
-    wire.mutable_trace()->set_span_id(request.trace.spanId);
-    wire.mutable_trace()->set_sampled(request.trace.sampled);
+    if (!request.trace.traceId.empty()) {
+        wire.mutable_trace()->set_trace_id(request.trace.traceId);
+        wire.mutable_trace()->set_span_id(request.trace.spanId);
+        wire.mutable_trace()->set_sampled(request.trace.sampled);
+    }
     wire.mutable_rank()->set_priority(request.rank.priority);
     wire.mutable_rank()->set_worth(request.rank.worth);
     wire.mutable_rank()->set_invested_ns(request.rank.invested.count());
@@ -216,6 +218,7 @@
     wire.set_slot_time_ns(answer.slotTime.count());
     wire.set_next_key(answer.nextKey);
     wire.set_has_reached_server(answer.hasReachedServer);
+    wire.set_has_failed_below(answer.hasFailedBelow);
     for (const auto &[service, slotTime] : answer.chain) {
         wire::ChainStop &added = *wire.add_chain();
         added.set_service(service);
@@ -250,6 +253,7 @@
     answer.slotTime = toDuration(wire.slot_time_ns());
     answer.nextKey = wire.next_key();
     answer.hasReachedServer = wire.has_reached_server();
+    answer.hasFailedBelow = wire.has_failed_below();
     for (const wire::ChainStop &stop : wire.chain()) {
         answer.chain[stop.service()] = toDuration(stop.slot_time_ns());
     }
--- a/src/egretlatch/protocol/messages.hpp
+++ b/src/egretlatch/protocol/messages.hpp
@@ -83,6 +83,8 @@
     std::optional<account::Refusal> refusal;
     /*! @brief Whether a refused attempt was handed to the backend server all the same. */
     bool hasReachedServer{};
+    /*! @brief Whether an inner call of the run brought no good answer, so that its failure may not be the server's own. */
+    bool hasFailedBelow{};
     admission::LoadReport load;
     /*! @brief Part of the lent attempts that was not spent. */
     int attemptsReturned{};
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -35,6 +35,13 @@
     .shortestQueue = std::chrono::milliseconds{80},
     .level = {.demandWindow = std::chrono::milliseconds{600}, .shortestStep = std::chrono::milliseconds{100}, .longestStep = std::chrono::milliseconds{600}},
 };
+// Part of the time, in hundredths, that the platform gives from a server's word that it leaves to its last request. What
+// waits at the door when it closes is sent on within the rest.
+constexpr int hundredths = 100;
+constexpr int doorShare = 40;
+constexpr int lastStartShare = 80;
+// All daemons know of a leaving one within half a second at this size; the server itself goes on meanwhile.
+constexpr std::chrono::milliseconds doorTimeAfterSignal{1500};
 constexpr int ok = 200;
 constexpr int badRequest = 400;
 constexpr int notFound = 404;
@@ -136,8 +143,12 @@
     builder.followPlatform();
     builder.setConfigurationFeed();
     builder.setUnownedKeys(retry::UnownedKeys::notNeeded);
-    builder.moveFreely();
-    builder.setRetrySlack(m_bounds.retrySlack * internal::usedShareOfRetries);
+    builder.setEntryRules({.countsOnlyArrivals = true, .retrySlack = m_bounds.retrySlack * internal::usedShareOfRetries, .traces = false});
+    builder.setDoorTimes({
+        .afterReport = internal::doorShare * m_bounds.drain / internal::hundredths,
+        .afterSignal = internal::doorTimeAfterSignal,
+        .lastStart = internal::lastStartShare * m_bounds.drain / internal::hundredths,
+    });
     daemon::applyPolicy(m_settings.policy, m_random, builder, internal::gateRules);
     return builder.build();
 }
@@ -177,7 +188,7 @@
     m_logger.info("draining");
     m_drainSince = m_clock.steadyNow();
     m_front.server().retire();
-    post(decision::ServerDraining{.isShutdown = false});
+    post(decision::ServerDraining{.isShutdown = false, .isSignal = true});
 }
 
 void Sidecar::reload(const settings::SidecarSettings &settings)
@@ -319,7 +330,7 @@
     const Duration drained = m_clock.steadyNow() - *m_drainSince;
     if (!m_isShuttingDown && drained >= internal::noticeTime) {
         m_isShuttingDown = true;
-        post(decision::ServerDraining{.isShutdown = true});
+        post(decision::ServerDraining{.isShutdown = true, .isSignal = true});
     }
     if (drained >= m_bounds.grace - internal::graceMargin) {
         endNow("the time to drain is over");
@@ -346,7 +357,7 @@
             .service = m_settings.service, .slots = m_server.slots(), .connections = m_server.slots(), .instance = m_server.lifeName()});
     } else if (effect == ReportEffect::leaving) {
         // Before the acknowledgement: from then on no new request may reach the server.
-        post(decision::ServerDraining{.isShutdown = false});
+        post(decision::ServerDraining{});
     }
     m_reports.answer(exchange, platform::acknowledgement());
 }
