--- a/src/egretlatch/admission/run_estimator.cpp
+++ b/src/egretlatch/admission/run_estimator.cpp
@@ -10,6 +10,9 @@
 
 constexpr std::chrono::milliseconds estimateWindow{500};
 constexpr int samplesInMean = 10;
+// Part, in hundredths, of the longest run cut short below which a run of a kind that ended none lately is hopeless.
+constexpr int cutShortTrust = 80;
+constexpr int hundredths = 100;
 
 } // namespace internal
 
@@ -59,7 +62,9 @@
             cutShort = std::max(cutShort, window->longestCutShort);
         }
     }
-    return ended == Duration::max() ? cutShort : ended;
+    // A run that was cut short says that this much was too little for it, not that it is too little for every other; a rare
+    // kind whose one long run was cut at its time would else be refused with all its time left.
+    return ended == Duration::max() ? cutShort * internal::cutShortTrust / internal::hundredths : ended;
 }
 
 } // namespace egretlatch::admission
--- a/src/egretlatch/cli/sidecar_command.cpp
+++ b/src/egretlatch/cli/sidecar_command.cpp
@@ -5,8 +5,11 @@
 #include <unistd.h>
 
 #include <QCoreApplication>
+#include <QDateTime>
 #include <QFile>
+#include <QFileInfo>
 #include <QSocketNotifier>
+#include <QTimer>
 
 #include <fmt/format.h>
 
@@ -20,6 +23,9 @@
 namespace internal
 {
 
+// How often the settings file is looked at.
+constexpr std::chrono::seconds watchInterval{1};
+
 [[nodiscard]] static std::optional<settings::SidecarSettings> readSidecarSettings(const std::string &path)
 {
     QFile file{QString::fromStdString(path)};
@@ -52,18 +58,33 @@
     sidecar::Sidecar sidecar{*settings, [] {
                                  QCoreApplication::quit();
                              }};
+    const auto reload = [&sidecar, settingsPath] {
+        if (const std::optional<settings::SidecarSettings> changed = internal::readSidecarSettings(settingsPath)) {
+            sidecar.reload(*changed);
+        }
+    };
     QSocketNotifier notifier{signalDescriptor, QSocketNotifier::Read};
-    QObject::connect(&notifier, &QSocketNotifier::activated, &application, [&sidecar, signalDescriptor, settingsPath] {
+    QObject::connect(&notifier, &QSocketNotifier::activated, &application, [&sidecar, signalDescriptor, reload] {
         signalfd_siginfo info{};
         static_cast<void>(::read(signalDescriptor, &info, sizeof info));
         if (info.ssi_signo != SIGHUP) {
             sidecar.drain();
             return;
         }
-        if (const std::optional<settings::SidecarSettings> changed = internal::readSidecarSettings(settingsPath)) {
-            sidecar.reload(*changed);
+        reload();
+    });
+    // The file may change without a signal.
+    QDateTime readAt = QFileInfo{QString::fromStdString(settingsPath)}.lastModified();
+    QTimer watch;
+    watch.setInterval(internal::watchInterval);
+    QObject::connect(&watch, &QTimer::timeout, &application, [&readAt, reload, settingsPath] {
+        const QDateTime changedAt = QFileInfo{QString::fromStdString(settingsPath)}.lastModified();
+        if (changedAt != readAt) {
+            readAt = changedAt;
+            reload();
         }
     });
+    watch.start();
     const Result<void> started = sidecar.start();
     if (!started.has_value()) {
         fmt::print(stderr, "egretlatch: {}\n", started.error().message);
--- a/src/egretlatch/decision/action.hpp
+++ b/src/egretlatch/decision/action.hpp
@@ -98,6 +98,10 @@
     RefusalRecord record;
     /*! @brief What the caller calls its request; empty if it did not say. */
     std::string requestName;
+    /*! @brief The daemon that the last attempt was made at; empty if there was none. */
+    DaemonId server;
+    /*! @brief Since the request came. */
+    Duration elapsed{};
 };
 
 /*! @brief Something was decided about a request on its way that its answer does not show, for the log. */
--- a/src/egretlatch/decision/entry_handler.cpp
+++ b/src/egretlatch/decision/entry_handler.cpp
@@ -611,7 +611,12 @@
     }
     record.time = m_surroundings.clock.wallNow();
     m_surroundings.metrics.count("refusals", account::toString(answer.refusal->reason));
-    m_surroundings.actions.emplace_back(RecordRefusal{.record = std::move(record), .requestName = pending.call.requestName});
+    m_surroundings.actions.emplace_back(RecordRefusal{
+        .record = std::move(record),
+        .requestName = pending.call.requestName,
+        .server = pending.server,
+        .elapsed = m_surroundings.clock.steadyNow() - pending.arrived,
+    });
 }
 
 void EntryHandler::giveUp(const PendingMap::iterator found, const account::RefusalReason reason, const std::string &rule, const SteadyTime now)
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -25,7 +25,7 @@
 // answer; what they send meanwhile is served.
 constexpr std::chrono::milliseconds noticeTime{2300};
 // Kept from the time that the platform gives, so that the process ends by itself.
-constexpr std::chrono::milliseconds graceMargin{400};
+constexpr std::chrono::milliseconds graceMargin{900};
 // Part of what the fleet may repeat that daemons use. The rest is for what they do not see: the inner calls of a request
 // that is run again are repeats, too, and a daemon counts those it was told of only.
 constexpr double usedShareOfRetries = 0.5;
@@ -42,6 +42,7 @@
 constexpr int lastStartShare = 80;
 // All daemons know of a leaving one within half a second at this size; the server itself goes on meanwhile.
 constexpr std::chrono::milliseconds doorTimeAfterSignal{1500};
+constexpr const char *metricsPath = "/metrics";
 constexpr int ok = 200;
 constexpr int badRequest = 400;
 constexpr int notFound = 404;
@@ -98,8 +99,8 @@
               }}
     , m_readiness{m_poller,
                   m_clock,
-                  [this](const ExchangeId exchange, const http::Request & /*request*/) {
-                      answerReadiness(exchange);
+                  [this](const ExchangeId exchange, const http::Request &request) {
+                      answerProbe(exchange, request);
                   },
                   [](ExchangeId /*exchange*/) {}}
     , m_reports{m_poller,
@@ -262,6 +263,8 @@
                    {"kind", record.kind},
                    {"reason", account::toString(record.refusal.reason)},
                    {"rule", record.refusal.rule},
+                   {"server", refused.server.value},
+                   {"elapsedMs", std::chrono::duration_cast<std::chrono::milliseconds>(refused.elapsed).count()},
                    {"figures", figures},
                    {"verdict", toString(record.verdict)},
                    {"retryAfterMs", record.refusal.retryAfter.count()},
@@ -362,8 +365,16 @@
     m_reports.answer(exchange, platform::acknowledgement());
 }
 
-void Sidecar::answerReadiness(const ExchangeId exchange)
+void Sidecar::answerProbe(const ExchangeId exchange, const http::Request &request)
 {
+    if (request.target == internal::metricsPath) {
+        http::Response response = http::bareResponse(internal::ok);
+        response.headers.push_back({.name = "Content-Type", .value = "text/plain; version=0.0.4"});
+        m_metrics.set("log_lines_left_out", static_cast<double>(m_logSink.omitted()));
+        response.body = QByteArray::fromStdString(m_metrics.toPrometheus());
+        m_readiness.answer(exchange, response);
+        return;
+    }
     const bool isReady = m_isConfigured && !m_drainSince.has_value();
     m_readiness.answer(exchange, http::bareResponse(isReady ? internal::ok : internal::serviceUnavailable));
 }
--- a/src/egretlatch/sidecar/sidecar.hpp
+++ b/src/egretlatch/sidecar/sidecar.hpp
@@ -75,7 +75,7 @@
     void logRefusal(const decision::RecordRefusal &refused);
     void logNote(const decision::NoteRequest &note);
     void takeReport(ExchangeId exchange, const http::Request &request);
-    void answerReadiness(ExchangeId exchange);
+    void answerProbe(ExchangeId exchange, const http::Request &request);
     void takeConfiguration(const QByteArray &document);
     void putInForce();
     void endNow(std::string_view reason);
