--- a/src/egretlatch/core/bounded_log_sink.hpp
+++ b/src/egretlatch/core/bounded_log_sink.hpp
@@ -18,7 +18,7 @@
     /*! @brief Lines of one event in a second. A hundred tell what goes on; more cost the processor time of the requests. */
     int linesPerSecond{100};
     /*! @brief Bytes that wait for a reader that does not read. */
-    std::size_t heldBytes{256U * 1024U};
+    std::size_t heldBytes{262'144};
 
     friend bool operator==(const LogBounds &, const LogBounds &) = default;
 };
