--- a/src/egretlatch/admission/run_estimator.cpp
+++ b/src/egretlatch/admission/run_estimator.cpp
@@ -10,8 +10,10 @@
 
 constexpr std::chrono::milliseconds estimateWindow{500};
 constexpr int samplesInMean = 10;
-// Part, in hundredths, of the longest run cut short below which a run of a kind that ended none lately is hopeless.
-constexpr int cutShortTrust = 80;
+// Ended runs from which the shortest of them is a bound for the next one.
+constexpr int runsToTrust = 5;
+// Part, in hundredths, of what fewer runs show that is taken for a bound.
+constexpr int firstTrust = 80;
 constexpr int hundredths = 100;
 
 } // namespace internal
@@ -31,6 +33,7 @@
     Runs &runs = runsOf(kind, now);
     runs.mean = runs.mean == Duration{} ? held : runs.mean + (held - runs.mean) / internal::samplesInMean;
     runs.current.shortestEnded = std::min(runs.current.shortestEnded, held);
+    ++runs.current.ended;
 }
 
 void RunEstimator::noteCutShort(const std::string &kind, const Duration held, const SteadyTime now)
@@ -54,17 +57,22 @@
     if (found == m_runs.end()) {
         return {};
     }
-    Duration ended = Duration::max();
+    Duration shortestEnded = Duration::max();
     Duration cutShort{};
+    int ended = 0;
     for (const Window *const window : {&found->second.current, &found->second.previous}) {
         if (now - window->begin < 2 * internal::estimateWindow) {
-            ended = std::min(ended, window->shortestEnded);
+            shortestEnded = std::min(shortestEnded, window->shortestEnded);
             cutShort = std::max(cutShort, window->longestCutShort);
+            ended += window->ended;
         }
     }
-    // A run that was cut short says that this much was too little for it, not that it is too little for every other; a rare
-    // kind whose one long run was cut at its time would else be refused with all its time left.
-    return ended == Duration::max() ? cutShort * internal::cutShortTrust / internal::hundredths : ended;
+    if (ended >= internal::runsToTrust) {
+        return shortestEnded;
+    }
+    // A few runs, or one that was cut short, say that this much was needed by them, not by every other; a rare kind whose
+    // one long run was cut at its time would else be refused with all its time left.
+    return (ended > 0 ? shortestEnded : cutShort) * internal::firstTrust / internal::hundredths;
 }
 
 } // namespace egretlatch::admission
--- a/src/egretlatch/admission/run_estimator.hpp
+++ b/src/egretlatch/admission/run_estimator.hpp
@@ -53,6 +53,7 @@
     {
         SteadyTime begin;
         Duration shortestEnded{Duration::max()};
+        int ended{};
         Duration longestCutShort{};
     };
 
--- a/src/egretlatch/manifest/parse_manifest.cpp
+++ b/src/egretlatch/manifest/parse_manifest.cpp
@@ -29,7 +29,7 @@
 constexpr Range<std::int64_t> connectionsRange{.least = 1, .most = 100'000};
 constexpr Range<std::int64_t> queueTargetRange{.least = 1, .most = 60'000};
 constexpr Range<std::int64_t> weightRange{.least = 0, .most = 1'000'000};
-constexpr Range<std::int64_t> headerBytesRange{.least = 256, .most = 1024 * 1024};
+constexpr Range<std::int64_t> headerBytesRange{.least = 256, .most = 1024LL * 1024};
 constexpr Range<std::int64_t> bodyBytesRange{.least = 0, .most = 1024LL * 1024 * 1024};
 constexpr Range<std::int64_t> timeoutRange{.least = 1, .most = 3'600'000};
 constexpr Range<double> retryRatioRange{.least = 0.0, .most = 1.0};
