Tests that do not depend on how fast the machine is

Cause: beside twelve busy processes two tests failed: a client that leaves at its deadline may be answered first, and the repeats of a test ran out where a trial of a server fell into another second. Change: the client leaves before its deadline; so many repeats that all twenty reads must come back; ports below that range. Kinds are found by a hash, not by a walk.

--- a/src/egretlatch/manifest/manifest.cpp
+++ b/src/egretlatch/manifest/manifest.cpp
@@ -21,6 +21,17 @@
     return key;
 }
 
+[[nodiscard]] static std::string kindKey(const std::string_view service, const std::string_view kind)
+{
+    std::string key;
+    key.reserve(service.size() + 1 + kind.size());
+    key.append(service);
+    // No name has it, so two names put together are never those of another kind.
+    key.push_back('\0');
+    key.append(kind);
+    return key;
+}
+
 } // namespace internal
 
 const ServiceSpec *Manifest::findService(const std::string_view service) const noexcept
@@ -33,14 +44,8 @@
 
 const KindSpec *Manifest::findKind(const std::string_view service, const std::string_view kind) const noexcept
 {
-    const ServiceSpec *const spec = findService(service);
-    if (spec == nullptr) {
-        return nullptr;
-    }
-    const auto found = std::find_if(spec->kinds.begin(), spec->kinds.end(), [kind](const KindSpec &candidate) {
-        return candidate.name == kind;
-    });
-    return found == spec->kinds.end() ? nullptr : &*found;
+    const auto found = m_kindPlaces.find(internal::kindKey(service, kind));
+    return found == m_kindPlaces.end() ? nullptr : &m_services[found->second.first].kinds[found->second.second];
 }
 
 const RouteSpec *Manifest::findRoute(const std::string_view host, const std::string_view path) const
@@ -88,6 +93,11 @@
 {
     Manifest manifest;
     manifest.m_services = m_services;
+    for (std::size_t service = 0; service < m_services.size(); ++service) {
+        for (std::size_t kind = 0; kind < m_services[service].kinds.size(); ++kind) {
+            manifest.m_kindPlaces.emplace(internal::kindKey(m_services[service].name, m_services[service].kinds[kind].name), std::pair{service, kind});
+        }
+    }
     manifest.m_routes = m_routes;
     for (std::size_t place = 0; place < m_routes.size(); ++place) {
         manifest.m_routePlaces.emplace(internal::placeKey(m_routes[place].host, m_routes[place].prefix), place);
--- a/src/egretlatch/manifest/manifest.hpp
+++ b/src/egretlatch/manifest/manifest.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <QByteArray>
@@ -84,6 +85,8 @@
     std::vector<RouteSpec> m_routes;
     /*! @brief Place in m_routes by host and prefix; with many routes a walk over all would cost each request its time. */
     std::unordered_map<std::string, std::size_t> m_routePlaces;
+    /*! @brief Places in m_services and in the service's kinds, by the names of both. */
+    std::unordered_map<std::string, std::pair<std::size_t, std::size_t>> m_kindPlaces;
     CallerLimits m_callerLimits;
     std::string m_hash;
 };
--- a/src/egretlatch/platform/configuration_document.cpp
+++ b/src/egretlatch/platform/configuration_document.cpp
@@ -48,7 +48,7 @@
 {
     QJsonArray targets;
     std::set<QString> names;
-    for (const QJsonValue &value : field(spec, "weighted_services").toArray()) {
+    for (const QJsonValue value : field(spec, "weighted_services").toArray()) {
         const QString service = field(value.toObject(), "service").toString();
         if (!service.isEmpty() && names.insert(service).second) {
             targets.append(QJsonObject{{QLatin1String{"service"}, service}, {QLatin1String{"weight"}, field(value.toObject(), "weight").toInt(1)}});
@@ -137,7 +137,7 @@
     QJsonArray routes;
     QJsonObject limits;
     const QJsonArray resources = internal::field(root, "resources").toArray();
-    for (const QJsonValue &value : resources) {
+    for (const QJsonValue value : resources) {
         const QString type = internal::field(value.toObject(), "resource_type").toString();
         const QString name = internal::field(internal::field(value.toObject(), "metadata").toObject(), "name").toString();
         const QJsonObject spec = internal::field(value.toObject(), "spec").toObject();
@@ -148,7 +148,7 @@
         } else if (type == QLatin1String{"routes"}) {
             const QJsonArray targets = internal::targetsOf(spec);
             routes.append(internal::routeOf(name, spec, targets));
-            for (const QJsonValue &target : targets) {
+            for (const QJsonValue target : targets) {
                 services.kinds[internal::field(target.toObject(), "service").toString()].append(internal::kindOf(name, spec));
             }
         }
--- a/src/egretlatch/platform/store_wire.cpp
+++ b/src/egretlatch/platform/store_wire.cpp
@@ -106,7 +106,7 @@
     const auto *const read = std::get_if<store::TableRead>(&request);
     const auto *const scan = std::get_if<store::TableScan>(&request);
     std::vector<store::Row> rows;
-    for (const QJsonValue &value : body[QLatin1String{"rows"}].toArray()) {
+    for (const QJsonValue value : body[QLatin1String{"rows"}].toArray()) {
         const QJsonObject object = value.toObject();
         store::Row row;
         row.key = object[QLatin1String{"key"}].toString().toStdString();
@@ -173,7 +173,7 @@
     }
     ConfigurationPage page;
     page.position = static_cast<std::uint64_t>(position.toInteger());
-    for (const QJsonValue &value : document.object()[QLatin1String{"rows"}].toArray()) {
+    for (const QJsonValue value : document.object()[QLatin1String{"rows"}].toArray()) {
         const QJsonObject row = value.toObject();
         const bool isConfiguration = row[QLatin1String{"key"}].toString() == QLatin1String{configurationKey};
         if (isConfiguration && !row[QLatin1String{"deleted"}].toBool()) {
--- a/standin/fleet/client.py
+++ b/standin/fleet/client.py
@@ -25,14 +25,15 @@
         self.reader = None
         self.writer = None
 
-    async def send(self, name, host, path, method="GET", body=b"", patience=5.0, fields=None):
+    async def send(self, name, host, path, method="GET", body=b"", patience=5.0, fields=None, leaves=None):
+        """Sends a request and waits for its answer; `leaves` is when the client goes without it, before its patience ends."""
         began = time.monotonic()
         try:
             if self.writer is None:
                 self.reader, self.writer = await asyncio.open_connection(self.host, int(self.port))
             self.writer.write(wire.encode(f"{method} {path} HTTP/1.1", {
                 "Host": host, "X-Request-Id": name, "X-Deadline-Ms": int(patience * 1000), **(fields or {})}, body))
-            answer = await asyncio.wait_for(wire.read_message(self.reader), patience)
+            answer = await asyncio.wait_for(wire.read_message(self.reader), leaves or patience)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             answer = None
         if answer is None or answer.fields.get("connection") == "close":
--- a/standin/fleet/fleet.py
+++ b/standin/fleet/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -15,13 +16,20 @@
 
 
 def free_ports(count):
-    """Gives ports that nobody listens on."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
+    """Gives ports that nobody listens on, below those that the kernel gives to outgoing connections.
+
+    A port of that range may be taken by a connection between its choice here and the daemon that is to listen on it.
+    """
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(10000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
--- a/test/processes/test_sidecar.py
+++ b/test/processes/test_sidecar.py
@@ -18,6 +18,8 @@
 
 HOST = "mesh.example"
 SERVICES = {"history": (2, 8, 8), "log": (2, 8, 8), "roster": (2, 4, 8)}
+# So many repeats that no test runs out of them; their bound has tests of its own.
+BOUNDS = {"grace": "4s", "drain": "1s", "retry_budget_ratio": "0.2", "budget_slack": "1000"}
 KINDS = {"lookup": {"work": 0.004, "calls": [(HOST, "/winch/")]}, "winch": {"work": 0.004}, "entry": {"work": 0.01}, "read": {"work": 0.004}}
 
 
@@ -34,9 +36,9 @@
 
 class Sidecar(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        self.fleet = await Fleet(str(BUILD / "egretlatch"), SERVICES, KINDS).__aenter__()
+        self.fleet = await Fleet(str(BUILD / "egretlatch"), SERVICES, KINDS, bounds=BOUNDS).__aenter__()
         self.fleet.store.put_configuration(configuration(1, routes(), SERVICES))
-        self.assertTrue(await self.fleet.ready())
+        self.assertTrue(await self.fleet.ready(), "\n".join(self.fleet.log(vm) for vm in self.fleet.vms if vm.process.poll() is not None))
         await self.all_known()
 
     async def asyncTearDown(self):
@@ -96,7 +98,7 @@
         for server in self.fleet.servers("roster"):
             server.fault = Fault(slowness=500)
         client = Client(self.fleet.vms[0].callers)
-        answer = await client.send("n-1", HOST, "/read/", patience=0.2)
+        answer = await client.send("n-1", HOST, "/read/", leaves=0.2)
         self.assertIsNone(answer.status)
         await asyncio.sleep(0.5)
         self.assertGreater(sum(server.cancelled for server in self.fleet.servers("roster")), 0)
@@ -115,7 +117,7 @@
         broken = self.fleet.servers("roster")[0]
         broken.fault = Fault(lost=1)
         statuses = [(await Client(self.fleet.vms[0].callers).send(f"n-{number}", HOST, "/read/")).status for number in range(20)]
-        self.assertGreaterEqual(statuses.count(200), 18, statuses)
+        self.assertEqual([200] * 20, statuses)
 
     async def test_spoiled_and_extra_answers_reach_nobody(self):
         # A caller gets bytes that no server made for it: an answer given twice, one cut short, one without a signature.
