Two test files pass the linter

Change: the results of bind() and listen() are required; a pair in place of the binding. Both checks are as strict as before or stricter.

--- a/test/egretlatch/http/connections.cpp
+++ b/test/egretlatch/http/connections.cpp
@@ -35,8 +35,8 @@
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        ::bind(m_listener, reinterpret_cast<const sockaddr *>(&address), sizeof address);
-        ::listen(m_listener, 8);
+        REQUIRE(::bind(m_listener, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0);
+        REQUIRE(::listen(m_listener, 8) == 0);
         socklen_t size = sizeof address;
         ::getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size);
         m_port = ntohs(address.sin_port);
--- a/test/egretlatch/platform/wire.cpp
+++ b/test/egretlatch/platform/wire.cpp
@@ -93,15 +93,15 @@
     CHECK(report->sequence == 4);
     CHECK(report->bornMs == 1790000000000);
     CHECK(report->coldRemaining == 1500ms);
-    for (const auto &[from, to] : std::vector<std::pair<QByteArray, QByteArray>>{{"draining", "asleep"},
-                                                                                 {"\"seq\":4", "\"seq\":\"4\""},
-                                                                                 {"\"slots\":60", "\"slots\":0"},
-                                                                                 {"\"slots\":60", "\"slots\":1.5"},
-                                                                                 {"\"one\"", "7"},
-                                                                                 {"1790000000000", "\"soon\""},
-                                                                                 {"\"address\"", "\"adress\""}}) {
-        CAPTURE(from.toStdString());
-        CHECK_FALSE(platform::readServerReport(heartbeat(QByteArray{good}.replace(from, to))).has_value());
+    for (const std::pair<QByteArray, QByteArray> &change : std::vector<std::pair<QByteArray, QByteArray>>{{"draining", "asleep"},
+                                                                                                          {"\"seq\":4", "\"seq\":\"4\""},
+                                                                                                          {"\"slots\":60", "\"slots\":0"},
+                                                                                                          {"\"slots\":60", "\"slots\":1.5"},
+                                                                                                          {"\"one\"", "7"},
+                                                                                                          {"1790000000000", "\"soon\""},
+                                                                                                          {"\"address\"", "\"adress\""}}) {
+        CAPTURE(change.first.toStdString());
+        CHECK_FALSE(platform::readServerReport(heartbeat(QByteArray{good}.replace(change.first, change.second))).has_value());
     }
     rc::check("any bytes are read or refused", [](const std::string &bytes) {
         static_cast<void>(platform::readServerReport(heartbeat(QByteArray::fromStdString(bytes))));
