--- a/src/egretlatch/admission/waiting_line.cpp
+++ b/src/egretlatch/admission/waiting_line.cpp
@@ -31,11 +31,6 @@
     return take(group, newestFirst ? std::prev(group->second.end()) : group->second.begin());
 }
 
-const RankClass &WaitingLine::bestClass() const
-{
-    return m_groups.begin()->first.rankClass;
-}
-
 const Waiting &WaitingLine::worst() const
 {
     return m_groups.rbegin()->second.front();
@@ -66,12 +61,6 @@
     return work;
 }
 
-Waiting WaitingLine::popWorst()
-{
-    const auto group = std::prev(m_groups.end());
-    return take(group, group->second.begin());
-}
-
 bool WaitingLine::remove(const ExecutionId execution)
 {
     const auto found = m_places.find(execution);
--- a/src/egretlatch/admission/waiting_line.hpp
+++ b/src/egretlatch/admission/waiting_line.hpp
@@ -42,12 +42,6 @@
      */
     [[nodiscard]] Waiting popBest(bool newestFirst);
 
-    /**
-     * @brief Gives the class of the most valuable request.
-     * @return The class; the line must not be empty.
-     */
-    [[nodiscard]] const RankClass &bestClass() const;
-
     /**
      * @brief Gives the least valuable request, the oldest of the equals.
      * @return The request; the line must not be empty.
@@ -67,12 +61,6 @@
      */
     [[nodiscard]] Duration workUpTo(const Ticket &ticket) const;
 
-    /**
-     * @brief Takes the least valuable request, the oldest of the equals.
-     * @return The request; the line must not be empty.
-     */
-    [[nodiscard]] Waiting popWorst();
-
     /**
      * @brief Takes a request out.
      * @param execution The request.
--- a/src/egretlatch/cli/submit_command.cpp
+++ b/src/egretlatch/cli/submit_command.cpp
@@ -1,7 +1,5 @@
 #include <egretlatch/cli/submit_command.hpp>
 
-#include <random>
-
 #include <QCoreApplication>
 
 #include <fmt/chrono.h>
@@ -9,6 +7,7 @@
 
 #include <egretlatch/cli/documents.hpp>
 #include <egretlatch/cli/http_platform_port.hpp>
+#include <egretlatch/core/fresh_life.hpp>
 #include <egretlatch/core/uuid.hpp>
 #include <egretlatch/store/backoff.hpp>
 
@@ -81,13 +80,6 @@
     return {.code = ExitCode::unsure, .text = std::move(text)};
 }
 
-[[nodiscard]] static std::uint64_t freshSeed()
-{
-    std::random_device device;
-    constexpr int halfBits = 32;
-    return (static_cast<std::uint64_t>(device()) << halfBits) | device();
-}
-
 } // namespace internal
 
 CommandResult submit(const configuration::SubmissionRequest &request, PlatformPort &port, RandomSource &random, const Duration patience)
@@ -149,7 +141,7 @@
     if (port == nullptr || !manifest.has_value()) {
         return ExitCode::badInput;
     }
-    SeededRandom random{internal::freshSeed()};
+    SeededRandom random{freshSeed()};
     const SystemClock clock;
     configuration::SubmissionRequest request;
     request.base = options.base;
--- a/src/egretlatch/daemon/daemon.cpp
+++ b/src/egretlatch/daemon/daemon.cpp
@@ -1,11 +1,10 @@
 #include <egretlatch/daemon/daemon.hpp>
 
-#include <random>
-
 #include <QCoreApplication>
 
 #include <fmt/format.h>
 
+#include <egretlatch/core/fresh_life.hpp>
 #include <egretlatch/daemon/core_options.hpp>
 
 namespace egretlatch::daemon
@@ -14,19 +13,6 @@
 namespace internal
 {
 
-[[nodiscard]] static std::uint64_t freshSeed()
-{
-    std::random_device device;
-    constexpr int halfBits = 32;
-    return (static_cast<std::uint64_t>(device()) << halfBits) | device();
-}
-
-[[nodiscard]] static Incarnation incarnationOf(const Clock &clock)
-{
-    // Calendar time, so that the next life of this daemon has a higher number without anything being kept.
-    return {static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count())};
-}
-
 // Runs a step on a thread with an event loop and waits for it.
 template<typename Step>
 static void runOn(QObject &object, Step step)
@@ -41,8 +27,8 @@
     , m_tokens{std::move(tokens)}
     , m_manifest{std::move(manifest)}
     , m_logger{m_settings.logLevel, m_settings.id.value}
-    , m_random{m_settings.seed.value_or(internal::freshSeed())}
-    , m_incarnation{internal::incarnationOf(m_clock)}
+    , m_random{m_settings.seed.value_or(freshSeed())}
+    , m_incarnation{incarnationAt(m_clock)}
     , m_inward{m_decideWaker}
     , m_peer{m_settings.id, m_incarnation, m_settings.peerKeys, m_inward.fromPeer, m_metrics}
     , m_frontWaker{[this] {
--- a/src/egretlatch/platform/names.hpp
+++ b/src/egretlatch/platform/names.hpp
@@ -16,12 +16,9 @@
 inline constexpr const char *serverStampHeader = "X-Server-Stamp";
 /*! @brief The backend server did not run the request. */
 inline constexpr const char *notExecutedHeader = "X-Not-Executed";
-inline constexpr const char *instanceIdHeader = "X-Instance-Id";
-inline constexpr const char *serverLoadHeader = "X-Server-Load";
 inline constexpr const char *contentEncodingHeader = "Content-Encoding";
 inline constexpr const char *retryAfterHeader = "Retry-After";
 
-inline constexpr const char *readinessPath = "/api/readiness";
 inline constexpr const char *instancesPath = "/api/instances/";
 
 /*! @brief Table that the operators write; its row `config` holds the newest configuration. */
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -1,12 +1,11 @@
 #include <egretlatch/sidecar/sidecar.hpp>
 
 #include <algorithm>
-#include <random>
-
 #include <unistd.h>
 
 #include <fmt/format.h>
 
+#include <egretlatch/core/fresh_life.hpp>
 #include <egretlatch/daemon/core_options.hpp>
 #include <egretlatch/platform/bounds.hpp>
 #include <egretlatch/platform/configuration_document.hpp>
@@ -48,19 +47,6 @@
 constexpr int notFound = 404;
 constexpr int serviceUnavailable = 503;
 
-[[nodiscard]] static std::uint64_t freshSeed()
-{
-    std::random_device device;
-    constexpr int halfBits = 32;
-    return (static_cast<std::uint64_t>(device()) << halfBits) | device();
-}
-
-[[nodiscard]] static Incarnation incarnationOf(const Clock &clock)
-{
-    // Calendar time, so that the next life of this daemon has a higher number without anything being kept.
-    return {static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count())};
-}
-
 } // namespace internal
 
 Sidecar::Sidecar(settings::SidecarSettings settings, std::function<void()> onEnded)
@@ -69,8 +55,8 @@
     , m_onEnded{std::move(onEnded)}
     , m_logSink{STDOUT_FILENO, m_clock}
     , m_logger{m_settings.logLevel, m_settings.id.value, m_logSink}
-    , m_random{internal::freshSeed()}
-    , m_incarnation{internal::incarnationOf(m_clock)}
+    , m_random{freshSeed()}
+    , m_incarnation{incarnationAt(m_clock)}
     , m_peerWaker{[this] {
         drainPeers();
     }}
