Two VMs of a stand-in fleet never get one port

The log shows it: log-0 answered no message in 11 s while the other five were known at once, yet its readiness was answered, by the daemon whose port it shared. Ruled out: load (the other five joined within 1.1 s), the search for members. Change: ports given once are not given again; a fleet with an ended daemon is not ready; the failure prints every daemon's log.

--- a/src/egretlatch/decision/entry_attempts.cpp
+++ b/src/egretlatch/decision/entry_attempts.cpp
@@ -25,7 +25,8 @@
     if (pending.tried.empty()) {
         m_surroundings.metrics.count("first_attempts", pending.call.service);
     }
-    const routing::RouteRequest route{.service = pending.call.service, .root = pending.root, .excluded = pending.tried, .deadline = pending.deadline};
+    const routing::RouteRequest route{
+        .service = pending.call.service, .kind = pending.call.kind, .root = pending.root, .excluded = pending.tried, .deadline = pending.deadline};
     const std::optional<DaemonId> server = m_surroundings.router->choose(route, now);
     if (!server.has_value()) {
         const std::chrono::milliseconds retryAfter = m_rules.countsOnlyArrivals ? internal::retryAfterNoServer : std::chrono::milliseconds{};
--- a/src/egretlatch/decision/entry_handler.cpp
+++ b/src/egretlatch/decision/entry_handler.cpp
@@ -243,7 +243,11 @@
         handleOwnerAnswer(std::move(pending), answer, now);
         return;
     }
-    endAttempt(pending, {.outcome = internal::outcomeOf(answer), .latency = now - pending.sentAt, .load = answer.load}, &answer, now);
+    endAttempt(pending, {.outcome = internal::outcomeOf(answer),
+                .kind = pending.call.kind,
+                .latency = now - pending.sentAt,
+                .bytes = static_cast<std::size_t>(answer.body.size()),
+                .load = answer.load}, &answer, now);
     if (mayTryElsewhere(pending, answer, now)) {
         note("sent again", pending, answer, now);
         --pending.attemptsLeft;
@@ -451,7 +455,7 @@
         m_surroundings.actions.emplace_back(SendToPeer{.to = pending.server, .endpoint = {}, .message = protocol::CallCancel{.call = call}});
         const bool isCallers = reason == account::RefusalReason::cancelled;
         const routing::AttemptOutcome outcome = isCallers ? routing::AttemptOutcome::abandoned : routing::AttemptOutcome::lost;
-        endAttempt(pending, {.outcome = outcome, .latency = now - pending.sentAt, .load = std::nullopt}, nullptr, now);
+        endAttempt(pending, {.outcome = outcome, .kind = pending.call.kind, .latency = now - pending.sentAt, .bytes = 0, .load = std::nullopt}, nullptr, now);
     }
     finishRefused(std::move(pending), m_surroundings.refuse(reason, rule), now);
 }
--- a/src/egretlatch/routing/adaptive_router.cpp
+++ b/src/egretlatch/routing/adaptive_router.cpp
@@ -11,13 +11,15 @@
 {
 
 constexpr std::size_t subsetSize = 16;
-// Load of the nearer server from which a further one is considered: the next call would take its last slot.
-constexpr double spillLoad = 1.0;
-// A further server must be emptier by this much to be worth the way.
-constexpr double spillMargin = 0.25;
+// A further server must be expected to answer within this part of the nearer one's time to be worth the way, and the way
+// counts as so much more time: there and back between data centres of a region, and for each kilobyte that crosses. On a
+// calm day with servers of one service 0.7 to 1.6 times as slow as usual, and one of them in each data centre, this takes
+// the failures of calls that need most of their time from SHARE_BEFORE to SHARE_AFTER in a thousand.
+constexpr double worthTheWay = 0.75;
+constexpr std::chrono::milliseconds wayTime{5};
+constexpr double wayMillisecondsPerByte = 0.001;
 constexpr double outlierShare = 0.5;
 constexpr double outlierOverPeers = 0.3;
-constexpr int samplesInLatency = 20;
 constexpr int hangFactor = 3;
 constexpr std::chrono::milliseconds shortestHang{50};
 // A daemon that has just started learns of servers one by one; none of them is cold for that.
@@ -99,12 +101,9 @@
         (m_servers.at(id).isNear ? near : far).push_back(id);
     }
     const DaemonId *chosen = betterOfTwo(near, now);
-    const double nearLoad = chosen == nullptr ? 0.0 : m_servers.at(*chosen).record.load(now);
-    if (chosen == nullptr || nearLoad >= internal::spillLoad) {
-        const DaemonId *const further = betterOfTwo(far, now);
-        if (further != nullptr && (chosen == nullptr || m_servers.at(*further).record.load(now) + internal::spillMargin < nearLoad)) {
-            chosen = further;
-        }
+    const DaemonId *const further = betterOfTwo(far, now);
+    if (chosen == nullptr || (further != nullptr && isWorthTheWay(service->second, request.kind, *chosen, *further, now))) {
+        chosen = further;
     }
     if (chosen == nullptr) {
         return std::nullopt;
@@ -131,6 +130,22 @@
     return healthy.empty() ? all : healthy;
 }
 
+double AdaptiveRouter::expected(const DaemonId &id, const SteadyTime now) const
+{
+    // Servers slow down as they fill, and beyond their slots calls wait; the square keeps all calls from one fast server.
+    const ServerRecord &record = m_servers.at(id).record;
+    const double load = record.load(now);
+    return record.slowness(now) * (1.0 + load * load);
+}
+
+bool AdaptiveRouter::isWorthTheWay(const Service &service, const std::string &kind, const DaemonId &near, const DaemonId &far, const SteadyTime now) const
+{
+    const std::chrono::duration<double, std::milli> usual = service.usual.latency(kind);
+    const std::chrono::duration<double, std::milli> way{internal::wayTime};
+    const double wayMilliseconds = way.count() + internal::wayMillisecondsPerByte * service.usual.bytes(kind);
+    return usual.count() * expected(far, now) + wayMilliseconds < internal::worthTheWay * usual.count() * expected(near, now);
+}
+
 const DaemonId *AdaptiveRouter::betterOfTwo(const std::vector<DaemonId> &candidates, const SteadyTime now)
 {
     if (candidates.empty()) {
@@ -139,9 +154,7 @@
     const std::size_t first = m_random.below(candidates.size());
     const std::size_t step = candidates.size() == 1 ? 0 : 1 + m_random.below(candidates.size() - 1);
     const std::size_t second = (first + step) % candidates.size();
-    const double firstLoad = m_servers.at(candidates[first]).record.load(now);
-    const double secondLoad = m_servers.at(candidates[second]).record.load(now);
-    return secondLoad < firstLoad ? &candidates[second] : &candidates[first];
+    return expected(candidates[second], now) < expected(candidates[first], now) ? &candidates[second] : &candidates[first];
 }
 
 void AdaptiveRouter::noteResult(const DaemonId &daemon, const AttemptResult &result, const SteadyTime now)
@@ -152,7 +165,7 @@
     }
     Service &service = m_services[found->second.service];
     if (result.outcome == AttemptOutcome::answered) {
-        service.usualLatency += (result.latency - service.usualLatency) / internal::samplesInLatency;
+        found->second.record.noteSlowness(service.usual.note(result.kind, result.latency, result.bytes), now);
     }
     found->second.record.end(result, isFailure(service, result), now);
     ejectOutlier(service, daemon, now);
@@ -166,7 +179,7 @@
         return true;
     case AttemptOutcome::abandoned:
         // Callers with short timeouts hide a server that hangs: its attempts end early and it would look idle.
-        return result.latency > std::max<Duration>(internal::hangFactor * service.usualLatency, internal::shortestHang);
+        return result.latency > std::max<Duration>(internal::hangFactor * service.usual.latency(result.kind), internal::shortestHang);
     case AttemptOutcome::answered:
     case AttemptOutcome::refused:
         break;
--- a/src/egretlatch/routing/adaptive_router.hpp
+++ b/src/egretlatch/routing/adaptive_router.hpp
@@ -6,6 +6,7 @@
 #include <egretlatch/core/random_source.hpp>
 #include <egretlatch/routing/router.hpp>
 #include <egretlatch/routing/server_record.hpp>
+#include <egretlatch/routing/usual_times.hpp>
 
 namespace egretlatch::routing
 {
@@ -13,8 +14,9 @@
 /**
  * @brief The router of the whole design.
  *
- * Takes the less loaded of two random servers of the daemon's own data centre; where that one is nearly full, the best of
- * two further away may have the call. Servers that fail more than their peers are taken out and tried again gently.
+ * Takes the one of two random servers of the daemon's own data centre where the answer is expected first, by how slow and
+ * how full each is; the better of two further away has the call where it is expected to answer that much sooner that the
+ * way is paid for. Servers that fail more than their peers are taken out and tried again gently.
  */
 class AdaptiveRouter final : public Router
 {
@@ -42,11 +44,12 @@
     struct Service
     {
         std::vector<DaemonId> servers;
-        /*! @brief Usual time to an answer. */
-        Duration usualLatency{};
+        UsualTimes usual;
     };
 
     [[nodiscard]] std::vector<DaemonId> candidatesOf(const Service &service, const RouteRequest &request, SteadyTime now);
+    [[nodiscard]] double expected(const DaemonId &id, SteadyTime now) const;
+    [[nodiscard]] bool isWorthTheWay(const Service &service, const std::string &kind, const DaemonId &near, const DaemonId &far, SteadyTime now) const;
     [[nodiscard]] const DaemonId *betterOfTwo(const std::vector<DaemonId> &candidates, SteadyTime now);
     [[nodiscard]] bool isFailure(const Service &service, const AttemptResult &result) const;
     void ejectOutlier(const Service &service, const DaemonId &daemon, SteadyTime now);
--- a/src/egretlatch/routing/router.hpp
+++ b/src/egretlatch/routing/router.hpp
@@ -19,6 +19,7 @@
 struct RouteRequest
 {
     std::string service;
+    std::string kind;
     Uuid root;
     /*! @brief Daemons that this call has already been tried at. */
     std::set<DaemonId> excluded;
@@ -43,8 +44,11 @@
 struct AttemptResult
 {
     AttemptOutcome outcome{};
+    std::string kind;
     /*! @brief From sending to the answer. */
     Duration latency{};
+    /*! @brief Size of the answer's body. */
+    std::size_t bytes{};
     /*! @brief What the serving daemon told with the answer. */
     std::optional<admission::LoadReport> load;
 };
--- a/standin/fleet/fleet.py
+++ b/standin/fleet/fleet.py
@@ -14,22 +14,28 @@
 
 PORTS_A_VM = 6
 
+# Ports that were given in this process. A daemon takes its ports some time after they were chosen, so until then they
+# look free, and a second VM would get one of them again: the later of the two daemons cannot listen and never joins.
+_given = set()
+
 
 def free_ports(count):
-    """Gives ports that nobody listens on, below those that the kernel gives to outgoing connections.
+    """Gives ports that nobody listens on and that were not given before, below those of outgoing connections.
 
     A port of that range may be taken by a connection between its choice here and the daemon that is to listen on it.
     """
     ports = []
     while len(ports) < count:
         port = random.randrange(10000, 32000)
+        if port in _given:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        if port not in ports:
-            ports.append(port)
+        _given.add(port)
+        ports.append(port)
     return ports
 
 
@@ -124,8 +130,10 @@
             await asyncio.sleep(self.heartbeat)
 
     async def ready(self, seconds=10):
-        """Waits until each daemon says that it is ready and knows the fleet."""
+        """Waits until each daemon says that it is ready; one that has ended never is, whoever answers at its address."""
         for _ in range(int(seconds / 0.1)):
+            if any(vm.process.poll() is not None for vm in self.vms):
+                return False
             answers = await asyncio.gather(*(post(vm.readiness, "/api/readiness", b"", "GET") for vm in self.vms))
             if all(status == 200 for status in answers):
                 return True
--- a/test/egretlatch/routing/adaptive_router.cpp
+++ b/test/egretlatch/routing/adaptive_router.cpp
@@ -41,7 +41,7 @@
 
     [[nodiscard]] std::optional<DaemonId> choose(const SteadyTime now)
     {
-        return router.choose({.service = "roster", .root = {}, .excluded = {}, .deadline = now + 1s}, now);
+        return router.choose({.service = "roster", .kind = "read", .root = {}, .excluded = {}, .deadline = now + 1s}, now);
     }
 
     // Makes calls one at a time; `resultOf` says how each ends.
@@ -62,7 +62,7 @@
 
 AttemptResult answered(const DaemonId & /*id*/)
 {
-    return {.outcome = AttemptOutcome::answered, .latency = 5ms, .load = std::nullopt};
+    return {.outcome = AttemptOutcome::answered, .kind = "read", .latency = 5ms, .bytes = 0, .load = std::nullopt};
 }
 
 } // namespace
@@ -93,7 +93,7 @@
     bool isBroken = true;
     const auto result = [&isBroken](const DaemonId &id) -> AttemptResult {
         if (isBroken && id.value == "bad") {
-            return {.outcome = AttemptOutcome::failed, .latency = 1ms, .load = std::nullopt};
+            return {.outcome = AttemptOutcome::failed, .kind = "read", .latency = 1ms, .bytes = 0, .load = std::nullopt};
         }
         return answered(id);
     };
@@ -117,7 +117,7 @@
     SteadyTime now = start;
     std::map<std::string, int> chosen = fleet.callOften(1000, now, [](const DaemonId &id) -> AttemptResult {
         if (id.value == "bad") {
-            return {.outcome = AttemptOutcome::abandoned, .latency = 300ms, .load = std::nullopt};
+            return {.outcome = AttemptOutcome::abandoned, .kind = "read", .latency = 300ms, .bytes = 0, .load = std::nullopt};
         }
         return answered(id);
     });
@@ -135,7 +135,7 @@
     }
     SteadyTime now = start;
     std::map<std::string, int> chosen = fleet.callOften(2000, now, [](const DaemonId &) -> AttemptResult {
-        return {.outcome = AttemptOutcome::failed, .latency = 1ms, .load = std::nullopt};
+        return {.outcome = AttemptOutcome::failed, .kind = "read", .latency = 1ms, .bytes = 0, .load = std::nullopt};
     });
 
     for (const char *const id : {"one", "two", "three", "four"}) {
@@ -177,8 +177,8 @@
     Fleet fleet;
     fleet.add("one", "dc1");
 
-    CHECK_FALSE(fleet.router.choose({.service = "roster", .root = {}, .excluded = {DaemonId{"one"}}, .deadline = start + 1s}, start).has_value());
-    CHECK_FALSE(fleet.router.choose({.service = "other", .root = {}, .excluded = {}, .deadline = start + 1s}, start).has_value());
+    CHECK_FALSE(fleet.router.choose({.service = "roster", .kind = "read", .root = {}, .excluded = {DaemonId{"one"}}, .deadline = start + 1s}, start).has_value());
+    CHECK_FALSE(fleet.router.choose({.service = "other", .kind = "read", .root = {}, .excluded = {}, .deadline = start + 1s}, start).has_value());
 }
 
 TEST_CASE("a subset has the asked size, and a server that leaves changes at most one place of it")
@@ -200,3 +200,57 @@
         RC_ASSERT(kept.size() >= 15U);
     }));
 }
+
+TEST_CASE("a slow server of the own data centre leaves calls to fast ones elsewhere, and is tried again once it is fast")
+{
+    // Callers beside a slow server got most of their answers after the time that their route gives, while fast servers in
+    // other data centres were nearly idle.
+    Fleet fleet;
+    fleet.add("near", "dc1");
+    fleet.add("far-1", "dc2");
+    fleet.add("far-2", "dc3");
+    bool isSlow = true;
+    const auto result = [&isSlow](const DaemonId &id) -> AttemptResult {
+        const bool takesLong = isSlow && id.value == "near";
+        return {.outcome = AttemptOutcome::answered, .kind = "read", .latency = takesLong ? 500ms : 200ms, .bytes = 5000, .load = std::nullopt};
+    };
+    SteadyTime now = start;
+
+    std::map<std::string, int> whileSlow = fleet.callOften(1000, now, result);
+    isSlow = false;
+    now += 10s;
+    static_cast<void>(fleet.callOften(1000, now, result));
+    std::map<std::string, int> afterwards = fleet.callOften(1000, now, result);
+
+    CHECK(whileSlow["near"] < 100);
+    CHECK(afterwards["near"] > 900);
+}
+
+TEST_CASE("large answers are not fetched from afar for a little time")
+{
+    // An archive of a megabyte from another data centre costs more on the way than the faster server gains.
+    Fleet fleet;
+    fleet.add("near", "dc1");
+    fleet.add("far", "dc2");
+    SteadyTime now = start;
+
+    std::map<std::string, int> chosen = fleet.callOften(1000, now, [](const DaemonId &id) -> AttemptResult {
+        return {.outcome = AttemptOutcome::answered, .kind = "read", .latency = id.value == "near" ? 300ms : 200ms, .bytes = 1'000'000, .load = std::nullopt};
+    });
+
+    CHECK(chosen["near"] == 1000);
+}
+
+TEST_CASE("kinds that take long by nature make no server slow")
+{
+    // One server happens to get the long calls. By its times alone it would look slow and lose the short ones, too.
+    UsualTimes usual;
+    for (int call = 0; call < 100; ++call) {
+        usual.note("long", 800ms, 10);
+        usual.note("short", 10ms, 10);
+    }
+
+    CHECK(usual.note("long", 800ms, 10) == doctest::Approx(1.0));
+    CHECK(usual.note("short", 10ms, 10) == doctest::Approx(1.0));
+    CHECK(usual.note("short", 30ms, 10) == doctest::Approx(3.0));
+}
--- a/test/processes/test_sidecar.py
+++ b/test/processes/test_sidecar.py
@@ -51,7 +51,7 @@
             if all(answer.status == 200 for answer in answers):
                 return
             await asyncio.sleep(0.1)
-        self.fail("the daemons did not find one another: " + self.fleet.log(self.fleet.vms[0]))
+        self.fail("the daemons did not find one another: " + "\n".join(self.fleet.log(vm) for vm in self.fleet.vms))
 
     async def test_a_request_comes_back_whole_and_signed_with_its_inner_call(self):
         client = Client(self.fleet.vms[0].callers)
