Requests that crash servers are stopped after the third

Ruled out: counting at the entry alone, since such a request comes again at any machine; quarantine after the second crash, since what ran beside the culprit is often retried at the same server as it is. Change: the daemon beside a server tells a crash from a lost answer (connections refused after it, or another instance in its place) and names what ran, by method, path, body and calling service; the news goes round as a rumour; what was there at three crashes is refused as not run. A request that ran well is cleared, and that goes round, too.

--- a/src/egretlatch/admission/fwd.hpp
+++ b/src/egretlatch/admission/fwd.hpp
@@ -38,6 +38,7 @@
 class RunEstimator;
 class WaitingLine;
 class ChainCosts;
+class CrashSuspects;
 class PaceMeter;
 
 } // namespace egretlatch::admission
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -102,6 +102,7 @@
                    },
                    [&](const RunEnded &ended) {
                        m_serving->handleRunEnded(ended, now);
+                       tellCrashes(now);
                    },
                    [&](const ServerAnnounced &announced) {
                        handleAnnounced(announced, now);
@@ -178,7 +179,8 @@
     m_doorClosesAt.reset();
     m_lastStartAt.reset();
     m_serving->setServer(announced.slots);
-    m_serving->forgetPaces();
+    m_serving->noteServerReplaced(now);
+    tellCrashes(now);
     updateSelf(membership::MemberState::serving, announced.service, announced.slots, announced.connections, now);
     declareService();
 }
@@ -224,9 +226,21 @@
     m_entry->handlePeerLost(lost, now);
 }
 
-void Core::handleRumour(const membership::Rumour &rumour, const SteadyTime /*now*/)
+void Core::handleRumour(const membership::Rumour &rumour, const SteadyTime now)
 {
-    m_surroundings->metrics.count("rumours", rumour.key.kind == membership::RumourKind::quarantine ? "quarantine" : "configuration");
+    const bool isQuarantine = rumour.key.kind == membership::RumourKind::quarantine;
+    m_surroundings->metrics.count("rumours", isQuarantine ? "quarantine" : "configuration");
+    if (isQuarantine) {
+        CrashNews{.rumour = rumour}.apply(m_surroundings->suspects, now);
+    }
+}
+
+void Core::tellCrashes(const SteadyTime now)
+{
+    for (const CrashNews &news : m_serving->takeCrashNews()) {
+        news.apply(m_surroundings->suspects, now);
+        m_gossip->spread(news.rumour, now);
+    }
 }
 
 void Core::handleManifest(const ManifestChanged &changed)
@@ -484,6 +498,7 @@
         .roster = membership::Roster{m_self},
         .router = std::move(m_router),
         .entryControl = std::move(m_entryControl),
+        .suspects = {},
         .manifest = nullptr,
         .manifestVersion = 0,
         .unownedKeys = m_unownedKeys,
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -84,6 +84,7 @@
     void handleTick(SteadyTime now);
     void handlePeerLost(const PeerLost &lost, SteadyTime now);
     void handleRumour(const membership::Rumour &rumour, SteadyTime now);
+    void tellCrashes(SteadyTime now);
     void tickContacts(SteadyTime now);
     void tickServer(SteadyTime now);
     void tickLeaving(SteadyTime now);
--- a/src/egretlatch/decision/entry_handler.cpp
+++ b/src/egretlatch/decision/entry_handler.cpp
@@ -15,6 +15,7 @@
 constexpr int badRequest = 400;
 constexpr int notFound = 404;
 constexpr int firstServerError = 500;
+constexpr std::chrono::minutes retryAfterQuarantine{1};
 
 [[nodiscard]] static std::uint64_t fingerprint(const std::string &key)
 {
@@ -126,6 +127,13 @@
         finishRefused(std::move(pending), m_surroundings.refuse(account::RefusalReason::draining, "the entry daemon is leaving"), now);
         return;
     }
+    if (isQuarantined(pending, now)) {
+        // Refused with a long wait: it is let in again once its crashes are forgotten.
+        finishRefused(std::move(pending),
+                      m_surroundings.refuse(account::RefusalReason::quarantined, "requests like this one have crashed three backend servers", {}, internal::retryAfterQuarantine),
+                      now);
+        return;
+    }
     if (pending.depth == 0) {
         const admission::EntryRequest request{.service = pending.call.service, .kind = pending.call.kind, .root = pending.root, .rank = pending.rank};
         if (auto refusal = m_surroundings.entryControl->check(request, now)) {
@@ -139,6 +147,16 @@
     makeAttempt(std::move(pending), now);
 }
 
+bool EntryHandler::isQuarantined(const Pending &pending, const SteadyTime now) const
+{
+    if (m_surroundings.suspects.isEmpty()) {
+        return false;
+    }
+    const CallerCall &call = pending.call;
+    const std::string_view body{call.body.constData(), static_cast<std::size_t>(call.body.size())};
+    return m_surroundings.suspects.isQuarantined(admission::fingerprintOf(call.method, call.path, m_surroundings.roster.self().service, body), now);
+}
+
 EntryHandler::Pending
 EntryHandler::begin(const CallArrived &arrived, const manifest::KindSpec &kind, const std::optional<InnerContext> &inner, const SteadyTime now)
 {
--- a/src/egretlatch/decision/entry_handler.hpp
+++ b/src/egretlatch/decision/entry_handler.hpp
@@ -190,6 +190,7 @@
 
     [[nodiscard]] std::optional<std::string> mistakeOf(const CallerCall &call, bool isInner) const;
     void answerMistake(ExchangeId exchange, const CallerCall &call, int status, std::string mistake);
+    [[nodiscard]] bool isQuarantined(const Pending &pending, SteadyTime now) const;
     void admit(Pending pending, SteadyTime now);
     void findOwner(Pending pending, const std::optional<InnerContext> &inner, SteadyTime now);
     [[nodiscard]] std::optional<retry::RequestKey> keyOf(const Pending &pending, const std::optional<InnerContext> &inner) const;
--- a/src/egretlatch/decision/serving_handler.cpp
+++ b/src/egretlatch/decision/serving_handler.cpp
@@ -154,6 +154,7 @@
         .waitedForInner = attempt.innerWait,
     };
     learn(attempt, ended, now);
+    watchForCrash(attempt, ended, now);
     const admission::GateRelease release = m_gate->finish(ended.execution, observation, now);
     answer(ended.execution, internal::answerOf(ended.result, m_surroundings), now);
     apply(release, now);
@@ -282,6 +283,49 @@
     }
 }
 
+void ServingHandler::watchForCrash(const Attempt &attempt, const RunEnded &ended, const SteadyTime now)
+{
+    if (std::holds_alternative<RunAnswer>(ended.result)) {
+        if (!m_surroundings.suspects.isEmpty() && m_surroundings.suspects.noteGood(fingerprint(attempt))) {
+            m_crashNews.push_back(CrashNews::ranWell(m_surroundings.self, m_surroundings.incarnation, ++m_lastCrashNews, fingerprint(attempt)));
+        }
+        return;
+    }
+    switch (std::get<RunFailure>(ended.result)) {
+    case RunFailure::lost:
+        m_witness.noteLost(fingerprint(attempt), now);
+        return;
+    case RunFailure::neverConnected:
+        tellCrash(m_witness.noteNeverConnected(now));
+        return;
+    case RunFailure::rejected:
+        return;
+    }
+}
+
+void ServingHandler::noteServerReplaced(const SteadyTime now)
+{
+    m_paces.clear();
+    tellCrash(m_witness.noteReplaced(now));
+}
+
+void ServingHandler::tellCrash(const std::vector<admission::RequestFingerprint> &running)
+{
+    if (!running.empty()) {
+        m_surroundings.metrics.count("server_crashes", m_surroundings.roster.self().service);
+        m_crashNews.push_back(CrashNews::crashed(m_surroundings.self, m_surroundings.incarnation, ++m_lastCrashNews, running));
+    }
+}
+
+admission::RequestFingerprint ServingHandler::fingerprint(const Attempt &attempt) const
+{
+    const protocol::CallRequest &request = attempt.request;
+    const DaemonId &from = std::get<DaemonId>(attempt.origin);
+    const membership::Member *const member = from == m_surroundings.self ? &m_surroundings.roster.self() : m_surroundings.roster.find(from);
+    const std::string caller = member == nullptr ? std::string{} : member->service;
+    return admission::fingerprintOf(request.method, request.path, caller, {request.body.constData(), static_cast<std::size_t>(request.body.size())});
+}
+
 void ServingHandler::noteInnerEnded(const ExecutionId execution, const InnerEnd &end, const SteadyTime now)
 {
     const auto found = m_attempts.find(execution);
--- a/src/egretlatch/decision/serving_handler.hpp
+++ b/src/egretlatch/decision/serving_handler.hpp
@@ -9,6 +9,8 @@
 
 #include <egretlatch/admission/gate.hpp>
 #include <egretlatch/admission/pace_meter.hpp>
+#include <egretlatch/decision/crash_news.hpp>
+#include <egretlatch/decision/crash_witness.hpp>
 #include <egretlatch/decision/event.hpp>
 #include <egretlatch/decision/surroundings.hpp>
 #include <egretlatch/protocol/messages.hpp>
@@ -143,12 +145,21 @@
         return m_paces.paces(now);
     }
 
-    /*! @brief Forgets how fast the backend server is: another one is there. */
-    void forgetPaces()
+    /**
+     * @brief Takes what other daemons should hear of requests that crash servers.
+     * @return What is new since the last call.
+     */
+    [[nodiscard]] std::vector<CrashNews> takeCrashNews()
     {
-        m_paces.clear();
+        return std::exchange(m_crashNews, {});
     }
 
+    /**
+     * @brief Takes that another instance is in the backend server's place.
+     * @param now Current time.
+     */
+    void noteServerReplaced(SteadyTime now);
+
     /**
      * @brief Notes that a run makes an inner call.
      * @param execution The run.
@@ -209,6 +220,9 @@
     void abandonExpired(SteadyTime now);
     void abandon(ExecutionId execution, account::RefusalReason reason, SteadyTime now);
     void learn(const Attempt &attempt, const RunEnded &ended, SteadyTime now);
+    void tellCrash(const std::vector<admission::RequestFingerprint> &running);
+    void watchForCrash(const Attempt &attempt, const RunEnded &ended, SteadyTime now);
+    [[nodiscard]] admission::RequestFingerprint fingerprint(const Attempt &attempt) const;
     [[nodiscard]] std::string tokenOf(ExecutionId execution) const;
 
     Surroundings &m_surroundings;
@@ -218,6 +232,9 @@
     std::map<std::string, ExecutionId> m_byName;
     retry::CallWindow m_window;
     admission::PaceMeter m_paces;
+    CrashWitness m_witness;
+    std::vector<CrashNews> m_crashNews;
+    std::uint64_t m_lastCrashNews{};
     std::uint64_t m_lastExecution{};
     std::uint64_t m_answers{};
     /*! @brief Attempts that have not been started. */
--- a/src/egretlatch/decision/surroundings.hpp
+++ b/src/egretlatch/decision/surroundings.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 
 #include <egretlatch/account/metrics_sink.hpp>
+#include <egretlatch/admission/crash_suspects.hpp>
 #include <egretlatch/admission/entry_control.hpp>
 #include <egretlatch/core/clock.hpp>
 #include <egretlatch/core/ids.hpp>
@@ -30,6 +31,7 @@
     membership::Roster roster;
     std::unique_ptr<routing::Router> router;
     std::unique_ptr<admission::EntryControl> entryControl;
+    admission::CrashSuspects suspects;
     std::shared_ptr<const manifest::Manifest> manifest;
     std::uint64_t manifestVersion{};
     retry::UnownedKeys unownedKeys{};
--- a/standin/fleet/server.py
+++ b/standin/fleet/server.py
@@ -21,6 +21,9 @@
         self.unsigned = shares.get("unsigned", 0.0)
         self.failed = shares.get("failed", 0.0)
         self.slowness = shares.get("slowness", 1.0)
+        # A word of the path of a request that crashes the server that begins it; it is back after `down` seconds.
+        self.crash_on = shares.get("crash_on", "")
+        self.down = shares.get("down", 1.0)
 
 
 class Server:
@@ -47,6 +50,8 @@
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.accepts_after_drain = None
+        self.crashes = 0
+        self.writers = set()
 
     async def start(self):
         host, port = self.address.split(":")
@@ -55,7 +60,19 @@
     async def stop(self):
         self.server.close()
 
+    async def crash(self):
+        """Ends as a process that crashes: all connections break, and none is taken until it is back as a new instance."""
+        self.crashes += 1
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        await asyncio.sleep(self.fault.down)
+        self.instance = f"{self.instance.split('+')[0]}+{self.crashes}"
+        self.born = int(time.time() * 1000)
+        await self.start()
+
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while (request := await wire.read_message(reader)) is not None:
                 if not await self.take(request, reader, writer):
@@ -63,6 +80,7 @@
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def take(self, request, reader, writer):
@@ -123,6 +141,8 @@
         await self.slot()
         try:
             self.runs[name] += 1
+            if self.fault.crash_on and self.fault.crash_on in request.target:
+                self.crashing = asyncio.ensure_future(self.crash())
             self.callers.add(request.fields.get("x-caller-service"))
             kind = self.kinds.get(request.target.strip("/").split("/")[0], {})
             deadline = time.monotonic() + int(request.fields.get("x-deadline-ms", 60000)) / 1000
--- a/test/processes/test_sidecar.py
+++ b/test/processes/test_sidecar.py
@@ -119,6 +119,29 @@
         statuses = [(await Client(self.fleet.vms[0].callers).send(f"n-{number}", HOST, "/read/")).status for number in range(20)]
         self.assertEqual([200] * 20, statuses)
 
+    async def test_a_request_that_crashes_servers_is_stopped_and_those_beside_it_are_served(self):
+        # One request takes down each server that begins to run it, with all that runs there, and it comes again and again
+        # at any machine of the same service until the one it calls is gone.
+        servers = self.fleet.servers("roster")
+        for server in servers:
+            server.fault = Fault(crash_on="poison", down=0.3)
+        innocent = Client(self.fleet.vms[1].callers)
+        statuses = []
+        for number in range(24):
+            poison = await Client(self.fleet.vms[number % 2].callers).send(f"p-{number}", HOST, "/read/poison")
+            statuses.append(poison.status)
+            for _ in range(20):
+                if (await innocent.send(f"i-{number}-{_}", HOST, "/read/well")).status == 200:
+                    break
+                await asyncio.sleep(0.2)
+            else:
+                self.fail("nothing else is served")
+        # The third crash is known to all within a second; the two servers may be taken down by what comes in that second.
+        self.assertLessEqual(sum(server.crashes for server in servers), 6)
+        self.assertEqual([503] * 10, statuses[-10:])
+        refusal = await Client(self.fleet.vms[0].callers).send("p-last", HOST, "/read/poison")
+        self.assertIn(b"quarantined", refusal.body)
+
     async def test_spoiled_and_extra_answers_reach_nobody(self):
         # A caller gets bytes that no server made for it: an answer given twice, one cut short, one without a signature.
         for server in self.fleet.servers("roster"):
