The story of a request from logs, histograms, gauges

Cause: on call one had grep and counters; what a request went through stood in lines of several daemons, quantiles could not be added over daemons, and slots, limit, level, members and versions were not shown. Ruled out: a line for each request that went well; it says nothing that the histograms do not.

--- a/src/egretlatch/account/metrics_registry.cpp
+++ b/src/egretlatch/account/metrics_registry.cpp
@@ -1,6 +1,6 @@
 #include <egretlatch/account/metrics_registry.hpp>
 
-#include <array>
+#include <algorithm>
 #include <chrono>
 
 #include <fmt/format.h>
@@ -11,11 +11,50 @@
 namespace internal
 {
 
-constexpr std::array<double, 4> quantiles{0.5, 0.9, 0.99, 0.999};
+/*! @brief What the variants of a metric are told apart by. */
+struct LabelName
+{
+    std::string_view metric;
+    std::string_view label;
+};
+
+constexpr std::array<LabelName, 14> labelNames{{
+    {.metric = "answers", .label = "verdict"},
+    {.metric = "attempt_duration", .label = "service"},
+    {.metric = "attempts", .label = "service"},
+    {.metric = "call_duration", .label = "service"},
+    {.metric = "first_attempts", .label = "service"},
+    {.metric = "members", .label = "state"},
+    {.metric = "moves", .label = "service"},
+    {.metric = "queue_delay", .label = "service"},
+    {.metric = "refusals", .label = "reason"},
+    {.metric = "retries", .label = "service"},
+    {.metric = "retries_denied", .label = "service"},
+    {.metric = "run_duration", .label = "service"},
+    {.metric = "server_crashes", .label = "service"},
+    {.metric = "store_calls", .label = "outcome"},
+}};
+
+[[nodiscard]] static std::string_view labelNameOf(const std::string_view metric)
+{
+    const auto *const found = std::find_if(labelNames.begin(), labelNames.end(), [metric](const LabelName &name) {
+        return name.metric == metric;
+    });
+    return found == labelNames.end() ? std::string_view{"label"} : found->label;
+}
 
-[[nodiscard]] static std::string labelText(const std::string &label)
+[[nodiscard]] static std::string labelText(const std::string_view metric, const std::string &label)
 {
-    return label.empty() ? std::string{} : fmt::format("{{label=\"{}\"}}", label);
+    return label.empty() ? std::string{} : fmt::format("{{{}=\"{}\"}}", labelNameOf(metric), label);
+}
+
+// The type stands once before all variants of a metric.
+static void writeType(std::string &text, std::string &last, const std::string &name, const std::string_view type)
+{
+    if (name != last) {
+        fmt::format_to(std::back_inserter(text), "# TYPE {} {}\n", name, type);
+        last = name;
+    }
 }
 
 } // namespace internal
@@ -30,8 +69,12 @@
 {
     const double seconds = std::chrono::duration<double>{value}.count();
     const std::lock_guard lock{m_mutex};
-    const auto [summary, isNew] = m_summaries.try_emplace(Key{name, label}, boost::accumulators::extended_p_square_probabilities = internal::quantiles);
-    summary->second(seconds);
+    Histogram &histogram = m_histograms[Key{name, label}];
+    histogram.summary(seconds);
+    const auto *const end = std::lower_bound(bucketEnds.begin(), bucketEnds.end(), seconds);
+    if (end != bucketEnds.end()) {
+        ++histogram.buckets.at(static_cast<std::size_t>(end - bucketEnds.begin()));
+    }
 }
 
 void MetricsRegistry::set(const std::string_view name, const double value)
@@ -44,28 +87,40 @@
 {
     const std::lock_guard lock{m_mutex};
     std::string text;
+    std::string last;
     const auto out = std::back_inserter(text);
     for (const auto &[key, value] : m_counters) {
-        fmt::format_to(out, "egretlatch_{}_total{} {}\n", key.first, internal::labelText(key.second), value);
+        const std::string name = fmt::format("egretlatch_{}_total", key.first);
+        internal::writeType(text, last, name, "counter");
+        fmt::format_to(out, "{}{} {}\n", name, internal::labelText(key.first, key.second), value);
     }
-    for (const auto &[name, value] : m_gauges) {
-        fmt::format_to(out, "egretlatch_{} {}\n", name, value);
+    for (const auto &[gauge, value] : m_gauges) {
+        const std::string name = fmt::format("egretlatch_{}", gauge);
+        internal::writeType(text, last, name.substr(0, name.find('{')), "gauge");
+        fmt::format_to(out, "{} {}\n", name, value);
     }
-    for (const auto &[key, summary] : m_summaries) {
-        const auto estimates = boost::accumulators::extended_p_square(summary);
-        for (std::ptrdiff_t index = 0; index < std::ssize(internal::quantiles); ++index) {
-            fmt::format_to(out,
-                           "egretlatch_{}_seconds{{label=\"{}\",quantile=\"{}\"}} {}\n",
-                           key.first,
-                           key.second,
-                           internal::quantiles.at(static_cast<std::size_t>(index)),
-                           estimates[index]);
-        }
-        const std::string label = internal::labelText(key.second);
-        fmt::format_to(out, "egretlatch_{}_seconds_sum{} {}\n", key.first, label, boost::accumulators::sum(summary));
-        fmt::format_to(out, "egretlatch_{}_seconds_count{} {}\n", key.first, label, boost::accumulators::count(summary));
+    for (const auto &[key, histogram] : m_histograms) {
+        internal::writeType(text, last, fmt::format("egretlatch_{}_seconds", key.first), "histogram");
+        writeHistogram(key, histogram, text);
     }
     return text;
 }
 
+void MetricsRegistry::writeHistogram(const Key &key, const Histogram &histogram, std::string &text) const
+{
+    const auto out = std::back_inserter(text);
+    const std::string name = fmt::format("egretlatch_{}_seconds", key.first);
+    const std::string label = key.second.empty() ? std::string{} : fmt::format("{}=\"{}\",", internal::labelNameOf(key.first), key.second);
+    std::uint64_t below = 0;
+    for (std::size_t index = 0; index < bucketEnds.size(); ++index) {
+        below += histogram.buckets.at(index);
+        fmt::format_to(out, "{}_bucket{{{}le=\"{:g}\"}} {}\n", name, label, bucketEnds.at(index), below);
+    }
+    const auto count = boost::accumulators::count(histogram.summary);
+    const std::string braces = internal::labelText(key.first, key.second);
+    fmt::format_to(out, "{}_bucket{{{}le=\"+Inf\"}} {}\n", name, label, count);
+    fmt::format_to(out, "{}_sum{} {}\n", name, braces, boost::accumulators::sum(histogram.summary));
+    fmt::format_to(out, "{}_count{} {}\n", name, braces, count);
+}
+
 } // namespace egretlatch::account
--- a/src/egretlatch/account/metrics_registry.hpp
+++ b/src/egretlatch/account/metrics_registry.hpp
@@ -1,6 +1,7 @@
 #ifndef EGRETLATCH_ACCOUNT_METRICS_REGISTRY_HPP
 #define EGRETLATCH_ACCOUNT_METRICS_REGISTRY_HPP
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -9,7 +10,6 @@
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square.hpp>
 #include <boost/accumulators/statistics/max.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
@@ -19,7 +19,7 @@
 namespace egretlatch::account
 {
 
-/*! @brief Keeps counters, gauges and summaries, and writes them as Prometheus text; safe to use from any thread. */
+/*! @brief Keeps counters, gauges and histograms, and writes them as Prometheus text; safe to use from any thread. */
 class MetricsRegistry final : public MetricsSink
 {
 public:
@@ -33,16 +33,27 @@
      */
     [[nodiscard]] std::string toPrometheus() const;
 
+    /*! @brief Upper ends of the buckets of spans of time, in seconds: from a call on one VM to the longest deadline. */
+    static constexpr std::array<double, 13> bucketEnds{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0};
+
 private:
     using Key = std::pair<std::string, std::string>;
     using Summary = boost::accumulators::accumulator_set<
         double,
-        boost::accumulators::
-            stats<boost::accumulators::tag::count, boost::accumulators::tag::sum, boost::accumulators::tag::max, boost::accumulators::tag::extended_p_square>>;
+        boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum, boost::accumulators::tag::max>>;
+
+    struct Histogram
+    {
+        Summary summary;
+        /*! @brief Values up to each end and above the one before. */
+        std::array<std::uint64_t, bucketEnds.size()> buckets{};
+    };
+
+    void writeHistogram(const Key &key, const Histogram &histogram, std::string &text) const;
 
     mutable std::mutex m_mutex;
     std::map<Key, std::uint64_t> m_counters;
-    std::map<Key, Summary> m_summaries;
+    std::map<Key, Histogram> m_histograms;
     std::map<std::string, double> m_gauges;
 };
 
--- a/src/egretlatch/cli/explain_command.cpp
+++ b/src/egretlatch/cli/explain_command.cpp
@@ -5,6 +5,7 @@
 
 #include <QCoreApplication>
 #include <QDateTime>
+#include <QFile>
 #include <QJsonDocument>
 
 #include <fmt/chrono.h>
@@ -12,6 +13,7 @@
 
 #include <egretlatch/cli/documents.hpp>
 #include <egretlatch/cli/http_fetch.hpp>
+#include <egretlatch/cli/request_story.hpp>
 #include <egretlatch/store/backoff.hpp>
 
 namespace egretlatch::cli
@@ -200,6 +202,23 @@
     return explainSpan({.since = *since, .until = *until, .kind = options.kind}, *port, random);
 }
 
+[[nodiscard]] static CommandResult tellStory(const ExplainOptions &options)
+{
+    if (options.id.empty()) {
+        return {.code = ExitCode::badInput, .text = "--log wants the name of a request\n"};
+    }
+    RequestStory story{options.id};
+    for (const std::string &path : options.logs) {
+        QFile file{QString::fromStdString(path)};
+        const bool isOpen = path == "-" ? file.open(stdin, QIODevice::ReadOnly) : file.open(QIODevice::ReadOnly);
+        if (!isOpen) {
+            return {.code = ExitCode::badInput, .text = fmt::format("cannot read {}: {}\n", path, file.errorString().toStdString())};
+        }
+        story.read(file.readAll());
+    }
+    return options.isJson ? story.asJson() : story.inSentences();
+}
+
 } // namespace internal
 
 CommandResult describeRefusal(const account::RefusalRecord &record, const bool isJson)
@@ -269,6 +288,11 @@
 
 int runExplain(const ExplainOptions &options, int argc, char **argv)
 {
+    if (!options.logs.empty()) {
+        const CommandResult told = internal::tellStory(options);
+        fmt::print("{}", told.text);
+        return told.code;
+    }
     if (!options.id.empty() && !Uuid::parse(options.id).has_value()) {
         fmt::print(stderr, "egretlatch: {} is not the id of a refusal\n", options.id);
         return ExitCode::badInput;
--- a/src/egretlatch/cli/explain_command.hpp
+++ b/src/egretlatch/cli/explain_command.hpp
@@ -14,7 +14,7 @@
 /*! @brief What `egretlatch explain` is told. */
 struct ExplainOptions
 {
-    /*! @brief Id of one refusal; empty to sum up. */
+    /*! @brief Id of one refusal, or with logs the name of a request; empty to sum up. */
     std::string id;
     /*! @brief `service/kind`, or empty for all. */
     std::string kind;
@@ -27,6 +27,8 @@
     /*! @brief Daemons to ask for refusals that are not stored yet. */
     std::vector<std::string> daemons;
     std::string operatorTokenPath;
+    /*! @brief Logs of daemons to read the story of a request from; `-` for standard input. */
+    std::vector<std::string> logs;
 };
 
 /*! @brief A span of the account to sum up. */
--- a/src/egretlatch/cli/main.cpp
+++ b/src/egretlatch/cli/main.cpp
@@ -71,16 +71,18 @@
 CLI::App *addExplain(CLI::App &app, ExplainOptions &options)
 {
     CLI::App *const command = app.add_subcommand("explain", "Tell why a request was refused, or sum up the refusals of a span of time.");
-    command->add_option("id", options.id, "Id of a refusal, as the answer gave it");
+    command->add_option("id", options.id, "Id of a refusal, as the answer gave it; with --log, the name of a request");
     command->add_option("--kind", options.kind, "Sum up only this SERVICE/KIND");
     command->add_option("--since", options.since, "Sum up from this time on, such as 2026-12-02T22:00:00Z");
     command->add_option("--until", options.until, "Sum up to this time; by default now");
-    command->add_flag("--json", options.isJson, "All that is known of the refusal, for an auditor");
+    command->add_flag("--json", options.isJson, "All that is known, for an auditor");
+    command->add_option("--log", options.logs, "Log of a daemon, or - for standard input: tell the story of a request from it; may be given more than once");
     addPlatformOptions(*command, options.platform);
     command->add_option("--daemon", options.daemons, "Base URL of a daemon to ask for a refusal that is not stored yet");
     command->add_option("--operator-token-file", options.operatorTokenPath, "File with the operators' token, for --daemon");
     command->footer("Example: egretlatch explain 019ae1f2-7c40-7a3b-9d11-0c5d2f6e8a90 --settings /etc/egretlatch/daemon.json\n"
-                    "Example: egretlatch explain --kind launch-log/launch-entry --since 2026-12-02T06:00:00Z --settings daemon.json");
+                    "Example: egretlatch explain --kind launch-log/launch-entry --since 2026-12-02T06:00:00Z --settings daemon.json\n"
+                    "Example: cat *.log | egretlatch explain b77583f432619917 --log -");
     return command;
 }
 
--- /dev/null
+++ b/src/egretlatch/cli/request_story.hpp
@@ -0,0 +1,81 @@
+#ifndef EGRETLATCH_CLI_REQUEST_STORY_HPP
+#define EGRETLATCH_CLI_REQUEST_STORY_HPP
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <QByteArray>
+#include <QJsonObject>
+
+#include <egretlatch/cli/platform_port.hpp>
+#include <egretlatch/cli/submit_command.hpp>
+
+namespace egretlatch::cli
+{
+
+/*! @brief One line of a daemon's log that tells of a request. */
+struct StoryLine
+{
+    /*! @brief Time as the line says it; texts of that form sort by time. */
+    std::string time;
+    std::string daemon;
+    std::string event;
+    /*! @brief Name of the request; an inner call's begins with its parent's. */
+    std::string request;
+    QJsonObject fields;
+
+    friend bool operator==(const StoryLine &, const StoryLine &) = default;
+};
+
+/**
+ * @brief Gathers what the logs of several daemons tell of one request.
+ *
+ * Lines may stand in any order, and what stands before the first brace of a line, as a collector's own stamp, is passed over.
+ */
+class RequestStory
+{
+public:
+    /**
+     * @brief Begins with nothing.
+     * @param request Name of the request; its inner calls belong to the story.
+     */
+    explicit RequestStory(std::string request);
+
+    /**
+     * @brief Takes lines.
+     * @param log Whole lines; those that are no log lines are counted.
+     */
+    void read(const QByteArray &log);
+
+    /**
+     * @brief Gives the story in the order in which it happened.
+     * @return The lines, of inner calls too.
+     */
+    [[nodiscard]] std::vector<StoryLine> lines() const;
+
+    /**
+     * @brief Tells the story in sentences, inner calls set in under their request.
+     * @return What to print; `notFound` if no line tells of the request, with what speaks for and against that it went well.
+     */
+    [[nodiscard]] CommandResult inSentences() const;
+
+    /**
+     * @brief Tells the story as JSON.
+     * @return What to print; `notFound` if no line tells of the request.
+     */
+    [[nodiscard]] CommandResult asJson() const;
+
+private:
+    [[nodiscard]] bool isPart(const std::string &request) const;
+    [[nodiscard]] std::size_t depthOf(const std::string &request) const;
+
+    std::string m_request;
+    std::vector<StoryLine> m_lines;
+    std::uint64_t m_unreadable{};
+    std::uint64_t m_leftOut{};
+};
+
+} // namespace egretlatch::cli
+
+#endif
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -64,6 +64,11 @@
     return m_serving->load(m_surroundings->clock.steadyNow());
 }
 
+std::map<std::string, double> Core::retriesLeft() const
+{
+    return m_entry->retriesLeft();
+}
+
 configuration::Report Core::configurationReport() const
 {
     const SteadyTime now = m_surroundings->clock.steadyNow();
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -41,6 +41,12 @@
      */
     [[nodiscard]] SteadyTime nextTick() const;
 
+    /**
+     * @brief Gives what this daemon may still spend of the fleet's retries.
+     * @return Retries left, by service that retries were made towards.
+     */
+    [[nodiscard]] std::map<std::string, double> retriesLeft() const;
+
     /**
      * @brief Gives the members that this daemon knows.
      * @return This daemon first.
--- a/src/egretlatch/decision/entry_attempts.cpp
+++ b/src/egretlatch/decision/entry_attempts.cpp
@@ -116,7 +116,17 @@
         return false;
     }
     const Duration spent = now - pending.sentAt;
-    return pending.deadline - now > spent && m_ratio.take(pending.call.service);
+    return pending.deadline - now > spent && takeRetry(pending, answer, now);
+}
+
+bool EntryHandler::takeRetry(const Pending &pending, const protocol::CallAnswer &answer, const SteadyTime now)
+{
+    if (m_ratio.take(pending.call.service)) {
+        return true;
+    }
+    m_surroundings.metrics.count("retries_denied", pending.call.service);
+    note("not sent again: the fleet's retries are spent", pending, answer, now);
+    return false;
 }
 
 bool EntryHandler::mayRetry(const Pending &pending, const protocol::CallAnswer &answer, const SteadyTime now)
@@ -129,13 +139,13 @@
     }
     if (m_rules.countsOnlyArrivals && answer.verdict == Verdict::notRun && answer.hasReachedServer) {
         // One server had no room in its queue; the gate of another one may know of some.
-        return m_ratio.take(pending.call.service);
+        return takeRetry(pending, answer, now);
     }
     // A refusal for overload is not retried: it would add load where there is too much, and multiply with each hop.
     const account::RefusalReason reason = answer.refusal->reason;
     const bool isWorthIt =
         reason == account::RefusalReason::serverLost || reason == account::RefusalReason::draining || reason == account::RefusalReason::noServer;
-    return isWorthIt && m_ratio.take(pending.call.service);
+    return isWorthIt && takeRetry(pending, answer, now);
 }
 
 void EntryHandler::retryLater(Pending pending, const SteadyTime now)
--- a/src/egretlatch/decision/entry_handler.hpp
+++ b/src/egretlatch/decision/entry_handler.hpp
@@ -135,6 +135,11 @@
         return m_pending.empty();
     }
 
+    [[nodiscard]] std::map<std::string, double> retriesLeft() const
+    {
+        return m_ratio.left();
+    }
+
 private:
     enum class Phase {
         /*! @brief An attempt is out. */
@@ -222,6 +227,7 @@
     void note(std::string_view what, const Pending &pending, const protocol::CallAnswer &answer, SteadyTime now);
     [[nodiscard]] bool mayMoveOn(const Pending &pending, const protocol::CallAnswer &answer, SteadyTime now) const;
     [[nodiscard]] bool mayTryElsewhere(const Pending &pending, const protocol::CallAnswer &answer, SteadyTime now);
+    [[nodiscard]] bool takeRetry(const Pending &pending, const protocol::CallAnswer &answer, SteadyTime now);
     [[nodiscard]] bool mayRetry(const Pending &pending, const protocol::CallAnswer &answer, SteadyTime now);
     void finish(Pending pending, CallerAnswer answer, SteadyTime now);
     void finishRefused(Pending pending, account::Refusal refusal, SteadyTime now);
--- a/src/egretlatch/decision/serving_handler.cpp
+++ b/src/egretlatch/decision/serving_handler.cpp
@@ -153,6 +153,7 @@
         .latency = now - *attempt.started,
         .waitedForInner = attempt.innerWait,
     };
+    m_surroundings.metrics.observe("run_duration", attempt.request.service, observation.latency);
     learn(attempt, ended, now);
     watchForCrash(attempt, ended, now);
     const admission::GateRelease release = m_gate->finish(ended.execution, observation, now);
--- a/src/egretlatch/retry/ratio_budget.cpp
+++ b/src/egretlatch/retry/ratio_budget.cpp
@@ -28,4 +28,13 @@
     return true;
 }
 
+std::map<std::string, double> RatioBudget::left() const
+{
+    std::map<std::string, double> left;
+    for (const auto &[service, spent] : m_spent) {
+        left.emplace(service, m_mostSaved - spent);
+    }
+    return left;
+}
+
 } // namespace egretlatch::retry
--- a/src/egretlatch/retry/ratio_budget.hpp
+++ b/src/egretlatch/retry/ratio_budget.hpp
@@ -39,6 +39,12 @@
      */
     [[nodiscard]] bool take(const std::string &service);
 
+    /**
+     * @brief Gives what may be spent now, for services that retries were made towards.
+     * @return Retries left, by service.
+     */
+    [[nodiscard]] std::map<std::string, double> left() const;
+
 private:
     double m_mostSaved{mostSaved};
     /*! @brief Retries spent and not yet earned back, by service; so a bound that is raised counts at once. */
--- a/src/egretlatch/settings/sidecar_settings.cpp
+++ b/src/egretlatch/settings/sidecar_settings.cpp
@@ -72,6 +72,9 @@
     settings.callers = internal::readEndpoint(reader, "callers");
     settings.readiness = internal::readEndpoint(reader, "readiness");
     settings.serverReports = internal::readEndpoint(reader, "serverReports");
+    if (reader.member("metrics").has_value()) {
+        settings.metrics = internal::readEndpoint(reader, "metrics");
+    }
     settings.backend = internal::readEndpoint(reader, "backend");
     settings.store = internal::readEndpoint(reader, "store");
     settings.peerPort = internal::readFirstPort(reader);
--- a/src/egretlatch/settings/sidecar_settings.hpp
+++ b/src/egretlatch/settings/sidecar_settings.hpp
@@ -2,6 +2,7 @@
 #define EGRETLATCH_SETTINGS_SIDECAR_SETTINGS_HPP
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,8 @@
     net::Endpoint callers;
     /*! @brief Where the platform asks whether callers may be sent here. */
     net::Endpoint readiness;
+    /*! @brief Where operators read the metrics; nothing for no address but that of the readiness. */
+    std::optional<net::Endpoint> metrics;
     /*! @brief Where the backend server on this VM reports. */
     net::Endpoint serverReports;
     /*! @brief Where the backend server on this VM listens. */
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -11,6 +11,7 @@
 #include <egretlatch/platform/configuration_document.hpp>
 #include <egretlatch/platform/names.hpp>
 #include <egretlatch/platform/server_report.hpp>
+#include <egretlatch/sidecar/gauges.hpp>
 
 namespace egretlatch::sidecar
 {
@@ -54,6 +55,7 @@
     , m_onEnded{std::move(onEnded)}
     , m_logSink{STDOUT_FILENO, m_clock}
     , m_logger{m_settings.logLevel, m_settings.id.value, m_logSink}
+    , m_requestLog{m_logger}
     , m_random{freshSeed()}
     , m_incarnation{incarnationAt(m_clock)}
     , m_peers{m_settings.id,
@@ -89,6 +91,12 @@
                       answerProbe(exchange, request);
                   },
                   [](ExchangeId /*exchange*/) {}}
+    , m_metricsServer{m_poller,
+                      m_clock,
+                      [this](const ExchangeId exchange, const http::Request &request) {
+                          m_metricsServer.answer(exchange, request.target == internal::metricsPath ? metricsPage() : http::bareResponse(internal::notFound));
+                      },
+                      [](ExchangeId /*exchange*/) {}}
     , m_reports{m_poller,
                 m_clock,
                 [this](const ExchangeId exchange, const http::Request &request) {
@@ -164,6 +172,12 @@
     if (Result<void> listening = m_reports.listen(m_settings.serverReports); !listening.has_value()) {
         return listening;
     }
+    if (m_settings.metrics.has_value()) {
+        // Without the metrics the daemon still serves, so an address that cannot be had does not end it.
+        if (const Result<void> listening = m_metricsServer.listen(*m_settings.metrics); !listening.has_value()) {
+            m_logger.warning("no metrics", {{"reason", listening.error().message}});
+        }
+    }
     return m_readiness.listen(m_settings.readiness);
 }
 
@@ -226,9 +240,9 @@
             post(decision::PlatformAnswered{.id = id, .outcome = std::move(outcome)});
         });
     } else if (const auto *const refusal = std::get_if<decision::RecordRefusal>(&action)) {
-        logRefusal(*refusal);
+        m_requestLog.write(*refusal);
     } else if (const auto *const note = std::get_if<decision::NoteRequest>(&action)) {
-        logNote(*note);
+        m_requestLog.write(*note);
     } else if (const auto *const inForce = std::get_if<decision::ManifestInForce>(&action)) {
         m_logger.info("configuration in force", {{"version", inForce->version}, {"hash", inForce->hash}});
         putInForce();
@@ -239,38 +253,6 @@
     }
 }
 
-void Sidecar::logRefusal(const decision::RecordRefusal &refused)
-{
-    const account::RefusalRecord &record = refused.record;
-    std::string figures;
-    for (const account::Figure &figure : record.refusal.figures) {
-        figures += fmt::format("{}{}={:g}", figures.empty() ? "" : " ", figure.name, figure.value);
-    }
-    m_logger.info("refused",
-                  {{"request", refused.requestName},
-                   {"service", record.service},
-                   {"kind", record.kind},
-                   {"reason", account::toString(record.refusal.reason)},
-                   {"rule", record.refusal.rule},
-                   {"server", refused.server.value},
-                   {"elapsedMs", std::chrono::duration_cast<std::chrono::milliseconds>(refused.elapsed).count()},
-                   {"figures", figures},
-                   {"verdict", toString(record.verdict)},
-                   {"retryAfterMs", record.refusal.retryAfter.count()},
-                   {"configuration", record.refusal.configurationVersion}});
-}
-
-void Sidecar::logNote(const decision::NoteRequest &note)
-{
-    m_logger.info(note.what,
-                  {{"request", note.requestName},
-                   {"service", note.service},
-                   {"kind", note.kind},
-                   {"server", note.server.value},
-                   {"reason", note.reason},
-                   {"elapsedMs", std::chrono::duration_cast<std::chrono::milliseconds>(note.elapsed).count()}});
-}
-
 void Sidecar::rearm()
 {
     const SteadyTime next = m_core->nextTick();
@@ -293,6 +275,7 @@
     m_peers.work();
     m_front.server().tick();
     m_readiness.tick();
+    m_metricsServer.tick();
     m_reports.tick();
     m_backend.tick();
     m_store.tick();
@@ -338,17 +321,23 @@
 void Sidecar::answerProbe(const ExchangeId exchange, const http::Request &request)
 {
     if (request.target == internal::metricsPath) {
-        http::Response response = http::bareResponse(internal::ok);
-        response.headers.push_back({.name = "Content-Type", .value = "text/plain; version=0.0.4"});
-        m_metrics.set("log_lines_left_out", static_cast<double>(m_logSink.omitted()));
-        response.body = QByteArray::fromStdString(m_metrics.toPrometheus());
-        m_readiness.answer(exchange, response);
+        m_readiness.answer(exchange, metricsPage());
         return;
     }
-    const bool isReady = m_isConfigured && !m_drainSince.has_value();
+    const bool isReady = m_inForceSince.has_value() && !m_drainSince.has_value();
     m_readiness.answer(exchange, http::bareResponse(isReady ? internal::ok : internal::serviceUnavailable));
 }
 
+http::Response Sidecar::metricsPage()
+{
+    const SteadyTime now = m_clock.steadyNow();
+    setGauges(*m_core, {.slots = m_server.slots(), .inForceSince = m_inForceSince, .logLinesLeftOut = m_logSink.omitted()}, now, m_metrics);
+    http::Response response = http::bareResponse(internal::ok);
+    response.headers.push_back({.name = "Content-Type", .value = "text/plain; version=0.0.4"});
+    response.body = QByteArray::fromStdString(m_metrics.toPrometheus());
+    return response;
+}
+
 void Sidecar::takeConfiguration(const QByteArray &document)
 {
     Result<platform::AcceptedConfiguration> accepted = platform::readConfiguration(document, m_bounds.retryRatio * internal::usedShareOfRetries);
@@ -361,7 +350,7 @@
 
 void Sidecar::putInForce()
 {
-    m_isConfigured = true;
+    m_inForceSince = m_clock.steadyNow();
     m_front.setManifest(m_core->manifest());
 }
 
--- a/src/egretlatch/sidecar/sidecar.hpp
+++ b/src/egretlatch/sidecar/sidecar.hpp
@@ -19,6 +19,7 @@
 #include <egretlatch/sidecar/backend_runner.hpp>
 #include <egretlatch/sidecar/caller_front.hpp>
 #include <egretlatch/sidecar/configuration_feed.hpp>
+#include <egretlatch/sidecar/request_log.hpp>
 #include <egretlatch/sidecar/server_life.hpp>
 #include <egretlatch/sidecar/store_client.hpp>
 
@@ -69,10 +70,9 @@
     void rearm();
     void tick();
     void keepHouse();
-    void logRefusal(const decision::RecordRefusal &refused);
-    void logNote(const decision::NoteRequest &note);
     void takeReport(ExchangeId exchange, const http::Request &request);
     void answerProbe(ExchangeId exchange, const http::Request &request);
+    [[nodiscard]] http::Response metricsPage();
     void takeConfiguration(const QByteArray &document);
     void putInForce();
     void endNow(std::string_view reason);
@@ -83,6 +83,7 @@
     SystemClock m_clock;
     BoundedLogSink m_logSink;
     Logger m_logger;
+    RequestLog m_requestLog;
     account::MetricsRegistry m_metrics;
     SeededRandom m_random;
     Incarnation m_incarnation;
@@ -93,6 +94,7 @@
     BackendRunner m_backend;
     CallerFront m_front;
     http::Server m_readiness;
+    http::Server m_metricsServer;
     http::Server m_reports;
     ServerLife m_server;
     std::unique_ptr<decision::Core> m_core;
@@ -102,7 +104,8 @@
     SteadyTime m_nextTick;
     std::optional<SteadyTime> m_drainSince;
     bool m_isHandling{};
-    bool m_isConfigured{};
+    /*! @brief Since when the configuration in force is; nothing without one. */
+    std::optional<SteadyTime> m_inForceSince;
     bool m_isShuttingDown{};
     bool m_hasEnded{};
 };
--- a/test/processes/test_sidecar.py
+++ b/test/processes/test_sidecar.py
@@ -7,6 +7,7 @@
 import sys
 import tempfile
 import unittest
+import urllib.request
 
 from support import BUILD, ROOT
 
@@ -142,6 +143,40 @@
         refusal = await Client(self.fleet.vms[0].callers).send("p-last", HOST, "/read/poison")
         self.assertIn(b"quarantined", refusal.body)
 
+    async def test_the_story_of_a_failed_request_is_told_from_the_logs_alone(self):
+        # Whoever is on call has the name of a request that failed and the logs of all VMs, and nothing else.
+        for server in self.fleet.servers("roster"):
+            server.fault = Fault(slowness=500)
+        answer = await Client(self.fleet.vms[0].callers).send("story-1", HOST, "/lookup/x")
+        self.assertEqual(504, answer.status)
+        await asyncio.sleep(0.5)
+        logs = [argument for vm in self.fleet.vms for argument in ("--log", str(vm.log_path))]
+        command = [str(BUILD / "egretlatch"), "explain", "story-1", *logs]
+        told = subprocess.run(command, capture_output=True, text=True, timeout=60)
+        self.assertEqual(0, told.returncode, told.stderr)
+        self.assertIn("story-1: A request history/", told.stdout)
+        self.assertIn("    20", told.stdout, "the inner call is set in under its request")
+        self.assertIn("A request roster/", told.stdout)
+        document = json.loads(subprocess.run([*command, "--json"], capture_output=True, text=True, timeout=60).stdout)
+        self.assertEqual({0, 1}, {line["depth"] for line in document["lines"]})
+        self.assertEqual("refused", document["lines"][-1]["event"])
+        for vm in self.fleet.vms:
+            for line in self.fleet.log(vm).splitlines():
+                self.assertIsInstance(json.loads(line), dict)
+
+    async def test_metrics_tell_the_state_of_a_daemon(self):
+        vm = self.fleet.vms[0]
+        for number in range(5):
+            await Client(vm.callers).send(f"n-{number}", HOST, "/lookup/x")
+        with urllib.request.urlopen(f"http://{vm.readiness}/metrics", timeout=10) as page:
+            text = page.read().decode()
+        self.assertIn('egretlatch_members{state="serving"} 6', text)
+        self.assertIn("egretlatch_slots 8", text)
+        self.assertIn("egretlatch_configuration_version 1", text)
+        self.assertIn('egretlatch_call_duration_seconds_bucket{service="history",le="+Inf"}', text)
+        self.assertIn('egretlatch_run_duration_seconds_count{service="history"}', text)
+        self.assertRegex(text, r"egretlatch_resident_memory_bytes \d+")
+
     async def test_spoiled_and_extra_answers_reach_nobody(self):
         # A caller gets bytes that no server made for it: an answer given twice, one cut short, one without a signature.
         for server in self.fleet.servers("roster"):
