--- a/src/egretlatch/admission/pace_meter.cpp
+++ b/src/egretlatch/admission/pace_meter.cpp
@@ -20,15 +20,29 @@
 
 void PaceMeter::noteEnded(const std::string &kind, const Duration own, const SteadyTime now)
 {
-    if (m_entries.size() >= internal::mostKinds && !m_entries.contains(kind)) {
-        m_entries.clear();
-    }
-    Entry &entry = m_entries[kind];
+    Entry &entry = entryOf(kind);
     entry.runs = std::min(entry.runs + 1, internal::runsInMean);
     entry.own += (own - entry.own) / entry.runs;
+    entry.failing -= entry.failing / internal::runsInMean;
+    entry.last = now;
+}
+
+void PaceMeter::noteFailed(const std::string &kind, const SteadyTime now)
+{
+    Entry &entry = entryOf(kind);
+    entry.runs = std::min(entry.runs + 1, internal::runsInMean);
+    entry.failing += (1.0 - entry.failing) / internal::runsInMean;
     entry.last = now;
 }
 
+PaceMeter::Entry &PaceMeter::entryOf(const std::string &kind)
+{
+    if (m_entries.size() >= internal::mostKinds && !m_entries.contains(kind)) {
+        m_entries.clear();
+    }
+    return m_entries[kind];
+}
+
 void PaceMeter::noteCutShort(const std::string &kind, const Duration own, const SteadyTime now)
 {
     const auto found = m_entries.find(kind);
@@ -43,7 +57,7 @@
     if (found == m_entries.end() || !isKnown(found->second, now)) {
         return std::nullopt;
     }
-    return KindPace{.kind = kind, .own = found->second.own};
+    return KindPace{.kind = kind, .own = found->second.own, .failing = found->second.failing};
 }
 
 std::vector<KindPace> PaceMeter::paces(const SteadyTime now) const
@@ -51,7 +65,7 @@
     std::vector<KindPace> paces;
     for (const auto &[kind, entry] : m_entries) {
         if (isKnown(entry, now) && paces.size() < mostTold) {
-            paces.push_back({.kind = kind, .own = entry.own});
+            paces.push_back({.kind = kind, .own = entry.own, .failing = entry.failing});
         }
     }
     return paces;
--- a/src/egretlatch/admission/pace_meter.hpp
+++ b/src/egretlatch/admission/pace_meter.hpp
@@ -11,7 +11,7 @@
 namespace egretlatch::admission
 {
 
-/*! @brief Measures how fast the backend server beside a daemon is. */
+/*! @brief Measures how fast the backend server beside a daemon is, and how often it fails. */
 class PaceMeter
 {
 public:
@@ -23,6 +23,13 @@
      */
     void noteEnded(const std::string &kind, Duration own, SteadyTime now);
 
+    /**
+     * @brief Takes a run that the server failed by itself.
+     * @param kind Kind of the request.
+     * @param now Current time.
+     */
+    void noteFailed(const std::string &kind, SteadyTime now);
+
     /**
      * @brief Takes a run that was given up: it would have taken longer still.
      * @param kind Kind of the request.
@@ -56,10 +63,12 @@
     struct Entry
     {
         Duration own{};
+        double failing{};
         int runs{};
         SteadyTime last;
     };
 
+    [[nodiscard]] Entry &entryOf(const std::string &kind);
     [[nodiscard]] static bool isKnown(const Entry &entry, SteadyTime now);
 
     std::map<std::string, Entry> m_entries;
--- a/src/egretlatch/decision/serving_handler.cpp
+++ b/src/egretlatch/decision/serving_handler.cpp
@@ -273,8 +273,12 @@
 
 void ServingHandler::learn(const Attempt &attempt, const RunEnded &ended, const SteadyTime now)
 {
+    const admission::RunOutcome outcome = internal::outcomeOf(ended.result);
+    if (outcome != admission::RunOutcome::succeeded && !attempt.hasFailedBelow) {
+        m_paces.noteFailed(attempt.request.kind, now);
+    }
     // A run that failed may have ended before it made all its calls.
-    if (internal::outcomeOf(ended.result) == admission::RunOutcome::succeeded) {
+    if (outcome == admission::RunOutcome::succeeded) {
         m_paces.noteEnded(attempt.request.kind, now - *attempt.started - attempt.innerWait, now);
         m_surroundings.entryControl->noteRun({
             .kind = {attempt.request.service, attempt.request.kind},
--- a/src/egretlatch/protocol/codec.cpp
+++ b/src/egretlatch/protocol/codec.cpp
@@ -206,12 +206,14 @@
 {
     wire.set_kind(pace.kind);
     wire.set_own_ns(pace.own.count());
+    wire.set_failing(pace.failing);
 }
 
 [[nodiscard]] static admission::KindPace read(const wire::Pace &wire)
 {
-    // A pace below zero is none; taken as zero it makes the server look fast, and its own answers put that right.
-    return {.kind = wire.kind(), .own = std::max(Duration{wire.own_ns()}, Duration{})};
+    // What lies outside the bounds, or is no number, is taken as the nearest bound.
+    const double failing = wire.failing() > 0.0 ? std::min(wire.failing(), 1.0) : 0.0;
+    return {.kind = wire.kind(), .own = std::max(Duration{wire.own_ns()}, Duration{}), .failing = failing};
 }
 
 static void write(const CallAnswer &answer, wire::CallAnswer &wire)
--- a/src/egretlatch/routing/adaptive_router.cpp
+++ b/src/egretlatch/routing/adaptive_router.cpp
@@ -20,6 +20,8 @@
 constexpr std::chrono::duration<double, std::milli> wayTimePerByte{0.001};
 // Nothing is expected to be faster than this part of the usual time, whatever was told.
 constexpr double fastestShare = 0.2;
+// A server that fails one call in four counts as twice as slow: one with room elsewhere is better.
+constexpr double failingWeight = 4.0;
 constexpr double outlierShare = 0.5;
 constexpr double outlierOverPeers = 0.3;
 constexpr int hangFactor = 3;
@@ -145,7 +147,8 @@
     const std::chrono::duration<double, std::milli> alone = std::max(usual + service.paces.excess(id, kind, now), shortest);
     // Servers slow down as they fill, and beyond their slots calls wait; the square keeps all calls from one fast server.
     const double load = m_servers.at(id).record.load(now);
-    return alone * (1.0 + load * load);
+    // What fails has to be made again, or fails its caller.
+    return alone * (1.0 + load * load) * (1.0 + internal::failingWeight * service.paces.failing(id, kind, now));
 }
 
 bool AdaptiveRouter::isWorthTheWay(const Service &service, const std::string &kind, const DaemonId &near, const DaemonId &far, const SteadyTime now) const
--- a/src/egretlatch/routing/server_paces.cpp
+++ b/src/egretlatch/routing/server_paces.cpp
@@ -20,7 +20,7 @@
     if (m_kinds.size() >= internal::mostKinds && !m_kinds.contains(pace.kind)) {
         m_kinds.clear();
     }
-    m_kinds[pace.kind].insert_or_assign(server, Told{.own = pace.own, .at = now});
+    m_kinds[pace.kind].insert_or_assign(server, Told{.own = pace.own, .failing = pace.failing, .at = now});
 }
 
 void ServerPaces::forget(const DaemonId &server)
@@ -32,13 +32,29 @@
 
 Duration ServerPaces::excess(const DaemonId &server, const std::string &kind, const SteadyTime now) const
 {
-    const auto found = m_kinds.find(kind);
-    if (found == m_kinds.end() || !found->second.contains(server)) {
-        return {};
+    const Told *const told = find(server, kind);
+    return told == nullptr ? Duration{} : std::chrono::duration_cast<Duration>((told->own - mean(kind)) * weight(*told, now));
+}
+
+double ServerPaces::failing(const DaemonId &server, const std::string &kind, const SteadyTime now) const
+{
+    const Told *const told = find(server, kind);
+    return told == nullptr ? 0.0 : told->failing * weight(*told, now);
+}
+
+const ServerPaces::Told *ServerPaces::find(const DaemonId &server, const std::string &kind) const
+{
+    const auto servers = m_kinds.find(kind);
+    if (servers == m_kinds.end()) {
+        return nullptr;
     }
-    const Told &told = found->second.at(server);
-    const double age = std::chrono::duration<double>(now - told.at) / std::chrono::duration<double>(internal::paceMemory);
-    return std::chrono::duration_cast<Duration>((told.own - mean(kind)) * std::exp(-age));
+    const auto found = servers->second.find(server);
+    return found == servers->second.end() ? nullptr : &found->second;
+}
+
+double ServerPaces::weight(const Told &told, const SteadyTime now)
+{
+    return std::exp(-(std::chrono::duration<double>(now - told.at) / std::chrono::duration<double>(internal::paceMemory)));
 }
 
 Duration ServerPaces::mean(const std::string &kind) const
--- a/src/egretlatch/routing/server_paces.hpp
+++ b/src/egretlatch/routing/server_paces.hpp
@@ -44,6 +44,15 @@
      */
     [[nodiscard]] Duration excess(const DaemonId &server, const std::string &kind, SteadyTime now) const;
 
+    /**
+     * @brief Gives how often a server fails.
+     * @param server The daemon.
+     * @param kind Kind of the call.
+     * @param now Current time.
+     * @return The part of the runs that it failed by itself, 0 to 1; it goes to zero while nothing is heard.
+     */
+    [[nodiscard]] double failing(const DaemonId &server, const std::string &kind, SteadyTime now) const;
+
     /**
      * @brief Gives what the servers take on average.
      * @param kind Kind of the call.
@@ -55,9 +64,13 @@
     struct Told
     {
         Duration own{};
+        double failing{};
         SteadyTime at;
     };
 
+    [[nodiscard]] const Told *find(const DaemonId &server, const std::string &kind) const;
+    [[nodiscard]] static double weight(const Told &told, SteadyTime now);
+
     std::map<std::string, std::map<DaemonId, Told>> m_kinds;
 };
 
--- a/test/egretlatch/admission/pace_meter.cpp
+++ b/test/egretlatch/admission/pace_meter.cpp
@@ -21,7 +21,7 @@
     for (int run = 0; run < 20; ++run) {
         meter.noteEnded("read", 100ms, start);
     }
-    CHECK(meter.paceAt("read", start) == KindPace{.kind = "read", .own = 100ms});
+    CHECK(meter.paceAt("read", start) == KindPace{.kind = "read", .own = 100ms, .failing = 0.0});
 
     // A server that turns slow answers nothing for long, and callers give up: what they gave up counts as well.
     for (int run = 0; run < 20; ++run) {
@@ -32,6 +32,21 @@
     CHECK(meter.paces(start + 10s).empty());
 }
 
+TEST_CASE("a server that fails part of its runs is told of with that part, and no longer once it is well")
+{
+    PaceMeter meter;
+    for (int run = 0; run < 100; ++run) {
+        run % 2 == 0 ? meter.noteEnded("read", 100ms, start) : meter.noteFailed("read", start);
+    }
+    CHECK(meter.paceAt("read", start)->failing == doctest::Approx(0.5).epsilon(0.1));
+    CHECK(meter.paceAt("read", start)->own == 100ms);
+
+    for (int run = 0; run < 100; ++run) {
+        meter.noteEnded("read", 100ms, start);
+    }
+    CHECK(meter.paceAt("read", start)->failing < 0.01);
+}
+
 TEST_CASE("a caller that leaves early says nothing of the server")
 {
     PaceMeter meter;
@@ -41,5 +56,5 @@
     meter.noteCutShort("read", 10ms, start);
     meter.noteCutShort("unseen", 10ms, start);
 
-    CHECK(meter.paces(start) == std::vector<KindPace>{{.kind = "read", .own = 100ms}});
+    CHECK(meter.paces(start) == std::vector<KindPace>{{.kind = "read", .own = 100ms, .failing = 0.0}});
 }
--- a/test/egretlatch/routing/adaptive_router.cpp
+++ b/test/egretlatch/routing/adaptive_router.cpp
@@ -211,9 +211,9 @@
     fleet.add("far-2", "dc3");
     SteadyTime now = start;
     const auto tell = [&fleet, &now](const Duration near) {
-        fleet.router.notePaces({"near"}, {{.kind = "read", .own = near}}, now);
-        fleet.router.notePaces({"far-1"}, {{.kind = "read", .own = 200ms}}, now);
-        fleet.router.notePaces({"far-2"}, {{.kind = "read", .own = 200ms}}, now);
+        fleet.router.notePaces({"near"}, {{.kind = "read", .own = near, .failing = 0.0}}, now);
+        fleet.router.notePaces({"far-1"}, {{.kind = "read", .own = 200ms, .failing = 0.0}}, now);
+        fleet.router.notePaces({"far-2"}, {{.kind = "read", .own = 200ms, .failing = 0.0}}, now);
     };
     const auto result = [](const DaemonId &id) -> AttemptResult {
         return {.outcome = AttemptOutcome::answered, .kind = "read", .latency = id.value == "near" ? 500ms : 200ms, .bytes = 5000, .load = std::nullopt};
@@ -230,6 +230,25 @@
     CHECK(afterwards["near"] == 100);
 }
 
+TEST_CASE("a server that fails part of its calls leaves them to sound ones while those have room")
+{
+    // Two servers of four lost a quarter of their answers, too few to be taken out. Calls went on to them as before, and the
+    // bound on what the fleet repeats was used up in a second.
+    Fleet fleet;
+    for (const char *const id : {"bad", "good-1", "good-2"}) {
+        fleet.add(id, "dc1");
+    }
+    SteadyTime now = start;
+    const auto result = [&fleet, &now](const DaemonId &id) -> AttemptResult {
+        fleet.router.notePaces(id, {{.kind = "read", .own = 5ms, .failing = id.value == "bad" ? 0.25 : 0.0}}, now);
+        return answered(id);
+    };
+
+    std::map<std::string, int> chosen = fleet.callOften(300, now, result);
+
+    CHECK(chosen["bad"] < 20);
+}
+
 TEST_CASE("large answers are not fetched from afar for a little time")
 {
     // An archive of a megabyte from another data centre costs more on the way than the faster server gains.
@@ -237,8 +256,8 @@
     fleet.add("near", "dc1");
     fleet.add("far", "dc2");
     SteadyTime now = start;
-    fleet.router.notePaces({"near"}, {{.kind = "read", .own = 300ms}}, now);
-    fleet.router.notePaces({"far"}, {{.kind = "read", .own = 150ms}}, now);
+    fleet.router.notePaces({"near"}, {{.kind = "read", .own = 300ms, .failing = 0.0}}, now);
+    fleet.router.notePaces({"far"}, {{.kind = "read", .own = 150ms, .failing = 0.0}}, now);
     const auto result = [](const DaemonId &) -> AttemptResult {
         return {.outcome = AttemptOutcome::answered, .kind = "read", .latency = 300ms, .bytes = 1'000'000, .load = std::nullopt};
     };
@@ -268,8 +287,8 @@
 TEST_CASE("what is told of a server loses its weight with time, and its place taken by another it is forgotten")
 {
     ServerPaces paces;
-    paces.note({"slow"}, {.kind = "read", .own = 300ms}, start);
-    paces.note({"fast"}, {.kind = "read", .own = 100ms}, start);
+    paces.note({"slow"}, {.kind = "read", .own = 300ms, .failing = 0.0}, start);
+    paces.note({"fast"}, {.kind = "read", .own = 100ms, .failing = 0.0}, start);
 
     CHECK(paces.mean("read") == 200ms);
     CHECK(paces.excess({"slow"}, "read", start) == 100ms);
