A newcomer asks the others at once, and looks around before it is ready

Ruled out: the store's answer (0.1 s), the state pull (0.1 s after the first contact answers). Change: contacts that come while nobody is known are asked at once, and again each 300 ms; ready only once another daemon is known, or 1.5 s after the start.

--- a/src/egretlatch/membership/gossip.cpp
+++ b/src/egretlatch/membership/gossip.cpp
@@ -15,7 +15,8 @@
 // fleet as a whole sends eight such pings a second at most.
 constexpr std::chrono::milliseconds shortestUnheardInterval{2000};
 constexpr std::chrono::milliseconds unheardIntervalPerMember{125};
-constexpr std::chrono::seconds joinInterval{1};
+// While nobody is known. A daemon that starts serves nobody until it is heard, and whoever it pings may be gone.
+constexpr std::chrono::milliseconds joinInterval{300};
 constexpr std::chrono::seconds relayTimeout{1};
 constexpr std::chrono::seconds longestTickGap{2};
 constexpr int spreadTargets = 2;
@@ -123,11 +124,15 @@
 
 void Gossip::addContacts(const std::vector<Contact> &contacts)
 {
+    const std::size_t known = m_contacts.size();
     for (const Contact &contact : contacts) {
         if (contact.id != m_roster.self().id && std::find(m_contacts.begin(), m_contacts.end(), contact) == m_contacts.end()) {
             m_contacts.push_back(contact);
         }
     }
+    if (m_contacts.size() > known && m_roster.participants().empty()) {
+        m_nextUnheard = {};
+    }
 }
 
 void Gossip::noteUnreachable(const DaemonId &daemon)
--- a/src/egretlatch/peer/socket_watch.cpp
+++ b/src/egretlatch/peer/socket_watch.cpp
@@ -1,5 +1,6 @@
 #include <egretlatch/peer/socket_watch.hpp>
 
+#include <algorithm>
 #include <array>
 
 #include <sys/epoll.h>
@@ -44,6 +45,7 @@
     std::array<epoll_event, internal::eventBatch> events{};
     const int count = epoll_wait(m_epoll, events.data(), internal::eventBatch, 0);
     std::vector<SocketSource *> sources;
+    sources.reserve(static_cast<std::size_t>(std::max(count, 0)));
     for (int index = 0; index < count; ++index) {
         sources.push_back(static_cast<SocketSource *>(events.at(static_cast<std::size_t>(index)).data.ptr));
     }
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -41,6 +41,8 @@
 constexpr int lastStartShare = 80;
 // All daemons know of a leaving one within half a second at this size; the server itself goes on meanwhile.
 constexpr std::chrono::milliseconds doorTimeAfterSignal{1500};
+// Others are known half a second after a start; the platform asks for readiness once a second.
+constexpr std::chrono::milliseconds longestLookAround{1500};
 constexpr const char *metricsPath = "/metrics";
 constexpr int ok = 200;
 constexpr int badRequest = 400;
@@ -150,6 +152,7 @@
     if (Result<void> listening = listen(); !listening.has_value()) {
         return listening;
     }
+    m_startedAt = m_clock.steadyNow();
     m_houseTimer.start();
     m_feed.tick();
     m_logger.info("started", {{"callers", m_settings.callers.text()}, {"backend", m_settings.backend.text()}, {"service", m_settings.service}});
@@ -324,8 +327,15 @@
         m_readiness.answer(exchange, metricsPage());
         return;
     }
-    const bool isReady = m_inForceSince.has_value() && !m_drainSince.has_value();
-    m_readiness.answer(exchange, http::bareResponse(isReady ? internal::ok : internal::serviceUnavailable));
+    m_readiness.answer(exchange, http::bareResponse(isReady() ? internal::ok : internal::serviceUnavailable));
+}
+
+bool Sidecar::isReady() const
+{
+    // One that knows no other daemon yet would turn away what is for any service but its own. Where it finds nobody it serves
+    // what it can.
+    const bool hasLookedAround = !m_core->roster().participants().empty() || m_clock.steadyNow() - m_startedAt >= internal::longestLookAround;
+    return m_inForceSince.has_value() && hasLookedAround && !m_drainSince.has_value();
 }
 
 http::Response Sidecar::metricsPage()
--- a/src/egretlatch/sidecar/sidecar.hpp
+++ b/src/egretlatch/sidecar/sidecar.hpp
@@ -72,6 +72,7 @@
     void keepHouse();
     void takeReport(ExchangeId exchange, const http::Request &request);
     void answerProbe(ExchangeId exchange, const http::Request &request);
+    [[nodiscard]] bool isReady() const;
     [[nodiscard]] http::Response metricsPage();
     void takeConfiguration(const QByteArray &document);
     void putInForce();
@@ -102,6 +103,7 @@
     QTimer m_tickTimer;
     QTimer m_houseTimer;
     SteadyTime m_nextTick;
+    SteadyTime m_startedAt;
     std::optional<SteadyTime> m_drainSince;
     bool m_isHandling{};
     /*! @brief Since when the configuration in force is; nothing without one. */
--- a/test/egretlatch/membership/gossip.cpp
+++ b/test/egretlatch/membership/gossip.cpp
@@ -106,6 +106,27 @@
     CHECK(aged.has_value());
 }
 
+TEST_CASE("a daemon that is told of others in the middle of its search asks them at once")
+{
+    // A VM was added and its daemon got callers before it knew a single server: the store named the others 0.1 s after its
+    // start, and it looked at the list at the next second.
+    egretlatch::membership::Member self;
+    self.id = {"fresh"};
+    self.incarnation = {1};
+    egretlatch::membership::Roster roster{self};
+    egretlatch::SeededRandom random{seed};
+    fakes::CountingMetrics metrics;
+    egretlatch::membership::Gossip gossip{roster, random, metrics, {}};
+    const egretlatch::SteadyTime start{1h};
+    gossip.tick(start);
+    REQUIRE(gossip.takeEffects().messages.empty());
+
+    gossip.addContacts({{.id = {"other"}, .endpoint = "tcp://other"}});
+    gossip.tick(start + 10ms);
+
+    CHECK(gossip.takeEffects().messages.size() == 1);
+}
+
 TEST_CASE("a newcomer that dies at once is found dead within seconds")
 {
     // A VM comes up, is known everywhere and fails a second later. Each daemon chose the order of its probes before it
