--- a/src/egretlatch/account/metrics_registry.hpp
+++ b/src/egretlatch/account/metrics_registry.hpp
@@ -38,9 +38,8 @@
 
 private:
     using Key = std::pair<std::string, std::string>;
-    using Summary = boost::accumulators::accumulator_set<
-        double,
-        boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum, boost::accumulators::tag::max>>;
+    using Summary = boost::accumulators::
+        accumulator_set<double, boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum, boost::accumulators::tag::max>>;
 
     struct Histogram
     {
--- a/src/egretlatch/admission/crash_suspects.cpp
+++ b/src/egretlatch/admission/crash_suspects.cpp
@@ -21,8 +21,7 @@
 
 } // namespace internal
 
-RequestFingerprint
-fingerprintOf(const std::string_view method, const std::string_view path, const std::string_view caller, const std::string_view body)
+RequestFingerprint fingerprintOf(const std::string_view method, const std::string_view path, const std::string_view caller, const std::string_view body)
 {
     const std::string head = fmt::format("{}\n{}\n{}\n{:x}", method, path, caller, XXH3_64bits(body.data(), body.size()));
     return XXH3_64bits(head.data(), head.size());
--- a/src/egretlatch/cli/request_story.cpp
+++ b/src/egretlatch/cli/request_story.cpp
@@ -68,8 +68,13 @@
     if (line.event == "refused") {
         return fmt::format("{} That was {} ms after it came; {}.", account::toSentence(recordFrom(line)), elapsed, asked);
     }
-    return fmt::format(
-        "{} {}/{}, {} ms after it came; {}: {}.", line.event, textOf(line.fields, "service"), textOf(line.fields, "kind"), elapsed, asked, textOf(line.fields, "reason"));
+    return fmt::format("{} {}/{}, {} ms after it came; {}: {}.",
+                       line.event,
+                       textOf(line.fields, "service"),
+                       textOf(line.fields, "kind"),
+                       elapsed,
+                       asked,
+                       textOf(line.fields, "reason"));
 }
 
 } // namespace internal
@@ -94,7 +99,8 @@
         }
         const std::string request = internal::textOf(fields, "request");
         if (isPart(request)) {
-            m_lines.push_back({.time = internal::textOf(fields, "time"), .daemon = internal::textOf(fields, "source"), .event = event, .request = request, .fields = fields});
+            m_lines.push_back(
+                {.time = internal::textOf(fields, "time"), .daemon = internal::textOf(fields, "source"), .event = event, .request = request, .fields = fields});
         }
     }
 }
--- a/src/egretlatch/daemon/peer_thread.cpp
+++ b/src/egretlatch/daemon/peer_thread.cpp
@@ -56,7 +56,8 @@
 void PeerThread::run(Ring<decision::SendToPeer> &outward)
 {
     while (!m_isStopping.load()) {
-        std::array<pollfd, 2> watched{{{.fd = m_waker.descriptor(), .events = POLLIN, .revents = 0}, {.fd = m_exchange.descriptor(), .events = POLLIN, .revents = 0}}};
+        std::array<pollfd, 2> watched{
+            {{.fd = m_waker.descriptor(), .events = POLLIN, .revents = 0}, {.fd = m_exchange.descriptor(), .events = POLLIN, .revents = 0}}};
         ::poll(watched.data(), watched.size(), internal::sweepIntervalMs);
         m_waker.reset();
         while (const std::unique_ptr<decision::SendToPeer> order = outward.tryPop()) {
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -2,10 +2,6 @@
 
 #include <algorithm>
 
-#include <egretlatch/admission/open_entry.hpp>
-#include <egretlatch/admission/static_gate.hpp>
-#include <egretlatch/routing/least_loaded_router.hpp>
-
 namespace egretlatch::decision
 {
 
@@ -20,16 +16,6 @@
 constexpr std::chrono::milliseconds idleTickInterval{100};
 constexpr std::chrono::seconds announcementTimeout{5};
 constexpr std::chrono::milliseconds leaveSpreadTime{500};
-constexpr std::size_t defaultQueueCapacity = 1000;
-// A daemon whose call to the store has gone silent learns of a configuration from others alone, and has two seconds for it.
-// Every daemon of a fleet of up to seventeen is told at once by each that has it, and hears of it five times a second after
-// that, in place of twice.
-constexpr std::size_t fedFanout = 16;
-constexpr std::chrono::milliseconds fedAdvertInterval{400};
-// A peer answers in milliseconds; with half a second for it and a turn of a store that is not asked here, one lost answer
-// cost 0.7 s of the two.
-constexpr std::chrono::milliseconds fedBodyTimeout{150};
-
 template<typename... Handlers>
 struct Overloaded : Handlers...
 {
@@ -402,145 +388,4 @@
     return outward;
 }
 
-CoreBuilder::CoreBuilder(const Clock &clock, RandomSource &random, account::MetricsSink &metrics)
-    : m_clock{clock}
-    , m_random{random}
-    , m_metrics{metrics}
-{
-}
-
-CoreBuilder &CoreBuilder::setSelf(membership::Member self)
-{
-    m_self = std::move(self);
-    return *this;
-}
-
-CoreBuilder &CoreBuilder::addContact(membership::Contact contact)
-{
-    m_contacts.push_back(std::move(contact));
-    return *this;
-}
-
-CoreBuilder &CoreBuilder::setRouter(std::unique_ptr<routing::Router> router)
-{
-    m_router = std::move(router);
-    return *this;
-}
-
-CoreBuilder &CoreBuilder::setEntryControl(std::unique_ptr<admission::EntryControl> entryControl)
-{
-    m_entryControl = std::move(entryControl);
-    return *this;
-}
-
-CoreBuilder &CoreBuilder::setGate(std::unique_ptr<admission::Gate> gate)
-{
-    m_gate = std::move(gate);
-    return *this;
-}
-
-CoreBuilder &CoreBuilder::followPlatform()
-{
-    m_followsPlatform = true;
-    return *this;
-}
-
-CoreBuilder &CoreBuilder::setConfigurationFeed()
-{
-    m_isFed = true;
-    return *this;
-}
-
-CoreBuilder &CoreBuilder::setEntryRules(const EntryRules &rules)
-{
-    m_entryRules = rules;
-    return *this;
-}
-
-CoreBuilder &CoreBuilder::setDoorTimes(const DoorTimes &times)
-{
-    m_doorTimes = times;
-    return *this;
-}
-
-CoreBuilder &CoreBuilder::setUnownedKeys(const retry::UnownedKeys unownedKeys)
-{
-    m_unownedKeys = unownedKeys;
-    return *this;
-}
-
-CoreBuilder &CoreBuilder::setKeyGrants(const retry::GrantTimes times)
-{
-    m_grantTimes = times;
-    return *this;
-}
-
-CoreBuilder &CoreBuilder::setKeyLedgerLimits(const retry::KeyLedgerLimits limits)
-{
-    m_ledgerLimits = limits;
-    return *this;
-}
-
-std::unique_ptr<Core> CoreBuilder::build()
-{
-    if (m_router == nullptr) {
-        m_router = std::make_unique<routing::LeastLoadedRouter>(m_random);
-    }
-    if (m_entryControl == nullptr) {
-        m_entryControl = std::make_unique<admission::OpenEntry>();
-    }
-    if (m_gate == nullptr) {
-        m_gate = std::make_unique<admission::StaticGate>(1, internal::defaultQueueCapacity);
-    }
-    std::unique_ptr<Core> core{new Core};
-    core->m_surroundings.reset(new Surroundings{
-        .clock = m_clock,
-        .random = m_random,
-        .metrics = m_metrics,
-        .mint = UuidMint{m_random},
-        .self = m_self.id,
-        .incarnation = m_self.incarnation,
-        .roster = membership::Roster{m_self},
-        .router = std::move(m_router),
-        .entryControl = std::move(m_entryControl),
-        .suspects = {},
-        .manifest = nullptr,
-        .manifestVersion = 0,
-        .unownedKeys = m_unownedKeys,
-        .born = m_clock.steadyNow(),
-        .actions = {},
-        .lastPlatformRequest = {},
-    });
-    core->m_serving = std::make_unique<ServingHandler>(*core->m_surroundings, std::move(m_gate));
-    std::unique_ptr<retry::ShardGrants> grants;
-    if (m_grantTimes.has_value()) {
-        grants = std::make_unique<retry::ShardGrants>(retry::KeyOwner{.daemon = m_self.id, .incarnation = m_self.incarnation}, m_random, *m_grantTimes);
-    }
-    core->m_entry = std::make_unique<EntryHandler>(*core->m_surroundings, *core->m_serving, m_ledgerLimits, std::move(grants));
-    core->m_entry->setRules(m_entryRules);
-    core->m_doorTimes = m_doorTimes;
-    std::vector<configuration::Peer> peers;
-    for (const membership::Contact &contact : m_contacts) {
-        peers.push_back({.id = contact.id, .endpoint = contact.endpoint});
-    }
-    core->m_configurationOutlet = std::make_unique<ConfigurationOutlet>(*core->m_surroundings, std::move(peers));
-    configuration::FollowerOptions options;
-    options.hasPlatform = m_followsPlatform;
-    options.isFed = m_isFed;
-    if (m_isFed) {
-        options.fanout = internal::fedFanout;
-        options.advertInterval = internal::fedAdvertInterval;
-        options.bodyTimeout = internal::fedBodyTimeout;
-    }
-    options.endpoint = m_self.endpoint;
-    core->m_configuration = std::make_unique<configuration::Follower>(*core->m_configurationOutlet, m_random, options);
-    core->m_gossipRandom = std::make_unique<SeededRandom>(m_random.next());
-    if (m_followsPlatform) {
-        core->m_contactBook =
-            std::make_unique<membership::ContactBook>(membership::Contact{.id = m_self.id, .endpoint = m_self.endpoint}, *core->m_gossipRandom);
-    }
-    core->m_gossip = std::make_unique<membership::Gossip>(core->m_surroundings->roster, *core->m_gossipRandom, m_metrics, std::move(m_contacts));
-    return core;
-}
-
 } // namespace egretlatch::decision
--- a/src/egretlatch/decision/crash_news.cpp
+++ b/src/egretlatch/decision/crash_news.cpp
@@ -29,14 +29,13 @@
 
 } // namespace internal
 
-CrashNews CrashNews::crashed(
-    const DaemonId &daemon, const Incarnation incarnation, const std::uint64_t number, const std::vector<admission::RequestFingerprint> &running)
+CrashNews
+CrashNews::crashed(const DaemonId &daemon, const Incarnation incarnation, const std::uint64_t number, const std::vector<admission::RequestFingerprint> &running)
 {
     return internal::newsOf(internal::crash, daemon, incarnation, number, running);
 }
 
-CrashNews
-CrashNews::ranWell(const DaemonId &daemon, const Incarnation incarnation, const std::uint64_t number, const admission::RequestFingerprint request)
+CrashNews CrashNews::ranWell(const DaemonId &daemon, const Incarnation incarnation, const std::uint64_t number, const admission::RequestFingerprint request)
 {
     return internal::newsOf(internal::well, daemon, incarnation, number, {request});
 }
--- /dev/null
+++ b/src/egretlatch/decision/serving_runs.cpp
@@ -0,0 +1,144 @@
+// The part of ServingHandler that keeps account of runs: their inner calls, and the crashes that end them.
+
+#include <egretlatch/decision/serving_handler.hpp>
+
+#include <charconv>
+
+#include <fmt/format.h>
+
+namespace egretlatch::decision
+{
+
+std::optional<InnerContext> ServingHandler::findRunNamed(const std::string &name) const
+{
+    const auto found = m_byName.find(name);
+    return found == m_byName.end() ? std::nullopt : findRun(tokenOf(found->second));
+}
+
+std::optional<InnerContext> ServingHandler::findRun(const std::string &token) const
+{
+    const std::size_t dash = token.find('-');
+    if (dash == std::string::npos) {
+        return std::nullopt;
+    }
+    std::uint64_t number = 0;
+    const char *const begin = token.data() + dash + 1;
+    const char *const end = token.data() + token.size();
+    const auto parsed = std::from_chars(begin, end, number, 16);
+    const ExecutionId execution{number};
+    if (parsed.ec != std::errc{} || parsed.ptr != end || token != tokenOf(execution)) {
+        return std::nullopt;
+    }
+    const auto found = m_attempts.find(execution);
+    if (found == m_attempts.end() || !found->second.started.has_value()) {
+        return std::nullopt;
+    }
+    const Attempt &attempt = found->second;
+    admission::Rank rank = attempt.request.rank;
+    rank.invested += m_surroundings.clock.steadyNow() - *attempt.started;
+    return InnerContext{
+        .execution = execution,
+        .root = attempt.request.root,
+        .rank = rank,
+        .deadline = attempt.deadline,
+        .trace = attempt.trace,
+        .depth = attempt.request.depth,
+        .scope = attempt.request.scope,
+    };
+}
+
+int ServingHandler::lendAttempts(const ExecutionId execution)
+{
+    const auto found = m_attempts.find(execution);
+    if (found == m_attempts.end()) {
+        return 0;
+    }
+    Attempt &attempt = found->second;
+    const int lent = (attempt.attemptsLeft + 1) / 2;
+    attempt.attemptsLeft -= lent;
+    if (attempt.innerOpen == 0) {
+        attempt.innerSince = m_surroundings.clock.steadyNow();
+    }
+    ++attempt.innerOpen;
+    return lent;
+}
+
+int ServingHandler::nextOrdinal(const ExecutionId execution, const std::uint64_t call)
+{
+    const auto found = m_attempts.find(execution);
+    return found == m_attempts.end() ? 0 : found->second.ordinals[call]++;
+}
+
+void ServingHandler::noteInnerBegan(const ExecutionId execution, const admission::KindName &kind)
+{
+    const auto found = m_attempts.find(execution);
+    if (found != m_attempts.end()) {
+        ++found->second.innerCalls[kind];
+    }
+}
+
+void ServingHandler::noteInnerEnded(const ExecutionId execution, const InnerEnd &end, const SteadyTime now)
+{
+    const auto found = m_attempts.find(execution);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    Attempt &attempt = found->second;
+    attempt.attemptsLeft += end.attempts;
+    attempt.innerSlotTime += end.slotTime;
+    attempt.hasFailedBelow = attempt.hasFailedBelow || end.hasFailed;
+    --attempt.innerOpen;
+    if (attempt.innerOpen == 0) {
+        attempt.innerWait += now - attempt.innerSince;
+    }
+}
+
+std::string ServingHandler::tokenOf(const ExecutionId execution) const
+{
+    return fmt::format("{:016x}-{:x}", m_surroundings.incarnation.value, execution.value);
+}
+
+void ServingHandler::watchForCrash(const Attempt &attempt, const RunEnded &ended, const SteadyTime now)
+{
+    if (std::holds_alternative<RunAnswer>(ended.result)) {
+        if (!m_surroundings.suspects.isEmpty() && m_surroundings.suspects.noteGood(fingerprint(attempt))) {
+            m_crashNews.push_back(CrashNews::ranWell(m_surroundings.self, m_surroundings.incarnation, ++m_lastCrashNews, fingerprint(attempt)));
+        }
+        return;
+    }
+    switch (std::get<RunFailure>(ended.result)) {
+    case RunFailure::lost:
+        m_witness.noteLost(fingerprint(attempt), now);
+        return;
+    case RunFailure::neverConnected:
+        tellCrash(m_witness.noteNeverConnected(now));
+        return;
+    case RunFailure::rejected:
+        return;
+    }
+}
+
+void ServingHandler::noteServerReplaced(const SteadyTime now)
+{
+    m_paces.clear();
+    tellCrash(m_witness.noteReplaced(now));
+}
+
+void ServingHandler::tellCrash(const std::vector<admission::RequestFingerprint> &running)
+{
+    if (!running.empty()) {
+        m_surroundings.metrics.count("server_crashes", m_surroundings.roster.self().service);
+        m_crashNews.push_back(CrashNews::crashed(m_surroundings.self, m_surroundings.incarnation, ++m_lastCrashNews, running));
+    }
+}
+
+admission::RequestFingerprint ServingHandler::fingerprint(const Attempt &attempt) const
+{
+    const protocol::CallRequest &request = attempt.request;
+    const DaemonId &from = std::get<DaemonId>(attempt.origin);
+    const membership::Member *const member = from == m_surroundings.self ? &m_surroundings.roster.self() : m_surroundings.roster.find(from);
+    const std::string caller = member == nullptr ? std::string{} : member->service;
+    return admission::fingerprintOf(request.method, request.path, caller, {request.body.constData(), static_cast<std::size_t>(request.body.size())});
+}
+
+} // namespace egretlatch::decision
--- a/src/egretlatch/routing/adaptive_router.cpp
+++ b/src/egretlatch/routing/adaptive_router.cpp
@@ -157,8 +157,7 @@
     return expected(service, kind, far, now) + way < internal::worthTheWay * expected(service, kind, near, now);
 }
 
-const DaemonId *
-AdaptiveRouter::betterOfTwo(const Service &service, const std::string &kind, const std::vector<DaemonId> &candidates, const SteadyTime now)
+const DaemonId *AdaptiveRouter::betterOfTwo(const Service &service, const std::string &kind, const std::vector<DaemonId> &candidates, const SteadyTime now)
 {
     if (candidates.empty()) {
         return nullptr;
--- a/test/egretlatch/cli/request_story.cpp
+++ b/test/egretlatch/cli/request_story.cpp
@@ -64,9 +64,10 @@
     const CommandResult told = story.inSentences();
 
     CHECK(told.code == ExitCode::notFound);
-    CHECK(told.text == "no line tells of r2: it went well, or it never came to these daemons\n"
-                       "not whole: these logs say that 12 lines were left out\n"
-                       "not whole: 1 lines could not be read\n");
+    CHECK(told.text
+          == "no line tells of r2: it went well, or it never came to these daemons\n"
+             "not whole: these logs say that 12 lines were left out\n"
+             "not whole: 1 lines could not be read\n");
 }
 
 TEST_CASE("any bytes can be read as a log")
--- a/test/egretlatch/peer/peer_exchange.cpp
+++ b/test/egretlatch/peer/peer_exchange.cpp
@@ -80,7 +80,8 @@
 // Works for whoever has something to do; nothing that came may wait for a later reason to look.
 [[nodiscard]] bool workOnce(Daemon &one, Daemon &two)
 {
-    std::array<pollfd, 2> watched{{{.fd = one.exchange.descriptor(), .events = POLLIN, .revents = 0}, {.fd = two.exchange.descriptor(), .events = POLLIN, .revents = 0}}};
+    std::array<pollfd, 2> watched{
+        {{.fd = one.exchange.descriptor(), .events = POLLIN, .revents = 0}, {.fd = two.exchange.descriptor(), .events = POLLIN, .revents = 0}}};
     if (::poll(watched.data(), watched.size(), longestSilenceMs) <= 0) {
         return false;
     }
--- a/test/egretlatch/routing/adaptive_router.cpp
+++ b/test/egretlatch/routing/adaptive_router.cpp
@@ -177,7 +177,8 @@
     Fleet fleet;
     fleet.add("one", "dc1");
 
-    CHECK_FALSE(fleet.router.choose({.service = "roster", .kind = "read", .root = {}, .excluded = {DaemonId{"one"}}, .deadline = start + 1s}, start).has_value());
+    CHECK_FALSE(
+        fleet.router.choose({.service = "roster", .kind = "read", .root = {}, .excluded = {DaemonId{"one"}}, .deadline = start + 1s}, start).has_value());
     CHECK_FALSE(fleet.router.choose({.service = "other", .kind = "read", .root = {}, .excluded = {}, .deadline = start + 1s}, start).has_value());
 }
 
