--- a/standin/fleet/fleet.py
+++ b/standin/fleet/fleet.py
@@ -78,12 +78,14 @@
 class Fleet:
     """Starts and stops everything; `services` maps a service to (servers, slots, queue) and `kinds` a kind to its work."""
 
-    def __init__(self, binary, services, kinds, heartbeat=0.3, bounds=None):
+    def __init__(self, binary, services, kinds, heartbeat=0.3, bounds=None, settings=None, seed=1):
         self.binary = binary
         self.services = services
         self.kinds = kinds
         self.heartbeat = heartbeat
         self.bounds = bounds or {"grace": "4s", "drain": "1s", "retry_budget_ratio": "0.2", "budget_slack": "40"}
+        self.more_settings = settings or {}
+        self.seed = seed
         self.folder = tempfile.TemporaryDirectory(prefix="egretlatch-fleet-")
         self.store = Store()
         self.vms = []
@@ -110,7 +112,7 @@
 
     async def add_vm(self, service, number, slots, queue):
         ports = free_ports(PORTS_A_VM)
-        server = Server(f"i-{service}-{number}", service, f"127.0.0.1:{ports[0]}", slots, queue, self.kinds)
+        server = Server(f"i-{service}-{number}", service, f"127.0.0.1:{ports[0]}", slots, queue, self.kinds, self.seed)
         vm = Vm(f"{service}-{number}", f"z{number % 3}", server, ports[1:], pathlib.Path(self.folder.name))
         server.outbound = vm.callers
         await server.start()
@@ -120,7 +122,7 @@
         return vm
 
     def start_daemon(self, vm):
-        vm.settings_path.write_text(json.dumps(vm.settings(self.store_address, self.bounds)))
+        vm.settings_path.write_text(json.dumps({**vm.settings(self.store_address, self.bounds), **self.more_settings}))
         with open(vm.log_path, "ab") as log:
             vm.process = subprocess.Popen([self.binary, "sidecar", "--settings", str(vm.settings_path)], stdout=log, stderr=log, stdin=subprocess.DEVNULL)
 
--- a/test/egretlatch/protocol/codec.cpp
+++ b/test/egretlatch/protocol/codec.cpp
@@ -52,6 +52,7 @@
         .inFlight = 3, .limit = 4, .queued = 5, .level = {.priority = 2, .fraction = 0.25}, .queueDelay = std::chrono::milliseconds{6}, .draining = true};
     answer.attemptsReturned = 1;
     answer.slotTime = std::chrono::milliseconds{15};
+    answer.pace = admission::KindPace{.kind = "launch-entry", .own = std::chrono::milliseconds{21}, .failing = 0.5};
     return answer;
 }
 
@@ -82,6 +83,7 @@
     for (const membership::RumourKind kind : {membership::RumourKind::configuration, membership::RumourKind::quarantine}) {
         gossip.rumours.push_back({.key = {.kind = kind, .key = "key"}, .version = 18, .payload = "payload", .remaining = std::chrono::seconds{19}});
     }
+    gossip.paces = {{.kind = "launch-entry", .own = std::chrono::milliseconds{20}, .failing = 0.25}};
     return gossip;
 }
 
