--- a/src/egretlatch/admission/crash_suspects.cpp
+++ b/src/egretlatch/admission/crash_suspects.cpp
@@ -68,14 +68,19 @@
 {
     const std::size_t count = std::min(requests.size(), internal::mostInMessage);
     std::string bytes(count * sizeof(RequestFingerprint), '\0');
-    std::memcpy(bytes.data(), requests.data(), bytes.size());
+    if (count > 0) {
+        std::memcpy(bytes.data(), requests.data(), bytes.size());
+    }
     return bytes;
 }
 
 std::vector<RequestFingerprint> fingerprintsFrom(const std::string_view bytes)
 {
     std::vector<RequestFingerprint> requests(bytes.size() / sizeof(RequestFingerprint));
-    std::memcpy(requests.data(), bytes.data(), requests.size() * sizeof(RequestFingerprint));
+    // Of nothing there may be no address to copy from.
+    if (!requests.empty()) {
+        std::memcpy(requests.data(), bytes.data(), requests.size() * sizeof(RequestFingerprint));
+    }
     return requests;
 }
 
