One kind name, one pace mean, one processor-time reader, one roster fixture

Found on reading the whole change again; behaviour stays as it is. - KindName stood in chain_costs.hpp, learned_chains.hpp and call_graph.cpp, and ChainCosts::Stops was ChainStops once more: now manifest/kind_name.hpp and admission/chain_stops.hpp. - 'No manifest, or its kind' was written three times in the decisions: Surroundings::findKind(). - For each call the router worked out the expected time of the better near and far server twice, and each of those walked all servers of the service twice for their mean: a choice carries its expected time, and the sum of paces is kept. - Fingerprint of a cleared request made once in place of twice; checks for emptiness that a lookup in an empty map answers go. - Processor time of a process was read by four copies of the same lines: standin/fleet/processor.py. - The roster's manifest and its news stood in two test files line by line: test/fakes/roster_fleet.hpp. No assertion is changed.

--- a/src/egretlatch/admission/chain_costs.cpp
+++ b/src/egretlatch/admission/chain_costs.cpp
@@ -53,9 +53,9 @@
     return found == m_chains.end() ? Duration{} : found->second.held;
 }
 
-const ChainCosts::Stops &ChainCosts::stops(const std::string &service, const std::string &kind) const
+const ChainStops &ChainCosts::stops(const std::string &service, const std::string &kind) const
 {
-    static const Stops none;
+    static const ChainStops none;
     const auto found = m_chains.find({service, kind});
     return found == m_chains.end() ? none : found->second.stops;
 }
--- a/src/egretlatch/admission/chain_costs.hpp
+++ b/src/egretlatch/admission/chain_costs.hpp
@@ -4,9 +4,8 @@
 #include <map>
 #include <set>
 #include <string>
-#include <utility>
 
-#include <egretlatch/core/clock.hpp>
+#include <egretlatch/admission/chain_stops.hpp>
 #include <egretlatch/manifest/manifest.hpp>
 
 namespace egretlatch::admission
@@ -20,9 +19,6 @@
 class ChainCosts
 {
 public:
-    /*! @brief Longest time for which one call of a chain holds a slot, by service. */
-    using Stops = std::map<std::string, Duration>;
-
     /**
      * @brief Works out the costs.
      * @param manifest The manifest in force.
@@ -38,12 +34,12 @@
     [[nodiscard]] Duration held(const std::string &service, const std::string &kind) const;
 
     /**
-     * @brief Gives the services that a request of a kind holds slots of.
+     * @brief Gives the services that a request of a kind holds slots of, with the longest time that one call holds one.
      * @param service Service of the kind.
      * @param kind Name of the kind.
      * @return Its own service and those down its chain.
      */
-    [[nodiscard]] const Stops &stops(const std::string &service, const std::string &kind) const;
+    [[nodiscard]] const ChainStops &stops(const std::string &service, const std::string &kind) const;
 
     /**
      * @brief Gives the services that any kind of a service reaches, its own left out.
@@ -53,12 +49,10 @@
     [[nodiscard]] const std::set<std::string> &servicesBelow(const std::string &service) const;
 
 private:
-    using KindName = std::pair<std::string, std::string>;
-
     struct Chain
     {
         Duration held{};
-        Stops stops;
+        ChainStops stops;
     };
 
     const Chain &chainOf(const manifest::Manifest &manifest, const KindName &name, std::set<KindName> &open);
--- a/src/egretlatch/admission/crash_suspects.cpp
+++ b/src/egretlatch/admission/crash_suspects.cpp
@@ -42,7 +42,7 @@
 
 bool CrashSuspects::noteGood(const RequestFingerprint request)
 {
-    return !m_suspects.empty() && m_suspects.erase(request) > 0;
+    return m_suspects.erase(request) > 0;
 }
 
 int CrashSuspects::crashes(const RequestFingerprint request, const SteadyTime now) const
@@ -54,7 +54,7 @@
 
 bool CrashSuspects::isQuarantined(const RequestFingerprint request, const SteadyTime now) const
 {
-    return !m_suspects.empty() && crashes(request, now) >= internal::crashesToQuarantine;
+    return crashes(request, now) >= internal::crashesToQuarantine;
 }
 
 void CrashSuspects::forgetOld(const SteadyTime now)
--- a/src/egretlatch/admission/learned_chains.hpp
+++ b/src/egretlatch/admission/learned_chains.hpp
@@ -4,19 +4,12 @@
 #include <map>
 #include <set>
 #include <string>
-#include <utility>
 
-#include <egretlatch/core/clock.hpp>
+#include <egretlatch/admission/chain_stops.hpp>
 
 namespace egretlatch::admission
 {
 
-/*! @brief A request kind of a service. */
-using KindName = std::pair<std::string, std::string>;
-
-/*! @brief Slot time that one request takes at each service down its chain. */
-using ChainStops = std::map<std::string, Duration>;
-
 /**
  * @brief The call graph as it shows itself, for configurations that declare none.
  *
--- a/src/egretlatch/admission/whole_chain_entry.cpp
+++ b/src/egretlatch/admission/whole_chain_entry.cpp
@@ -110,7 +110,7 @@
 
 std::optional<EntryRefusal> WholeChainEntry::check(const EntryRequest &request, const SteadyTime now)
 {
-    const ChainCosts::Stops &declared = m_costs.stops(request.service, request.kind);
+    const ChainStops &declared = m_costs.stops(request.service, request.kind);
     for (const auto &[service, held] : declared) {
         if (auto refusal = checkAt(service, held, request, now)) {
             return refusal;
--- a/src/egretlatch/decision/entry_handler.cpp
+++ b/src/egretlatch/decision/entry_handler.cpp
@@ -83,7 +83,7 @@
 void EntryHandler::handleArrived(const CallArrived &arrived, const SteadyTime now)
 {
     const CallerCall &call = arrived.call;
-    const manifest::KindSpec *const kind = m_surroundings.manifest == nullptr ? nullptr : m_surroundings.manifest->findKind(call.service, call.kind);
+    const manifest::KindSpec *const kind = m_surroundings.findKind(call.service, call.kind);
     if (kind == nullptr) {
         answerMistake(arrived.exchange, call, internal::notFound, fmt::format("no service and kind {}/{} is declared", call.service, call.kind));
         return;
--- a/src/egretlatch/decision/serving_handler.cpp
+++ b/src/egretlatch/decision/serving_handler.cpp
@@ -115,7 +115,7 @@
 admission::Ticket ServingHandler::ticketOf(const ExecutionId execution, const Attempt &attempt) const
 {
     const protocol::CallRequest &request = attempt.request;
-    const manifest::KindSpec *const kind = m_surroundings.manifest == nullptr ? nullptr : m_surroundings.manifest->findKind(request.service, request.kind);
+    const manifest::KindSpec *const kind = m_surroundings.findKind(request.service, request.kind);
     return {
         .execution = execution,
         .root = request.root,
@@ -242,7 +242,7 @@
     attempt.started = now;
     --m_waiting;
     const protocol::CallRequest &request = attempt.request;
-    const manifest::KindSpec *const kind = m_surroundings.manifest == nullptr ? nullptr : m_surroundings.manifest->findKind(request.service, request.kind);
+    const manifest::KindSpec *const kind = m_surroundings.findKind(request.service, request.kind);
     m_surroundings.metrics.observe("queue_delay", request.service, now - attempt.arrived);
     m_surroundings.actions.emplace_back(StartRun{
         .execution = execution,
--- a/src/egretlatch/decision/serving_handler.hpp
+++ b/src/egretlatch/decision/serving_handler.hpp
@@ -221,6 +221,7 @@
     void abandon(ExecutionId execution, account::RefusalReason reason, SteadyTime now);
     void learn(const Attempt &attempt, const RunEnded &ended, SteadyTime now);
     void tellCrash(const std::vector<admission::RequestFingerprint> &running);
+    void clearIfSuspect(const Attempt &attempt);
     void watchForCrash(const Attempt &attempt, const RunEnded &ended, SteadyTime now);
     [[nodiscard]] admission::RequestFingerprint fingerprint(const Attempt &attempt) const;
     [[nodiscard]] std::string tokenOf(ExecutionId execution) const;
--- a/src/egretlatch/decision/serving_runs.cpp
+++ b/src/egretlatch/decision/serving_runs.cpp
@@ -101,9 +101,7 @@
 void ServingHandler::watchForCrash(const Attempt &attempt, const RunEnded &ended, const SteadyTime now)
 {
     if (std::holds_alternative<RunAnswer>(ended.result)) {
-        if (!m_surroundings.suspects.isEmpty() && m_surroundings.suspects.noteGood(fingerprint(attempt))) {
-            m_crashNews.push_back(CrashNews::ranWell(m_surroundings.self, m_surroundings.incarnation, ++m_lastCrashNews, fingerprint(attempt)));
-        }
+        clearIfSuspect(attempt);
         return;
     }
     switch (std::get<RunFailure>(ended.result)) {
@@ -118,6 +116,18 @@
     }
 }
 
+void ServingHandler::clearIfSuspect(const Attempt &attempt)
+{
+    // Fingerprints are made only while there are suspects, which is hardly ever.
+    if (m_surroundings.suspects.isEmpty()) {
+        return;
+    }
+    const admission::RequestFingerprint request = fingerprint(attempt);
+    if (m_surroundings.suspects.noteGood(request)) {
+        m_crashNews.push_back(CrashNews::ranWell(m_surroundings.self, m_surroundings.incarnation, ++m_lastCrashNews, request));
+    }
+}
+
 void ServingHandler::noteServerReplaced(const SteadyTime now)
 {
     m_paces.clear();
--- a/src/egretlatch/decision/surroundings.cpp
+++ b/src/egretlatch/decision/surroundings.cpp
@@ -20,6 +20,11 @@
     };
 }
 
+const manifest::KindSpec *Surroundings::findKind(const std::string &service, const std::string &kind) const
+{
+    return manifest == nullptr ? nullptr : manifest->findKind(service, kind);
+}
+
 void Surroundings::putInForce(const std::uint64_t version, const std::shared_ptr<const manifest::Manifest> &configuration)
 {
     // A configuration that arrives late, or again, must not undo a newer one, so only a higher version is taken.
--- a/src/egretlatch/decision/surroundings.hpp
+++ b/src/egretlatch/decision/surroundings.hpp
@@ -52,6 +52,14 @@
     [[nodiscard]] account::Refusal
     refuse(account::RefusalReason reason, const std::string &rule, std::vector<account::Figure> figures = {}, std::chrono::milliseconds retryAfter = {});
 
+    /**
+     * @brief Finds the declaration of a kind in the configuration in force.
+     * @param service Service of the kind.
+     * @param kind Name of the kind.
+     * @return The declaration, or null if there is none; valid as long as the configuration is in force.
+     */
+    [[nodiscard]] const manifest::KindSpec *findKind(const std::string &service, const std::string &kind) const;
+
     /**
      * @brief Puts a configuration in force, whole, unless the same or a newer one is.
      * @param version Its version; zero for a manifest of the settings that any accepted one replaces.
--- a/src/egretlatch/manifest/call_graph.cpp
+++ b/src/egretlatch/manifest/call_graph.cpp
@@ -7,14 +7,14 @@
 
 #include <fmt/format.h>
 
+#include <egretlatch/manifest/kind_name.hpp>
+
 namespace egretlatch::manifest
 {
 
 namespace internal
 {
 
-using KindName = std::pair<std::string, std::string>;
-
 [[nodiscard]] static bool reaches(const Manifest &manifest, const KindName &from, const KindName &goal, std::set<KindName> &seen)
 {
     if (!seen.insert(from).second) {
--- a/src/egretlatch/routing/adaptive_router.cpp
+++ b/src/egretlatch/routing/adaptive_router.cpp
@@ -109,16 +109,16 @@
     for (const DaemonId &id : candidates) {
         (m_servers.at(id).isNear ? near : far).push_back(id);
     }
-    const DaemonId *chosen = betterOfTwo(service->second, request.kind, near, now);
-    const DaemonId *const further = betterOfTwo(service->second, request.kind, far, now);
-    if (chosen == nullptr || (further != nullptr && isWorthTheWay(service->second, request.kind, *chosen, *further, now))) {
+    std::optional<Choice> chosen = betterOfTwo(service->second, request.kind, near, now);
+    const std::optional<Choice> further = betterOfTwo(service->second, request.kind, far, now);
+    if (!chosen.has_value() || (further.has_value() && isWorthTheWay(service->second, request.kind, *chosen, *further))) {
         chosen = further;
     }
-    if (chosen == nullptr) {
+    if (!chosen.has_value()) {
         return std::nullopt;
     }
-    m_servers.at(*chosen).record.begin(request.deadline);
-    return *chosen;
+    m_servers.at(chosen->id).record.begin(request.deadline);
+    return chosen->id;
 }
 
 std::vector<DaemonId> AdaptiveRouter::candidatesOf(const Service &service, const RouteRequest &request, const SteadyTime now)
@@ -139,34 +139,35 @@
     return healthy.empty() ? all : healthy;
 }
 
-std::chrono::duration<double, std::milli>
-AdaptiveRouter::expected(const Service &service, const std::string &kind, const DaemonId &id, const SteadyTime now) const
+AdaptiveRouter::Milliseconds AdaptiveRouter::expected(const Service &service, const std::string &kind, const DaemonId &id, const SteadyTime now) const
 {
     const Duration usual = std::max(service.usual.latency(kind), service.paces.mean(kind));
     const Duration shortest = std::chrono::duration_cast<Duration>(usual * internal::fastestShare);
-    const std::chrono::duration<double, std::milli> alone = std::max(usual + service.paces.excess(id, kind, now), shortest);
+    const Milliseconds alone = std::max(usual + service.paces.excess(id, kind, now), shortest);
     // Servers slow down as they fill, and beyond their slots calls wait; the square keeps all calls from one fast server.
     const double load = m_servers.at(id).record.load(now);
     // What fails has to be made again, or fails its caller.
     return alone * (1.0 + load * load) * (1.0 + internal::failingWeight * service.paces.failing(id, kind, now));
 }
 
-bool AdaptiveRouter::isWorthTheWay(const Service &service, const std::string &kind, const DaemonId &near, const DaemonId &far, const SteadyTime now) const
+bool AdaptiveRouter::isWorthTheWay(const Service &service, const std::string &kind, const Choice &near, const Choice &far)
 {
-    const std::chrono::duration<double, std::milli> way = internal::wayTime + internal::wayTimePerByte * service.usual.bytes(kind);
-    return expected(service, kind, far, now) + way < internal::worthTheWay * expected(service, kind, near, now);
+    const Milliseconds way = internal::wayTime + internal::wayTimePerByte * service.usual.bytes(kind);
+    return far.expected + way < internal::worthTheWay * near.expected;
 }
 
-const DaemonId *AdaptiveRouter::betterOfTwo(const Service &service, const std::string &kind, const std::vector<DaemonId> &candidates, const SteadyTime now)
+std::optional<AdaptiveRouter::Choice>
+AdaptiveRouter::betterOfTwo(const Service &service, const std::string &kind, const std::vector<DaemonId> &candidates, const SteadyTime now)
 {
     if (candidates.empty()) {
-        return nullptr;
+        return std::nullopt;
     }
     const std::size_t first = m_random.below(candidates.size());
     const std::size_t step = candidates.size() == 1 ? 0 : 1 + m_random.below(candidates.size() - 1);
     const std::size_t second = (first + step) % candidates.size();
-    const bool isSecondBetter = expected(service, kind, candidates[second], now) < expected(service, kind, candidates[first], now);
-    return &candidates[isSecondBetter ? second : first];
+    const Milliseconds atFirst = expected(service, kind, candidates[first], now);
+    const Milliseconds atSecond = expected(service, kind, candidates[second], now);
+    return atSecond < atFirst ? Choice{.id = candidates[second], .expected = atSecond} : Choice{.id = candidates[first], .expected = atFirst};
 }
 
 void AdaptiveRouter::noteResult(const DaemonId &daemon, const AttemptResult &result, const SteadyTime now)
--- a/src/egretlatch/routing/adaptive_router.hpp
+++ b/src/egretlatch/routing/adaptive_router.hpp
@@ -34,6 +34,15 @@
     void notePaces(const DaemonId &daemon, const std::vector<admission::KindPace> &paces, SteadyTime now) override;
 
 private:
+    using Milliseconds = std::chrono::duration<double, std::milli>;
+
+    /*! @brief A server that a call may go to, and when its answer is expected. */
+    struct Choice
+    {
+        DaemonId id;
+        Milliseconds expected{};
+    };
+
     struct Server
     {
         Incarnation incarnation;
@@ -51,9 +60,9 @@
     };
 
     [[nodiscard]] std::vector<DaemonId> candidatesOf(const Service &service, const RouteRequest &request, SteadyTime now);
-    [[nodiscard]] std::chrono::duration<double, std::milli> expected(const Service &service, const std::string &kind, const DaemonId &id, SteadyTime now) const;
-    [[nodiscard]] bool isWorthTheWay(const Service &service, const std::string &kind, const DaemonId &near, const DaemonId &far, SteadyTime now) const;
-    [[nodiscard]] const DaemonId *betterOfTwo(const Service &service, const std::string &kind, const std::vector<DaemonId> &candidates, SteadyTime now);
+    [[nodiscard]] Milliseconds expected(const Service &service, const std::string &kind, const DaemonId &id, SteadyTime now) const;
+    [[nodiscard]] static bool isWorthTheWay(const Service &service, const std::string &kind, const Choice &near, const Choice &far);
+    [[nodiscard]] std::optional<Choice> betterOfTwo(const Service &service, const std::string &kind, const std::vector<DaemonId> &candidates, SteadyTime now);
     [[nodiscard]] bool isFailure(const Service &service, const AttemptResult &result) const;
     void ejectOutlier(const Service &service, const DaemonId &daemon, SteadyTime now);
     void takeMember(const membership::Member &member, const std::string &ownDataCentre, SteadyTime now);
--- a/src/egretlatch/routing/server_paces.cpp
+++ b/src/egretlatch/routing/server_paces.cpp
@@ -20,13 +20,25 @@
     if (m_kinds.size() >= internal::mostKinds && !m_kinds.contains(pace.kind)) {
         m_kinds.clear();
     }
-    m_kinds[pace.kind].insert_or_assign(server, Told{.own = pace.own, .failing = pace.failing, .at = now});
+    Kind &kind = m_kinds[pace.kind];
+    remove(kind, server);
+    kind.servers.emplace(server, Told{.own = pace.own, .failing = pace.failing, .at = now});
+    kind.total += pace.own;
 }
 
 void ServerPaces::forget(const DaemonId &server)
 {
-    for (auto &[kind, servers] : m_kinds) {
-        servers.erase(server);
+    for (auto &[name, kind] : m_kinds) {
+        remove(kind, server);
+    }
+}
+
+void ServerPaces::remove(Kind &kind, const DaemonId &server)
+{
+    const auto found = kind.servers.find(server);
+    if (found != kind.servers.end()) {
+        kind.total -= found->second.own;
+        kind.servers.erase(found);
     }
 }
 
@@ -44,12 +56,12 @@
 
 const ServerPaces::Told *ServerPaces::find(const DaemonId &server, const std::string &kind) const
 {
-    const auto servers = m_kinds.find(kind);
-    if (servers == m_kinds.end()) {
+    const auto found = m_kinds.find(kind);
+    if (found == m_kinds.end()) {
         return nullptr;
     }
-    const auto found = servers->second.find(server);
-    return found == servers->second.end() ? nullptr : &found->second;
+    const auto told = found->second.servers.find(server);
+    return told == found->second.servers.end() ? nullptr : &told->second;
 }
 
 double ServerPaces::weight(const Told &told, const SteadyTime now)
@@ -60,14 +72,10 @@
 Duration ServerPaces::mean(const std::string &kind) const
 {
     const auto found = m_kinds.find(kind);
-    if (found == m_kinds.end() || found->second.empty()) {
+    if (found == m_kinds.end() || found->second.servers.empty()) {
         return {};
     }
-    Duration sum{};
-    for (const auto &[server, told] : found->second) {
-        sum += told.own;
-    }
-    return sum / static_cast<int>(found->second.size());
+    return found->second.total / static_cast<int>(found->second.servers.size());
 }
 
 } // namespace egretlatch::routing
--- a/src/egretlatch/routing/server_paces.hpp
+++ b/src/egretlatch/routing/server_paces.hpp
@@ -71,7 +71,16 @@
     [[nodiscard]] const Told *find(const DaemonId &server, const std::string &kind) const;
     [[nodiscard]] static double weight(const Told &told, SteadyTime now);
 
-    std::map<std::string, std::map<DaemonId, Told>> m_kinds;
+    struct Kind
+    {
+        std::map<DaemonId, Told> servers;
+        /*! @brief Sum of the servers' own times: the mean is asked for with each server that is weighed for a call. */
+        Duration total{};
+    };
+
+    static void remove(Kind &kind, const DaemonId &server);
+
+    std::map<std::string, Kind> m_kinds;
 };
 
 } // namespace egretlatch::routing
--- a/standin/fleet/day.py
+++ b/standin/fleet/day.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import json
-import os
 import pathlib
 import random
 import signal
@@ -11,10 +10,10 @@
 
 from .client import Client
 from .fleet import Fleet, configuration, route
+from .processor import processor_seconds
 from .server import Fault
 
 HOST = "day.example"
-TICKS = os.sysconf("SC_CLK_TCK")
 REFUSALS = (429, 503)
 
 
@@ -154,12 +153,7 @@
         return self.random.sample(vms, max(1, round(len(vms) * event.get("share", 0.5))))
 
     def processor_seconds(self):
-        total = 0
-        for vm in self.fleet.vms:
-            if vm.process.poll() is None:
-                fields = pathlib.Path(f"/proc/{vm.process.pid}/stat").read_text().rsplit(")", 1)[1].split()
-                total += int(fields[11]) + int(fields[12])
-        return total / TICKS
+        return sum(processor_seconds(vm.process.pid) for vm in self.fleet.vms if vm.process.poll() is None)
 
     def result(self, processor_seconds):
         runs = collections.Counter()
--- a/test/egretlatch/decision/core.cpp
+++ b/test/egretlatch/decision/core.cpp
@@ -4,6 +4,7 @@
 
 #include <fakes/counting_metrics.hpp>
 #include <fakes/manual_clock.hpp>
+#include <fakes/roster_fleet.hpp>
 
 #include <egretlatch/decision/core.hpp>
 
@@ -20,19 +21,10 @@
 [[nodiscard]] std::shared_ptr<const manifest::Manifest> rosterManifest()
 {
     manifest::KindSpec read;
-    read.name = "read";
     read.priority = 5;
     read.worth = 1;
     read.deadline = std::chrono::milliseconds{1000};
-    manifest::KindSpec entry = read;
-    entry.name = "entry";
-    entry.idempotent = false;
-    manifest::ServiceSpec service;
-    service.name = "roster";
-    service.slots = 2;
-    service.connections = 10;
-    service.kinds = {read, entry};
-    return manifest::ManifestBuilder{}.addService(service).build();
+    return fakes::rosterManifest(read);
 }
 
 // One entry daemon that knows of two serving daemons, `left` and `right`.
@@ -45,19 +37,7 @@
         self.incarnation = selfLife;
         core = CoreBuilder{clock, random, metrics}.setSelf(self).setUnownedKeys(retry::UnownedKeys::entryMemory).build();
         static_cast<void>(core->handle(ManifestChanged{.version = 1, .manifest = rosterManifest()}));
-        protocol::Gossip gossip;
-        for (const char *const name : {"left", "right"}) {
-            membership::Member member;
-            member.id = {name};
-            member.incarnation = peerLife;
-            member.revision = 1;
-            member.state = membership::MemberState::serving;
-            member.service = "roster";
-            member.slots = 2;
-            member.endpoint = "tcp://peer";
-            gossip.members.push_back(member);
-        }
-        static_cast<void>(handleFrom("left", gossip));
+        static_cast<void>(handleFrom("left", fakes::rosterNews({"left", "right"}, peerLife)));
     }
 
     Actions handleFrom(const std::string &sender, const protocol::Message &message)
--- a/test/egretlatch/decision/entry_rules.cpp
+++ b/test/egretlatch/decision/entry_rules.cpp
@@ -4,6 +4,7 @@
 
 #include <fakes/counting_metrics.hpp>
 #include <fakes/manual_clock.hpp>
+#include <fakes/roster_fleet.hpp>
 
 #include <egretlatch/decision/core.hpp>
 
@@ -21,18 +22,9 @@
 [[nodiscard]] std::shared_ptr<const manifest::Manifest> rosterManifest()
 {
     manifest::KindSpec read;
-    read.name = "read";
     read.deadline = 1000ms;
     read.retryBudget = 1;
-    manifest::KindSpec entry = read;
-    entry.name = "entry";
-    entry.idempotent = false;
-    manifest::ServiceSpec service;
-    service.name = "roster";
-    service.slots = 2;
-    service.connections = 10;
-    service.kinds = {read, entry};
-    return manifest::ManifestBuilder{}.addService(service).build();
+    return fakes::rosterManifest(read);
 }
 
 // One entry daemon that counts only what reaches a backend server, and three serving daemons.
@@ -49,19 +41,7 @@
                    .setEntryRules({.countsOnlyArrivals = true, .retrySlack = slack, .traces = false})
                    .build();
         static_cast<void>(core->handle(ManifestChanged{.version = 1, .manifest = rosterManifest()}));
-        protocol::Gossip gossip;
-        for (const char *const name : {"left", "middle", "right"}) {
-            membership::Member member;
-            member.id = {name};
-            member.incarnation = peerLife;
-            member.revision = 1;
-            member.state = membership::MemberState::serving;
-            member.service = "roster";
-            member.slots = 2;
-            member.endpoint = "tcp://peer";
-            gossip.members.push_back(member);
-        }
-        static_cast<void>(handleFrom({"left"}, gossip));
+        static_cast<void>(handleFrom({"left"}, fakes::rosterNews({"left", "middle", "right"}, peerLife)));
         // The part of the fleet's slack that is this daemon's is known from then on.
         static_cast<void>(core->handle(Tick{}));
     }
