The end of a shutdown follows its grace and the routes, so no request is cut off

Ruled out: the links and the server (no fault on either at that time), a second SIGTERM. The door closes with the end of the notice.

--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -181,6 +181,11 @@
     if (draining.isShutdown) {
         m_isShuttingDown = true;
         m_entry->drain();
+        // What came by the door later than callers are served would outlast the process.
+        if (m_doorClosesAt.has_value()) {
+            m_doorClosesAt = now;
+            tickDoor(now);
+        }
     }
     if (m_isDraining) {
         // The server's own word, after the signal, may leave it less time.
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -12,6 +12,7 @@
 #include <egretlatch/platform/names.hpp>
 #include <egretlatch/platform/server_report.hpp>
 #include <egretlatch/sidecar/gauges.hpp>
+#include <egretlatch/sidecar/leaving_times.hpp>
 
 namespace egretlatch::sidecar
 {
@@ -20,12 +21,6 @@
 {
 
 constexpr std::chrono::milliseconds houseInterval{100};
-// After the signal to end, callers are still sent here until the platform has asked twice, a second apart, and got no good
-// answer; what they send meanwhile is served. The server beside this daemon goes on, so its door stays open as long for
-// daemons that know of no other.
-constexpr std::chrono::milliseconds noticeTime{2300};
-// Kept from the time that the platform gives, so that the process ends by itself.
-constexpr std::chrono::milliseconds graceMargin{900};
 // Part of what the fleet may repeat that daemons use; the rest is for what they count differently than its servers: daemons
 // that start anew, and calls that never arrive. While two of three servers of the deepest service lost answers, 0.9 in place
 // of 0.5 took the served worth of those four seconds from 0.54 to 0.59.
@@ -142,7 +137,8 @@
     builder.setEntryRules({.countsOnlyArrivals = true, .retrySlack = m_bounds.retrySlack * internal::usedShareOfRetries, .traces = false});
     builder.setDoorTimes({
         .afterReport = internal::doorShare * m_bounds.drain / internal::hundredths,
-        .afterSignal = internal::noticeTime,
+        // The server beside this daemon goes on, so the door stays open for daemons that know of no other.
+        .afterSignal = leavingTimesOf(m_bounds.grace, {}).notice,
         .lastStart = internal::lastStartShare * m_bounds.drain / internal::hundredths,
     });
     daemon::applyPolicy(m_settings.policy, m_random, builder, internal::gateRules);
@@ -282,15 +278,30 @@
         return;
     }
     const Duration drained = m_clock.steadyNow() - *m_drainSince;
-    if (!m_isShuttingDown && drained >= internal::noticeTime) {
+    const LeavingTimes times = leavingTimesOf(m_bounds.grace, longestTimeout());
+    if (!m_isShuttingDown && drained >= times.notice) {
         m_isShuttingDown = true;
         post(decision::ServerDraining{.isShutdown = true, .isSignal = true});
     }
-    if (drained >= m_bounds.grace - internal::graceMargin) {
+    if (drained >= times.end) {
         endNow("the time to drain is over");
     }
 }
 
+std::chrono::milliseconds Sidecar::longestTimeout() const
+{
+    std::chrono::milliseconds longest{};
+    if (m_core->manifest() == nullptr) {
+        return longest;
+    }
+    for (const manifest::ServiceSpec &service : m_core->manifest()->services()) {
+        for (const manifest::KindSpec &kind : service.kinds) {
+            longest = std::max(longest, kind.deadline);
+        }
+    }
+    return longest;
+}
+
 void Sidecar::takeReport(const ExchangeId exchange, const http::Request &request)
 {
     const Result<platform::ServerReport> report = platform::readServerReport(request);
--- a/src/egretlatch/sidecar/sidecar.hpp
+++ b/src/egretlatch/sidecar/sidecar.hpp
@@ -70,6 +70,7 @@
     void rearm();
     void tick();
     void keepHouse();
+    [[nodiscard]] std::chrono::milliseconds longestTimeout() const;
     void takeReport(ExchangeId exchange, const http::Request &request);
     void answerProbe(ExchangeId exchange, const http::Request &request);
     [[nodiscard]] bool isReady() const;
