Requests of one connection run beside one another and are answered in order

Change: http::AnswerQueue keeps the requests of a connection in their order and the answers that wait for their turn. Idempotent requests start when they are read. One that must not be repeated runs alone: were an answer ahead of it to end the connection, its caller would take it as not read and send it again, whatever its kind. At most 32 requests and 256 KB of answers and bodies a connection, then reading stops; a caller that leaves meanwhile is seen all the same. A half-closed connection is taken as one that has gone, as before.

--- a/src/egretlatch/http/reader.cpp
+++ b/src/egretlatch/http/reader.cpp
@@ -68,7 +68,7 @@
 template<typename Message>
 void Reader<Message>::feed(const QByteArray &bytes)
 {
-    m_rest.append(bytes);
+    keep(bytes);
     advance();
 }
 
--- a/src/egretlatch/http/reader.hpp
+++ b/src/egretlatch/http/reader.hpp
@@ -69,6 +69,15 @@
      */
     void feed(const QByteArray &bytes);
 
+    /**
+     * @brief Keeps bytes without reading on.
+     * @param bytes What came in.
+     */
+    void keep(const QByteArray &bytes)
+    {
+        m_rest.append(bytes);
+    }
+
     /*! @brief Takes the end of the connection, which may be the end of a message without a length. */
     void finish();
 
@@ -88,6 +97,12 @@
         return !m_rest.isEmpty();
     }
 
+    /*! @brief Bytes that are kept. */
+    [[nodiscard]] qsizetype restBytes() const noexcept
+    {
+        return m_rest.size();
+    }
+
     /*! @brief Whether the header that has been read asks to be told to go on before the body is sent. */
     [[nodiscard]] bool expectsContinue() const;
 
--- a/src/egretlatch/http/server.cpp
+++ b/src/egretlatch/http/server.cpp
@@ -24,7 +24,7 @@
     m_limits = limits;
 }
 
-void Server::answer(const ExchangeId exchange, const Response &response)
+void Server::answer(const ExchangeId exchange, Response response)
 {
     const auto found = m_awaiting.find(exchange);
     if (found == m_awaiting.end()) {
@@ -32,7 +32,7 @@
     }
     ServerConnection *const connection = found->second;
     m_awaiting.erase(found);
-    connection->answer(response);
+    connection->answer(exchange, std::move(response));
 }
 
 void Server::retire()
@@ -80,18 +80,27 @@
     m_connections.emplace(key, std::move(connection));
 }
 
-void Server::onRequest(ServerConnection &connection, Request request)
+bool Server::mayOverlap(const Request &request) const
+{
+    return m_overlapRule && m_overlapRule(request);
+}
+
+ExchangeId Server::begin(ServerConnection &connection)
 {
     ++m_lastExchange.value;
-    connection.exchange = m_lastExchange;
     m_awaiting.emplace(m_lastExchange, &connection);
-    m_onRequest(m_lastExchange, std::move(request));
+    return m_lastExchange;
+}
+
+void Server::onRequest(const ExchangeId exchange, Request request, const SteadyTime readAt)
+{
+    m_onRequest(exchange, std::move(request), readAt);
 }
 
-void Server::onAbandoned(ServerConnection &connection)
+void Server::onAbandoned(const ExchangeId exchange)
 {
-    m_awaiting.erase(connection.exchange);
-    m_onAbandoned(connection.exchange);
+    m_awaiting.erase(exchange);
+    m_onAbandoned(exchange);
 }
 
 void Server::onClosed(ServerConnection &connection)
--- a/src/egretlatch/http/server.hpp
+++ b/src/egretlatch/http/server.hpp
@@ -17,8 +17,9 @@
 class Server final : public ServerConnectionListener
 {
 public:
-    using RequestHandler = std::function<void(ExchangeId exchange, Request request)>;
+    using RequestHandler = std::function<void(ExchangeId exchange, Request request, SteadyTime readAt)>;
     using AbandonedHandler = std::function<void(ExchangeId exchange)>;
+    using OverlapRule = std::function<bool(const Request &request)>;
 
     /**
      * @brief Builds a server that does not listen yet.
@@ -42,12 +43,21 @@
      */
     void setLimits(const ServerLimits &limits);
 
+    /**
+     * @brief Sets which requests of a connection may run beside one another; without a rule, none.
+     * @param rule Tells it of one request.
+     */
+    void setOverlapRule(OverlapRule rule)
+    {
+        m_overlapRule = std::move(rule);
+    }
+
     /**
      * @brief Answers; a caller that has gone is passed over.
      * @param exchange The request.
      * @param response The answer.
      */
-    void answer(ExchangeId exchange, const Response &response);
+    void answer(ExchangeId exchange, Response response);
 
     /*! @brief From now on each connection ends with its next answer; new ones are still taken. */
     void retire();
@@ -64,8 +74,10 @@
     }
 
 private:
-    void onRequest(ServerConnection &connection, Request request) override;
-    void onAbandoned(ServerConnection &connection) override;
+    [[nodiscard]] bool mayOverlap(const Request &request) const override;
+    [[nodiscard]] ExchangeId begin(ServerConnection &connection) override;
+    void onRequest(ExchangeId exchange, Request request, SteadyTime readAt) override;
+    void onAbandoned(ExchangeId exchange) override;
     void onClosed(ServerConnection &connection) override;
     void accept(int descriptor);
 
@@ -73,6 +85,7 @@
     const Clock &m_clock;
     RequestHandler m_onRequest;
     AbandonedHandler m_onAbandoned;
+    OverlapRule m_overlapRule;
     net::TcpAcceptor m_acceptor;
     ServerLimits m_limits;
     std::unordered_map<ServerConnection *, std::unique_ptr<ServerConnection>> m_connections;
--- a/src/egretlatch/http/server_connection.hpp
+++ b/src/egretlatch/http/server_connection.hpp
@@ -6,6 +6,7 @@
 
 #include <egretlatch/core/clock.hpp>
 #include <egretlatch/core/ids.hpp>
+#include <egretlatch/http/answer_queue.hpp>
 #include <egretlatch/http/reader.hpp>
 #include <egretlatch/net/tcp_stream.hpp>
 
@@ -22,6 +23,7 @@
     std::chrono::milliseconds headerTimeout{5000};
     /*! @brief Without a request. */
     std::chrono::milliseconds idleTimeout{30'000};
+    PipelineLimits pipeline;
 
     friend bool operator==(const ServerLimits &, const ServerLimits &) = default;
 };
@@ -32,20 +34,39 @@
 public:
     virtual ~ServerConnectionListener() = default;
 
-    /*! @brief A whole request came; one answer() is to follow. */
-    virtual void onRequest(ServerConnection &connection, Request request) = 0;
+    /**
+     * @brief Tells whether a request may run beside others of its connection.
+     * @param request The request.
+     */
+    [[nodiscard]] virtual bool mayOverlap(const Request &request) const = 0;
 
-    /*! @brief The caller went away before it was answered. */
-    virtual void onAbandoned(ServerConnection &connection) = 0;
+    /**
+     * @brief Gives a number for the next request.
+     * @param connection Where it came.
+     */
+    [[nodiscard]] virtual ExchangeId begin(ServerConnection &connection) = 0;
+
+    /**
+     * @brief A whole request is to be run; one answer() is to follow.
+     * @param exchange Its number.
+     * @param request The request.
+     * @param readAt When its last bytes were read.
+     */
+    virtual void onRequest(ExchangeId exchange, Request request, SteadyTime readAt) = 0;
+
+    /*! @brief The caller went away before a request was answered, or will not see its answer. */
+    virtual void onAbandoned(ExchangeId exchange) = 0;
 
     /*! @brief The connection is over and may be destroyed once the call stack has unwound. */
     virtual void onClosed(ServerConnection &connection) = 0;
 };
 
 /**
- * @brief One caller's connection: one request at a time, answered in order.
+ * @brief One caller's connection: requests that may overlap run beside one another, all are answered in order.
  *
- * The end of the connection is seen while a request is under way, so that what nobody waits for can be given up.
+ * The end of the connection is seen while requests are under way, so that what nobody waits for can be given up. A caller
+ * that ends only its own half is taken as gone, since nothing tells it from one that has closed. What comes behind the
+ * request or the answer that ends the connection is never run: the caller sends it again.
  */
 class ServerConnection final : private net::StreamListener
 {
@@ -61,16 +82,14 @@
     ServerConnection(net::Poller &poller, ServerConnectionListener &listener, int descriptor, const ServerLimits &limits, const Clock &clock);
 
     /**
-     * @brief Answers the request that is under way.
+     * @brief Answers a request that is under way; the answer goes out when those ahead of it have.
+     * @param exchange The request.
      * @param response The answer.
      */
-    void answer(const Response &response);
+    void answer(ExchangeId exchange, Response response);
 
-    /*! @brief Closes after the request that is under way; a connection without one is told so with its next answer. */
-    void retire() noexcept
-    {
-        m_isRetiring = true;
-    }
+    /*! @brief Takes no more requests and closes after those that are under way; a connection without one takes what comes next and then closes. */
+    void retire();
 
     /*! @brief Ends the connection if the caller takes too long; to be called now and then. */
     void checkTimes();
@@ -78,32 +97,40 @@
     /*! @brief Closes at once, whatever is under way. */
     void close();
 
-    /*! @brief Whether a request has been read and not been answered. */
-    [[nodiscard]] bool isAwaitingAnswer() const noexcept
-    {
-        return m_isAwaitingAnswer;
-    }
-
     /*! @brief Whether nothing of a request has come and nothing of an answer waits to be sent. */
     [[nodiscard]] bool isIdle() const noexcept
     {
-        return !m_isAwaitingAnswer && m_reader.state() == ReadState::waiting && m_stream.unsentBytes() == 0;
+        return m_queue.isEmpty() && !m_held.has_value() && m_reader.state() == ReadState::waiting && m_stream.unsentBytes() == 0;
     }
 
-    /*! @brief Number of the request that is under way. */
-    ExchangeId exchange;
-
 private:
     void onOpen() override
     {
     }
     void onBytes(const QByteArray &bytes) override;
+    void onDrained() override
+    {
+        proceed();
+    }
     void onEnd(net::StreamEnd end) override;
-    void handOver();
-    void refuseUnreadable();
-    void endAfter(const Response &response);
+    void proceed();
+    [[nodiscard]] bool startNext();
+    [[nodiscard]] bool readNext();
+    void refuse(int status);
+    void takeNoMore();
+    [[nodiscard]] bool sendNext();
+    void endAfter(Response response);
+    void updateReading();
     void over();
 
+    /*! @brief A request that has been read and has to wait for those ahead of it. */
+    struct HeldRequest
+    {
+        Request request;
+        SteadyTime readAt;
+        bool mayOverlap{};
+    };
+
     ServerConnectionListener &m_listener;
     ServerLimits m_limits;
     RequestReader m_reader;
@@ -111,9 +138,14 @@
     const Clock &m_clock;
     /*! @brief When the connection fell idle, or the first byte of a request came, or the last answer was sent. */
     SteadyTime m_since;
-    bool m_isAwaitingAnswer{};
-    bool m_keepsConnection{true};
+    /*! @brief When bytes last came. */
+    SteadyTime m_readAt;
+    AnswerQueue m_queue;
+    std::optional<HeldRequest> m_held;
+    /*! @brief The last answer of the queue ends the connection. */
+    bool m_takesNoMore{};
     bool m_isRetiring{};
+    bool m_isProceeding{};
     /*! @brief The last answer is on its way and the caller is to close. */
     bool m_isEnding{};
     bool m_isOver{};
--- a/src/egretlatch/net/tcp_stream.cpp
+++ b/src/egretlatch/net/tcp_stream.cpp
@@ -124,6 +124,14 @@
     }
     if ((events & EPOLLOUT) != 0U) {
         flush();
+        if (m_unsent.isEmpty()) {
+            m_listener.onDrained();
+        }
+    }
+    if (m_descriptor >= 0 && !m_isReading && (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0U) {
+        // Nobody wants the bytes before the end, and left unread it would be told of again and again.
+        end(StreamEnd::broken);
+        return;
     }
     if (m_descriptor >= 0 && (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0U) {
         readAvailable();
--- a/src/egretlatch/net/tcp_stream.hpp
+++ b/src/egretlatch/net/tcp_stream.hpp
@@ -36,6 +36,11 @@
      */
     virtual void onBytes(const QByteArray &bytes) = 0;
 
+    /*! @brief All that was written has been taken by the machine, after it had to wait. */
+    virtual void onDrained()
+    {
+    }
+
     /**
      * @brief The other side's half ended; nothing more comes.
      * @param end How.
@@ -78,7 +83,7 @@
      */
     void write(const QByteArray &bytes);
 
-    /*! @brief Stops or resumes reading; while stopped, the other side is held back by its window. */
+    /*! @brief Stops or resumes reading; while stopped, the other side is held back by its window, and its end is told as a break. */
     void setReading(bool isReading);
 
     /*! @brief Ends this side's half once everything is sent; the other side may go on sending. */
--- a/src/egretlatch/sidecar/caller_front.cpp
+++ b/src/egretlatch/sidecar/caller_front.cpp
@@ -11,6 +11,8 @@
 {
 
 constexpr int notFound = 404;
+// A call whose time is over is refused by the decisions, like any other that comes too late.
+constexpr std::chrono::milliseconds shortestTimeout{1};
 // A daemon without a configuration has one within a second of reaching the store or another daemon.
 constexpr std::chrono::milliseconds retryWithoutConfiguration{1000};
 
@@ -37,19 +39,23 @@
 } // namespace internal
 
 CallerFront::CallerFront(net::Poller &poller, const Clock &clock, RandomSource &random, std::string service, EventHandler onEvent)
-    : m_service{std::move(service)}
+    : m_clock{clock}
+    , m_service{std::move(service)}
     , m_onEvent{std::move(onEvent)}
     , m_targets{random}
     , m_server{poller,
                clock,
-               [this](const ExchangeId exchange, http::Request request) {
-                   take(exchange, std::move(request));
+               [this](const ExchangeId exchange, http::Request request, const SteadyTime readAt) {
+                   take(exchange, std::move(request), readAt);
                },
                [this](const ExchangeId exchange) {
                    m_names.erase(exchange);
                    m_onEvent(decision::CallerGone{.exchange = exchange});
                }}
 {
+    m_server.setOverlapRule([this](const http::Request &request) {
+        return mayOverlap(request);
+    });
 }
 
 void CallerFront::setManifest(std::shared_ptr<const manifest::Manifest> manifest)
@@ -60,6 +66,7 @@
         .read = {.headerBytes = limits.headerBytes, .bodyBytes = limits.bodyBytes},
         .headerTimeout = limits.headerTimeout,
         .idleTimeout = limits.idleTimeout,
+        .pipeline = {},
     });
 }
 
@@ -74,7 +81,19 @@
     m_server.answer(order.exchange, platform::writeAnswer(order.answer, name));
 }
 
-void CallerFront::take(const ExchangeId exchange, http::Request request)
+bool CallerFront::mayOverlap(const http::Request &request) const
+{
+    const platform::CallerRequest caller = platform::readCaller(request);
+    const manifest::RouteSpec *const route = m_manifest == nullptr ? nullptr : m_manifest->findRoute(caller.host, caller.path);
+    if (route == nullptr) {
+        return true;
+    }
+    return std::all_of(route->targets.begin(), route->targets.end(), [this, route](const manifest::RouteTarget &target) {
+        return m_manifest->findKind(target.service, route->kind)->idempotent;
+    });
+}
+
+void CallerFront::take(const ExchangeId exchange, http::Request request, const SteadyTime readAt)
 {
     platform::CallerRequest caller = platform::readCaller(request);
     m_names.emplace(exchange, caller.name);
@@ -97,7 +116,9 @@
     call.requestName = std::move(caller.name);
     call.parentName = std::move(caller.parentName);
     const manifest::KindSpec *const kind = m_manifest->findKind(call.service, call.kind);
-    call.timeout = std::min(caller.patience.value_or(kind->deadline), kind->deadline);
+    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.steadyNow() - readAt);
+    // One that waited behind others until its time was over is told so as one that did not run.
+    call.timeout = std::max(std::min(caller.patience.value_or(kind->deadline), kind->deadline) - waited, internal::shortestTimeout);
     m_onEvent(decision::CallArrived{.exchange = exchange, .call = std::move(call)});
 }
 
--- a/src/egretlatch/sidecar/caller_front.hpp
+++ b/src/egretlatch/sidecar/caller_front.hpp
@@ -55,8 +55,10 @@
     }
 
 private:
-    void take(ExchangeId exchange, http::Request request);
+    void take(ExchangeId exchange, http::Request request, SteadyTime readAt);
+    [[nodiscard]] bool mayOverlap(const http::Request &request) const;
 
+    const Clock &m_clock;
     std::string m_service;
     EventHandler m_onEvent;
     routing::WeightedTargets m_targets;
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -85,19 +85,19 @@
               }}
     , m_readiness{m_poller,
                   m_clock,
-                  [this](const ExchangeId exchange, const http::Request &request) {
+                  [this](const ExchangeId exchange, const http::Request &request, SteadyTime /*readAt*/) {
                       answerProbe(exchange, request);
                   },
                   [](ExchangeId /*exchange*/) {}}
     , m_metricsServer{m_poller,
                       m_clock,
-                      [this](const ExchangeId exchange, const http::Request &request) {
+                      [this](const ExchangeId exchange, const http::Request &request, SteadyTime /*readAt*/) {
                           m_metricsServer.answer(exchange, request.target == internal::metricsPath ? metricsPage() : http::bareResponse(internal::notFound));
                       },
                       [](ExchangeId /*exchange*/) {}}
     , m_reports{m_poller,
                 m_clock,
-                [this](const ExchangeId exchange, const http::Request &request) {
+                [this](const ExchangeId exchange, const http::Request &request, SteadyTime /*readAt*/) {
                     takeReport(exchange, request);
                 },
                 [](ExchangeId /*exchange*/) {}}
--- a/standin/fleet/client.py
+++ b/standin/fleet/client.py
@@ -1,4 +1,4 @@
-"""Clients: one request at a time, with their own retries, and a record of how each ended."""
+"""Clients: one request at a time or several on one connection, and a record of how each ended."""
 
 import asyncio
 import time
@@ -17,6 +17,45 @@
         self.seconds = seconds
 
 
+def request_bytes(name, host, path, method="GET", body=b"", patience=5.0, fields=None):
+    """Gives the bytes of a request that says how many seconds its caller waits."""
+    head = {"Host": host, "X-Request-Id": name, "X-Deadline-Ms": int(patience * 1000), **(fields or {})}
+    return wire.encode(f"{method} {path} HTTP/1.1", head, body)
+
+
+class Pipeline:
+    """Sends requests on one connection without waiting for answers; each answer is one request's, in their order."""
+
+    def __init__(self, outbound):
+        self.host, self.port = outbound.split(":")
+        self.names = []
+
+    async def send(self, requests):
+        """Sends requests, each the arguments of request_bytes(), in one go; opens the connection for the first."""
+        if not self.names:
+            self.reader, self.writer = await asyncio.open_connection(self.host, int(self.port))
+        self.names += [arguments[0] for arguments in requests]
+        self.began = time.monotonic()
+        self.writer.write(b"".join(request_bytes(*arguments) for arguments in requests))
+
+    async def receive(self, patience=5.0):
+        """Gives the answers until each request has one or the connection ends."""
+        answers = []
+        while self.names:
+            try:
+                message = await asyncio.wait_for(wire.read_message(self.reader), patience)
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+                message = None
+            if message is None:
+                break
+            seconds = time.monotonic() - self.began
+            answers.append(Answer(self.names.pop(0), message.status, message.fields, message.body, seconds))
+        return answers
+
+    def close(self):
+        self.writer.close()
+
+
 class Client:
     """Keeps one connection to a daemon and opens a new one where the daemon closed it."""
 
@@ -31,8 +70,7 @@
         try:
             if self.writer is None:
                 self.reader, self.writer = await asyncio.open_connection(self.host, int(self.port))
-            self.writer.write(wire.encode(f"{method} {path} HTTP/1.1", {
-                "Host": host, "X-Request-Id": name, "X-Deadline-Ms": int(patience * 1000), **(fields or {})}, body))
+            self.writer.write(request_bytes(name, host, path, method, body, patience, fields))
             answer = await asyncio.wait_for(wire.read_message(self.reader), leaves or patience)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             answer = None
--- a/test/egretlatch/http/connections.cpp
+++ b/test/egretlatch/http/connections.cpp
@@ -217,7 +217,7 @@
     std::vector<ExchangeId> abandoned;
     Server server{poller,
                   clock,
-                  [&requests](const ExchangeId exchange, const Request & /*request*/) {
+                  [&requests](const ExchangeId exchange, const Request & /*request*/, SteadyTime /*readAt*/) {
                       requests.push_back(exchange);
                   },
                   [&abandoned](const ExchangeId exchange) {
