Roots of one rank are ordered by what they cost as a whole at a service

Cause: the platform's configuration gives a rank and no worth, so a direct root of the deepest service and an inner call of a root of the same rank were of one class there, and inner calls are kept: direct roots gave way. Change: routes of one rank are worth the same, and the density of a root at a service is taken over all of its calls there. The entry knows that from the learned chain, and it goes along with the root's calls (RootCosts), so that all daemons put a root in one class. Classes are octaves of density, not half octaves. Found on the way: a chain told by the server that answered last made a kind's cost jump with that server's speed, and one told before the service below was known made it look 30 times too cheap; told costs are a mean now, which begins with what is known.

--- a/src/egretlatch/admission/entry_control.hpp
+++ b/src/egretlatch/admission/entry_control.hpp
@@ -11,6 +11,7 @@
 #include <egretlatch/admission/load_report.hpp>
 #include <egretlatch/admission/noted_level.hpp>
 #include <egretlatch/admission/rank.hpp>
+#include <egretlatch/admission/root_costs.hpp>
 #include <egretlatch/core/clock.hpp>
 #include <egretlatch/core/ids.hpp>
 #include <egretlatch/core/uuid.hpp>
@@ -96,9 +97,19 @@
      * @param service Service that is called.
      * @param kind Kind that is called.
      * @param rank Rank of the root.
+     * @param costs What the root takes at each service, where that goes along with its calls.
      * @return The class.
      */
-    [[nodiscard]] virtual RankClass classAt(const std::string &service, const std::string &kind, const Rank &rank) const = 0;
+    [[nodiscard]] virtual RankClass classAt(const std::string &service, const std::string &kind, const Rank &rank, const RootCosts &costs) const = 0;
+
+    /**
+     * @brief Gives what a root of a kind takes at each service, to go along with its calls.
+     * @return Empty where it is declared, or nothing is known.
+     */
+    [[nodiscard]] virtual RootCosts costsOf(const std::string & /*service*/, const std::string & /*kind*/) const
+    {
+        return {};
+    }
 
     /**
      * @brief Notes what a serving daemon told of its own server.
--- a/src/egretlatch/admission/learned_chains.cpp
+++ b/src/egretlatch/admission/learned_chains.cpp
@@ -1,5 +1,7 @@
 #include <egretlatch/admission/learned_chains.hpp>
 
+#include <algorithm>
+
 namespace egretlatch::admission
 {
 
@@ -8,6 +10,9 @@
 
 // Runs that an average reaches back over: a graph changes with a release, and a few dozen runs take a second or less.
 constexpr int samplesInMean = 20;
+// Servers of one service differ in speed, and each tells of its own. Without a mean, a kind's cost, and with it its place in
+// the order, would change with each server that answers last.
+constexpr int tellingsInMean = 32;
 // Calls for each run below which a call counts as none, so that what is no longer made is forgotten.
 constexpr double fewestCalls = 0.02;
 
@@ -40,9 +45,23 @@
 
 void LearnedChains::noteChain(const KindName &kind, const ChainStops &stops)
 {
-    if (!stops.empty()) {
-        m_told[kind] = stops;
+    if (stops.empty()) {
+        return;
     }
+    Told &told = m_told[kind];
+    told.tellings = std::min(told.tellings + 1, internal::tellingsInMean);
+    for (const auto &[service, held] : stops) {
+        Duration &known = told.stops[service];
+        // Nothing is told of a call whose own chain is not known yet.
+        if (known == Duration{}) {
+            known = held;
+        } else if (held != Duration{}) {
+            known += (held - known) / told.tellings;
+        }
+    }
+    std::erase_if(told.stops, [&stops](const auto &stop) {
+        return !stops.contains(stop.first);
+    });
 }
 
 ChainStops LearnedChains::chain(const KindName &kind) const
@@ -52,7 +71,7 @@
         return chainOfSeen(kind, seen->second);
     }
     const auto told = m_told.find(kind);
-    return told == m_told.end() ? ChainStops{} : told->second;
+    return told == m_told.end() ? ChainStops{} : told->second.stops;
 }
 
 ChainStops LearnedChains::chainOfSeen(const KindName &kind, const Seen &seen) const
@@ -65,7 +84,7 @@
             stops.try_emplace(callee.first, Duration{});
             continue;
         }
-        for (const auto &[service, held] : told->second) {
+        for (const auto &[service, held] : told->second.stops) {
             stops[service] += std::chrono::duration_cast<Duration>(held * count);
         }
     }
--- a/src/egretlatch/admission/learned_chains.hpp
+++ b/src/egretlatch/admission/learned_chains.hpp
@@ -56,12 +56,18 @@
         std::map<KindName, double> calls;
     };
 
+    struct Told
+    {
+        ChainStops stops;
+        int tellings{};
+    };
+
     [[nodiscard]] ChainStops chainOfSeen(const KindName &kind, const Seen &seen) const;
 
     /*! @brief Kinds that ran here. */
     std::map<KindName, Seen> m_seen;
     /*! @brief Kinds that ran elsewhere. */
-    std::map<KindName, ChainStops> m_told;
+    std::map<KindName, Told> m_told;
 };
 
 } // namespace egretlatch::admission
--- a/src/egretlatch/admission/open_entry.cpp
+++ b/src/egretlatch/admission/open_entry.cpp
@@ -17,7 +17,7 @@
     return {.priority = spec->priority, .worth = spec->worth, .invested = {}};
 }
 
-RankClass OpenEntry::classAt(const std::string & /*service*/, const std::string & /*kind*/, const Rank &rank) const
+RankClass OpenEntry::classAt(const std::string & /*service*/, const std::string & /*kind*/, const Rank &rank, const RootCosts & /*costs*/) const
 {
     return {.priority = rank.priority, .density = 0};
 }
--- a/src/egretlatch/admission/open_entry.hpp
+++ b/src/egretlatch/admission/open_entry.hpp
@@ -12,7 +12,7 @@
 public:
     void setManifest(std::shared_ptr<const manifest::Manifest> manifest) override;
     [[nodiscard]] Rank rankOf(const std::string &service, const std::string &kind) const override;
-    [[nodiscard]] RankClass classAt(const std::string &service, const std::string &kind, const Rank &rank) const override;
+    [[nodiscard]] RankClass classAt(const std::string &service, const std::string &kind, const Rank &rank, const RootCosts &costs) const override;
     void noteLoad(const ServerNews &news, SteadyTime now) override;
     void noteLevel(const ServiceNews &news) override;
     [[nodiscard]] std::vector<ServiceNews> levelsBelow(const std::string &service, SteadyTime now) override;
--- a/src/egretlatch/admission/rank.hpp
+++ b/src/egretlatch/admission/rank.hpp
@@ -29,7 +29,7 @@
 struct RankClass
 {
     int priority{};
-    /*! @brief Worth for a second of slot time, in steps of half an octave; 0 for requests that earn nothing. */
+    /*! @brief Worth for a second of slot time, in octaves; 0 for requests that earn nothing. */
     int density{};
 
     friend auto operator<=>(const RankClass &, const RankClass &) = default;
@@ -40,14 +40,15 @@
  *
  * It rests on the slot time that is needed there, so a root may be dense at one service and thin at another, and each
  * service that is short of slots keeps the roots that make the most of its own. The steps are coarse, so that kinds of
- * nearly the same density are shed in shares of each rather than one after the other.
+ * nearly the same density are shed in shares of each rather than one after the other, and so that one kind is in one class
+ * on all daemons although each observes its cost a little differently.
  * @param rank The rank.
- * @param held Time that a run of the kind holds a slot of the service, as declared.
+ * @param held Slot time of the service that counts for it, as declared or observed.
  * @return The class.
  */
 [[nodiscard]] inline RankClass classOf(const Rank &rank, const Duration held) noexcept
 {
-    constexpr double stepsPerOctave = 2.0;
+    constexpr double stepsPerOctave = 1.0;
     constexpr double middle = 16.0;
     constexpr double highest = 63.0;
     if (!(rank.worth > 0.0) || held <= Duration{}) {
--- a/src/egretlatch/admission/whole_chain_entry.cpp
+++ b/src/egretlatch/admission/whole_chain_entry.cpp
@@ -50,8 +50,9 @@
 
 } // namespace internal
 
-WholeChainEntry::WholeChainEntry(RandomSource &random)
+WholeChainEntry::WholeChainEntry(RandomSource &random, const CostSource costSource)
     : m_random{random}
+    , m_costSource{costSource}
 {
 }
 
@@ -70,9 +71,17 @@
     return {.priority = spec->priority, .worth = spec->worth, .invested = {}};
 }
 
-RankClass WholeChainEntry::classAt(const std::string &service, const std::string &kind, const Rank &rank) const
+RankClass WholeChainEntry::classAt(const std::string &service, const std::string &kind, const Rank &rank, const RootCosts &costs) const
 {
-    return classOf(rank, m_costs.held(service, kind));
+    if (m_costSource == CostSource::declared) {
+        return classOf(rank, m_costs.held(service, kind));
+    }
+    return classOf(rank, costs.at(service).value_or(Duration{}));
+}
+
+RootCosts WholeChainEntry::costsOf(const std::string &service, const std::string &kind) const
+{
+    return m_costSource == CostSource::declared ? RootCosts{} : RootCosts{m_learned.chain({service, kind})};
 }
 
 void WholeChainEntry::noteLoad(const ServerNews &news, const SteadyTime now)
@@ -110,7 +119,8 @@
 
 std::optional<EntryRefusal> WholeChainEntry::check(const EntryRequest &request, const SteadyTime now)
 {
-    const ChainStops &declared = m_costs.stops(request.service, request.kind);
+    static const ChainStops none;
+    const ChainStops &declared = m_costSource == CostSource::declared ? m_costs.stops(request.service, request.kind) : none;
     for (const auto &[service, held] : declared) {
         if (auto refusal = checkAt(service, held, request, now)) {
             return refusal;
--- a/src/egretlatch/admission/whole_chain_entry.hpp
+++ b/src/egretlatch/admission/whole_chain_entry.hpp
@@ -4,6 +4,7 @@
 #include <map>
 
 #include <egretlatch/admission/chain_costs.hpp>
+#include <egretlatch/admission/cost_source.hpp>
 #include <egretlatch/admission/entry_control.hpp>
 #include <egretlatch/admission/level_notes.hpp>
 #include <egretlatch/core/random_source.hpp>
@@ -23,12 +24,14 @@
     /**
      * @brief Builds the control.
      * @param random Source of random numbers for probes; must outlive it.
+     * @param costSource Where costs are known from.
      */
-    explicit WholeChainEntry(RandomSource &random);
+    explicit WholeChainEntry(RandomSource &random, CostSource costSource = CostSource::declared);
 
     void setManifest(std::shared_ptr<const manifest::Manifest> manifest) override;
     [[nodiscard]] Rank rankOf(const std::string &service, const std::string &kind) const override;
-    [[nodiscard]] RankClass classAt(const std::string &service, const std::string &kind, const Rank &rank) const override;
+    [[nodiscard]] RankClass classAt(const std::string &service, const std::string &kind, const Rank &rank, const RootCosts &costs) const override;
+    [[nodiscard]] RootCosts costsOf(const std::string &service, const std::string &kind) const override;
     void noteLoad(const ServerNews &news, SteadyTime now) override;
     void noteLevel(const ServiceNews &news) override;
     [[nodiscard]] std::vector<ServiceNews> levelsBelow(const std::string &service, SteadyTime now) override;
@@ -50,6 +53,7 @@
     [[nodiscard]] NotedLevel levelOf(const std::string &service, SteadyTime now);
 
     RandomSource &m_random;
+    CostSource m_costSource;
     std::shared_ptr<const manifest::Manifest> m_manifest;
     ChainCosts m_costs;
     LearnedChains m_learned;
--- a/src/egretlatch/daemon/core_options.cpp
+++ b/src/egretlatch/daemon/core_options.cpp
@@ -31,11 +31,12 @@
 
 } // namespace internal
 
-void applyPolicy(const settings::Policy policy, RandomSource &random, decision::CoreBuilder &builder, const admission::GateRules &rules)
+void applyPolicy(const settings::Policy policy, RandomSource &random, decision::CoreBuilder &builder, const admission::GateRules &rules,
+                 const admission::CostSource costSource)
 {
     if (policy == settings::Policy::adaptive) {
         builder.setGate(std::make_unique<admission::AdaptiveGate>(rules));
-        builder.setEntryControl(std::make_unique<admission::WholeChainEntry>(random));
+        builder.setEntryControl(std::make_unique<admission::WholeChainEntry>(random, costSource));
         builder.setRouter(std::make_unique<routing::AdaptiveRouter>(random));
         return;
     }
--- a/src/egretlatch/daemon/core_options.hpp
+++ b/src/egretlatch/daemon/core_options.hpp
@@ -1,6 +1,7 @@
 #ifndef EGRETLATCH_DAEMON_CORE_OPTIONS_HPP
 #define EGRETLATCH_DAEMON_CORE_OPTIONS_HPP
 
+#include <egretlatch/admission/cost_source.hpp>
 #include <egretlatch/admission/gate_rules.hpp>
 #include <egretlatch/core/random_source.hpp>
 #include <egretlatch/decision/core.hpp>
@@ -15,8 +16,10 @@
  * @param random Source of random numbers; must outlive the core.
  * @param builder The builder to set them on.
  * @param rules Rules of an adaptive gate; the baselines have none.
+ * @param costSource Where an adaptive entry knows costs from.
  */
-void applyPolicy(settings::Policy policy, RandomSource &random, decision::CoreBuilder &builder, const admission::GateRules &rules = {});
+void applyPolicy(settings::Policy policy, RandomSource &random, decision::CoreBuilder &builder, const admission::GateRules &rules = {},
+                 admission::CostSource costSource = admission::CostSource::declared);
 
 } // namespace egretlatch::daemon
 
--- a/src/egretlatch/decision/entry_attempts.cpp
+++ b/src/egretlatch/decision/entry_attempts.cpp
@@ -69,6 +69,7 @@
     request.remaining = pending.deadline - now;
     request.trace = pending.attemptTrace;
     request.rank = pending.rank;
+    request.rootCosts = pending.rootCosts;
     request.attemptsLent = pending.attemptsOut;
     request.depth = pending.depth;
     request.isRepeat = pending.isOfRepeat || pending.isRepeat;
--- a/src/egretlatch/decision/entry_handler.cpp
+++ b/src/egretlatch/decision/entry_handler.cpp
@@ -171,6 +171,7 @@
     if (inner.has_value()) {
         pending.root = inner->root;
         pending.rank = inner->rank;
+        pending.rootCosts = inner->rootCosts;
         pending.depth = inner->depth + 1;
         pending.isOfRepeat = inner->isRepeat;
         pending.parent = inner->execution;
@@ -189,6 +190,7 @@
     }
     pending.root = m_surroundings.mint.mint(m_surroundings.clock.wallNow());
     pending.rank = m_surroundings.entryControl->rankOf(call.service, call.kind);
+    pending.rootCosts = m_surroundings.entryControl->costsOf(call.service, call.kind);
     pending.attemptsLeft = kind.retryBudget;
     if (m_surroundings.unownedKeys != retry::UnownedKeys::notNeeded) {
         const retry::KeyOwner self{.daemon = m_surroundings.self, .incarnation = m_surroundings.incarnation};
--- a/src/egretlatch/decision/entry_handler.hpp
+++ b/src/egretlatch/decision/entry_handler.hpp
@@ -170,6 +170,7 @@
         bool idempotent{};
         Uuid root;
         admission::Rank rank;
+        admission::RootCosts rootCosts;
         int depth{};
         /*! @brief A backend server may have had it. */
         bool isRepeat{};
--- a/src/egretlatch/decision/entry_keys.cpp
+++ b/src/egretlatch/decision/entry_keys.cpp
@@ -296,6 +296,7 @@
     pending.call.key = request.key;
     pending.root = request.root;
     pending.rank = request.rank;
+    pending.rootCosts = request.rootCosts;
     pending.depth = request.depth;
     pending.scope = request.scope;
     pending.trace = account::childOf(request.trace, m_surroundings.random);
--- a/src/egretlatch/decision/serving_handler.cpp
+++ b/src/egretlatch/decision/serving_handler.cpp
@@ -121,7 +121,7 @@
         .root = request.root,
         .kind = request.kind,
         .cost = kind == nullptr ? Duration{} : Duration{kind->cost},
-        .rankClass = m_surroundings.entryControl->classAt(request.service, request.kind, request.rank),
+        .rankClass = m_surroundings.entryControl->classAt(request.service, request.kind, request.rank, request.rootCosts),
         .invested = request.rank.invested,
         .isInner = request.depth > 0,
         .arrived = attempt.arrived,
--- a/src/egretlatch/decision/serving_handler.hpp
+++ b/src/egretlatch/decision/serving_handler.hpp
@@ -25,6 +25,7 @@
     ExecutionId execution;
     Uuid root;
     admission::Rank rank;
+    admission::RootCosts rootCosts;
     SteadyTime deadline;
     account::TraceContext trace;
     int depth{};
--- a/src/egretlatch/decision/serving_runs.cpp
+++ b/src/egretlatch/decision/serving_runs.cpp
@@ -40,6 +40,7 @@
         .execution = execution,
         .root = attempt.request.root,
         .rank = rank,
+        .rootCosts = attempt.request.rootCosts,
         .deadline = attempt.deadline,
         .trace = attempt.trace,
         .depth = attempt.request.depth,
--- a/src/egretlatch/platform/configuration_document.cpp
+++ b/src/egretlatch/platform/configuration_document.cpp
@@ -73,8 +73,8 @@
     return {
         {QLatin1String{"name"}, name},
         {QLatin1String{"priority"}, lowestRank - std::clamp(field(spec, "priority").toInt(lowestRank), 0, lowestRank)},
-        // The platform ranks its routes and says nothing of their worth.
-        {QLatin1String{"worth"}, 0.0},
+        // The platform ranks its routes and says nothing of their worth, so those of one rank are worth the same.
+        {QLatin1String{"worth"}, 1.0},
         {QLatin1String{"idempotent"}, isIdempotent},
         {QLatin1String{"deadlineMs"}, static_cast<qint64>(timeout.count())},
         {QLatin1String{"answerTargetMs"}, static_cast<qint64>(target.count())},
--- a/src/egretlatch/protocol/codec.cpp
+++ b/src/egretlatch/protocol/codec.cpp
@@ -75,6 +75,11 @@
     wire.mutable_rank()->set_priority(request.rank.priority);
     wire.mutable_rank()->set_worth(request.rank.worth);
     wire.mutable_rank()->set_invested_ns(request.rank.invested.count());
+    for (const admission::RootCosts::Stop &stop : request.rootCosts.stops()) {
+        wire::RootCost &added = *wire.add_root_costs();
+        added.set_service_hash(stop.service);
+        added.set_held_us(static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::microseconds>(stop.held).count()));
+    }
     wire.set_attempts_lent(request.attemptsLent);
     wire.set_depth(request.depth);
     wire.set_is_repeat(request.isRepeat);
@@ -83,6 +88,16 @@
     wire.set_for_owner(request.forOwner);
 }
 
+[[nodiscard]] static admission::RootCosts readRootCosts(const wire::CallRequest &wire)
+{
+    std::vector<admission::RootCosts::Stop> stops;
+    stops.reserve(static_cast<std::size_t>(wire.root_costs_size()));
+    for (const wire::RootCost &cost : wire.root_costs()) {
+        stops.push_back({.service = cost.service_hash(), .held = std::chrono::microseconds{cost.held_us()}});
+    }
+    return admission::RootCosts{std::move(stops)};
+}
+
 [[nodiscard]] static Result<Message> read(const wire::CallRequest &wire)
 {
     const auto root = Uuid::fromBytes(wire.root());
@@ -106,6 +121,7 @@
     request.remaining = toDuration(wire.remaining_ns());
     request.trace = {.traceId = wire.trace().trace_id(), .spanId = wire.trace().span_id(), .sampled = wire.trace().sampled()};
     request.rank = {.priority = wire.rank().priority(), .worth = wire.rank().worth(), .invested = toDuration(wire.rank().invested_ns())};
+    request.rootCosts = readRootCosts(wire);
     request.attemptsLent = wire.attempts_lent();
     request.depth = wire.depth();
     request.isRepeat = wire.is_repeat();
--- a/src/egretlatch/protocol/messages.hpp
+++ b/src/egretlatch/protocol/messages.hpp
@@ -12,6 +12,7 @@
 #include <egretlatch/admission/learned_chains.hpp>
 #include <egretlatch/admission/load_report.hpp>
 #include <egretlatch/admission/rank.hpp>
+#include <egretlatch/admission/root_costs.hpp>
 #include <egretlatch/configuration/messages.hpp>
 #include <egretlatch/core/clock.hpp>
 #include <egretlatch/core/header.hpp>
@@ -44,6 +45,8 @@
     Duration remaining{};
     account::TraceContext trace;
     admission::Rank rank;
+    /*! @brief What the root takes at each service of its chain, as far as its entry knew. */
+    admission::RootCosts rootCosts;
     /*! @brief Further attempts that the run may spend on its inner calls. */
     int attemptsLent{};
     /*! @brief 0 for a root's first call, 1 for the calls that it makes, and so on. */
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -141,7 +141,7 @@
         .afterSignal = leavingTimesOf(m_bounds.grace, {}).notice,
         .lastStart = internal::lastStartShare * m_bounds.drain / internal::hundredths,
     });
-    daemon::applyPolicy(m_settings.policy, m_random, builder, internal::gateRules);
+    daemon::applyPolicy(m_settings.policy, m_random, builder, internal::gateRules, admission::CostSource::observed);
     return builder.build();
 }
 
--- a/test/egretlatch/admission/whole_chain_entry.cpp
+++ b/test/egretlatch/admission/whole_chain_entry.cpp
@@ -65,7 +65,7 @@
 {
     Entry first;
     Entry second;
-    const RankClass rankClass = first.control.classAt("deep", "read", first.control.rankOf("door", "ask"));
+    const RankClass rankClass = first.control.classAt("deep", "read", first.control.rankOf("door", "ask"), {});
     const Level half{.priority = rankClass.priority, .density = rankClass.density, .fraction = 0.5};
     for (Entry *const entry : {&first, &second}) {
         entry->control.noteLevel({.service = "deep", .noted = {.level = half, .at = start}});
@@ -139,6 +139,6 @@
     Entry entry;
     const Rank rank{.priority = 9, .worth = 10.0, .invested = {}};
 
-    CHECK(entry.control.classAt("deep", "read", rank) > entry.control.classAt("door", "ask", rank));
-    CHECK(entry.control.classAt("door", "ask", {.priority = 9, .worth = 0.0, .invested = {}}) < entry.control.classAt("door", "ask", rank));
+    CHECK(entry.control.classAt("deep", "read", rank, {}) > entry.control.classAt("door", "ask", rank, {}));
+    CHECK(entry.control.classAt("door", "ask", {.priority = 9, .worth = 0.0, .invested = {}}, {}) < entry.control.classAt("door", "ask", rank, {}));
 }
