--- a/src/egretlatch/decision/configuration_outlet.cpp
+++ b/src/egretlatch/decision/configuration_outlet.cpp
@@ -25,9 +25,10 @@
 std::vector<configuration::Peer> ConfigurationOutlet::peers() const
 {
     std::vector<configuration::Peer> peers;
-    for (const membership::Member &member : m_surroundings.roster.members()) {
-        if (member.id != m_surroundings.self && member.state != membership::MemberState::gone && !member.endpoint.empty()) {
-            peers.push_back({.id = member.id, .endpoint = member.endpoint});
+    for (const DaemonId &id : m_surroundings.roster.participants()) {
+        const membership::Member *const member = m_surroundings.roster.find(id);
+        if (member != nullptr && !member->endpoint.empty()) {
+            peers.push_back({.id = id, .endpoint = member->endpoint});
         }
     }
     return peers.empty() ? m_contacts : peers;
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -14,6 +14,7 @@
 constexpr std::chrono::milliseconds queueTickInterval{10};
 constexpr std::chrono::milliseconds runTickInterval{50};
 constexpr std::chrono::milliseconds idleTickInterval{100};
+constexpr std::chrono::milliseconds fleetTickInterval{30};
 constexpr std::chrono::seconds announcementTimeout{5};
 constexpr std::chrono::milliseconds leaveSpreadTime{500};
 template<typename... Handlers>
@@ -270,9 +271,18 @@
 {
     m_entry->tick(now);
     m_serving->tick(now);
+    tickDoor(now);
+    // A queue and the deadlines of calls are looked at many times a second; the fleet changes in steps of tens of milliseconds.
+    if (now - m_lastFleetTick >= internal::fleetTickInterval) {
+        m_lastFleetTick = now;
+        tickFleet(now);
+    }
+}
+
+void Core::tickFleet(const SteadyTime now)
+{
     m_configuration->tick(now);
     tickServer(now);
-    tickDoor(now);
     m_gossip->setPaces(m_serving->paces(now));
     m_gossip->tick(now);
     tickContacts(now);
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -91,6 +91,7 @@
     void handlePeerLost(const PeerLost &lost, SteadyTime now);
     void handleRumour(const membership::Rumour &rumour, SteadyTime now);
     void tellCrashes(SteadyTime now);
+    void tickFleet(SteadyTime now);
     void tickContacts(SteadyTime now);
     void tickServer(SteadyTime now);
     void tickLeaving(SteadyTime now);
@@ -117,6 +118,7 @@
     /*! @brief Instance name of the server that was told to drain. */
     std::optional<std::string> m_drainedInstance;
     SteadyTime m_lastAnnounced;
+    SteadyTime m_lastFleetTick;
     bool m_isDraining{};
     DoorTimes m_doorTimes;
     /*! @brief When a backend server that leaves gets no more requests; nothing while it does not leave, or once it gets none. */
