egretlatch losses sums up from logs what callers were refused

Cause: where the worth is lost was counted by hand from logs: by second, kind, reason and daemon. Change: LossTable over the same lines as a story; lines of refusals tell their depth, so inner calls are not counted beside their roots. Reading of a line and of a log stands once. What servers answer themselves, failures too, is no refusal and is not counted.

--- a/src/egretlatch/cli/explain_command.cpp
+++ b/src/egretlatch/cli/explain_command.cpp
@@ -5,7 +5,6 @@
 
 #include <QCoreApplication>
 #include <QDateTime>
-#include <QFile>
 #include <QJsonDocument>
 
 #include <fmt/chrono.h>
@@ -13,6 +12,7 @@
 
 #include <egretlatch/cli/documents.hpp>
 #include <egretlatch/cli/http_fetch.hpp>
+#include <egretlatch/cli/log_file.hpp>
 #include <egretlatch/cli/request_story.hpp>
 #include <egretlatch/store/backoff.hpp>
 
@@ -209,12 +209,11 @@
     }
     RequestStory story{options.id};
     for (const std::string &path : options.logs) {
-        QFile file{QString::fromStdString(path)};
-        const bool isOpen = path == "-" ? file.open(stdin, QIODevice::ReadOnly) : file.open(QIODevice::ReadOnly);
-        if (!isOpen) {
-            return {.code = ExitCode::badInput, .text = fmt::format("cannot read {}: {}\n", path, file.errorString().toStdString())};
+        const Result<QByteArray> log = readLog(path);
+        if (!log.has_value()) {
+            return {.code = ExitCode::badInput, .text = log.error().message + "\n"};
         }
-        story.read(file.readAll());
+        story.read(*log);
     }
     return options.isJson ? story.asJson() : story.inSentences();
 }
--- /dev/null
+++ b/src/egretlatch/cli/loss_table.cpp
@@ -0,0 +1,108 @@
+#include <egretlatch/cli/loss_table.hpp>
+
+#include <algorithm>
+#include <vector>
+
+#include <QDateTime>
+#include <QJsonArray>
+
+#include <fmt/format.h>
+
+#include <egretlatch/cli/exit_code.hpp>
+#include <egretlatch/cli/log_line.hpp>
+
+namespace egretlatch::cli
+{
+
+namespace internal
+{
+
+[[nodiscard]] static QString timeOf(const std::int64_t seconds)
+{
+    return QDateTime::fromSecsSinceEpoch(seconds, Qt::UTC).toString(Qt::ISODate);
+}
+
+} // namespace internal
+
+LossTable::LossTable(const std::chrono::seconds span)
+    : m_span{span}
+{
+}
+
+void LossTable::read(const QByteArray &log)
+{
+    for (const QByteArray &text : log.split('\n')) {
+        const QJsonObject fields = fieldsOf(text);
+        if (fields.isEmpty()) {
+            m_unreadable += text.trimmed().isEmpty() ? 0 : 1;
+            continue;
+        }
+        take(fields);
+    }
+}
+
+void LossTable::take(const QJsonObject &fields)
+{
+    const std::string event = textOf(fields, "event");
+    if (event == "lines left out") {
+        m_leftOut += static_cast<std::uint64_t>(numberOf(fields, "count"));
+    }
+    if (event != "refused" || numberOf(fields, "depth") > 0) {
+        return;
+    }
+    const std::int64_t seconds = QDateTime::fromString(fields[u"time"].toString(), Qt::ISODateWithMs).toSecsSinceEpoch();
+    const Row row{
+        .begin = seconds - seconds % m_span.count(),
+        .kind = textOf(fields, "service") + "/" + textOf(fields, "kind"),
+        .reason = textOf(fields, "reason"),
+        .daemon = textOf(fields, "server"),
+    };
+    Loss &loss = m_losses[row];
+    ++loss.requests;
+    loss.worth += fields[u"worth"].toString().toDouble();
+}
+
+CommandResult LossTable::asText() const
+{
+    std::vector<std::pair<Row, Loss>> rows{m_losses.begin(), m_losses.end()};
+    std::stable_sort(rows.begin(), rows.end(), [](const auto &one, const auto &other) {
+        return one.first.begin != other.first.begin ? one.first.begin < other.first.begin : one.second.worth > other.second.worth;
+    });
+    std::string text = fmt::format("{:<20} {:>8} {:>8}  {:<32} {:<20} {}\n", "from", "requests", "worth", "kind", "reason", "asked last");
+    for (const auto &[row, loss] : rows) {
+        const std::string asked = row.daemon.empty() ? "nobody" : row.daemon;
+        text += fmt::format(
+            "{:<20} {:>8} {:>8.1f}  {:<32} {:<20} {}\n", internal::timeOf(row.begin).toStdString(), loss.requests, loss.worth, row.kind, row.reason, asked);
+    }
+    if (m_leftOut > 0) {
+        text += fmt::format("not whole: these logs say that {} lines were left out\n", m_leftOut);
+    }
+    if (m_unreadable > 0) {
+        text += fmt::format("not whole: {} lines could not be read\n", m_unreadable);
+    }
+    return {.code = ExitCode::success, .text = std::move(text)};
+}
+
+CommandResult LossTable::asJson() const
+{
+    QJsonArray rows;
+    for (const auto &[row, loss] : m_losses) {
+        rows.append(QJsonObject{
+            {u"from"_qs, internal::timeOf(row.begin)},
+            {u"seconds"_qs, static_cast<qint64>(m_span.count())},
+            {u"kind"_qs, QString::fromStdString(row.kind)},
+            {u"reason"_qs, QString::fromStdString(row.reason)},
+            {u"askedLast"_qs, QString::fromStdString(row.daemon)},
+            {u"requests"_qs, loss.requests},
+            {u"worth"_qs, loss.worth},
+        });
+    }
+    const QJsonObject document{
+        {u"losses"_qs, rows},
+        {u"linesLeftOut"_qs, static_cast<qint64>(m_leftOut)},
+        {u"linesUnreadable"_qs, static_cast<qint64>(m_unreadable)},
+    };
+    return {.code = ExitCode::success, .text = QJsonDocument{document}.toJson().toStdString()};
+}
+
+} // namespace egretlatch::cli
--- a/src/egretlatch/cli/main.cpp
+++ b/src/egretlatch/cli/main.cpp
@@ -7,6 +7,7 @@
 #include <egretlatch/cli/exit_code.hpp>
 #include <egretlatch/cli/explain_command.hpp>
 #include <egretlatch/cli/keys_command.hpp>
+#include <egretlatch/cli/losses_command.hpp>
 #include <egretlatch/cli/sidecar_command.hpp>
 #include <egretlatch/cli/status_command.hpp>
 #include <egretlatch/cli/submit_command.hpp>
@@ -86,6 +87,16 @@
     return command;
 }
 
+CLI::App *addLosses(CLI::App &app, LossesOptions &options)
+{
+    CLI::App *const command = app.add_subcommand("losses", "Sum up from logs what callers were refused: when, of which kind, why and where.");
+    command->add_option("--log", options.logs, "Log of a daemon, or - for standard input; may be given more than once")->required();
+    command->add_option("--seconds", options.seconds, "Length of the spans that are summed up")->check(CLI::PositiveNumber);
+    command->add_flag("--json", options.isJson, "The table as JSON");
+    command->footer("Example: cat *.log | egretlatch losses --log - --seconds 10");
+    return command;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -121,6 +132,9 @@
     ExplainOptions explainOptions;
     CLI::App *const explain = addExplain(app, explainOptions);
 
+    LossesOptions lossesOptions;
+    CLI::App *const losses = addLosses(app, lossesOptions);
+
     CLI::App *const version = app.add_subcommand("version", "Print the version.");
     version->footer("Example: egretlatch version");
 
@@ -143,6 +157,8 @@
         result = runStatus(statusOptions, argc, argv);
     } else if (explain->parsed()) {
         result = runExplain(explainOptions, argc, argv);
+    } else if (losses->parsed()) {
+        result = runLosses(lossesOptions);
     } else if (version->parsed()) {
         fmt::print("{}\n", versionText);
     }
--- a/src/egretlatch/cli/request_story.cpp
+++ b/src/egretlatch/cli/request_story.cpp
@@ -10,6 +10,7 @@
 
 #include <egretlatch/account/refusal_record.hpp>
 #include <egretlatch/cli/exit_code.hpp>
+#include <egretlatch/cli/log_line.hpp>
 
 namespace egretlatch::cli
 {
@@ -19,17 +20,6 @@
 
 constexpr std::size_t indentWidth = 4;
 
-[[nodiscard]] static std::string textOf(const QJsonObject &fields, const char *const name)
-{
-    return fields[QLatin1String{name}].toString().toStdString();
-}
-
-// Log lines carry numbers as texts.
-[[nodiscard]] static qint64 numberOf(const QJsonObject &fields, const char *const name)
-{
-    return fields[QLatin1String{name}].toString().toLongLong();
-}
-
 // Figures of a line, as in `queued=7 limit=11`.
 [[nodiscard]] static std::vector<account::Figure> figuresFrom(const QString &text)
 {
@@ -87,20 +77,19 @@
 void RequestStory::read(const QByteArray &log)
 {
     for (const QByteArray &text : log.split('\n')) {
-        const qsizetype brace = text.indexOf('{');
-        const QJsonObject fields = brace < 0 ? QJsonObject{} : QJsonDocument::fromJson(text.mid(brace)).object();
+        const QJsonObject fields = fieldsOf(text);
         if (fields.isEmpty()) {
             m_unreadable += text.trimmed().isEmpty() ? 0 : 1;
             continue;
         }
-        const std::string event = internal::textOf(fields, "event");
+        const std::string event = textOf(fields, "event");
         if (event == "lines left out") {
-            m_leftOut += static_cast<std::uint64_t>(internal::numberOf(fields, "count"));
+            m_leftOut += static_cast<std::uint64_t>(numberOf(fields, "count"));
         }
-        const std::string request = internal::textOf(fields, "request");
+        const std::string request = textOf(fields, "request");
         if (isPart(request)) {
             m_lines.push_back(
-                {.time = internal::textOf(fields, "time"), .daemon = internal::textOf(fields, "source"), .event = event, .request = request, .fields = fields});
+                {.time = textOf(fields, "time"), .daemon = textOf(fields, "source"), .event = event, .request = request, .fields = fields});
         }
     }
 }
--- a/src/egretlatch/decision/action.hpp
+++ b/src/egretlatch/decision/action.hpp
@@ -102,6 +102,8 @@
     DaemonId server;
     /*! @brief Since the request came. */
     Duration elapsed{};
+    /*! @brief 0 for a caller's own request, 1 for a call that its run makes, and so on. */
+    int depth{};
 };
 
 /*! @brief Something was decided about a request on its way that its answer does not show, for the log. */
--- a/src/egretlatch/decision/entry_answers.cpp
+++ b/src/egretlatch/decision/entry_answers.cpp
@@ -116,6 +116,7 @@
         .requestName = pending.call.requestName,
         .server = pending.server,
         .elapsed = m_surroundings.clock.steadyNow() - pending.arrived,
+        .depth = pending.depth,
     });
 }
 
--- a/src/egretlatch/sidecar/request_log.cpp
+++ b/src/egretlatch/sidecar/request_log.cpp
@@ -14,6 +14,7 @@
     }
     m_logger.info("refused",
                   {{"request", refused.requestName},
+                   {"depth", refused.depth},
                    {"service", record.service},
                    {"kind", record.kind},
                    {"priority", record.priority},
