--- a/standin/fleet/client.py
+++ b/standin/fleet/client.py
@@ -29,10 +29,11 @@
     def __init__(self, outbound):
         self.host, self.port = outbound.split(":")
         self.names = []
+        self.writer = None
 
     async def send(self, requests):
         """Sends requests, each the arguments of request_bytes(), in one go; opens the connection for the first."""
-        if not self.names:
+        if self.writer is None:
             self.reader, self.writer = await asyncio.open_connection(self.host, int(self.port))
         self.names += [arguments[0] for arguments in requests]
         self.began = time.monotonic()
@@ -53,7 +54,8 @@
         return answers
 
     def close(self):
-        self.writer.close()
+        if self.writer is not None:
+            self.writer.close()
 
 
 class Client:
--- a/standin/fleet/soak.py
+++ b/standin/fleet/soak.py
@@ -12,7 +12,7 @@
 import time
 import urllib.request
 
-from .client import Client
+from .client import Answer, Client, Pipeline
 from .fleet import Fleet, configuration, free_ports, route
 from .link import Link
 from .record import PATIENCE, Record, Sent
@@ -62,10 +62,11 @@
 class Soak:
     """One run: `daemons` for each service, `seconds` of faults, all choices by the seed."""
 
-    def __init__(self, binary, seed, seconds=20.0, daemons=3, clients=24):
+    def __init__(self, binary, seed, seconds=20.0, daemons=3, clients=24, pipelining=4):
         self.seed = seed
         self.seconds = seconds
         self.clients = clients
+        self.pipelining = pipelining
         self.random = random.Random(seed)
         services = {"history": (daemons, 12, 24), "log": (daemons, 12, 24), "roster": (daemons, 12, 24)}
         self.services = services
@@ -89,6 +90,7 @@
                 self.record.breaks("START", "the fleet did not come together")
                 return self.result()
             clients = [asyncio.ensure_future(self.client(number)) for number in range(self.clients)]
+            clients += [asyncio.ensure_future(self.pipelining_client(number)) for number in range(self.pipelining)]
             watch = asyncio.ensure_future(self.watch_ends())
             await self.strike_all()
             self.heal()
@@ -134,7 +136,34 @@
                 client = None
             await asyncio.sleep(choice.expovariate(8))
 
-    async def request(self, vm, client, choice):
+    async def pipelining_client(self, number):
+        """Sends several requests at once on a connection, now and then one that must not be repeated among them, and some on top."""
+        choice = random.Random(f"{self.seed}/pipelining/{number}")
+        while not self.is_over:
+            vm = choice.choice(self.fleet.vms)
+            pipeline = Pipeline(vm.callers)
+            for _ in range(choice.randint(1, 4)):
+                if not await self.batch(vm, pipeline, choice):
+                    break
+                await asyncio.sleep(choice.expovariate(4))
+            pipeline.close()
+
+    async def batch(self, vm, pipeline, choice):
+        """Sends a batch and notes how each of its requests ended; false once the connection is over."""
+        requests = [self.next_request(vm, choice) for _ in range(choice.randint(2, 6))]
+        patience = LONGEST_TIMEOUT * len(requests) + PATIENCE
+        try:
+            await pipeline.send([(name, HOST, sent.path, sent.method, sent.body, patience) for name, sent in requests])
+            answers = await pipeline.receive(patience)
+        except OSError:
+            answers = []
+        for (name, _), answer in zip(requests, answers):
+            self.record.gets(name, answer, False, patience)
+        for name, _ in requests[len(answers):]:
+            self.record.gets(name, Answer(name, None, {}, b"", 0.0), False, patience)
+        return len(answers) == len(requests) and answers[-1].fields.get("connection") != "close"
+
+    def next_request(self, vm, choice):
         kind = choice.choices(list(MIX), list(MIX.values()))[0]
         name = choice.choice(self.added) if kind == "added" and self.added else kind
         is_unsafe = name == "entry"
@@ -143,8 +172,12 @@
         body = bytes(choice.getrandbits(8) for _ in range(choice.choice((0, 10, 3000)))) if is_unsafe else b""
         sent = Sent(vm, name, f"/{name}/{request}", "POST" if is_unsafe else "GET", body)
         self.record.sends(request, sent)
+        return request, sent
+
+    async def request(self, vm, client, choice):
+        request, sent = self.next_request(vm, choice)
         patience = LONGEST_TIMEOUT + PATIENCE
-        answer = await client.send(request, HOST, sent.path, method=sent.method, body=body, patience=patience)
+        answer = await client.send(request, HOST, sent.path, method=sent.method, body=sent.body, patience=patience)
         self.record.gets(request, answer, client.has_more(), patience)
 
     async def all_served(self, seconds):
