--- a/src/egretlatch/daemon/core_options.cpp
+++ b/src/egretlatch/daemon/core_options.cpp
@@ -31,18 +31,25 @@
 
 } // namespace internal
 
-void applyPolicy(const settings::Policy policy, RandomSource &random, decision::CoreBuilder &builder, const admission::GateRules &rules,
-                 const admission::CostSource costSource)
+void applyPolicy(const settings::Policy policy, RandomSource &random, decision::CoreBuilder &builder, const AdaptiveOptions &options)
 {
-    if (policy == settings::Policy::adaptive) {
-        builder.setGate(std::make_unique<admission::AdaptiveGate>(rules));
-        builder.setEntryControl(std::make_unique<admission::WholeChainEntry>(random, costSource));
-        builder.setRouter(std::make_unique<routing::AdaptiveRouter>(random));
+    if (policy != settings::Policy::adaptive) {
+        builder.setGate(internal::makeBaselineGate(policy));
+        builder.setEntryControl(std::make_unique<admission::OpenEntry>());
+        builder.setRouter(std::make_unique<routing::LeastLoadedRouter>(random));
         return;
     }
-    builder.setGate(internal::makeBaselineGate(policy));
-    builder.setEntryControl(std::make_unique<admission::OpenEntry>());
-    builder.setRouter(std::make_unique<routing::LeastLoadedRouter>(random));
+    builder.setGate(std::make_unique<admission::AdaptiveGate>(options.gate));
+    if (options.refusesAtEntry) {
+        builder.setEntryControl(std::make_unique<admission::WholeChainEntry>(random, options.costSource));
+    } else {
+        builder.setEntryControl(std::make_unique<admission::OpenEntry>());
+    }
+    if (options.learnsServers) {
+        builder.setRouter(std::make_unique<routing::AdaptiveRouter>(random));
+    } else {
+        builder.setRouter(std::make_unique<routing::LeastLoadedRouter>(random));
+    }
 }
 
 } // namespace egretlatch::daemon
--- a/src/egretlatch/daemon/core_options.hpp
+++ b/src/egretlatch/daemon/core_options.hpp
@@ -10,16 +10,28 @@
 namespace egretlatch::daemon
 {
 
+/*! @brief How the adaptive policy decides; the baselines have none of it. */
+struct AdaptiveOptions
+{
+    admission::GateRules gate;
+    /*! @brief Where the entry knows costs from. */
+    admission::CostSource costSource{admission::CostSource::declared};
+    /*! @brief Whether roots are refused at their entry by the levels down their chain. */
+    bool refusesAtEntry{true};
+    /*! @brief Whether servers are chosen by what they have shown of themselves. */
+    bool learnsServers{true};
+
+    friend bool operator==(const AdaptiveOptions &, const AdaptiveOptions &) = default;
+};
+
 /**
  * @brief Gives a core the gate, entry control and router of a policy.
  * @param policy The policy of the settings.
  * @param random Source of random numbers; must outlive the core.
  * @param builder The builder to set them on.
- * @param rules Rules of an adaptive gate; the baselines have none.
- * @param costSource Where an adaptive entry knows costs from.
+ * @param options How the adaptive policy decides.
  */
-void applyPolicy(settings::Policy policy, RandomSource &random, decision::CoreBuilder &builder, const admission::GateRules &rules = {},
-                 admission::CostSource costSource = admission::CostSource::declared);
+void applyPolicy(settings::Policy policy, RandomSource &random, decision::CoreBuilder &builder, const AdaptiveOptions &options = {});
 
 } // namespace egretlatch::daemon
 
--- a/src/egretlatch/settings/sidecar_settings.cpp
+++ b/src/egretlatch/settings/sidecar_settings.cpp
@@ -1,5 +1,7 @@
 #include <egretlatch/settings/sidecar_settings.hpp>
 
+#include <algorithm>
+
 #include <QJsonObject>
 #include <QVariant>
 
@@ -37,6 +39,23 @@
     return static_cast<std::uint16_t>(ports.front());
 }
 
+[[nodiscard]] static SwitchedOff readSwitchedOff(JsonObjectReader &reader)
+{
+    SwitchedOff switchedOff;
+    reader.list("switchedOff", false, [&](const QJsonValue &element, const std::string & /*pointer*/) {
+        const std::string word = element.toString().toStdString();
+        const auto found = std::find_if(mechanismNames.begin(), mechanismNames.end(), [&word](const MechanismName &candidate) {
+            return candidate.name == word;
+        });
+        if (found == mechanismNames.end()) {
+            reader.report("switchedOff", describe(element), "names of mechanisms");
+            return;
+        }
+        switchedOff.insert(found->mechanism);
+    });
+    return switchedOff;
+}
+
 // The bounds as texts of the form `name=value`, whatever the type of the value.
 [[nodiscard]] static std::vector<std::string> readBoundTexts(JsonObjectReader &reader, Problems &problems)
 {
@@ -83,6 +102,7 @@
     }
     settings.boundTexts = internal::readBoundTexts(reader, problems);
     settings.policy = readPolicy(reader);
+    settings.switchedOff = internal::readSwitchedOff(reader);
     settings.logLevel = readLogLevel(reader);
     if (hasError(problems)) {
         return tl::unexpected{problems};
--- a/src/egretlatch/settings/sidecar_settings.hpp
+++ b/src/egretlatch/settings/sidecar_settings.hpp
@@ -14,6 +14,7 @@
 #include <egretlatch/core/logger.hpp>
 #include <egretlatch/net/endpoint.hpp>
 #include <egretlatch/settings/daemon_settings.hpp>
+#include <egretlatch/settings/mechanism.hpp>
 #include <egretlatch/settings/problem.hpp>
 
 namespace egretlatch::settings
@@ -48,6 +49,8 @@
     /*! @brief What the platform asks of the fleet, in its own words. */
     std::vector<std::string> boundTexts;
     Policy policy{Policy::adaptive};
+    /*! @brief For experiments alone; operators leave it out. */
+    SwitchedOff switchedOff;
     LogLevel logLevel{LogLevel::info};
 
     friend bool operator==(const SidecarSettings &, const SidecarSettings &) = default;
--- /dev/null
+++ b/src/egretlatch/sidecar/adaptive_options.cpp
@@ -0,0 +1,33 @@
+#include <egretlatch/sidecar/adaptive_options.hpp>
+
+namespace egretlatch::sidecar
+{
+
+namespace internal
+{
+
+constexpr std::chrono::milliseconds shortestQueue{80};
+// For servers with a dozen slots: demand that is averaged over less is mostly noise, and cuts ranks above the one that is too much.
+constexpr admission::LevelTimes levelTimes{
+    .demandWindow = std::chrono::milliseconds{600}, .shortestStep = std::chrono::milliseconds{100}, .longestStep = std::chrono::milliseconds{600}};
+
+} // namespace internal
+
+daemon::AdaptiveOptions adaptiveOptions(const settings::SwitchedOff &switchedOff)
+{
+    const auto has = [&switchedOff](const settings::Mechanism mechanism) {
+        return !switchedOff.contains(mechanism);
+    };
+    using settings::Mechanism;
+    daemon::AdaptiveOptions options;
+    options.gate.areSlotsTrusted = has(Mechanism::trustedSlots);
+    options.gate.keepsInnerCalls = has(Mechanism::keptInnerCalls);
+    options.gate.shortestQueue = has(Mechanism::longQueues) ? internal::shortestQueue : std::chrono::milliseconds{};
+    options.gate.level = has(Mechanism::slowLevels) ? internal::levelTimes : admission::LevelTimes{};
+    options.costSource = has(Mechanism::wholeCosts) ? admission::CostSource::observed : admission::CostSource::declared;
+    options.refusesAtEntry = has(Mechanism::entryRefusals);
+    options.learnsServers = has(Mechanism::serverKnowledge);
+    return options;
+}
+
+} // namespace egretlatch::sidecar
--- a/src/egretlatch/sidecar/caller_front.cpp
+++ b/src/egretlatch/sidecar/caller_front.cpp
@@ -83,6 +83,9 @@
 
 bool CallerFront::mayOverlap(const http::Request &request) const
 {
+    if (!m_overlaps) {
+        return false;
+    }
     const platform::CallerRequest caller = platform::readCaller(request);
     const manifest::RouteSpec *const route = m_manifest == nullptr ? nullptr : m_manifest->findRoute(caller.host, caller.path);
     if (route == nullptr) {
--- a/src/egretlatch/sidecar/caller_front.hpp
+++ b/src/egretlatch/sidecar/caller_front.hpp
@@ -43,6 +43,12 @@
      */
     void setManifest(std::shared_ptr<const manifest::Manifest> manifest);
 
+    /*! @brief Sets whether idempotent requests of one connection run beside one another. */
+    void setOverlap(bool overlaps)
+    {
+        m_overlaps = overlaps;
+    }
+
     /**
      * @brief Answers a request.
      * @param order The answer.
@@ -63,6 +69,7 @@
     EventHandler m_onEvent;
     routing::WeightedTargets m_targets;
     std::shared_ptr<const manifest::Manifest> m_manifest;
+    bool m_overlaps{true};
     /*! @brief Names of the requests that are under way. */
     std::unordered_map<ExchangeId, std::string> m_names;
     http::Server m_server;
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -6,11 +6,11 @@
 #include <fmt/format.h>
 
 #include <egretlatch/core/fresh_life.hpp>
-#include <egretlatch/daemon/core_options.hpp>
 #include <egretlatch/platform/bounds.hpp>
 #include <egretlatch/platform/configuration_document.hpp>
 #include <egretlatch/platform/names.hpp>
 #include <egretlatch/platform/server_report.hpp>
+#include <egretlatch/sidecar/adaptive_options.hpp>
 #include <egretlatch/sidecar/gauges.hpp>
 #include <egretlatch/sidecar/leaving_times.hpp>
 
@@ -22,15 +22,8 @@
 
 constexpr std::chrono::milliseconds houseInterval{100};
 // Part of what the fleet may repeat that daemons use; the rest is for what they count differently than its servers: daemons
-// that start anew, and calls that never arrive. While two of three servers of the deepest service lost answers, 0.9 in place
-// of 0.5 took the served worth of those four seconds from 0.54 to 0.59.
+// that start anew, and calls that never arrive.
 constexpr double usedShareOfRetries = 0.8;
-constexpr admission::GateRules gateRules{
-    .areSlotsTrusted = true,
-    .keepsInnerCalls = true,
-    .shortestQueue = std::chrono::milliseconds{80},
-    .level = {.demandWindow = std::chrono::milliseconds{600}, .shortestStep = std::chrono::milliseconds{100}, .longestStep = std::chrono::milliseconds{600}},
-};
 // Part of the time, in hundredths, that the platform gives from a server's word that it leaves to its last request. What
 // waits at the door when it closes is sent on within the rest.
 constexpr int hundredths = 100;
@@ -134,22 +127,28 @@
     builder.followPlatform();
     builder.setConfigurationFeed();
     builder.setUnownedKeys(retry::UnownedKeys::notNeeded);
-    builder.setEntryRules({.countsOnlyArrivals = true, .retrySlack = m_bounds.retrySlack * internal::usedShareOfRetries, .traces = false});
+    builder.setEntryRules({.countsOnlyArrivals = true, .retrySlack = m_bounds.retrySlack * usedShareOfRetries(), .traces = false});
     builder.setDoorTimes({
         .afterReport = internal::doorShare * m_bounds.drain / internal::hundredths,
         // The server beside this daemon goes on, so the door stays open for daemons that know of no other.
         .afterSignal = leavingTimesOf(m_bounds.grace, {}).notice,
         .lastStart = internal::lastStartShare * m_bounds.drain / internal::hundredths,
     });
-    daemon::applyPolicy(m_settings.policy, m_random, builder, internal::gateRules, admission::CostSource::observed);
+    daemon::applyPolicy(m_settings.policy, m_random, builder, adaptiveOptions(m_settings.switchedOff));
     return builder.build();
 }
 
+double Sidecar::usedShareOfRetries() const
+{
+    return m_settings.switchedOff.contains(settings::Mechanism::retries) ? 0.0 : internal::usedShareOfRetries;
+}
+
 Result<void> Sidecar::start()
 {
     if (Result<void> listening = listen(); !listening.has_value()) {
         return listening;
     }
+    m_front.setOverlap(!m_settings.switchedOff.contains(settings::Mechanism::overlap));
     m_startedAt = m_clock.steadyNow();
     m_houseTimer.start();
     m_feed.tick();
@@ -356,7 +355,7 @@
 
 void Sidecar::takeConfiguration(const QByteArray &document)
 {
-    Result<platform::AcceptedConfiguration> accepted = platform::readConfiguration(document, m_bounds.retryRatio * internal::usedShareOfRetries);
+    Result<platform::AcceptedConfiguration> accepted = platform::readConfiguration(document, m_bounds.retryRatio * usedShareOfRetries());
     if (!accepted.has_value()) {
         m_logger.warning("configuration not taken", {{"reason", accepted.error().message}});
         return;
--- a/src/egretlatch/sidecar/sidecar.hpp
+++ b/src/egretlatch/sidecar/sidecar.hpp
@@ -64,6 +64,7 @@
 private:
     [[nodiscard]] std::unique_ptr<decision::Core> makeCore();
     [[nodiscard]] Result<void> listen();
+    [[nodiscard]] double usedShareOfRetries() const;
     void post(decision::Event event);
     void handle(const decision::Event &event);
     void carryOut(decision::Action action);
--- a/test/egretlatch/settings/sidecar_settings.cpp
+++ b/test/egretlatch/settings/sidecar_settings.cpp
@@ -42,6 +42,14 @@
     CHECK(hasProblemAt(QByteArray{good}.replace(R"("new":1)", R"("announcedPeer":"elsewhere")"), "/announcedPeer"));
 }
 
+TEST_CASE("an experiment names what it does without, and a name that is none is told")
+{
+    CHECK(settings::parseSidecarSettings(good)->switchedOff.empty());
+    const QByteArray without = QByteArray{good}.replace(R"("new":1)", R"("switchedOff":["whole-costs","retries"])");
+    CHECK(settings::parseSidecarSettings(without)->switchedOff == settings::SwitchedOff{settings::Mechanism::wholeCosts, settings::Mechanism::retries});
+    CHECK(hasProblemAt(QByteArray{good}.replace(R"("new":1)", R"("switchedOff":["everything"])"), "/switchedOff"));
+}
+
 TEST_CASE("what is wrong is named by its place")
 {
     CHECK(hasProblemAt(QByteArray{good}.replace("10.0.0.1:1", "host:1"), "/callers"));
