--- a/src/egretlatch/cli/request_story.cpp
+++ b/src/egretlatch/cli/request_story.cpp
@@ -88,8 +88,7 @@
         }
         const std::string request = textOf(fields, "request");
         if (isPart(request)) {
-            m_lines.push_back(
-                {.time = textOf(fields, "time"), .daemon = textOf(fields, "source"), .event = event, .request = request, .fields = fields});
+            m_lines.push_back({.time = textOf(fields, "time"), .daemon = textOf(fields, "source"), .event = event, .request = request, .fields = fields});
         }
     }
 }
--- a/src/egretlatch/cli/sidecar_command.cpp
+++ b/src/egretlatch/cli/sidecar_command.cpp
@@ -53,8 +53,7 @@
     if (!settings.has_value()) {
         return ExitCode::badInput;
     }
-    // One heap for all threads: ZeroMQ's allocate little at a time, and a heap of their own each holds some 70 KB
-    // more (private memory of one of twelve daemons on loopback after 100 calls).
+    // One heap for all threads: the few that Qt starts allocate little, and a heap of their own each would hold more than they use.
     mallopt(M_ARENA_MAX, 1);
     const int signalDescriptor = openSignals({SIGTERM, SIGINT, SIGHUP});
     QCoreApplication::setEventDispatcher(new net::EventDispatcher);
--- a/src/egretlatch/http/answer_queue.hpp
+++ b/src/egretlatch/http/answer_queue.hpp
@@ -18,7 +18,7 @@
     /*! @brief Requests that are under way or whose answers wait for their turn. */
     std::size_t requests{32};
     /*! @brief Bytes of answers that wait for their turn, and of bodies of requests that are under way. */
-    qsizetype bytes{256 * 1024};
+    qsizetype bytes{262'144};
 
     friend bool operator==(const PipelineLimits &, const PipelineLimits &) = default;
 };
--- a/src/egretlatch/http/server_connection.cpp
+++ b/src/egretlatch/http/server_connection.cpp
@@ -67,8 +67,7 @@
     }
     m_isProceeding = true;
     do {
-        while (startNext()) {
-        }
+        while (startNext()) { }
         if (m_isRetiring && !m_queue.isEmpty()) {
             takeNoMore();
         }
--- a/src/egretlatch/net/event_dispatcher.cpp
+++ b/src/egretlatch/net/event_dispatcher.cpp
@@ -113,16 +113,20 @@
 
 bool EventDispatcher::unregisterTimer(const int timerId)
 {
-    return std::erase_if(m_timers, [timerId](const Timer &timer) {
-        return timer.id == timerId;
-    }) > 0;
+    return std::erase_if(m_timers,
+                         [timerId](const Timer &timer) {
+                             return timer.id == timerId;
+                         })
+        > 0;
 }
 
 bool EventDispatcher::unregisterTimers(QObject *const object)
 {
-    return std::erase_if(m_timers, [object](const Timer &timer) {
-        return timer.object == object;
-    }) > 0;
+    return std::erase_if(m_timers,
+                         [object](const Timer &timer) {
+                             return timer.object == object;
+                         })
+        > 0;
 }
 
 QList<QAbstractEventDispatcher::TimerInfo> EventDispatcher::registeredTimers(QObject *const object) const
--- a/src/egretlatch/routing/adaptive_router.cpp
+++ b/src/egretlatch/routing/adaptive_router.cpp
@@ -13,17 +13,15 @@
 
 constexpr std::size_t subsetSize = 16;
 // A further server must be expected to answer within this part of the nearer one's time to be worth the way, and the way
-// counts as so much more time, for itself and for each kilobyte that crosses. On a calm day with servers of one service 0.7
-// to 1.6 times as slow as usual, and one of them in each data centre, going to the fast ones took failures from 3.6 to 1.1 in
-// a thousand. At 5 ms a way twice as many bytes crossed (0.021 GB against 0.011) for no fewer failures.
+// counts as so much more time, for itself and for each kilobyte that crosses: servers of one service differ in speed, and the
+// only one near may be slow.
 constexpr double worthTheWay = 0.75;
 constexpr std::chrono::milliseconds wayTime{20};
 constexpr std::chrono::duration<double, std::milli> wayTimePerByte{0.001};
 // Nothing is expected to be faster than this part of the usual time, whatever was told.
 constexpr double fastestShare = 0.2;
 // A server that fails one call in four counts as four times as slow: what fails is made again, or fails the whole chain above
-// it. At a third of this weight, days on which servers lose answers had a fifth more failed requests (10.5 to 8.7 and 2.6 to 1.8
-// of a hundred, cp-sized fleet; 0.9 to 0.7, sfu-sized).
+// it.
 constexpr double failingWeight = 12.0;
 constexpr double outlierShare = 0.5;
 constexpr double outlierOverPeers = 0.3;
--- a/test/egretlatch/cli/loss_table.cpp
+++ b/test/egretlatch/cli/loss_table.cpp
@@ -14,8 +14,8 @@
 [[nodiscard]] QByteArray refused(const char *const time, const char *const kind, const char *const worth, const int depth)
 {
     return QByteArray{R"(stamp {"time":"2026-12-02T10:00:)"} + time + R"(Z","event":"refused","source":"a-1","request":"r","depth":")"
-        + QByteArray::number(depth) + R"(","service":"roster","kind":")" + kind + R"(","worth":")" + worth
-        + R"(","reason":"overload-at-entry","server":""})" + '\n';
+        + QByteArray::number(depth) + R"(","service":"roster","kind":")" + kind + R"(","worth":")" + worth + R"(","reason":"overload-at-entry","server":""})"
+        + '\n';
 }
 
 } // namespace
@@ -42,7 +42,11 @@
 {
     LossTable table{std::chrono::seconds{10}};
     table.read(refused("01.000", "winch", "1", 2));
-    table.read(R"({"event":"lines left out","of":"refused","count":"7"})" "\n" "no line\n" R"({"event":"sent again","request":"r"})" "\n");
+    table.read(R"({"event":"lines left out","of":"refused","count":"7"})"
+               "\n"
+               "no line\n"
+               R"({"event":"sent again","request":"r"})"
+               "\n");
 
     const QJsonObject document = QJsonDocument::fromJson(QByteArray::fromStdString(table.asJson().text)).object();
 
--- a/test/egretlatch/http/pipelining.cpp
+++ b/test/egretlatch/http/pipelining.cpp
@@ -318,7 +318,8 @@
 TEST_CASE("a caller that does not read holds back its own requests")
 {
     // A daemon's memory grows until it is ended: a caller sends requests on and on and reads none of the answers.
-    Exchange exchange{{.read = {}, .headerTimeout = std::chrono::seconds{5}, .idleTimeout = std::chrono::seconds{30}, .pipeline = {.requests = 4, .bytes = 100'000}}};
+    Exchange exchange{
+        {.read = {}, .headerTimeout = std::chrono::seconds{5}, .idleTimeout = std::chrono::seconds{30}, .pipeline = {.requests = 4, .bytes = 100'000}}};
     std::string all;
     for (int number = 0; number < 2000; ++number) {
         all += get(std::to_string(number), "X-Filler: " + std::string(60, 'x') + "\r\n");
--- a/test/egretlatch/net/event_dispatcher.cpp
+++ b/test/egretlatch/net/event_dispatcher.cpp
@@ -33,9 +33,14 @@
     /*! @brief Runs on the thread, which then hands out events until quit() is called. */
     void run(std::function<void()> body)
     {
-        QObject::connect(&m_thread, &QThread::started, &m_context, [body = std::move(body)] {
-            body();
-        }, Qt::DirectConnection);
+        QObject::connect(
+            &m_thread,
+            &QThread::started,
+            &m_context,
+            [body = std::move(body)] {
+                body();
+            },
+            Qt::DirectConnection);
         m_thread.start();
         REQUIRE(m_thread.wait(10'000));
     }
