--- a/src/egretlatch/http/fwd.hpp
+++ b/src/egretlatch/http/fwd.hpp
@@ -9,6 +9,7 @@
 struct RequestLimits;
 struct ServerLimits;
 enum class Failure;
+class AnswerQueue;
 class RequestReader;
 class ResponseReader;
 class Server;
--- a/src/egretlatch/sidecar/sidecar.hpp
+++ b/src/egretlatch/sidecar/sidecar.hpp
@@ -30,8 +30,7 @@
  * @brief A daemon on a VM that the platform runs.
  *
  * Callers, the backend server, the store, the other daemons and the decisions share one event loop: on a part of one core
- * each hand-over to another thread is a wake-up and a system call that buys no parallel work. Only ZeroMQ has threads of its
- * own.
+ * each hand-over to another thread is a wake-up and a system call that buys no parallel work.
  */
 class Sidecar
 {
