Each report of a backend server that changes what is believed, or changes nothing, is in the log

Now ServerLife says why a report is passed over (of another server, of another life, late) in place of 'none', the daemon writes a line 'server report' with the report, its effect and the life known, and counts reports by effect. Repeated heartbeats without news write nothing. The tests of ServerLife ask for the reason where they asked for 'none', which is stricter.

--- a/src/egretlatch/platform/server_report.cpp
+++ b/src/egretlatch/platform/server_report.cpp
@@ -87,6 +87,19 @@
 
 } // namespace internal
 
+std::string_view toString(const ServerReportState state) noexcept
+{
+    switch (state) {
+    case ServerReportState::ready:
+        return "ready";
+    case ServerReportState::draining:
+        return "draining";
+    case ServerReportState::left:
+        return "left";
+    }
+    return "unknown";
+}
+
 Result<ServerReport> readServerReport(const http::Request &request)
 {
     if (request.method != "POST") {
--- a/src/egretlatch/platform/server_report.hpp
+++ b/src/egretlatch/platform/server_report.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include <egretlatch/core/error.hpp>
 #include <egretlatch/http/message.hpp>
@@ -20,6 +21,13 @@
     left,
 };
 
+/**
+ * @brief Gives a state as text.
+ * @param state The state.
+ * @return Its name in logs.
+ */
+[[nodiscard]] std::string_view toString(ServerReportState state) noexcept;
+
 /*! @brief A heartbeat, or a farewell, of the backend server on this VM. */
 struct ServerReport
 {
--- a/src/egretlatch/sidecar/server_life.cpp
+++ b/src/egretlatch/sidecar/server_life.cpp
@@ -5,6 +5,23 @@
 namespace egretlatch::sidecar
 {
 
+std::string_view toString(const ReportEffect effect) noexcept
+{
+    switch (effect) {
+    case ReportEffect::ofAnotherServer:
+        return "of-another-server";
+    case ReportEffect::ofAnotherLife:
+        return "of-another-life";
+    case ReportEffect::late:
+        return "late";
+    case ReportEffect::serving:
+        return "serving";
+    case ReportEffect::leaving:
+        return "leaving";
+    }
+    return "unknown";
+}
+
 ServerLife::ServerLife(std::string service, std::string address)
     : m_service{std::move(service)}
     , m_address{std::move(address)}
@@ -17,10 +34,13 @@
     if (isFarewell) {
         const bool isPresent = report.instance == m_instance && (report.bornMs == 0 || report.bornMs == m_bornMs);
         m_isLeaving = m_isLeaving || isPresent;
-        return isPresent ? ReportEffect::leaving : ReportEffect::none;
+        return isPresent ? ReportEffect::leaving : ReportEffect::ofAnotherLife;
+    }
+    if (report.service != m_service || report.address != m_address) {
+        return ReportEffect::ofAnotherServer;
     }
-    if (report.service != m_service || report.address != m_address || isStale(report)) {
-        return ReportEffect::none;
+    if (isStale(report)) {
+        return ReportEffect::late;
     }
     const bool isNewLife = report.instance != m_instance || report.bornMs != m_bornMs;
     if (isNewLife) {
--- a/src/egretlatch/sidecar/server_life.hpp
+++ b/src/egretlatch/sidecar/server_life.hpp
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <egretlatch/platform/server_report.hpp>
 
@@ -11,14 +12,25 @@
 
 /*! @brief What a report of the backend server leads to. */
 enum class ReportEffect {
-    /*! @brief It is from another server, or older than what is known; nothing changes. */
-    none,
+    /*! @brief It names another service or address; nothing changes. */
+    ofAnotherServer,
+    /*! @brief It is a farewell of a life that is not the present one; nothing changes. */
+    ofAnotherLife,
+    /*! @brief It is older than what is known; nothing changes. */
+    late,
     /*! @brief The server takes work. */
     serving,
     /*! @brief The server takes no more work. */
     leaving,
 };
 
+/**
+ * @brief Gives an effect as text.
+ * @param effect The effect.
+ * @return Its name in logs and metrics.
+ */
+[[nodiscard]] std::string_view toString(ReportEffect effect) noexcept;
+
 /**
  * @brief Follows the lives of the backend server on this VM by its reports.
  *
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -312,6 +312,7 @@
     }
     const std::string lifeBefore = m_server.lifeName();
     const ReportEffect effect = m_server.take(*report);
+    noteReport(*report, effect);
     if (m_server.lifeName() != lifeBefore) {
         m_logger.info("backend server's life began", {{"instance", m_server.instance()}, {"born", report->bornMs}, {"slots", m_server.slots()}});
         m_backend.forgetConnections();
@@ -326,6 +327,23 @@
     m_reports.answer(exchange, platform::acknowledgement());
 }
 
+void Sidecar::noteReport(const platform::ServerReport &report, const ReportEffect effect)
+{
+    m_metrics.count("server_reports", toString(effect));
+    const bool isAsBefore = (effect == ReportEffect::serving || effect == ReportEffect::leaving) && m_lastEffect == effect;
+    if (isAsBefore) {
+        return;
+    }
+    m_lastEffect = effect;
+    m_logger.info("server report",
+                  {{"instance", report.instance},
+                   {"born", report.bornMs},
+                   {"sequence", report.sequence},
+                   {"state", platform::toString(report.state)},
+                   {"effect", toString(effect)},
+                   {"presentLife", m_server.lifeName()}});
+}
+
 void Sidecar::answerProbe(const ExchangeId exchange, const http::Request &request)
 {
     if (request.target == internal::metricsPath) {
--- a/src/egretlatch/sidecar/sidecar.hpp
+++ b/src/egretlatch/sidecar/sidecar.hpp
@@ -72,6 +72,7 @@
     void keepHouse();
     [[nodiscard]] std::chrono::milliseconds longestTimeout() const;
     void takeReport(ExchangeId exchange, const http::Request &request);
+    void noteReport(const platform::ServerReport &report, ReportEffect effect);
     void answerProbe(ExchangeId exchange, const http::Request &request);
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] http::Response metricsPage();
@@ -99,6 +100,8 @@
     http::Server m_metricsServer;
     http::Server m_reports;
     ServerLife m_server;
+    /*! @brief What the last report led to; nothing before the first. */
+    std::optional<ReportEffect> m_lastEffect;
     std::unique_ptr<decision::Core> m_core;
     std::deque<decision::Event> m_events;
     QTimer m_tickTimer;
--- a/test/egretlatch/platform/wire.cpp
+++ b/test/egretlatch/platform/wire.cpp
@@ -88,7 +88,7 @@
     const auto report = platform::readServerReport(heartbeat(good));
     REQUIRE(report.has_value());
     CHECK(report->instance == "i-1");
-    CHECK(report->state == platform::ServerReportState::draining);
+    CHECK((report->state == platform::ServerReportState::draining));
     CHECK(report->slots == 60);
     CHECK(report->sequence == 4);
     CHECK(report->bornMs == 1790000000000);
@@ -114,7 +114,7 @@
     request.method = "POST";
     request.target = "/api/instances/i-1/deregister";
     REQUIRE(platform::readServerReport(request).has_value());
-    CHECK(platform::readServerReport(request)->state == platform::ServerReportState::left);
+    CHECK((platform::readServerReport(request)->state == platform::ServerReportState::left));
     request.target = "/api/instances//deregister";
     CHECK(platform::readServerReport(request).error().code == ErrorCode::notFound);
     request.target = "/api/other";
--- a/test/egretlatch/sidecar/server_life.cpp
+++ b/test/egretlatch/sidecar/server_life.cpp
@@ -41,28 +41,28 @@
     // Requests reach a server after it was acknowledged that it leaves. A heartbeat that a partition held up comes after
     // the one that said so, and speaks of a server that is ready.
     ServerLife life{"roster", "10.0.0.1:80"};
-    CHECK(life.take(report("i-1", 100, 1)) == ReportEffect::serving);
-    CHECK(life.take(leaving(report("i-1", 100, 3))) == ReportEffect::leaving);
-    CHECK(life.take(report("i-1", 100, 2)) == ReportEffect::none);
-    CHECK(life.take(report("i-1", 100, 4)) == ReportEffect::leaving);
+    CHECK((life.take(report("i-1", 100, 1)) == ReportEffect::serving));
+    CHECK((life.take(leaving(report("i-1", 100, 3))) == ReportEffect::leaving));
+    CHECK((life.take(report("i-1", 100, 2)) == ReportEffect::late));
+    CHECK((life.take(report("i-1", 100, 4)) == ReportEffect::leaving));
 }
 
 TEST_CASE("a server that starts again under the same id is a new life")
 {
     ServerLife life{"roster", "10.0.0.1:80"};
-    CHECK(life.take(leaving(report("i-1", 100, 9))) == ReportEffect::leaving);
-    CHECK(life.take(report("i-1", 200, 1)) == ReportEffect::serving);
+    CHECK((life.take(leaving(report("i-1", 100, 9))) == ReportEffect::leaving));
+    CHECK((life.take(report("i-1", 200, 1)) == ReportEffect::serving));
     // What the ended life still had under way changes nothing.
-    CHECK(life.take(leaving(report("i-1", 100, 10))) == ReportEffect::none);
-    CHECK(life.take(report("i-1", 200, 2)) == ReportEffect::serving);
+    CHECK((life.take(leaving(report("i-1", 100, 10))) == ReportEffect::late));
+    CHECK((life.take(report("i-1", 200, 2)) == ReportEffect::serving));
 }
 
 TEST_CASE("a heartbeat of the life before is passed over, with or without its time of start")
 {
     ServerLife life{"roster", "10.0.0.1:80"};
-    CHECK(life.take(report("i-1", 0, 5)) == ReportEffect::serving);
-    CHECK(life.take(report("i-2", 0, 1)) == ReportEffect::serving);
-    CHECK(life.take(report("i-1", 0, 6)) == ReportEffect::none);
+    CHECK((life.take(report("i-1", 0, 5)) == ReportEffect::serving));
+    CHECK((life.take(report("i-2", 0, 1)) == ReportEffect::serving));
+    CHECK((life.take(report("i-1", 0, 6)) == ReportEffect::late));
     CHECK(life.instance() == "i-2");
 }
 
@@ -71,11 +71,11 @@
     ServerLife life{"roster", "10.0.0.1:80"};
     platform::ServerReport other = report("i-1", 100, 1);
     other.service = "archive";
-    CHECK(life.take(other) == ReportEffect::none);
+    CHECK((life.take(other) == ReportEffect::ofAnotherServer));
     other = report("i-1", 100, 1);
     other.address = "10.0.0.2:80";
-    CHECK(life.take(other) == ReportEffect::none);
-    CHECK(life.take(report("i-1", 100, 1)) == ReportEffect::serving);
-    CHECK(life.take(farewell("i-0")) == ReportEffect::none);
-    CHECK(life.take(farewell("i-1")) == ReportEffect::leaving);
+    CHECK((life.take(other) == ReportEffect::ofAnotherServer));
+    CHECK((life.take(report("i-1", 100, 1)) == ReportEffect::serving));
+    CHECK((life.take(farewell("i-0")) == ReportEffect::ofAnotherLife));
+    CHECK((life.take(farewell("i-1")) == ReportEffect::leaving));
 }
