Failing tests: a server that has left gets requests again after a late heartbeat

Both fail on this code, 15 requests each reach the server a second and more after its acknowledgement (drain is 1 s there): - a farewell that is the first thing a daemon hears after its start is forgotten (the incident); - a daemon that acknowledged the leaving and starts again knows nothing of it, and a heartbeat sent before it opens the door.

The stand-in server can say its farewell.

--- a/standin/fleet/server.py
+++ b/standin/fleet/server.py
@@ -223,6 +223,11 @@
                 "status": {"state": self.state, "seq": self.sequence, "cold_remaining": "0ms"}}
         return await post(control, f"/api/instances/{self.instance}/heartbeat", json.dumps(body).encode())
 
+    async def say_farewell(self, control):
+        """Takes itself out of the list; gives the status of the acknowledgement, or None."""
+        self.state = "left"
+        return await post(control, f"/api/instances/{self.instance}/deregister", json.dumps({"born": self.born}).encode())
+
 
 async def post(endpoint, path, body, method="POST"):
     """Makes one call; gives the status, or None if no answer came."""
--- a/test/processes/test_sidecar.py
+++ b/test/processes/test_sidecar.py
@@ -173,6 +173,41 @@
         self.assertEqual({200}, set(statuses))
         self.assertEqual(before, vm.server.arrivals)
 
+    async def test_a_farewell_to_a_daemon_that_has_just_started_is_not_undone_by_a_late_heartbeat(self):
+        vm = await self.restart_beside_silent_server()
+        self.assertEqual(200, await vm.server.say_farewell(vm.reports))
+        await self.expect_no_arrivals_after_late_heartbeat(vm)
+
+    async def test_a_server_that_leaves_gets_nothing_though_its_daemon_starts_again(self):
+        vm = next(vm for vm in self.fleet.vms if vm.server.service == "roster")
+        vm.beats.cancel()
+        self.assertEqual(200, await vm.server.report(vm.reports, state="draining"))
+        await asyncio.sleep(0.1)
+        await self.restart(vm)
+        await self.expect_no_arrivals_after_late_heartbeat(vm)
+
+    async def restart_beside_silent_server(self):
+        """Kills and starts a daemon whose server goes on and has not been heard since."""
+        vm = next(vm for vm in self.fleet.vms if vm.server.service == "roster")
+        vm.beats.cancel()
+        await self.restart(vm)
+        return vm
+
+    async def restart(self, vm):
+        self.fleet.signal(vm, signal.SIGKILL)
+        await asyncio.to_thread(vm.process.wait, 5)
+        self.fleet.start_daemon(vm)
+        self.assertTrue(await self.fleet.ready(), self.fleet.log(vm))
+
+    async def expect_no_arrivals_after_late_heartbeat(self, vm):
+        await asyncio.sleep(self.drain_seconds())
+        self.assertEqual(200, await vm.server.report(vm.reports, state="ready"))
+        before = vm.server.arrivals
+        statuses = [(await Client(other.callers).send(f"n-{number}", HOST, "/read/")).status
+                    for number in range(5) for other in self.fleet.vms]
+        self.assertEqual({200}, set(statuses))
+        self.assertEqual(before, vm.server.arrivals)
+
     def drain_seconds(self):
         return float(self.fleet.bounds["drain"].rstrip("s"))
 
