The word of a server that it leaves binds by the life that it names, known or not

What callers saw: nothing; the operators saw requests reach a server two seconds and more after a daemon had acknowledged that it leaves, and be cut off when it ended.

Cause: a word of leaving was compared with what was known at that moment. A daemon that had just started knew no server, so the farewell was taken for that of another life, acknowledged and forgotten; a heartbeat that was sent before it and held up for some two seconds then began the life anew, as ready. The core had the same fault by itself: a drain with no server known was undone by the next announcement, a server that had left could come back once another had been in its place, and a daemon told to end before it knew its server said that it serves.

Class: the end of something matched against present state, so that it is lost when it comes before its beginning.

The farewell names its life, also one not heard of. A drain without a name and without a known server lasts until that server has been silent, as one with a known server does. A daemon told to end takes no server in.

Ruled out: a leaving that was taken and undone within one process (no life began with it), a report passed over for its service or address (no such line).

--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -161,11 +161,10 @@
     // A server goes on announcing itself while it drains, which must not put it back to work; nor must it once it has
     // been silent for a while and wakes. Another process in its place is a server of its own, known by its instance name,
     // or, without a name, by the silence before it.
-    const bool isDrained = m_drainedInstance == announced.instance && (m_isDraining || !announced.instance.empty());
-    if (m_isShuttingDown || isDrained || m_server == announced) {
+    const bool isDrained = announced.instance.empty() ? m_isDraining && isServerNameless() : hasLeft(announced.instance);
+    if (m_isSignalled || isDrained || m_server == announced) {
         return;
     }
-    m_drainedInstance.reset();
     m_server = announced;
     m_isDraining = false;
     m_doorClosesAt.reset();
@@ -177,6 +176,11 @@
     declareService();
 }
 
+bool Core::isServerNameless() const
+{
+    return !m_server.has_value() || m_server->instance.empty();
+}
+
 void Core::handleDraining(const ServerDraining &draining, const SteadyTime now)
 {
     if (draining.isShutdown) {
@@ -188,20 +192,25 @@
             tickDoor(now);
         }
     }
+    const bool isOfDaemon = draining.isShutdown || draining.isSignal;
+    m_isSignalled = m_isSignalled || isOfDaemon;
+    if (!isOfDaemon && !takeDeparture(draining.instance)) {
+        return;
+    }
     if (m_isDraining) {
         // The server's own word, after the signal, may leave it less time.
-        if (m_doorClosesAt.has_value() && !draining.isShutdown && !draining.isSignal) {
+        if (m_doorClosesAt.has_value() && !isOfDaemon) {
             m_doorClosesAt = std::min(*m_doorClosesAt, now + m_doorTimes.afterReport);
             boundLastStart(now);
         }
         return;
     }
     m_isDraining = true;
-    if (m_server.has_value()) {
-        m_drainedInstance = m_server->instance;
+    if (!m_server.has_value()) {
+        m_lastAnnounced = now;
     }
-    m_doorClosesAt = now + (draining.isShutdown || draining.isSignal ? m_doorTimes.afterSignal : m_doorTimes.afterReport);
-    if (!draining.isShutdown && !draining.isSignal) {
+    m_doorClosesAt = now + (isOfDaemon ? m_doorTimes.afterSignal : m_doorTimes.afterReport);
+    if (!isOfDaemon) {
         boundLastStart(now);
     }
     tickDoor(now);
@@ -209,10 +218,20 @@
     updateSelf(membership::MemberState::draining, self.service, self.slots, self.connections, now);
 }
 
+bool Core::takeDeparture(const std::string &instance)
+{
+    const bool isHere = instance.empty() || (m_server.has_value() && m_server->instance == instance);
+    const std::string &name = instance.empty() && m_server.has_value() ? m_server->instance : instance;
+    if (!name.empty()) {
+        m_departures.note(name);
+    }
+    return isHere;
+}
+
 void Core::handleLeft(const SteadyTime now)
 {
     m_server.reset();
-    m_isDraining = m_isShuttingDown;
+    m_isDraining = m_isSignalled;
     m_serving->setServer(0);
     updateSelf(membership::MemberState::idle, {}, 0, 0, now);
 }
@@ -304,7 +323,8 @@
 {
     // A backend server that dies says nothing, and its daemon would go on offering its slots: callers would see one
     // refused connection after the other. It is taken for gone once its announcements stop.
-    if (m_server.has_value() && now - m_lastAnnounced >= internal::announcementTimeout) {
+    const bool isAwaited = m_server.has_value() || (m_isDraining && !m_isSignalled);
+    if (isAwaited && now - m_lastAnnounced >= internal::announcementTimeout) {
         m_surroundings->metrics.count("membership", "server-silent");
         handleLeft(now);
     }
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -14,6 +14,7 @@
 #include <egretlatch/decision/serving_handler.hpp>
 #include <egretlatch/decision/surroundings.hpp>
 #include <egretlatch/membership/contact_book.hpp>
+#include <egretlatch/membership/departures.hpp>
 #include <egretlatch/membership/gossip.hpp>
 
 namespace egretlatch::decision
@@ -75,6 +76,16 @@
 
     [[nodiscard]] admission::LoadReport load() const;
 
+    /**
+     * @brief Says whether a backend server has said that it leaves.
+     * @param instance Its instance name.
+     * @return True if it has; it takes no more work under that name.
+     */
+    [[nodiscard]] bool hasLeft(const std::string &instance) const
+    {
+        return m_departures.contains(instance);
+    }
+
 private:
     friend class CoreBuilder;
     Core() = default;
@@ -83,6 +94,8 @@
     void handleMessage(const protocol::Envelope &envelope, SteadyTime now);
     void handleAnnounced(const ServerAnnounced &announced, SteadyTime now);
     void handleDraining(const ServerDraining &draining, SteadyTime now);
+    [[nodiscard]] bool takeDeparture(const std::string &instance);
+    [[nodiscard]] bool isServerNameless() const;
     void handleLeft(SteadyTime now);
     void handlePlatform(const PlatformAnswered &answered, SteadyTime now);
     void handleManifest(const ManifestChanged &changed);
@@ -115,11 +128,12 @@
     std::optional<store::RequestId> m_contactRequest;
     /*! @brief What the backend server said last; nothing if there is none. */
     std::optional<ServerAnnounced> m_server;
-    /*! @brief Instance name of the server that was told to drain. */
-    std::optional<std::string> m_drainedInstance;
+    membership::Departures m_departures;
     SteadyTime m_lastAnnounced;
     SteadyTime m_lastFleetTick;
     bool m_isDraining{};
+    /*! @brief Whether the daemon was told to end. */
+    bool m_isSignalled{};
     DoorTimes m_doorTimes;
     /*! @brief When a backend server that leaves gets no more requests; nothing while it does not leave, or once it gets none. */
     std::optional<SteadyTime> m_doorClosesAt;
--- a/src/egretlatch/decision/event.hpp
+++ b/src/egretlatch/decision/event.hpp
@@ -130,6 +130,8 @@
 /*! @brief The backend server, or an operator's signal, asks to take no new work. */
 struct ServerDraining
 {
+    /*! @brief Instance name of the server that leaves; empty for the one that is here. */
+    std::string instance{};
     /*! @brief Whether the daemon itself is to end once nothing is in flight. */
     bool isShutdown{};
     /*! @brief Whether the daemon was told to end, rather than its backend server. */
--- a/src/egretlatch/membership/fwd.hpp
+++ b/src/egretlatch/membership/fwd.hpp
@@ -18,6 +18,7 @@
 struct Suspicion;
 
 class ContactBook;
+class Departures;
 class Gossip;
 class NewsQueue;
 class Prober;
--- a/src/egretlatch/sidecar/server_life.cpp
+++ b/src/egretlatch/sidecar/server_life.cpp
@@ -5,13 +5,23 @@
 namespace egretlatch::sidecar
 {
 
+namespace internal
+{
+
+[[nodiscard]] static std::string nameOf(const std::string &instance, const std::int64_t bornMs)
+{
+    return fmt::format("{}#{}", instance, bornMs);
+}
+
+} // namespace internal
+
 std::string_view toString(const ReportEffect effect) noexcept
 {
     switch (effect) {
     case ReportEffect::ofAnotherServer:
         return "of-another-server";
-    case ReportEffect::ofAnotherLife:
-        return "of-another-life";
+    case ReportEffect::leavingElsewhere:
+        return "leaving-elsewhere";
     case ReportEffect::late:
         return "late";
     case ReportEffect::serving:
@@ -32,9 +42,8 @@
 {
     const bool isFarewell = report.state == platform::ServerReportState::left;
     if (isFarewell) {
-        const bool isPresent = report.instance == m_instance && (report.bornMs == 0 || report.bornMs == m_bornMs);
-        m_isLeaving = m_isLeaving || isPresent;
-        return isPresent ? ReportEffect::leaving : ReportEffect::ofAnotherLife;
+        m_isLeaving = m_isLeaving || isPresent(report);
+        return isPresent(report) ? ReportEffect::leaving : ReportEffect::leavingElsewhere;
     }
     if (report.service != m_service || report.address != m_address) {
         return ReportEffect::ofAnotherServer;
@@ -58,7 +67,18 @@
 
 std::string ServerLife::lifeName() const
 {
-    return fmt::format("{}#{}", m_instance, m_bornMs);
+    return internal::nameOf(m_instance, m_bornMs);
+}
+
+std::string ServerLife::lifeOf(const platform::ServerReport &report) const
+{
+    const bool isFarewell = report.state == platform::ServerReportState::left;
+    return isFarewell && isPresent(report) ? lifeName() : internal::nameOf(report.instance, report.bornMs);
+}
+
+bool ServerLife::isPresent(const platform::ServerReport &farewell) const
+{
+    return farewell.instance == m_instance && (farewell.bornMs == 0 || farewell.bornMs == m_bornMs);
 }
 
 bool ServerLife::isStale(const platform::ServerReport &report) const
--- a/src/egretlatch/sidecar/server_life.hpp
+++ b/src/egretlatch/sidecar/server_life.hpp
@@ -14,8 +14,8 @@
 enum class ReportEffect {
     /*! @brief It names another service or address; nothing changes. */
     ofAnotherServer,
-    /*! @brief It is a farewell of a life that is not the present one; nothing changes. */
-    ofAnotherLife,
+    /*! @brief It is the farewell of a life that is not the present one, heard of or not. */
+    leavingElsewhere,
     /*! @brief It is older than what is known; nothing changes. */
     late,
     /*! @brief The server takes work. */
@@ -63,6 +63,13 @@
     /*! @brief Tells the present life from all others. */
     [[nodiscard]] std::string lifeName() const;
 
+    /**
+     * @brief Names the life that a report speaks of.
+     * @param report A report that was taken.
+     * @return The name, as of `lifeName`.
+     */
+    [[nodiscard]] std::string lifeOf(const platform::ServerReport &report) const;
+
     /*! @brief Requests that the server runs at a time. */
     [[nodiscard]] int slots() const noexcept
     {
@@ -70,6 +77,7 @@
     }
 
 private:
+    [[nodiscard]] bool isPresent(const platform::ServerReport &farewell) const;
     [[nodiscard]] bool isStale(const platform::ServerReport &report) const;
 
     std::string m_service;
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -311,7 +311,7 @@
         return;
     }
     const std::string lifeBefore = m_server.lifeName();
-    const ReportEffect effect = m_server.take(*report);
+    const ReportEffect effect = effectOf(*report);
     noteReport(*report, effect);
     if (m_server.lifeName() != lifeBefore) {
         m_logger.info("backend server's life began", {{"instance", m_server.instance()}, {"born", report->bornMs}, {"slots", m_server.slots()}});
@@ -320,13 +320,19 @@
     if (effect == ReportEffect::serving) {
         post(decision::ServerAnnounced{
             .service = m_settings.service, .slots = m_server.slots(), .connections = m_server.slots(), .instance = m_server.lifeName()});
-    } else if (effect == ReportEffect::leaving) {
+    } else if (effect == ReportEffect::leaving || effect == ReportEffect::leavingElsewhere) {
         // Before the acknowledgement: from then on no new request may reach the server.
-        post(decision::ServerDraining{});
+        post(decision::ServerDraining{.instance = m_server.lifeOf(*report)});
     }
     m_reports.answer(exchange, platform::acknowledgement());
 }
 
+ReportEffect Sidecar::effectOf(const platform::ServerReport &report)
+{
+    const ReportEffect effect = m_server.take(report);
+    return effect == ReportEffect::serving && m_core->hasLeft(m_server.lifeName()) ? ReportEffect::leaving : effect;
+}
+
 void Sidecar::noteReport(const platform::ServerReport &report, const ReportEffect effect)
 {
     m_metrics.count("server_reports", toString(effect));
--- a/src/egretlatch/sidecar/sidecar.hpp
+++ b/src/egretlatch/sidecar/sidecar.hpp
@@ -72,6 +72,7 @@
     void keepHouse();
     [[nodiscard]] std::chrono::milliseconds longestTimeout() const;
     void takeReport(ExchangeId exchange, const http::Request &request);
+    [[nodiscard]] ReportEffect effectOf(const platform::ServerReport &report);
     void noteReport(const platform::ServerReport &report, ReportEffect effect);
     void answerProbe(ExchangeId exchange, const http::Request &request);
     [[nodiscard]] bool isReady() const;
--- a/test/egretlatch/decision/membership.cpp
+++ b/test/egretlatch/decision/membership.cpp
@@ -204,6 +204,48 @@
     CHECK((daemon.state() == MemberState::serving));
 }
 
+TEST_CASE("the word of a server that it leaves is not undone by an announcement that was sent before it")
+{
+    DaemonFixture daemon;
+    static_cast<void>(daemon.core->handle(ServerDraining{.instance = "first"}));
+    daemon.announce("first");
+    CHECK((daemon.state() == MemberState::idle));
+    daemon.announce("second");
+    CHECK((daemon.state() == MemberState::serving));
+    static_cast<void>(daemon.core->handle(ServerDraining{.instance = "first"}));
+    CHECK((daemon.state() == MemberState::serving));
+}
+
+TEST_CASE("a server that left does not come back once another has been in its place")
+{
+    DaemonFixture daemon;
+    daemon.announce("first");
+    static_cast<void>(daemon.core->handle(ServerDraining{.instance = "first"}));
+    daemon.announce("second");
+    static_cast<void>(daemon.core->handle(ServerDraining{.instance = "second"}));
+    daemon.announce("first");
+    CHECK((daemon.state() == MemberState::draining));
+}
+
+TEST_CASE("a drain before a server without a name is known lasts until it has been silent")
+{
+    DaemonFixture daemon;
+    static_cast<void>(daemon.core->handle(ServerDraining{}));
+    daemon.announce();
+    CHECK((daemon.state() != MemberState::serving));
+    static_cast<void>(daemon.pass(6s, false));
+    daemon.announce();
+    CHECK((daemon.state() == MemberState::serving));
+}
+
+TEST_CASE("a daemon that was told to end before it knew its server does not say that it serves")
+{
+    DaemonFixture daemon;
+    static_cast<void>(daemon.core->handle(ServerDraining{.isSignal = true}));
+    daemon.announce("first");
+    CHECK((daemon.state() != MemberState::serving));
+}
+
 TEST_CASE("a daemon that shuts down finishes what runs, says that it leaves, and then ends")
 {
     // A marshal sees a launch entry fail because a VM was replaced. What runs must end first; then the others must be
--- a/test/egretlatch/sidecar/server_life.cpp
+++ b/test/egretlatch/sidecar/server_life.cpp
@@ -76,6 +76,15 @@
     other.address = "10.0.0.2:80";
     CHECK((life.take(other) == ReportEffect::ofAnotherServer));
     CHECK((life.take(report("i-1", 100, 1)) == ReportEffect::serving));
-    CHECK((life.take(farewell("i-0")) == ReportEffect::ofAnotherLife));
+    CHECK((life.take(farewell("i-0")) == ReportEffect::leavingElsewhere));
     CHECK((life.take(farewell("i-1")) == ReportEffect::leaving));
 }
+
+TEST_CASE("a farewell that comes before all else names the life that it ends")
+{
+    ServerLife life{"roster", "10.0.0.1:80"};
+    const platform::ServerReport ended = farewell("i-1");
+    CHECK((life.take(ended) == ReportEffect::leavingElsewhere));
+    CHECK((life.take(report("i-1", 0, 9)) == ReportEffect::serving));
+    CHECK(life.lifeName() == life.lifeOf(ended));
+}
