A server that leaves stays away though the daemon that acknowledged it starts again

What was seen: requests reach a backend server a second and more after it was acknowledged that it leaves, when the daemon beside it is killed and started between the acknowledgement and a heartbeat that was held up.

Cause: the word was kept by the process that acknowledged it alone.

A daemon that hears it closes its door at once, as nobody knows how long ago the word was given. Its line 'departure heard' is in the log. The wire gets a kind of rumour; versions that do not know it pass over it.

Weighed: a row in the platform's table (a write before each acknowledgement, blind in an outage); the server's health path (one that leaves and one that fails give the same answer). Not covered: all daemons killed at once right after an acknowledgement.

--- a/src/egretlatch/daemon/decide_thread.cpp
+++ b/src/egretlatch/daemon/decide_thread.cpp
@@ -148,6 +148,8 @@
         isTaken = m_outward.toFront.tryPush(ReadyChanged{.isReady = true});
     } else if (const auto *const changed = std::get_if<decision::MemberChanged>(&action)) {
         m_logger.debug("member changed", {{"member", changed->id.value}, {"state", membership::toString(changed->state)}});
+    } else if (const auto *const heard = std::get_if<decision::DepartureHeard>(&action)) {
+        m_logger.info("departure heard", {{"instance", heard->instance}});
     } else if (std::holds_alternative<decision::Drained>(action)) {
         m_onDrained();
     }
--- a/src/egretlatch/decision/action.hpp
+++ b/src/egretlatch/decision/action.hpp
@@ -149,13 +149,29 @@
     membership::MemberState state{};
 };
 
+/*! @brief Another daemon told that the backend server beside this one leaves, for the log. */
+struct DepartureHeard
+{
+    std::string instance;
+};
+
 /*! @brief Nothing is in flight any more at a daemon that drains. */
 struct Drained
 {
 };
 
-using Action =
-    std::variant<AnswerCaller, SendToPeer, StartRun, AbortRun, RecordRefusal, NoteRequest, RecordSpan, AskPlatform, ManifestInForce, MemberChanged, Drained>;
+using Action = std::variant<AnswerCaller,
+                            SendToPeer,
+                            StartRun,
+                            AbortRun,
+                            RecordRefusal,
+                            NoteRequest,
+                            RecordSpan,
+                            AskPlatform,
+                            ManifestInForce,
+                            MemberChanged,
+                            DepartureHeard,
+                            Drained>;
 using Actions = std::vector<Action>;
 
 } // namespace egretlatch::decision
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <egretlatch/decision/departure_news.hpp>
+
 namespace egretlatch::decision
 {
 
@@ -161,11 +163,13 @@
 
 void Core::handleRumour(const membership::Rumour &rumour, const SteadyTime now)
 {
-    const bool isQuarantine = rumour.key.kind == membership::RumourKind::quarantine;
-    m_surroundings->metrics.count("rumours", isQuarantine ? "quarantine" : "configuration");
-    if (isQuarantine) {
+    m_surroundings->metrics.count("rumours", membership::toString(rumour.key.kind));
+    if (rumour.key.kind == membership::RumourKind::quarantine) {
         CrashNews{.rumour = rumour}.apply(m_surroundings->suspects, now);
     }
+    if (const std::optional<std::string> instance = departedBeside(rumour, m_surroundings->self)) {
+        handleDepartureNews(*instance, now);
+    }
 }
 
 void Core::tellCrashes(const SteadyTime now)
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -94,7 +94,8 @@
     void handleMessage(const protocol::Envelope &envelope, SteadyTime now);
     void handleAnnounced(const ServerAnnounced &announced, SteadyTime now);
     void handleDraining(const ServerDraining &draining, SteadyTime now);
-    [[nodiscard]] bool takeDeparture(const std::string &instance);
+    [[nodiscard]] bool takeDeparture(const std::string &instance, SteadyTime now);
+    void handleDepartureNews(const std::string &instance, SteadyTime now);
     [[nodiscard]] bool isServerNameless() const;
     void handleLeft(SteadyTime now);
     void handlePlatform(const PlatformAnswered &answered, SteadyTime now);
--- a/src/egretlatch/decision/core_server.cpp
+++ b/src/egretlatch/decision/core_server.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <egretlatch/decision/departure_news.hpp>
+
 namespace egretlatch::decision
 {
 
@@ -52,7 +54,7 @@
     }
     const bool isOfDaemon = draining.isShutdown || draining.isSignal;
     m_isSignalled = m_isSignalled || isOfDaemon;
-    if (!isOfDaemon && !takeDeparture(draining.instance)) {
+    if (!isOfDaemon && !takeDeparture(draining.instance, now)) {
         return;
     }
     if (m_isDraining) {
@@ -76,16 +78,37 @@
     updateSelf(membership::MemberState::draining, self.service, self.slots, self.connections, now);
 }
 
-bool Core::takeDeparture(const std::string &instance)
+bool Core::takeDeparture(const std::string &instance, const SteadyTime now)
 {
     const bool isHere = instance.empty() || (m_server.has_value() && m_server->instance == instance);
     const std::string &name = instance.empty() && m_server.has_value() ? m_server->instance : instance;
-    if (!name.empty()) {
-        m_departures.note(name);
+    if (!name.empty() && m_departures.note(name)) {
+        // At once, and before the server gets its acknowledgement: it binds also a life of this daemon that begins right after.
+        m_gossip->spread(departureNews(m_surroundings->self, name), now);
+        m_gossip->announceSelf(now);
+        applyGossip(now);
     }
     return isHere;
 }
 
+void Core::handleDepartureNews(const std::string &instance, const SteadyTime now)
+{
+    if (!m_departures.note(instance)) {
+        return;
+    }
+    m_surroundings->actions.emplace_back(DepartureHeard{.instance = instance});
+    if (!m_server.has_value() || m_server->instance != instance) {
+        return;
+    }
+    // An earlier life of this daemon acknowledged it, nobody knows here how long ago.
+    m_isDraining = true;
+    m_doorClosesAt = now;
+    m_lastStartAt = now;
+    tickDoor(now);
+    const membership::Member &self = m_surroundings->roster.self();
+    updateSelf(membership::MemberState::draining, self.service, self.slots, self.connections, now);
+}
+
 void Core::handleLeft(const SteadyTime now)
 {
     m_server.reset();
--- a/src/egretlatch/membership/gossip.cpp
+++ b/src/egretlatch/membership/gossip.cpp
@@ -194,6 +194,7 @@
     if (doubt.has_value()) {
         answer.suspicions.push_back(*doubt);
     }
+    addDepartures(answer, sender, now);
     sendTo(sender, std::move(answer));
 }
 
@@ -366,6 +367,13 @@
     }
 }
 
+void Gossip::addDepartures(GossipMessage &message, const DaemonId &beside, const SteadyTime now) const
+{
+    for (Rumour &rumour : m_rumours.departuresBeside(beside, now)) {
+        message.rumours.push_back(std::move(rumour));
+    }
+}
+
 std::optional<Suspicion> Gossip::doubtOf(const DaemonId &id) const
 {
     const Member *const member = m_roster.find(id);
--- a/src/egretlatch/membership/gossip.hpp
+++ b/src/egretlatch/membership/gossip.hpp
@@ -133,6 +133,7 @@
     void queue(const NewsSubject &subject);
     [[nodiscard]] GossipMessage makeMessage(GossipPurpose purpose, SteadyTime now);
     void addNews(GossipMessage &message, SteadyTime now);
+    void addDepartures(GossipMessage &message, const DaemonId &beside, SteadyTime now) const;
     [[nodiscard]] std::optional<Suspicion> doubtOf(const DaemonId &id) const;
     [[nodiscard]] std::vector<DaemonId> chooseParticipants(std::size_t count, const DaemonId &except);
     [[nodiscard]] std::uint64_t digest() const;
--- a/src/egretlatch/membership/rumour.hpp
+++ b/src/egretlatch/membership/rumour.hpp
@@ -4,8 +4,10 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include <egretlatch/core/clock.hpp>
+#include <egretlatch/core/ids.hpp>
 
 namespace egretlatch::membership
 {
@@ -14,10 +16,19 @@
 enum class RumourKind {
     /*! @brief Head of the configuration: the version, and its hash as the payload. */
     configuration,
+    /*! @brief A backend server that leaves; the key names it and the daemon beside it. */
+    departure,
     /*! @brief A request that crashes backend servers; the key is its fingerprint. */
     quarantine,
 };
 
+/**
+ * @brief Gives a kind as text.
+ * @param kind The kind.
+ * @return Its name in metrics.
+ */
+[[nodiscard]] std::string_view toString(RumourKind kind) noexcept;
+
 /*! @brief Names a rumour. */
 struct RumourKey
 {
@@ -41,6 +52,14 @@
     friend bool operator==(const Rumour &, const Rumour &) = default;
 };
 
+/**
+ * @brief Makes the key of a rumour about a daemon.
+ * @param daemon The daemon.
+ * @param rest What tells the rumour from others about it.
+ * @return The key; with nothing for the rest, what all keys about that daemon begin with.
+ */
+[[nodiscard]] std::string keyOf(const DaemonId &daemon, const std::string &rest);
+
 /*! @brief Bytes that a rumour's payload has at most. */
 constexpr std::size_t largestRumour = 512;
 
--- a/src/egretlatch/membership/rumour_store.cpp
+++ b/src/egretlatch/membership/rumour_store.cpp
@@ -57,6 +57,21 @@
     return rumours;
 }
 
+std::vector<Rumour> RumourStore::departuresBeside(const DaemonId &daemon, const SteadyTime now) const
+{
+    std::vector<Rumour> rumours;
+    const RumourKey first{.kind = RumourKind::departure, .key = keyOf(daemon, {})};
+    for (auto item = m_rumours.lower_bound(first); item != m_rumours.end(); ++item) {
+        if (item->first.kind != first.kind || !item->first.key.starts_with(first.key)) {
+            break;
+        }
+        if (const std::optional<Rumour> rumour = find(item->first, now)) {
+            rumours.push_back(*rumour);
+        }
+    }
+    return rumours;
+}
+
 void RumourStore::expire(const SteadyTime now)
 {
     std::erase_if(m_rumours, [now](const auto &item) {
--- a/src/egretlatch/membership/rumour_store.hpp
+++ b/src/egretlatch/membership/rumour_store.hpp
@@ -40,6 +40,14 @@
      */
     [[nodiscard]] std::vector<Rumour> page(std::size_t page, std::size_t pageSize, SteadyTime now) const;
 
+    /**
+     * @brief Lists the departures of backend servers beside a daemon.
+     * @param daemon The daemon.
+     * @param now Current time.
+     * @return The rumours with the time left to them.
+     */
+    [[nodiscard]] std::vector<Rumour> departuresBeside(const DaemonId &daemon, SteadyTime now) const;
+
     /**
      * @brief Forgets what no longer holds.
      * @param now Current time.
--- a/src/egretlatch/protocol/fleet_codec.cpp
+++ b/src/egretlatch/protocol/fleet_codec.cpp
@@ -42,9 +42,36 @@
     };
 }
 
+[[nodiscard]] static wire::RumourKind toWire(const membership::RumourKind kind)
+{
+    switch (kind) {
+    case membership::RumourKind::configuration:
+        return wire::RUMOUR_KIND_CONFIGURATION;
+    case membership::RumourKind::departure:
+        return wire::RUMOUR_KIND_DEPARTURE;
+    case membership::RumourKind::quarantine:
+        return wire::RUMOUR_KIND_QUARANTINE;
+    }
+    return wire::RUMOUR_KIND_UNSPECIFIED;
+}
+
+[[nodiscard]] static std::optional<membership::RumourKind> fromWire(const wire::RumourKind kind)
+{
+    switch (kind) {
+    case wire::RUMOUR_KIND_CONFIGURATION:
+        return membership::RumourKind::configuration;
+    case wire::RUMOUR_KIND_DEPARTURE:
+        return membership::RumourKind::departure;
+    case wire::RUMOUR_KIND_QUARANTINE:
+        return membership::RumourKind::quarantine;
+    default:
+        return std::nullopt;
+    }
+}
+
 static void write(const membership::Rumour &rumour, wire::Rumour &wire)
 {
-    wire.set_kind(rumour.key.kind == membership::RumourKind::quarantine ? wire::RUMOUR_KIND_QUARANTINE : wire::RUMOUR_KIND_CONFIGURATION);
+    wire.set_kind(toWire(rumour.key.kind));
     wire.set_key(rumour.key.key);
     wire.set_version(rumour.version);
     wire.set_payload(rumour.payload);
@@ -54,12 +81,12 @@
 // Nothing for a kind of rumour that this version does not know, so that a later version may add kinds.
 [[nodiscard]] static std::optional<membership::Rumour> read(const wire::Rumour &wire)
 {
-    if (wire.kind() != wire::RUMOUR_KIND_CONFIGURATION && wire.kind() != wire::RUMOUR_KIND_QUARANTINE) {
+    const std::optional<membership::RumourKind> kind = fromWire(wire.kind());
+    if (!kind.has_value()) {
         return std::nullopt;
     }
-    const bool isQuarantine = wire.kind() == wire::RUMOUR_KIND_QUARANTINE;
     return membership::Rumour{
-        .key = {.kind = isQuarantine ? membership::RumourKind::quarantine : membership::RumourKind::configuration, .key = wire.key()},
+        .key = {.kind = *kind, .key = wire.key()},
         .version = wire.version(),
         .payload = wire.payload(),
         .remaining = toDuration(wire.remaining_ns()),
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -241,6 +241,8 @@
         putInForce();
     } else if (const auto *const changed = std::get_if<decision::MemberChanged>(&action)) {
         m_logger.info("member changed", {{"member", changed->id.value}, {"state", membership::toString(changed->state)}});
+    } else if (const auto *const heard = std::get_if<decision::DepartureHeard>(&action)) {
+        m_logger.info("departure heard", {{"instance", heard->instance}});
     } else if (std::holds_alternative<decision::Drained>(action)) {
         endNow("nothing is under way");
     }
--- a/test/egretlatch/decision/membership.cpp
+++ b/test/egretlatch/decision/membership.cpp
@@ -216,6 +216,33 @@
     CHECK((daemon.state() == MemberState::serving));
 }
 
+TEST_CASE("a daemon that starts again is told by the others that its server leaves")
+{
+    DaemonFixture daemon;
+    daemon.meetOther();
+    daemon.announce("first");
+    const Actions told = daemon.core->handle(ServerDraining{.instance = "first"});
+    const auto *const sent = DaemonFixture::find<SendToPeer>(told);
+    REQUIRE(sent != nullptr);
+    const protocol::Gossip news = std::get<protocol::Gossip>(sent->message);
+
+    const auto hear = [&news](DaemonFixture &fixture) {
+        return fixture.core->handle(PeerMessage{.envelope = {.sender = {"other"}, .incarnation = peerLife, .message = news}});
+    };
+    DaemonFixture heardFirst;
+    static_cast<void>(hear(heardFirst));
+    heardFirst.announce("first");
+    CHECK((heardFirst.state() == MemberState::idle));
+
+    DaemonFixture heardLater;
+    heardLater.announce("first");
+    CHECK(DaemonFixture::find<DepartureHeard>(hear(heardLater)) != nullptr);
+    CHECK((heardLater.state() == MemberState::draining));
+    CHECK(heardLater.core->load().draining);
+    heardLater.announce("second");
+    CHECK((heardLater.state() == MemberState::serving));
+}
+
 TEST_CASE("a server that left does not come back once another has been in its place")
 {
     DaemonFixture daemon;
--- a/test/egretlatch/membership/gossip.cpp
+++ b/test/egretlatch/membership/gossip.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+
 #include <fakes/gossip_network.hpp>
 
 using namespace std::chrono_literals;
@@ -315,6 +317,26 @@
     }
 }
 
+TEST_CASE("a daemon that starts again hears within a second that its server left, whatever else is told")
+{
+    GossipNetwork network{40, seed};
+    gather(network);
+    constexpr std::size_t leaving = 5;
+    for (int number = 0; number < 100; ++number) {
+        const Rumour other{.key = {.kind = RumourKind::departure, .key = fmt::format("c{}", number)}, .version = 1, .payload = {}, .remaining = 120s};
+        network.node(7).gossip.spread(other, network.now());
+    }
+    const std::string key = egretlatch::membership::keyOf(network.node(leaving).first.id, "first");
+    const Rumour departure{.key = {.kind = RumourKind::departure, .key = key}, .version = 1, .payload = {}, .remaining = 120s};
+    network.node(leaving).gossip.spread(departure, network.now());
+    network.run(10s);
+    network.replace(leaving);
+    const auto knows = [&network, &departure] {
+        return network.node(leaving).gossip.rumours().find(departure.key, network.now()).has_value();
+    };
+    CHECK(network.runUntil(knows, 1s).has_value());
+}
+
 TEST_CASE("the bytes that a daemon sends at rest do not grow with the fleet")
 {
     constexpr std::size_t small = 10;
--- a/test/egretlatch/protocol/codec.cpp
+++ b/test/egretlatch/protocol/codec.cpp
@@ -81,7 +81,7 @@
     gossip.hasMore = true;
     gossip.members = {member};
     gossip.suspicions = {{.id = {"flight-history-1"}, .incarnation = {16}, .revision = 17}};
-    for (const membership::RumourKind kind : {membership::RumourKind::configuration, membership::RumourKind::quarantine}) {
+    for (const membership::RumourKind kind : {membership::RumourKind::configuration, membership::RumourKind::departure, membership::RumourKind::quarantine}) {
         gossip.rumours.push_back({.key = {.kind = kind, .key = "key"}, .version = 18, .payload = "payload", .remaining = std::chrono::seconds{19}});
     }
     gossip.paces = {{.kind = "launch-entry", .own = std::chrono::milliseconds{20}, .failing = 0.25}};
