A late heartbeat of a server that is gone keeps the present one away for two heartbeats, not for good

Now a life that reports twice in a row with rising numbers, while the one held for present is silent, takes its place back. One late report still changes nothing, as before.

--- a/src/egretlatch/sidecar/server_life.cpp
+++ b/src/egretlatch/sidecar/server_life.cpp
@@ -49,8 +49,10 @@
         return ReportEffect::ofAnotherServer;
     }
     if (isStale(report)) {
+        noteRival(report);
         return ReportEffect::late;
     }
+    m_rival.reset();
     const bool isNewLife = report.instance != m_instance || report.bornMs != m_bornMs;
     if (isNewLife) {
         m_earlierInstance = m_instance;
@@ -90,7 +92,20 @@
     if (report.bornMs != 0 && m_bornMs != 0) {
         return report.bornMs < m_bornMs;
     }
-    return !report.instance.empty() && report.instance == m_earlierInstance;
+    return !report.instance.empty() && report.instance == m_earlierInstance && !isOvertaking(report);
+}
+
+// Without times of start, the order in which two lives are first heard of may be wrong; the one that goes on reporting lives.
+bool ServerLife::isOvertaking(const platform::ServerReport &report) const
+{
+    return m_rival.has_value() && m_rival->instance == report.instance && report.sequence > m_rival->sequence;
+}
+
+void ServerLife::noteRival(const platform::ServerReport &report)
+{
+    if (report.instance != m_instance) {
+        m_rival = Rival{.instance = report.instance, .sequence = report.sequence};
+    }
 }
 
 } // namespace egretlatch::sidecar
--- a/src/egretlatch/sidecar/server_life.hpp
+++ b/src/egretlatch/sidecar/server_life.hpp
@@ -77,8 +77,17 @@
     }
 
 private:
+    /*! @brief A life that reports again after another has taken its place. */
+    struct Rival
+    {
+        std::string instance;
+        std::int64_t sequence{};
+    };
+
     [[nodiscard]] bool isPresent(const platform::ServerReport &farewell) const;
     [[nodiscard]] bool isStale(const platform::ServerReport &report) const;
+    [[nodiscard]] bool isOvertaking(const platform::ServerReport &report) const;
+    void noteRival(const platform::ServerReport &report);
 
     std::string m_service;
     std::string m_address;
@@ -89,6 +98,8 @@
     bool m_isLeaving{};
     /*! @brief Id of the life before the present one, whose reports may still come. */
     std::string m_earlierInstance;
+    /*! @brief Who reported last, if it was the earlier life and not the present one. */
+    std::optional<Rival> m_rival;
 };
 
 } // namespace egretlatch::sidecar
--- a/test/egretlatch/sidecar/server_life.cpp
+++ b/test/egretlatch/sidecar/server_life.cpp
@@ -88,3 +88,15 @@
     CHECK((life.take(report("i-1", 0, 9)) == ReportEffect::serving));
     CHECK(life.lifeName() == life.lifeOf(ended));
 }
+
+TEST_CASE("a late heartbeat of a server that is gone does not keep the present one away for good")
+{
+    ServerLife life{"roster", "10.0.0.1:80"};
+    CHECK((life.take(report("i-2", 0, 1)) == ReportEffect::serving));
+    static_cast<void>(life.take(report("i-1", 0, 7)));
+    static_cast<void>(life.take(report("i-2", 0, 2)));
+    CHECK((life.take(report("i-2", 0, 3)) == ReportEffect::serving));
+    CHECK(life.instance() == "i-2");
+    CHECK((life.take(report("i-1", 0, 8)) == ReportEffect::late));
+    CHECK((life.take(report("i-2", 0, 4)) == ReportEffect::serving));
+}
