What the two baseline gates share stands once

Slots, the running set and the loop that starts what waits stood in StaticGate and PriorityGate alike. SlotGate has them; the two say which request is next.

--- a/src/egretlatch/admission/fwd.hpp
+++ b/src/egretlatch/admission/fwd.hpp
@@ -27,6 +27,7 @@
 class Gate;
 class EntryControl;
 class AdaptiveGate;
+class SlotGate;
 class StaticGate;
 class PriorityGate;
 class OpenGate;
--- a/src/egretlatch/admission/priority_gate.cpp
+++ b/src/egretlatch/admission/priority_gate.cpp
@@ -6,7 +6,7 @@
 {
 
 PriorityGate::PriorityGate(const int slots, const std::size_t queueCapacity)
-    : m_slots{slots}
+    : SlotGate{slots}
     , m_queueCapacity{queueCapacity}
 {
 }
@@ -23,94 +23,52 @@
     return release;
 }
 
-GateRelease PriorityGate::finish(const ExecutionId execution, const Observation & /*observation*/, const SteadyTime now)
-{
-    GateRelease release;
-    m_running.erase(execution);
-    startWaiting(now, release);
-    return release;
-}
-
 bool PriorityGate::withdraw(const ExecutionId execution)
 {
-    for (auto &[priority, tickets] : m_waiting) {
-        const auto found = std::find_if(tickets.begin(), tickets.end(), [execution](const Ticket &ticket) {
+    for (auto entry = m_waiting.begin(); entry != m_waiting.end(); ++entry) {
+        const auto withdrawn = std::erase_if(entry->second, [execution](const Ticket &ticket) {
             return ticket.execution == execution;
         });
-        if (found != tickets.end()) {
-            tickets.erase(found);
-            --m_queued;
+        if (withdrawn > 0) {
+            m_queued -= withdrawn;
+            forgetIfEmpty(entry);
             return true;
         }
     }
     return false;
 }
 
-GateRelease PriorityGate::tick(const SteadyTime now)
+const Ticket *PriorityGate::next() const
 {
-    GateRelease release;
-    startWaiting(now, release);
-    return release;
+    return m_waiting.empty() ? nullptr : &m_waiting.begin()->second.front();
 }
 
-void PriorityGate::setSlots(const int slots)
-{
-    m_slots = slots;
-}
-
-void PriorityGate::setQueueTarget(const Duration /*target*/)
+void PriorityGate::dropNext()
 {
+    m_waiting.begin()->second.pop_front();
+    --m_queued;
+    forgetIfEmpty(m_waiting.begin());
 }
 
-LoadReport PriorityGate::load(const SteadyTime /*now*/) const
+std::size_t PriorityGate::queued() const
 {
-    LoadReport report;
-    report.inFlight = static_cast<int>(m_running.size());
-    report.limit = m_slots;
-    report.queued = static_cast<int>(m_queued);
-    return report;
+    return m_queued;
 }
 
-void PriorityGate::startWaiting(const SteadyTime now, GateRelease &release)
+void PriorityGate::refuseLowest(GateRelease &release)
 {
-    for (auto &[priority, tickets] : m_waiting) {
-        while (!tickets.empty()) {
-            const Ticket &ticket = tickets.front();
-            const bool hasExpired = ticket.deadline <= now;
-            if (!hasExpired && static_cast<int>(m_running.size()) >= m_slots) {
-                return;
-            }
-            if (hasExpired) {
-                release.refused.push_back({.execution = ticket.execution,
-                                           .reason = account::RefusalReason::deadlinePassed,
-                                           .rule = "the deadline passed in the queue",
-                                           .figures = {},
-                                           .retryAfter = {}});
-            } else {
-                m_running.insert(ticket.execution);
-                release.started.push_back(ticket.execution);
-            }
-            tickets.pop_front();
-            --m_queued;
-        }
-    }
+    const auto lowest = std::prev(m_waiting.end());
+    release.refused.push_back(queueFull(lowest->second.back().execution));
+    lowest->second.pop_back();
+    --m_queued;
+    forgetIfEmpty(lowest);
 }
 
-void PriorityGate::refuseLowest(GateRelease &release)
+void PriorityGate::forgetIfEmpty(const Queues::iterator queue)
 {
-    const auto lowest = std::find_if(m_waiting.rbegin(), m_waiting.rend(), [](const auto &entry) {
-        return !entry.second.empty();
-    });
-    if (lowest == m_waiting.rend()) {
-        return;
+    if (queue->second.empty()) {
+        m_waiting.erase(queue);
     }
-    release.refused.push_back({.execution = lowest->second.back().execution,
-                               .reason = account::RefusalReason::overloadInQueue,
-                               .rule = "the queue is full",
-                               .figures = {{.name = "queued", .value = static_cast<double>(m_queued)}},
-                               .retryAfter = {}});
-    lowest->second.pop_back();
-    --m_queued;
 }
 
 } // namespace egretlatch::admission
--- a/src/egretlatch/admission/priority_gate.hpp
+++ b/src/egretlatch/admission/priority_gate.hpp
@@ -4,15 +4,14 @@
 #include <deque>
 #include <functional>
 #include <map>
-#include <set>
 
-#include <egretlatch/admission/gate.hpp>
+#include <egretlatch/admission/slot_gate.hpp>
 
 namespace egretlatch::admission
 {
 
 /*! @brief A baseline: a static limit, then a queue by priority of the root, in order of arrival within a priority. */
-class PriorityGate final : public Gate
+class PriorityGate final : public SlotGate
 {
 public:
     /**
@@ -23,22 +22,21 @@
     PriorityGate(int slots, std::size_t queueCapacity);
 
     [[nodiscard]] GateRelease offer(const Ticket &ticket, SteadyTime now) override;
-    [[nodiscard]] GateRelease finish(ExecutionId execution, const Observation &observation, SteadyTime now) override;
     [[nodiscard]] bool withdraw(ExecutionId execution) override;
-    [[nodiscard]] GateRelease tick(SteadyTime now) override;
-    void setSlots(int slots) override;
-    void setQueueTarget(Duration target) override;
-    [[nodiscard]] LoadReport load(SteadyTime now) const override;
 
 private:
-    void startWaiting(SteadyTime now, GateRelease &release);
+    /*! @brief By priority, the highest first; none of the queues is empty. */
+    using Queues = std::map<int, std::deque<Ticket>, std::greater<>>;
+
+    [[nodiscard]] const Ticket *next() const override;
+    void dropNext() override;
+    [[nodiscard]] std::size_t queued() const override;
     void refuseLowest(GateRelease &release);
+    void forgetIfEmpty(Queues::iterator queue);
 
-    int m_slots;
     std::size_t m_queueCapacity;
     std::size_t m_queued{};
-    std::set<ExecutionId> m_running;
-    std::map<int, std::deque<Ticket>, std::greater<>> m_waiting;
+    Queues m_waiting;
 };
 
 } // namespace egretlatch::admission
--- a/src/egretlatch/admission/static_gate.hpp
+++ b/src/egretlatch/admission/static_gate.hpp
@@ -2,15 +2,14 @@
 #define EGRETLATCH_ADMISSION_STATIC_GATE_HPP
 
 #include <deque>
-#include <set>
 
-#include <egretlatch/admission/gate.hpp>
+#include <egretlatch/admission/slot_gate.hpp>
 
 namespace egretlatch::admission
 {
 
 /*! @brief A baseline: as many runs at a time as there are slots, then a queue in order of arrival. */
-class StaticGate final : public Gate
+class StaticGate final : public SlotGate
 {
 public:
     /**
@@ -21,19 +20,15 @@
     StaticGate(int slots, std::size_t queueCapacity);
 
     [[nodiscard]] GateRelease offer(const Ticket &ticket, SteadyTime now) override;
-    [[nodiscard]] GateRelease finish(ExecutionId execution, const Observation &observation, SteadyTime now) override;
     [[nodiscard]] bool withdraw(ExecutionId execution) override;
-    [[nodiscard]] GateRelease tick(SteadyTime now) override;
-    void setSlots(int slots) override;
-    void setQueueTarget(Duration target) override;
     [[nodiscard]] LoadReport load(SteadyTime now) const override;
 
 private:
-    void startWaiting(SteadyTime now, GateRelease &release);
+    [[nodiscard]] const Ticket *next() const override;
+    void dropNext() override;
+    [[nodiscard]] std::size_t queued() const override;
 
-    int m_slots;
     std::size_t m_queueCapacity;
-    std::set<ExecutionId> m_running;
     std::deque<Ticket> m_waiting;
 };
 
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -11,8 +11,7 @@
 {
 
 // Queues are looked through so often. With nothing waiting only deadlines of runs are left, which the daemons that wait for
-// them keep to the millisecond themselves; a tick each 10 ms for those took a twentieth of a daemon's processor time at 35
-// requests a second (twelve daemons on loopback).
+// them keep to the millisecond themselves.
 constexpr std::chrono::milliseconds queueTickInterval{10};
 constexpr std::chrono::milliseconds runTickInterval{50};
 constexpr std::chrono::milliseconds idleTickInterval{100};
--- a/src/egretlatch/peer/stream_link.cpp
+++ b/src/egretlatch/peer/stream_link.cpp
@@ -15,8 +15,7 @@
 constexpr std::chrono::milliseconds pingAfter{500};
 // A daemon that is short of processor time, or a way that loses packets, is heard of within this time.
 constexpr std::chrono::milliseconds longestSilence{2500};
-// Gossip comes back to each daemon of a hundred within so long; a connection kept costs some hundred bytes, a new one for each
-// message a tenth of the processor time of a fleet of 72 under light load (perf, loopback).
+// Gossip comes back to each daemon of a hundred within so long, and a connection kept costs less than new ones.
 constexpr std::chrono::seconds longestUnused{60};
 
 } // namespace internal
