--- a/src/egretlatch/cli/loss_table.cpp
+++ b/src/egretlatch/cli/loss_table.cpp
@@ -29,25 +29,9 @@
 {
 }
 
-void LossTable::read(const QByteArray &log)
-{
-    for (const QByteArray &text : log.split('\n')) {
-        const QJsonObject fields = fieldsOf(text);
-        if (fields.isEmpty()) {
-            m_unreadable += text.trimmed().isEmpty() ? 0 : 1;
-            continue;
-        }
-        take(fields);
-    }
-}
-
 void LossTable::take(const QJsonObject &fields)
 {
-    const std::string event = textOf(fields, "event");
-    if (event == "lines left out") {
-        m_leftOut += static_cast<std::uint64_t>(numberOf(fields, "count"));
-    }
-    if (event != "refused" || numberOf(fields, "depth") > 0) {
+    if (textOf(fields, "event") != "refused" || numberOf(fields, "depth") > 0) {
         return;
     }
     const std::int64_t seconds = QDateTime::fromString(fields[u"time"].toString(), Qt::ISODateWithMs).toSecsSinceEpoch();
@@ -74,12 +58,7 @@
         text += fmt::format(
             "{:<20} {:>8} {:>8.1f}  {:<32} {:<20} {}\n", internal::timeOf(row.begin).toStdString(), loss.requests, loss.worth, row.kind, row.reason, asked);
     }
-    if (m_leftOut > 0) {
-        text += fmt::format("not whole: these logs say that {} lines were left out\n", m_leftOut);
-    }
-    if (m_unreadable > 0) {
-        text += fmt::format("not whole: {} lines could not be read\n", m_unreadable);
-    }
+    text += missing();
     return {.code = ExitCode::success, .text = std::move(text)};
 }
 
@@ -97,11 +76,8 @@
             {u"worth"_qs, loss.worth},
         });
     }
-    const QJsonObject document{
-        {u"losses"_qs, rows},
-        {u"linesLeftOut"_qs, static_cast<qint64>(m_leftOut)},
-        {u"linesUnreadable"_qs, static_cast<qint64>(m_unreadable)},
-    };
+    QJsonObject document{{u"losses"_qs, rows}};
+    addMissing(document);
     return {.code = ExitCode::success, .text = QJsonDocument{document}.toJson().toStdString()};
 }
 
--- a/src/egretlatch/cli/loss_table.hpp
+++ b/src/egretlatch/cli/loss_table.hpp
@@ -7,9 +7,9 @@
 #include <map>
 #include <string>
 
-#include <QByteArray>
 #include <QJsonObject>
 
+#include <egretlatch/cli/log_reader.hpp>
 #include <egretlatch/cli/submit_command.hpp>
 
 namespace egretlatch::cli
@@ -20,7 +20,7 @@
  *
  * Only callers' own requests count: an inner call that is refused shows in what becomes of its root.
  */
-class LossTable
+class LossTable : public LogReader
 {
 public:
     /**
@@ -29,12 +29,6 @@
      */
     explicit LossTable(std::chrono::seconds span);
 
-    /**
-     * @brief Takes lines.
-     * @param log Whole lines; those that are no log lines are counted.
-     */
-    void read(const QByteArray &log);
-
     /**
      * @brief Gives the table, spans in their order and the greatest worth of each first.
      * @return What to print.
@@ -66,12 +60,10 @@
         double worth{};
     };
 
-    void take(const QJsonObject &fields);
+    void take(const QJsonObject &fields) override;
 
     std::chrono::seconds m_span;
     std::map<Row, Loss> m_losses;
-    std::uint64_t m_unreadable{};
-    std::uint64_t m_leftOut{};
 };
 
 } // namespace egretlatch::cli
--- a/src/egretlatch/cli/request_story.cpp
+++ b/src/egretlatch/cli/request_story.cpp
@@ -74,22 +74,12 @@
 {
 }
 
-void RequestStory::read(const QByteArray &log)
+void RequestStory::take(const QJsonObject &fields)
 {
-    for (const QByteArray &text : log.split('\n')) {
-        const QJsonObject fields = fieldsOf(text);
-        if (fields.isEmpty()) {
-            m_unreadable += text.trimmed().isEmpty() ? 0 : 1;
-            continue;
-        }
-        const std::string event = textOf(fields, "event");
-        if (event == "lines left out") {
-            m_leftOut += static_cast<std::uint64_t>(numberOf(fields, "count"));
-        }
-        const std::string request = textOf(fields, "request");
-        if (isPart(request)) {
-            m_lines.push_back({.time = textOf(fields, "time"), .daemon = textOf(fields, "source"), .event = event, .request = request, .fields = fields});
-        }
+    const std::string request = textOf(fields, "request");
+    if (isPart(request)) {
+        m_lines.push_back(
+            {.time = textOf(fields, "time"), .daemon = textOf(fields, "source"), .event = textOf(fields, "event"), .request = request, .fields = fields});
     }
 }
 
@@ -114,12 +104,7 @@
     if (m_lines.empty()) {
         text = fmt::format("no line tells of {}: it went well, or it never came to these daemons\n", m_request);
     }
-    if (m_leftOut > 0) {
-        text += fmt::format("not whole: these logs say that {} lines were left out\n", m_leftOut);
-    }
-    if (m_unreadable > 0) {
-        text += fmt::format("not whole: {} lines could not be read\n", m_unreadable);
-    }
+    text += missing();
     return {.code = m_lines.empty() ? ExitCode::notFound : ExitCode::success, .text = std::move(text)};
 }
 
@@ -131,12 +116,8 @@
         object[u"depth"] = static_cast<qint64>(depthOf(line.request));
         told.append(object);
     }
-    const QJsonObject document{
-        {u"request"_qs, QString::fromStdString(m_request)},
-        {u"lines"_qs, told},
-        {u"linesLeftOut"_qs, static_cast<qint64>(m_leftOut)},
-        {u"linesUnreadable"_qs, static_cast<qint64>(m_unreadable)},
-    };
+    QJsonObject document{{u"request"_qs, QString::fromStdString(m_request)}, {u"lines"_qs, told}};
+    addMissing(document);
     return {.code = m_lines.empty() ? ExitCode::notFound : ExitCode::success, .text = QJsonDocument{document}.toJson().toStdString()};
 }
 
--- a/src/egretlatch/cli/request_story.hpp
+++ b/src/egretlatch/cli/request_story.hpp
@@ -1,13 +1,12 @@
 #ifndef EGRETLATCH_CLI_REQUEST_STORY_HPP
 #define EGRETLATCH_CLI_REQUEST_STORY_HPP
 
-#include <cstdint>
 #include <string>
 #include <vector>
 
-#include <QByteArray>
 #include <QJsonObject>
 
+#include <egretlatch/cli/log_reader.hpp>
 #include <egretlatch/cli/platform_port.hpp>
 #include <egretlatch/cli/submit_command.hpp>
 
@@ -33,7 +32,7 @@
  *
  * Lines may stand in any order, and what stands before the first brace of a line, as a collector's own stamp, is passed over.
  */
-class RequestStory
+class RequestStory : public LogReader
 {
 public:
     /**
@@ -42,12 +41,6 @@
      */
     explicit RequestStory(std::string request);
 
-    /**
-     * @brief Takes lines.
-     * @param log Whole lines; those that are no log lines are counted.
-     */
-    void read(const QByteArray &log);
-
     /**
      * @brief Gives the story in the order in which it happened.
      * @return The lines, of inner calls too.
@@ -67,13 +60,12 @@
     [[nodiscard]] CommandResult asJson() const;
 
 private:
+    void take(const QJsonObject &fields) override;
     [[nodiscard]] bool isPart(const std::string &request) const;
     [[nodiscard]] std::size_t depthOf(const std::string &request) const;
 
     std::string m_request;
     std::vector<StoryLine> m_lines;
-    std::uint64_t m_unreadable{};
-    std::uint64_t m_leftOut{};
 };
 
 } // namespace egretlatch::cli
