The soak has servers that leave by farewell and by heartbeats while their daemons are killed, and late heartbeats

Why it missed the incident: a VM whose server left was left alone meanwhile, servers only said 'draining', no heartbeat was held up, and a daemon that had been killed excused what reached its server. Now a server says farewell in half of the cases, its daemon is killed before or after the acknowledgement in two of three, a heartbeat of before comes within the next 2.4 s, and nothing excuses an arrival after the drain time (the excuse is gone: stricter).

The process test of the late heartbeat uses the same stand-in.

--- a/standin/fleet/record.py
+++ b/standin/fleet/record.py
@@ -72,7 +72,7 @@
         self.arrived_names[name] += 1
         acknowledged = self.leaving.get(server.instance)
         now = time.monotonic()
-        if acknowledged is not None and now > acknowledged + self.drain and not self.was_troubled(server.vm, acknowledged, now):
+        if acknowledged is not None and now > acknowledged + self.drain:
             self.breaks("DRAIN", f"{name} reached {server.instance} {now - acknowledged:.2f} s after its leaving was acknowledged")
 
     def began(self, server, name, request):
--- a/standin/fleet/server.py
+++ b/standin/fleet/server.py
@@ -218,9 +218,16 @@
         """Sends one heartbeat; gives the status of the acknowledgement, or None."""
         self.state = state or self.state
         self.sequence += 1
+        return await self.send_heartbeat(control, self.state, self.sequence)
+
+    async def report_late(self, control):
+        """Delivers a heartbeat of before it said that it leaves, as one that was held up on its way."""
+        return await self.send_heartbeat(control, "ready", max(self.sequence - 1, 0))
+
+    async def send_heartbeat(self, control, state, sequence):
         body = {"address": self.announced, "born": self.born,
                 "info": {"service": self.service, "version": "v1", "zone": "z1", "slots": self.slots},
-                "status": {"state": self.state, "seq": self.sequence, "cold_remaining": "0ms"}}
+                "status": {"state": state, "seq": sequence, "cold_remaining": "0ms"}}
         return await post(control, f"/api/instances/{self.instance}/heartbeat", json.dumps(body).encode())
 
     async def say_farewell(self, control):
--- a/standin/fleet/soak.py
+++ b/standin/fleet/soak.py
@@ -59,14 +59,37 @@
         await super().__aexit__(*ended)
 
 
+class Leaving:
+    """How a server leaves: by a farewell or by heartbeats, and whether its daemon is killed around it."""
+
+    def __init__(self, is_farewell=False, restart=None, pause=0.0, late_at=None):
+        self.is_farewell = is_farewell
+        self.restart = restart
+        self.pause = pause
+        # In steps of 0.3 s after the acknowledgement.
+        self.late_at = late_at
+
+    @classmethod
+    def drawn(cls, choice):
+        if choice is None:
+            return cls()
+        return cls(choice.random() < 0.5, choice.choice([None, "before", "after"]), choice.uniform(0.0, 0.8), choice.randrange(8))
+
+    def __str__(self):
+        said = "farewell" if self.is_farewell else "draining"
+        return f"{said}, daemon killed: {self.restart or 'no'}, late heartbeat at step {self.late_at}"
+
+
 class Soak:
     """One run: `daemons` for each service, `seconds` of faults, all choices by the seed."""
 
-    def __init__(self, binary, seed, seconds=20.0, daemons=3, clients=24, pipelining=4):
+    def __init__(self, binary, seed, seconds=20.0, daemons=3, clients=24, pipelining=4, leaves_around_restarts=True):
         self.seed = seed
         self.seconds = seconds
         self.clients = clients
         self.pipelining = pipelining
+        # Draws of its own, so that seeds of before play as they did without it.
+        self.leaving = random.Random(f"{seed}/leaving") if leaves_around_restarts else None
         self.random = random.Random(seed)
         services = {"history": (daemons, 12, 24), "log": (daemons, 12, 24), "roster": (daemons, 12, 24)}
         self.services = services
@@ -241,14 +264,17 @@
             return
         vm.is_taken = True
         self.tell(vm, "killed")
+        await self.kill_and_start(vm, self.random.uniform(0.0, 1.5))
+        await asyncio.sleep(1)
+        vm.is_taken = False
+
+    async def kill_and_start(self, vm, seconds):
         self.record.trouble(vm, EXCUSED)
         self.expected_ends.add(vm.process.pid)
         vm.process.kill()
         await asyncio.to_thread(vm.process.wait)
-        await asyncio.sleep(self.random.uniform(0.0, 1.5))
+        await asyncio.sleep(seconds)
         self.fleet.start_daemon(vm)
-        await asyncio.sleep(1)
-        vm.is_taken = False
 
     async def pause(self):
         vm = self.some_vm()
@@ -320,25 +346,39 @@
             return
         vm.is_taken = True
         vm.beats.cancel()
-        self.tell(vm, "server leaves")
-        instance = vm.server.instance
-        status = None
-        for _ in range(20):
-            status = await vm.server.report(vm.reports, state="draining")
-            if status == 200:
-                break
-            await asyncio.sleep(0.2)
-        if status == 200:
-            self.record.left(instance)
-            for _ in range(int((DRAIN + self.random.uniform(0.5, 2.0)) / 0.3)):
-                await vm.server.report(vm.reports)
-                await asyncio.sleep(0.3)
+        how = Leaving.drawn(self.leaving)
+        self.tell(vm, f"server leaves: {how}")
+        if how.restart == "before":
+            await self.kill_and_start(vm, how.pause)
+        if await self.is_acknowledged(vm, how):
+            self.record.left(vm.server.instance)
+            if how.restart == "after":
+                await self.kill_and_start(vm, how.pause)
+            await self.stay_on(vm, how, DRAIN + self.random.uniform(0.5, 2.0))
         vm.server.state = "ready"
         vm.server.sequence = 0
         await vm.server.crash()
         vm.beats = asyncio.ensure_future(self.fleet.beat(vm))
         vm.is_taken = False
 
+    async def is_acknowledged(self, vm, how):
+        """Lets a server say that it leaves until it is heard."""
+        for _ in range(20):
+            say = vm.server.say_farewell(vm.reports) if how.is_farewell else vm.server.report(vm.reports, state="draining")
+            if await say == 200:
+                return True
+            await asyncio.sleep(0.2)
+        return False
+
+    async def stay_on(self, vm, how, seconds):
+        """Lets a server that leaves go on; one that said farewell sends no more heartbeats, but an earlier one may still come."""
+        for step in range(int(seconds / 0.3)):
+            if not how.is_farewell:
+                await vm.server.report(vm.reports)
+            if step == how.late_at:
+                await vm.server.report_late(vm.reports)
+            await asyncio.sleep(0.3)
+
     async def link_fails(self):
         vm = self.some_vm()
         if vm is None:
--- a/test/processes/test_sidecar.py
+++ b/test/processes/test_sidecar.py
@@ -201,7 +201,7 @@
 
     async def expect_no_arrivals_after_late_heartbeat(self, vm):
         await asyncio.sleep(self.drain_seconds())
-        self.assertEqual(200, await vm.server.report(vm.reports, state="ready"))
+        self.assertEqual(200, await vm.server.report_late(vm.reports))
         before = vm.server.arrivals
         statuses = [(await Client(other.callers).send(f"n-{number}", HOST, "/read/")).status
                     for number in range(5) for other in self.fleet.vms]
