The soak leaves out arrivals that a harmed link to the server may have held up

The daemon had sent them in time; the users' rules do not count a request as late where the link between the sending machine and the server was harmed within their stability window.

So the check leaves out what comes while that link is harmed and for 3 s after, and nothing else: the wide excuse of before (anything at a daemon that was killed or paused) stays gone. A test shows both sides.

--- a/standin/fleet/soak.py
+++ b/standin/fleet/soak.py
@@ -388,6 +388,8 @@
         how = self.random.choice(["delay", "reset", "silence", "there", "back", "both", "refuse"])
         seconds = self.random.uniform(0.3, 3.0)
         self.tell(vm, f"link to {kind}: {how} for {seconds:.2f} s")
+        if kind == "backend":
+            self.record.harm(vm, seconds)
         if how == "delay":
             link.delay = self.random.uniform(0.02, 0.3)
         elif how == "reset":
--- a/test/processes/test_soak.py
+++ b/test/processes/test_soak.py
@@ -104,6 +104,18 @@
         self.runs()
         self.assert_broken("DRAIN")
 
+    def test_an_arrival_after_the_leaving_is_no_fault_while_the_link_to_the_server_may_have_held_it_up(self):
+        self.sends()
+        self.record.left("i-1")
+        self.record.leaving["i-1"] -= 1.1
+        self.record.harm(self.vm, 1.0)
+        self.runs()
+        self.assertEqual([], self.record.broken)
+        self.record.harmed["vm-1"] = [(0.0, self.record.leaving["i-1"])]
+        self.sends("m")
+        self.runs("m")
+        self.assert_broken("DRAIN")
+
     def test_a_connection_that_ends_under_a_request_is_found_unless_its_daemon_was_struck(self):
         self.sends()
         self.runs()
