The log tells how the level of a server moves, and what decides it

A level that stays shut after a burst could not be traced: a refusal says what the level is, no line says why it is there. Now a line 'level moved', at most one a second, gives the level, the one of the last line, runs, limit and queue, the queue's drain time against the aimed one, the mean time a slot is held, and in slots what the admitted ask for and what was shed.

Rates of the level are decayed where they are read, so that a look does not change them.

--- a/src/egretlatch/account/refusal.cpp
+++ b/src/egretlatch/account/refusal.cpp
@@ -2,6 +2,8 @@
 
 #include <array>
 
+#include <fmt/format.h>
+
 namespace egretlatch::account
 {
 
@@ -46,6 +48,15 @@
 
 } // namespace internal
 
+std::string toText(const std::vector<Figure> &figures)
+{
+    std::string text;
+    for (const Figure &figure : figures) {
+        text += fmt::format("{}{}={:g}", text.empty() ? "" : " ", figure.name, figure.value);
+    }
+    return text;
+}
+
 std::string_view toString(const RefusalReason reason) noexcept
 {
     return internal::entryOf(reason).name;
--- a/src/egretlatch/account/refusal.hpp
+++ b/src/egretlatch/account/refusal.hpp
@@ -83,6 +83,13 @@
     friend bool operator==(const Figure &, const Figure &) = default;
 };
 
+/**
+ * @brief Gives figures as text.
+ * @param figures The figures.
+ * @return `name=value`, with spaces between them.
+ */
+[[nodiscard]] std::string toText(const std::vector<Figure> &figures);
+
 /*! @brief A refusal as it is answered and recorded. */
 struct Refusal
 {
--- a/src/egretlatch/admission/adaptive_gate.cpp
+++ b/src/egretlatch/admission/adaptive_gate.cpp
@@ -104,6 +104,15 @@
     return report;
 }
 
+std::vector<account::Figure> AdaptiveGate::levelFigures(const SteadyTime now) const
+{
+    return {{.name = "queueDrainMs", .value = internal::millisecondsOf(drainTime())},
+            {.name = "aimedDrainMs", .value = internal::millisecondsOf(aimedDrainTime())},
+            {.name = "meanHeldMs", .value = internal::millisecondsOf(m_meanHeld)},
+            {.name = "admittedDemand", .value = m_level.admittedDemand(now)},
+            {.name = "shed", .value = m_level.shedRate(now)}};
+}
+
 std::optional<GateRefusal> AdaptiveGate::refusalOfHopeless(const Ticket &ticket, const SteadyTime now) const
 {
     const Duration remaining = ticket.deadline - now;
--- a/src/egretlatch/admission/adaptive_gate.hpp
+++ b/src/egretlatch/admission/adaptive_gate.hpp
@@ -35,6 +35,7 @@
     void setSlots(int slots) override;
     void setQueueTarget(Duration target) override;
     [[nodiscard]] LoadReport load(SteadyTime now) const override;
+    [[nodiscard]] std::vector<account::Figure> levelFigures(SteadyTime now) const override;
 
 private:
     struct Running
--- a/src/egretlatch/admission/gate.hpp
+++ b/src/egretlatch/admission/gate.hpp
@@ -136,6 +136,16 @@
      * @return The load as observed.
      */
     [[nodiscard]] virtual LoadReport load(SteadyTime now) const = 0;
+
+    /**
+     * @brief Gives what the level is decided by, for logs.
+     * @param now Current time.
+     * @return The figures; empty for a gate without a level.
+     */
+    [[nodiscard]] virtual std::vector<account::Figure> levelFigures(SteadyTime /*now*/) const
+    {
+        return {};
+    }
 };
 
 } // namespace egretlatch::admission
--- a/src/egretlatch/admission/level_control.cpp
+++ b/src/egretlatch/admission/level_control.cpp
@@ -63,22 +63,30 @@
 
 void LevelControl::decay(Demand &demand, const SteadyTime now) const
 {
-    if (now > demand.updated) {
-        demand.rate *= std::exp(-internal::secondsOf(now - demand.updated) / internal::secondsOf(m_times.demandWindow));
-        demand.updated = now;
-    }
+    demand.rate = rateAt(demand, now);
+    demand.updated = std::max(demand.updated, now);
 }
 
-double LevelControl::admittedDemand(const SteadyTime now)
+double LevelControl::rateAt(const Demand &demand, const SteadyTime now) const
+{
+    const Duration passed = std::max(now - demand.updated, Duration{});
+    return demand.rate * std::exp(-internal::secondsOf(passed) / internal::secondsOf(m_times.demandWindow));
+}
+
+double LevelControl::admittedDemand(const SteadyTime now) const
 {
     double sum = 0.0;
-    for (auto &[rankClass, demand] : m_demand) {
-        decay(demand, now);
-        sum += demand.rate;
+    for (const auto &[rankClass, demand] : m_demand) {
+        sum += rateAt(demand, now);
     }
     return sum;
 }
 
+double LevelControl::shedRate(const SteadyTime now) const
+{
+    return rateAt(m_shed, now);
+}
+
 Duration LevelControl::stepInterval() const
 {
     return std::clamp<Duration>(m_underWay + m_underWay / 2, m_times.shortestStep, m_times.longestStep);
@@ -91,6 +99,9 @@
     }
     m_lastStep = now;
     forgetIdle(now);
+    for (auto &[rankClass, demand] : m_demand) {
+        decay(demand, now);
+    }
     const double queue = pressure.of(pressure.line.work());
     decay(m_shed, now);
     if (queue > 1.0 || m_shed.rate > internal::negligibleShed * pressure.limit) {
--- a/src/egretlatch/admission/level_control.hpp
+++ b/src/egretlatch/admission/level_control.hpp
@@ -82,6 +82,20 @@
         return m_level;
     }
 
+    /**
+     * @brief Gives what is asked for by requests that the level admits.
+     * @param now Current time.
+     * @return Slots that they would keep busy.
+     */
+    [[nodiscard]] double admittedDemand(SteadyTime now) const;
+
+    /**
+     * @brief Gives what was shed of inner calls that the level admits.
+     * @param now Current time.
+     * @return Slots that they would have kept busy.
+     */
+    [[nodiscard]] double shedRate(SteadyTime now) const;
+
 private:
     struct Demand
     {
@@ -93,7 +107,7 @@
 
     void add(Demand &demand, Duration slotTime, SteadyTime now) const;
     void decay(Demand &demand, SteadyTime now) const;
-    [[nodiscard]] double admittedDemand(SteadyTime now);
+    [[nodiscard]] double rateAt(const Demand &demand, SteadyTime now) const;
     [[nodiscard]] Duration stepInterval() const;
     [[nodiscard]] double roomInClass(const Pressure &pressure, SteadyTime now);
     void raise(double excess, const Pressure &pressure, SteadyTime now);
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -53,6 +53,11 @@
     return m_serving->load(m_surroundings->clock.steadyNow());
 }
 
+std::vector<account::Figure> Core::levelFigures() const
+{
+    return m_serving->levelFigures(m_surroundings->clock.steadyNow());
+}
+
 std::map<std::string, double> Core::retriesLeft() const
 {
     return m_entry->retriesLeft();
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -76,6 +76,9 @@
 
     [[nodiscard]] admission::LoadReport load() const;
 
+    /*! @brief What the level of the server beside is decided by, for logs. */
+    [[nodiscard]] std::vector<account::Figure> levelFigures() const;
+
     /**
      * @brief Says whether a backend server has said that it leaves.
      * @param instance Its instance name.
--- a/src/egretlatch/decision/serving_handler.hpp
+++ b/src/egretlatch/decision/serving_handler.hpp
@@ -189,6 +189,11 @@
 
     [[nodiscard]] admission::LoadReport load(SteadyTime now) const;
 
+    [[nodiscard]] std::vector<account::Figure> levelFigures(const SteadyTime now) const
+    {
+        return m_gate->levelFigures(now);
+    }
+
 private:
     using Origin = std::tuple<DaemonId, Incarnation, CallId>;
 
--- a/src/egretlatch/sidecar/fwd.hpp
+++ b/src/egretlatch/sidecar/fwd.hpp
@@ -7,6 +7,7 @@
 class BackendRunner;
 class CallerFront;
 class ConfigurationFeed;
+class LevelLog;
 class RequestLog;
 class ServerLife;
 class Sidecar;
--- a/src/egretlatch/sidecar/request_log.cpp
+++ b/src/egretlatch/sidecar/request_log.cpp
@@ -1,17 +1,11 @@
 #include <egretlatch/sidecar/request_log.hpp>
 
-#include <fmt/format.h>
-
 namespace egretlatch::sidecar
 {
 
 void RequestLog::write(const decision::RecordRefusal &refused) const
 {
     const account::RefusalRecord &record = refused.record;
-    std::string figures;
-    for (const account::Figure &figure : record.refusal.figures) {
-        figures += fmt::format("{}{}={:g}", figures.empty() ? "" : " ", figure.name, figure.value);
-    }
     m_logger.info("refused",
                   {{"request", refused.requestName},
                    {"depth", refused.depth},
@@ -23,7 +17,7 @@
                    {"rule", record.refusal.rule},
                    {"server", refused.server.value},
                    {"elapsedMs", std::chrono::duration_cast<std::chrono::milliseconds>(refused.elapsed).count()},
-                   {"figures", figures},
+                   {"figures", account::toText(record.refusal.figures)},
                    {"verdict", toString(record.verdict)},
                    {"retryAfterMs", record.refusal.retryAfter.count()},
                    {"configuration", record.refusal.configurationVersion}});
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -46,6 +46,7 @@
     , m_logSink{STDOUT_FILENO, m_clock}
     , m_logger{m_settings.logLevel, m_settings.id.value, m_logSink}
     , m_requestLog{m_logger}
+    , m_levelLog{m_logger}
     , m_random{freshSeed()}
     , m_incarnation{incarnationAt(m_clock)}
     , m_peers{m_poller,
@@ -275,6 +276,7 @@
     m_backend.tick();
     m_store.tick();
     m_feed.tick();
+    noteLevel();
     if (!m_drainSince.has_value()) {
         return;
     }
@@ -289,6 +291,15 @@
     }
 }
 
+void Sidecar::noteLevel()
+{
+    const SteadyTime now = m_clock.steadyNow();
+    const admission::LoadReport load = m_core->load();
+    if (m_levelLog.isDue(load.level, now)) {
+        m_levelLog.write(load, m_core->levelFigures(), now);
+    }
+}
+
 std::chrono::milliseconds Sidecar::longestTimeout() const
 {
     std::chrono::milliseconds longest{};
--- a/src/egretlatch/sidecar/sidecar.hpp
+++ b/src/egretlatch/sidecar/sidecar.hpp
@@ -19,6 +19,7 @@
 #include <egretlatch/sidecar/backend_runner.hpp>
 #include <egretlatch/sidecar/caller_front.hpp>
 #include <egretlatch/sidecar/configuration_feed.hpp>
+#include <egretlatch/sidecar/level_log.hpp>
 #include <egretlatch/sidecar/request_log.hpp>
 #include <egretlatch/sidecar/server_life.hpp>
 #include <egretlatch/sidecar/store_client.hpp>
@@ -70,6 +71,7 @@
     void rearm();
     void tick();
     void keepHouse();
+    void noteLevel();
     [[nodiscard]] std::chrono::milliseconds longestTimeout() const;
     void takeReport(ExchangeId exchange, const http::Request &request);
     [[nodiscard]] ReportEffect effectOf(const platform::ServerReport &report);
@@ -88,6 +90,7 @@
     BoundedLogSink m_logSink;
     Logger m_logger;
     RequestLog m_requestLog;
+    LevelLog m_levelLog;
     account::MetricsRegistry m_metrics;
     SeededRandom m_random;
     Incarnation m_incarnation;
