The mesh of tests and tools takes its ports from blocks that nobody else gives from

Cause: scripts/mesh chose free ports by binding and closing, and its processes took them some time later; another that did the same meanwhile got one of them again. The stand-in fleet had the same fault before and got blocks of ports; the mesh, support.free_port and a copy in test_membership had not.

--- a/standin/fleet/soak.py
+++ b/standin/fleet/soak.py
@@ -13,8 +13,9 @@
 import urllib.request
 
 from .client import Answer, Client, Pipeline
-from .fleet import Fleet, configuration, free_ports, route
+from .fleet import Fleet, configuration, route
 from .link import Link
+from .ports import free_ports
 from .record import PATIENCE, Record, Sent
 from .server import Fault
 
--- a/test/processes/support.py
+++ b/test/processes/support.py
@@ -3,21 +3,22 @@
 import json
 import os
 import pathlib
-import socket
 import subprocess
+import sys
 import unittest
 import urllib.error
 import urllib.request
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 BUILD = ROOT / os.environ.get("EGRETLATCH_BUILD", "build")
+sys.path.insert(0, str(ROOT / "standin"))
+
+from fleet.ports import free_ports  # noqa: E402
 
 
 def free_port():
-    """Gives a port that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Gives a port that nobody listens on, and that nobody else is given."""
+    return free_ports(1)[0]
 
 
 def call(url, body=b"", headers=None, method="POST"):
--- a/test/processes/test_membership.py
+++ b/test/processes/test_membership.py
@@ -5,7 +5,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import tempfile
 import time
@@ -14,6 +13,8 @@
 
 from support import BUILD, MeshTest, call, executions
 
+from fleet.ports import free_ports
+
 PATIENCE = 60
 
 
@@ -167,15 +168,6 @@
         except OSError:
             return False
 
-    def free_ports(self):
-        held = [socket.socket() for _ in range(2)]
-        for one in held:
-            one.bind(("127.0.0.1", 0))
-        ports = [one.getsockname()[1] for one in held]
-        for one in held:
-            one.close()
-        return ports
-
     def test_strangers_are_kept_out_and_counted(self):
         # Someone in the network reads request bodies, or draws calls to a server of his own, by a process that speaks
         # the inner protocol: with keys of his own, or with none.
@@ -184,10 +176,10 @@
         before = metric(target, refused)
         keys = make_keys()
         contacts = [("flight-history-0", target["peer"])]
-        with_keys = self.start("stranger-1", self.free_ports(), contacts, peerKeys={**keys, "accepted": [keys["publicKey"]]})
+        with_keys = self.start("stranger-1", free_ports(2), contacts, peerKeys={**keys, "accepted": [keys["publicKey"]]})
         wait_until(lambda: metric(target, refused) >= before + 2, "refused connections")
         middle = metric(target, refused)
-        plain = self.start("stranger-2", self.free_ports(), contacts, peerEncryption="off")
+        plain = self.start("stranger-2", free_ports(2), contacts, peerEncryption="off")
         wait_until(lambda: metric(target, refused) >= middle + 2, "more refused connections")
         self.assertEqual(["stranger-1"], list(states(with_keys)))
         self.assertEqual(["stranger-2"], list(states(plain)))
@@ -198,7 +190,7 @@
         # between the halves must go on.
         old, new = make_keys(), make_keys()
         accepted = [old["publicKey"], new["publicKey"]]
-        ports = {name: self.free_ports() for name in ("old-1", "new-1", "new-2")}
+        ports = {name: free_ports(2) for name in ("old-1", "new-1", "new-2")}
         peers = [(name, ports[name][1]) for name in ports]
         daemons = [
             self.start(name, ports[name], [peer for peer in peers if peer[0] != name], peerKeys={**(old if name == "old-1" else new), "accepted": accepted})
@@ -210,7 +202,7 @@
         self.assertIn("member changed", events)
 
     def test_switched_off_encryption_is_said_at_the_start(self):
-        self.start("plain", self.free_ports(), [], peerEncryption="off")
+        self.start("plain", free_ports(2), [], peerEncryption="off")
         lines = (pathlib.Path(self.folder.name) / "plain.log").read_text().splitlines()
         self.assertTrue(any("peer encryption is off" in json.loads(line)["event"] for line in lines))
 
