That a daemon's server drains is told to the others from one place

The same two lines stood in handleDraining and handleDepartureNews; sayDraining has them. Moved as they were. Run on it: unit tests 311 of 311, test_sidecar 22 of 22, format, lint of the file.

--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -100,6 +100,7 @@
     [[nodiscard]] bool takeDeparture(const std::string &instance, SteadyTime now);
     void handleDepartureNews(const std::string &instance, SteadyTime now);
     [[nodiscard]] bool isServerNameless() const;
+    void sayDraining(SteadyTime now);
     void handleLeft(SteadyTime now);
     void handlePlatform(const PlatformAnswered &answered, SteadyTime now);
     void handleManifest(const ManifestChanged &changed);
--- a/src/egretlatch/decision/core_server.cpp
+++ b/src/egretlatch/decision/core_server.cpp
@@ -74,8 +74,7 @@
         boundLastStart(now);
     }
     tickDoor(now);
-    const membership::Member &self = m_surroundings->roster.self();
-    updateSelf(membership::MemberState::draining, self.service, self.slots, self.connections, now);
+    sayDraining(now);
 }
 
 bool Core::takeDeparture(const std::string &instance, const SteadyTime now)
@@ -105,6 +104,11 @@
     m_doorClosesAt = now;
     m_lastStartAt = now;
     tickDoor(now);
+    sayDraining(now);
+}
+
+void Core::sayDraining(const SteadyTime now)
+{
     const membership::Member &self = m_surroundings->roster.self();
     updateSelf(membership::MemberState::draining, self.service, self.slots, self.connections, now);
 }
