The log says who brought a configuration

Change: `configuration in force` has `bringer`, the daemon that sent the manifest, empty for the store. Unit tests of the follower changed in the signature of handleBodyReply and putInForce alone.

--- a/src/egretlatch/configuration/follower.cpp
+++ b/src/egretlatch/configuration/follower.cpp
@@ -81,7 +81,7 @@
     m_target = {.version = version, .hash = contentHash(manifest)};
     m_sources.clear();
     m_isUnusable = false;
-    takeBody(manifest, now);
+    takeBody(manifest, {}, now);
 }
 
 void Follower::handleBodyRequest(const DaemonId &sender, const BodyRequest &request)
@@ -90,7 +90,7 @@
     m_outlet.send({.id = sender, .endpoint = request.endpoint}, BodyReply{.hash = request.hash, .manifest = isHeld ? m_manifest : QByteArray{}});
 }
 
-void Follower::handleBodyReply(const BodyReply &reply, const SteadyTime now)
+void Follower::handleBodyReply(const DaemonId &sender, const BodyReply &reply, const SteadyTime now)
 {
     if (!isBehind() || reply.hash != m_target.hash) {
         return;
@@ -99,7 +99,7 @@
         fetch(now);
         return;
     }
-    takeBody(reply.manifest, now);
+    takeBody(reply.manifest, sender, now);
 }
 
 bool Follower::handleOutcome(const store::RequestId id, const store::Outcome &outcome, const SteadyTime now)
@@ -180,7 +180,7 @@
     m_fetchDue = now + m_fetchBackoff.next(m_random);
 }
 
-void Follower::takeBody(const QByteArray &manifest, const SteadyTime now)
+void Follower::takeBody(const QByteArray &manifest, const DaemonId &bringer, const SteadyTime now)
 {
     if (!isBehind()) {
         return;
@@ -202,7 +202,7 @@
     m_inForce = m_target;
     m_manifest = manifest;
     m_sources.clear();
-    m_outlet.putInForce(m_inForce.version, parsed->manifest);
+    m_outlet.putInForce(m_inForce.version, parsed->manifest, bringer);
     advertise(m_options.fanout);
 }
 
@@ -233,7 +233,7 @@
         retryFetch(now);
         return;
     }
-    takeBody(object->bytes, now);
+    takeBody(object->bytes, {}, now);
 }
 
 void Follower::poll(const SteadyTime now)
--- a/src/egretlatch/configuration/follower.hpp
+++ b/src/egretlatch/configuration/follower.hpp
@@ -97,10 +97,11 @@
 
     /**
      * @brief Takes a manifest from a peer.
+     * @param sender The peer.
      * @param reply The manifest.
      * @param now Current time.
      */
-    void handleBodyReply(const BodyReply &reply, SteadyTime now);
+    void handleBodyReply(const DaemonId &sender, const BodyReply &reply, SteadyTime now);
 
     /**
      * @brief Takes an answer of the platform.
@@ -150,7 +151,7 @@
     void fetch(SteadyTime now);
     void fetchFromStore();
     void retryFetch(SteadyTime now);
-    void takeBody(const QByteArray &manifest, SteadyTime now);
+    void takeBody(const QByteArray &manifest, const DaemonId &bringer, SteadyTime now);
     void takeHead(const store::Outcome &outcome, SteadyTime now);
     void takeObject(const store::Outcome &outcome, SteadyTime now);
     void poll(SteadyTime now);
--- a/src/egretlatch/configuration/outlet.hpp
+++ b/src/egretlatch/configuration/outlet.hpp
@@ -57,8 +57,9 @@
      * @brief Puts a configuration in force.
      * @param version Its version, higher than any before.
      * @param manifest The manifest.
+     * @param bringer Who sent the manifest; empty if the platform did.
      */
-    virtual void putInForce(std::uint64_t version, const std::shared_ptr<const manifest::Manifest> &manifest) = 0;
+    virtual void putInForce(std::uint64_t version, const std::shared_ptr<const manifest::Manifest> &manifest, const DaemonId &bringer) = 0;
 
     /**
      * @brief Counts something that should not happen often.
--- a/src/egretlatch/daemon/decide_thread.cpp
+++ b/src/egretlatch/daemon/decide_thread.cpp
@@ -144,7 +144,7 @@
             handle(decision::PlatformAnswered{.id = id, .outcome = tl::unexpected{Error{ErrorCode::unavailable, "the ring to the platform is full"}}});
         }
     } else if (const auto *const inForce = std::get_if<decision::ManifestInForce>(&action)) {
-        m_logger.info("configuration in force", {{"version", inForce->version}, {"hash", inForce->hash}});
+        m_logger.info("configuration in force", {{"version", inForce->version}, {"hash", inForce->hash}, {"bringer", inForce->bringer.value}});
         isTaken = m_outward.toFront.tryPush(ReadyChanged{.isReady = true});
     } else if (const auto *const changed = std::get_if<decision::MemberChanged>(&action)) {
         m_logger.debug("member changed", {{"member", changed->id.value}, {"state", membership::toString(changed->state)}});
--- a/src/egretlatch/decision/action.hpp
+++ b/src/egretlatch/decision/action.hpp
@@ -140,6 +140,8 @@
 {
     std::uint64_t version{};
     std::string hash;
+    /*! @brief Daemon that it came from; empty if it came from the platform or the settings. */
+    DaemonId bringer;
 };
 
 /*! @brief A member is seen in another state than before, for the log. */
--- a/src/egretlatch/decision/configuration_outlet.cpp
+++ b/src/egretlatch/decision/configuration_outlet.cpp
@@ -34,9 +34,9 @@
     return peers.empty() ? m_contacts : peers;
 }
 
-void ConfigurationOutlet::putInForce(const std::uint64_t version, const std::shared_ptr<const manifest::Manifest> &manifest)
+void ConfigurationOutlet::putInForce(const std::uint64_t version, const std::shared_ptr<const manifest::Manifest> &manifest, const DaemonId &bringer)
 {
-    m_surroundings.putInForce(version, manifest);
+    m_surroundings.putInForce(version, manifest, bringer);
 }
 
 void ConfigurationOutlet::count(const std::string_view what)
--- a/src/egretlatch/decision/configuration_outlet.hpp
+++ b/src/egretlatch/decision/configuration_outlet.hpp
@@ -21,7 +21,7 @@
     [[nodiscard]] store::RequestId ask(store::Request request) override;
     void send(const configuration::Peer &peer, configuration::PeerNews news) override;
     [[nodiscard]] std::vector<configuration::Peer> peers() const override;
-    void putInForce(std::uint64_t version, const std::shared_ptr<const manifest::Manifest> &manifest) override;
+    void putInForce(std::uint64_t version, const std::shared_ptr<const manifest::Manifest> &manifest, const DaemonId &bringer) override;
     void count(std::string_view what) override;
 
 private:
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -155,7 +155,7 @@
                        m_configuration->handleBodyRequest(envelope.sender, request);
                    },
                    [&](const configuration::BodyReply &reply) {
-                       m_configuration->handleBodyReply(reply, now);
+                       m_configuration->handleBodyReply(envelope.sender, reply, now);
                    },
                },
                envelope.message);
--- a/src/egretlatch/decision/surroundings.cpp
+++ b/src/egretlatch/decision/surroundings.cpp
@@ -25,7 +25,7 @@
     return manifest == nullptr ? nullptr : manifest->findKind(service, kind);
 }
 
-void Surroundings::putInForce(const std::uint64_t version, const std::shared_ptr<const manifest::Manifest> &configuration)
+void Surroundings::putInForce(const std::uint64_t version, const std::shared_ptr<const manifest::Manifest> &configuration, const DaemonId &bringer)
 {
     // A configuration that arrives late, or again, must not undo a newer one, so only a higher version is taken.
     const bool isOutdated = manifest != nullptr && version <= manifestVersion;
@@ -35,7 +35,7 @@
     manifestVersion = version;
     manifest = configuration;
     entryControl->setManifest(configuration);
-    actions.emplace_back(ManifestInForce{.version = version, .hash = configuration->hash()});
+    actions.emplace_back(ManifestInForce{.version = version, .hash = configuration->hash(), .bringer = bringer});
 }
 
 store::RequestId Surroundings::askPlatform(store::Request request)
--- a/src/egretlatch/decision/surroundings.hpp
+++ b/src/egretlatch/decision/surroundings.hpp
@@ -64,8 +64,9 @@
      * @brief Puts a configuration in force, whole, unless the same or a newer one is.
      * @param version Its version; zero for a manifest of the settings that any accepted one replaces.
      * @param configuration The manifest.
+     * @param bringer Daemon that it came from; empty if it came from the platform or the settings.
      */
-    void putInForce(std::uint64_t version, const std::shared_ptr<const manifest::Manifest> &configuration);
+    void putInForce(std::uint64_t version, const std::shared_ptr<const manifest::Manifest> &configuration, const DaemonId &bringer = {});
 
     /**
      * @brief Asks the platform.
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -238,7 +238,7 @@
     } else if (const auto *const note = std::get_if<decision::NoteRequest>(&action)) {
         m_requestLog.write(*note);
     } else if (const auto *const inForce = std::get_if<decision::ManifestInForce>(&action)) {
-        m_logger.info("configuration in force", {{"version", inForce->version}, {"hash", inForce->hash}});
+        m_logger.info("configuration in force", {{"version", inForce->version}, {"hash", inForce->hash}, {"bringer", inForce->bringer.value}});
         putInForce();
     } else if (const auto *const changed = std::get_if<decision::MemberChanged>(&action)) {
         m_logger.info("member changed", {{"member", changed->id.value}, {"state", membership::toString(changed->state)}});
--- a/test/egretlatch/configuration/follower.cpp
+++ b/test/egretlatch/configuration/follower.cpp
@@ -41,7 +41,7 @@
         return known;
     }
 
-    void putInForce(const std::uint64_t version, const std::shared_ptr<const manifest::Manifest> &manifest) override
+    void putInForce(const std::uint64_t version, const std::shared_ptr<const manifest::Manifest> &manifest, const DaemonId & /*bringer*/) override
     {
         inForce.push_back(version);
         slots = manifest->services().front().slots;
@@ -146,7 +146,7 @@
     CHECK(std::get<Advert>(daemon.outlet.sent.front().second).version == 0);
     daemon.hear(7, makeManifest(5));
     CHECK(daemon.bodyRequests() == 1);
-    daemon.follower.handleBodyReply({.hash = contentHash(makeManifest(5)), .manifest = makeManifest(5)}, daemon.clock.steadyNow());
+    daemon.follower.handleBodyReply({"peer"}, {.hash = contentHash(makeManifest(5)), .manifest = makeManifest(5)}, daemon.clock.steadyNow());
     CHECK(daemon.outlet.inForce == std::vector<std::uint64_t>{7});
 }
 
@@ -173,7 +173,7 @@
     accept(store, 0, makeManifest(3));
     Fixture daemon;
     daemon.hear(1, makeManifest(3));
-    daemon.follower.handleBodyReply({.hash = contentHash(makeManifest(3)), .manifest = makeManifest(9)}, daemon.clock.steadyNow());
+    daemon.follower.handleBodyReply({"peer"}, {.hash = contentHash(makeManifest(3)), .manifest = makeManifest(9)}, daemon.clock.steadyNow());
     CHECK(daemon.outlet.inForce.empty());
     CHECK(daemon.outlet.counted == std::vector<std::string>{"hash-mismatch"});
     daemon.run(std::chrono::seconds{2}, &store);
@@ -207,7 +207,7 @@
     daemon.run(std::chrono::seconds{4}, &store);
     REQUIRE(daemon.outlet.inForce == std::vector<std::uint64_t>{2});
     daemon.hear(1, makeManifest(3));
-    daemon.follower.handleBodyReply({.hash = contentHash(makeManifest(3)), .manifest = makeManifest(3)}, daemon.clock.steadyNow());
+    daemon.follower.handleBodyReply({"peer"}, {.hash = contentHash(makeManifest(3)), .manifest = makeManifest(3)}, daemon.clock.steadyNow());
     daemon.run(std::chrono::seconds{10}, &store);
     CHECK(daemon.outlet.inForce == std::vector<std::uint64_t>{2});
     CHECK(daemon.outlet.slots == 4);
