A connection that goes silent under a waiting call is found by probes

Callers saw: requests handled by a configuration that had been replaced up to 9 s before. Cause: each daemon has one call out at the store, held for up to 14 s until there is news, and 16 s until it counts as lost. On a connection that is dead without a word nothing is unacknowledged, so TCP_USER_TIMEOUT does not end it. All calls had been sent at the same moment, as the last configuration had answered them all, so no daemon asked anew before 23 s and none could tell the others. Ruled out: the way between daemons (all had it within 25 ms of the first); a store that is silent itself (its held calls are answered at its return). Change: connections that a daemon opens are probed by the kernel after a second without traffic, and end after two probes without an answer. It costs no call to the store and holds for the store, the server beside and other daemons alike. Tests, both failing before: a stream whose far end lets no packet in ends; a fleet whose connections to the store went silent has the next configuration (answers before: 404 on all six daemons). Weighed: shorter waits, which cost a call each and leave seconds all the same; probes by calls of our own, ditto.

--- a/src/egretlatch/net/tcp_stream.cpp
+++ b/src/egretlatch/net/tcp_stream.cpp
@@ -43,6 +43,7 @@
         return false;
     }
     setTcpOptions(m_descriptor, internal::unacknowledgedLimit);
+    probeWhenIdle(m_descriptor);
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(endpoint.port);
--- a/src/egretlatch/sidecar/configuration_feed.hpp
+++ b/src/egretlatch/sidecar/configuration_feed.hpp
@@ -15,8 +15,8 @@
 /**
  * @brief Follows what the operators write, by calls that the store holds until there is something new.
  *
- * One call is out at a time. A connection that has gone silent shows only by the end of its call, so other daemons tell of
- * a newer configuration meanwhile.
+ * One call is out at a time. A connection that goes silent under it is ended by the probes of `net::TcpStream`, and the call
+ * is made again; other daemons tell of a newer configuration meanwhile.
  */
 class ConfigurationFeed
 {
--- a/standin/fleet/store.py
+++ b/standin/fleet/store.py
@@ -2,12 +2,18 @@
 
 import asyncio
 import base64
+import ctypes
 import json
+import socket
+import struct
 import time
 import urllib.parse
 
 from . import wire
 
+SO_ATTACH_FILTER = 26
+BPF_RETURN = 0x06
+
 
 class Store:
     """Keeps rows in memory. `trouble` is None, "refuse" (503), "silent" (no answer) or "lose" (done, but not answered)."""
@@ -19,6 +25,8 @@
         self.calls = 0
         self.trouble = None
         self.changed = asyncio.Event()
+        self.connections = set()
+        self.silent = set()
 
     async def start(self, port):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", port, backlog=1024)
@@ -37,11 +45,20 @@
         self.version += 1
         self.announce()
 
+    def silence(self):
+        """Leaves all open connections open without a sign of life, also to the probes of the other side's kernel; new ones work."""
+        let_nothing_in = ctypes.create_string_buffer(struct.pack("HBBI", BPF_RETURN, 0, 0, 0))
+        program = struct.pack("HL", 1, ctypes.addressof(let_nothing_in))
+        for writer in self.connections:
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+        self.silent |= self.connections
+
     def announce(self):
         event, self.changed = self.changed, asyncio.Event()
         event.set()
 
     async def serve(self, reader, writer):
+        self.connections.add(writer)
         try:
             while (request := await wire.read_message(reader)) is not None:
                 self.calls += 1
@@ -51,11 +68,16 @@
                 status, body = (503, {}) if self.trouble == "refuse" else await self.answer(request)
                 if self.trouble == "lose":
                     break
+                if writer in self.silent:
+                    await asyncio.sleep(30)
+                    break
                 writer.write(wire.response(status, {"Content-Type": "application/json"}, json.dumps(body).encode()))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            self.connections.discard(writer)
+            self.silent.discard(writer)
             writer.close()
 
     async def answer(self, request):
--- /dev/null
+++ b/test/egretlatch/net/tcp_stream.cpp
@@ -0,0 +1,103 @@
+#include <doctest/doctest.h>
+
+#include <arpa/inet.h>
+#include <linux/filter.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <fakes/event_loop.hpp>
+
+#include <egretlatch/net/tcp_stream.hpp>
+
+using namespace egretlatch;
+
+namespace
+{
+
+/*! @brief The far end of one connection; the kernel passes nothing to it any more once it is silent, so that no probe is answered. */
+class FarEnd
+{
+public:
+    FarEnd()
+    {
+        m_listener = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(::bind(m_listener, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0);
+        REQUIRE(::listen(m_listener, 1) == 0);
+        socklen_t size = sizeof address;
+        ::getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size);
+        m_port = ntohs(address.sin_port);
+    }
+
+    FarEnd(const FarEnd &) = delete;
+    FarEnd &operator=(const FarEnd &) = delete;
+
+    ~FarEnd()
+    {
+        ::close(m_connection);
+        ::close(m_listener);
+    }
+
+    [[nodiscard]] net::Endpoint endpoint() const
+    {
+        return {.address = "127.0.0.1", .port = m_port};
+    }
+
+    void accept()
+    {
+        m_connection = ::accept(m_listener, nullptr, nullptr);
+    }
+
+    void goSilent() const
+    {
+        sock_filter letNothingIn{.code = BPF_RET | BPF_K, .jt = 0, .jf = 0, .k = 0};
+        const sock_fprog program{.len = 1, .filter = &letNothingIn};
+        REQUIRE(::setsockopt(m_connection, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program) == 0);
+    }
+
+private:
+    int m_listener{-1};
+    int m_connection{-1};
+    std::uint16_t m_port{};
+};
+
+struct Listener final : net::StreamListener
+{
+    void onOpen() override
+    {
+        isOpen = true;
+    }
+
+    void onBytes(const QByteArray & /*bytes*/) override {}
+
+    void onEnd(const net::StreamEnd end) override
+    {
+        ended = end;
+    }
+
+    bool isOpen{};
+    std::optional<net::StreamEnd> ended;
+};
+
+} // namespace
+
+TEST_CASE("a connection that is silent while nothing is sent on it ends, as a call that waits for its answer would hang")
+{
+    fakes::ensureApplication();
+    net::Poller poller;
+    FarEnd farEnd;
+    Listener listener;
+    net::TcpStream stream{poller, listener};
+    REQUIRE(stream.open(farEnd.endpoint()));
+    farEnd.accept();
+    REQUIRE(fakes::runUntil([&listener] {
+        return listener.isOpen;
+    }));
+    farEnd.goSilent();
+    CHECK(fakes::runUntil([&listener] {
+        return listener.ended.has_value();
+    }));
+}
--- a/test/processes/test_sidecar.py
+++ b/test/processes/test_sidecar.py
@@ -263,6 +263,15 @@
         statuses = [(await Client(vm.callers).send("n-2", HOST, "/fresh/")).status for vm in self.fleet.vms]
         self.assertEqual([200] * len(self.fleet.vms), statuses)
 
+    async def test_a_configuration_is_in_force_in_time_though_all_connections_to_the_store_went_silent(self):
+        """Guards against a call held by the store that is waited for to its end on a connection that is dead."""
+        self.fleet.store.silence()
+        self.fleet.store.put_configuration(configuration(2, routes(**spec("fresh", "log")), SERVICES))
+        # The time in which silence may be found, and the time for a configuration to be in force.
+        await asyncio.sleep(3 + 2)
+        statuses = [(await Client(vm.callers).send(f"n-{number}", HOST, "/fresh/")).status for number, vm in enumerate(self.fleet.vms)]
+        self.assertEqual([200] * len(self.fleet.vms), statuses)
+
     async def test_what_is_no_heartbeat_names_no_server(self):
         vm = self.fleet.vms[0]
         self.assertEqual(400, await post(vm.reports, "/api/instances/i-x/heartbeat", b"\xff{"))
