What only the wrong life of a daemon got has not run, and goes on elsewhere

Callers saw: 502 for requests that no server ever got, so that one which must not be repeated could not be sent again. Cause: a daemon that starts again gets calls of entries that have not heard of it yet, and cannot know what its earlier life ran. Over ZeroMQ, whose sockets hold messages for whoever comes, that is right. Over peer/StreamExchange a message is written to one connection once, and that connection ended with the life that it was opened to; what the new life reads nobody else has read. Change: `Delivery` says which of the two the transport does; where it is one life, the verdict is not-run, and the entry moves on to another daemon at once, without a retry being spent. Test: the verdict under each of the two; before, it was may-have-run whatever the transport.

--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -231,6 +231,13 @@
      */
     CoreBuilder &setUnownedKeys(retry::UnownedKeys unownedKeys);
 
+    /**
+     * @brief Sets what the transport between daemons does with messages to a daemon that starts again.
+     * @param delivery What it does; by default a message may reach several lives.
+     * @return This builder.
+     */
+    CoreBuilder &setDelivery(Delivery delivery);
+
     /**
      * @brief Lets the platform's table tell the owners of keys that carry a time; without this, it is not asked.
      * @param times Lengths of the grants.
@@ -265,6 +272,7 @@
     EntryRules m_entryRules;
     DoorTimes m_doorTimes;
     retry::UnownedKeys m_unownedKeys{retry::UnownedKeys::refuse};
+    Delivery m_delivery{Delivery::severalLives};
     retry::KeyLedgerLimits m_ledgerLimits;
     std::optional<retry::GrantTimes> m_grantTimes;
 };
--- a/src/egretlatch/decision/core_builder.cpp
+++ b/src/egretlatch/decision/core_builder.cpp
@@ -89,6 +89,12 @@
     return *this;
 }
 
+CoreBuilder &CoreBuilder::setDelivery(const Delivery delivery)
+{
+    m_delivery = delivery;
+    return *this;
+}
+
 CoreBuilder &CoreBuilder::setKeyGrants(const retry::GrantTimes times)
 {
     m_grantTimes = times;
@@ -127,6 +133,7 @@
         .manifest = nullptr,
         .manifestVersion = 0,
         .unownedKeys = m_unownedKeys,
+        .delivery = m_delivery,
         .born = m_clock.steadyNow(),
         .actions = {},
         .lastPlatformRequest = {},
--- a/src/egretlatch/decision/fwd.hpp
+++ b/src/egretlatch/decision/fwd.hpp
@@ -12,6 +12,7 @@
 struct PeerCall;
 struct Surroundings;
 
+enum class Delivery;
 enum class RunFailure;
 
 class EntryHandler;
--- a/src/egretlatch/decision/serving_handler.cpp
+++ b/src/egretlatch/decision/serving_handler.cpp
@@ -308,7 +308,8 @@
 void ServingHandler::refuseStranger(const Origin &origin, const SteadyTime now)
 {
     protocol::CallAnswer refused;
-    refused.verdict = retry::verdictOf(retry::AttemptEnd::meantForEarlierLife);
+    const bool isUnheard = m_surroundings.delivery == Delivery::oneLife;
+    refused.verdict = retry::verdictOf(isUnheard ? retry::AttemptEnd::missedEarlierLife : retry::AttemptEnd::meantForEarlierLife);
     refused.refusal = m_surroundings.refuse(account::RefusalReason::serverLost, "the request was meant for an earlier life of this daemon");
     refused.status = account::httpStatus(refused.refusal->reason);
     send(origin, std::move(refused), now);
--- a/src/egretlatch/decision/surroundings.hpp
+++ b/src/egretlatch/decision/surroundings.hpp
@@ -11,6 +11,7 @@
 #include <egretlatch/core/random_source.hpp>
 #include <egretlatch/core/uuid.hpp>
 #include <egretlatch/decision/action.hpp>
+#include <egretlatch/decision/delivery.hpp>
 #include <egretlatch/manifest/manifest.hpp>
 #include <egretlatch/membership/roster.hpp>
 #include <egretlatch/retry/key_ledger.hpp>
@@ -35,6 +36,7 @@
     std::shared_ptr<const manifest::Manifest> manifest;
     std::uint64_t manifestVersion{};
     retry::UnownedKeys unownedKeys{};
+    Delivery delivery{};
     /*! @brief When this life began; ages of keys are counted from here. */
     SteadyTime born;
     /*! @brief What the event at hand has led to so far. */
--- a/src/egretlatch/retry/verdict_rules.cpp
+++ b/src/egretlatch/retry/verdict_rules.cpp
@@ -15,6 +15,7 @@
     case AttemptEnd::leftQueue:
     case AttemptEnd::neverConnected:
     case AttemptEnd::rejectedByServer:
+    case AttemptEnd::missedEarlierLife:
         return Verdict::notRun;
     case AttemptEnd::connectionLost:
     case AttemptEnd::aborted:
--- a/src/egretlatch/retry/verdict_rules.hpp
+++ b/src/egretlatch/retry/verdict_rules.hpp
@@ -30,6 +30,8 @@
     unanswered,
     /*! @brief It was meant for an earlier life of the serving daemon, which may have run it. */
     meantForEarlierLife,
+    /*! @brief It was meant for an earlier life of the serving daemon, which has not got it. */
+    missedEarlierLife,
 };
 
 /**
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -128,6 +128,7 @@
     builder.followPlatform();
     builder.setConfigurationFeed();
     builder.setUnownedKeys(retry::UnownedKeys::notNeeded);
+    builder.setDelivery(decision::Delivery::oneLife);
     builder.setEntryRules({.countsOnlyArrivals = true, .retrySlack = m_bounds.retrySlack * usedShareOfRetries(), .traces = false});
     builder.setDoorTimes({
         .afterReport = internal::doorShare * m_bounds.drain / internal::hundredths,
--- a/test/egretlatch/decision/serving_handler.cpp
+++ b/test/egretlatch/decision/serving_handler.cpp
@@ -76,8 +76,36 @@
     return answers;
 }
 
+// What a daemon says of a call that is meant for its earlier life.
+[[nodiscard]] Verdict verdictOnStranger(const Delivery delivery)
+{
+    fakes::ManualClock clock;
+    SeededRandom random{seed};
+    fakes::CountingMetrics metrics;
+    membership::Member self;
+    self.id = {"serving"};
+    self.incarnation = selfLife;
+    const std::unique_ptr<Core> core = CoreBuilder{clock, random, metrics}.setSelf(self).setDelivery(delivery).build();
+    protocol::CallRequest request = callOf(1, std::chrono::milliseconds{100});
+    request.receiver = Incarnation{selfLife.value - 1};
+    for (const Action &action : core->handle(PeerMessage{.envelope = {.sender = {"entry"}, .incarnation = peerLife, .message = request}})) {
+        const auto *const send = std::get_if<SendToPeer>(&action);
+        if (send != nullptr && std::holds_alternative<protocol::CallAnswer>(send->message)) {
+            return std::get<protocol::CallAnswer>(send->message).verdict;
+        }
+    }
+    FAIL("no answer");
+    return {};
+}
+
 } // namespace
 
+TEST_CASE("a call that only the wrong life of a daemon got has not run, so that its caller may be served elsewhere")
+{
+    CHECK((verdictOnStranger(Delivery::oneLife) == Verdict::notRun));
+    CHECK((verdictOnStranger(Delivery::severalLives) == Verdict::mayHaveRun));
+}
+
 TEST_CASE("calls whose deadline passes together are each answered once")
 {
     // A daemon ends in the middle of a surge and takes its backend server out of the mesh. A call that runs and one that
