The word that a suspect request ran well also holds when it is heard before the crash

Cause: news of crashes and of good runs spread by gossip in any order; a good run heard first found nothing to clear and was lost, so a daemon that hears all of it late, the good runs first, counts each crash. Ruled out: news in the order of events, and each good run heard before its own crash but after the one before; both clear it already. Change: other daemons' word of a good run is kept for ten seconds and holds for crashes told of after it. A request that crashes each server that runs it is never told of so. A daemon's own good runs are kept no longer than before. Tests: the order that failed (shown failing on the code before: quarantined), and that an old good run does not speak for a culprit.

--- a/src/egretlatch/admission/crash_suspects.cpp
+++ b/src/egretlatch/admission/crash_suspects.cpp
@@ -31,6 +31,9 @@
 {
     forgetOld(now);
     for (const RequestFingerprint request : running) {
+        if (m_goodElsewhere.contains(request)) {
+            continue;
+        }
         if (m_suspects.size() >= internal::mostSuspects && !m_suspects.contains(request)) {
             return;
         }
@@ -45,6 +48,15 @@
     return m_suspects.erase(request) > 0;
 }
 
+void CrashSuspects::noteGoodElsewhere(const RequestFingerprint request, const SteadyTime now)
+{
+    static_cast<void>(noteGood(request));
+    forgetOld(now);
+    if (m_goodElsewhere.size() < internal::mostSuspects) {
+        m_goodElsewhere.insert_or_assign(request, now);
+    }
+}
+
 int CrashSuspects::crashes(const RequestFingerprint request, const SteadyTime now) const
 {
     const auto found = m_suspects.find(request);
@@ -62,6 +74,9 @@
     std::erase_if(m_suspects, [now](const auto &item) {
         return now - item.second.last >= crashLife;
     });
+    std::erase_if(m_goodElsewhere, [now](const auto &item) {
+        return now - item.second >= goodLife;
+    });
 }
 
 std::string toBytes(const std::vector<RequestFingerprint> &requests)
--- a/src/egretlatch/admission/crash_suspects.hpp
+++ b/src/egretlatch/admission/crash_suspects.hpp
@@ -51,6 +51,16 @@
      */
     bool noteGood(RequestFingerprint request);
 
+    /**
+     * @brief Takes another daemon's word that a suspect request ran well.
+     *
+     * It may come before the news of the crash that made the request suspect, so it also holds for crashes told of within
+     * `goodLife`; a request that crashes each server that runs it is never told of so.
+     * @param request The request.
+     * @param now Current time.
+     */
+    void noteGoodElsewhere(RequestFingerprint request, SteadyTime now);
+
     /**
      * @brief Counts the crashes that a request was there at.
      * @param request The request.
@@ -74,6 +84,8 @@
 
     /*! @brief How long a crash counts; a request that is fixed runs again then. */
     static constexpr std::chrono::minutes crashLife{5};
+    /*! @brief How long the word of a good run holds for crashes told of after it. */
+    static constexpr std::chrono::seconds goodLife{10};
 
 private:
     struct Suspect
@@ -85,6 +97,8 @@
     void forgetOld(SteadyTime now);
 
     std::map<RequestFingerprint, Suspect> m_suspects;
+    /*! @brief When other daemons told that a request ran well. */
+    std::map<RequestFingerprint, SteadyTime> m_goodElsewhere;
 };
 
 /**
--- a/src/egretlatch/decision/crash_news.cpp
+++ b/src/egretlatch/decision/crash_news.cpp
@@ -48,7 +48,7 @@
         return;
     }
     for (const admission::RequestFingerprint request : requests) {
-        static_cast<void>(suspects.noteGood(request));
+        suspects.noteGoodElsewhere(request, now);
     }
 }
 
--- a/test/egretlatch/decision/crash_news.cpp
+++ b/test/egretlatch/decision/crash_news.cpp
@@ -45,3 +45,28 @@
     CHECK(suspects.isQuarantined(7, start));
     CHECK_FALSE(suspects.isQuarantined(8, start));
 }
+
+TEST_CASE("a sound request is not refused where the news of its good runs come before those of the crashes")
+{
+    admission::CrashSuspects suspects;
+    for (const std::uint64_t number : {1, 2, 3}) {
+        CrashNews::ranWell({"a"}, {1}, number, 8).apply(suspects, start);
+    }
+    for (const std::uint64_t number : {1, 2, 3}) {
+        CrashNews::crashed({"b"}, {1}, number, {7, 8}).apply(suspects, start + 1s);
+    }
+
+    CHECK(suspects.isQuarantined(7, start + 1s));
+    CHECK_FALSE(suspects.isQuarantined(8, start + 1s));
+}
+
+TEST_CASE("a good run long ago does not speak for a request that crashes servers now")
+{
+    admission::CrashSuspects suspects;
+    CrashNews::ranWell({"a"}, {1}, 1, 7).apply(suspects, start);
+    for (const std::uint64_t number : {1, 2, 3}) {
+        CrashNews::crashed({"b"}, {1}, number, {7}).apply(suspects, start + admission::CrashSuspects::goodLife);
+    }
+
+    CHECK(suspects.isQuarantined(7, start + admission::CrashSuspects::goodLife));
+}
