A daemon that starts after its clock was set back goes on above its earlier life

Cause: a life's number is its time of day and the higher one overrules, so the others held the dead life for the newer: calls to the new one name a life that is over and are refused, calls of it are dropped as stale, and its answers to probes pass for signs of the dead one. Change: a daemon that is pinged by a life that it holds for over tells the sender; one that hears of a higher life of its own at its own address takes a number above that (`LifeRaised`, line `life raised`) and opens its connections anew. An entry from another address is another VM's and overrules as before; the daemon with keys does not raise, since a key names its owner's life. Ruled out: a step while daemons run (steady clock); a restart of all at once (nobody remembers).

--- a/src/egretlatch/decision/action.hpp
+++ b/src/egretlatch/decision/action.hpp
@@ -157,6 +157,13 @@
     std::string instance;
 };
 
+/*! @brief This daemon goes on under a higher incarnation; what it sends from now on must bear it. */
+struct LifeRaised
+{
+    Incarnation from;
+    Incarnation to;
+};
+
 /*! @brief Nothing is in flight any more at a daemon that drains. */
 struct Drained
 {
@@ -173,6 +180,7 @@
                             ManifestInForce,
                             MemberChanged,
                             DepartureHeard,
+                            LifeRaised,
                             Drained>;
 using Actions = std::vector<Action>;
 
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -273,6 +273,7 @@
 
 void Core::applyGossip(const SteadyTime now)
 {
+    followRaise();
     membership::GossipEffects effects = m_gossip->takeEffects();
     if (effects.haveMembersChanged) {
         m_surroundings->router->setMembers(m_surroundings->roster.members(), now);
@@ -293,6 +294,16 @@
     }
 }
 
+void Core::followRaise()
+{
+    const Incarnation raised = m_surroundings->roster.self().incarnation;
+    if (raised == m_surroundings->incarnation) {
+        return;
+    }
+    m_surroundings->actions.emplace_back(LifeRaised{.from = m_surroundings->incarnation, .to = raised});
+    m_surroundings->incarnation = raised;
+}
+
 bool Core::isIdle() const noexcept
 {
     return m_serving->isIdle() && m_entry->isIdle();
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -117,6 +117,7 @@
     void boundLastStart(SteadyTime now);
     void updateSelf(membership::MemberState state, const std::string &service, int slots, int connections, SteadyTime now);
     void applyGossip(SteadyTime now);
+    void followRaise();
     [[nodiscard]] bool isIdle() const noexcept;
     [[nodiscard]] Actions deliverToSelf(SteadyTime now);
 
@@ -238,6 +239,12 @@
      */
     CoreBuilder &setDelivery(Delivery delivery);
 
+    /**
+     * @brief Lets the daemon go on under a higher incarnation, told by LifeRaised, where its earlier life had one that overrules it.
+     * @return This builder.
+     */
+    CoreBuilder &allowRaise();
+
     /**
      * @brief Lets the platform's table tell the owners of keys that carry a time; without this, it is not asked.
      * @param times Lengths of the grants.
@@ -273,6 +280,7 @@
     DoorTimes m_doorTimes;
     retry::UnownedKeys m_unownedKeys{retry::UnownedKeys::refuse};
     Delivery m_delivery{Delivery::severalLives};
+    bool m_mayRaise{};
     retry::KeyLedgerLimits m_ledgerLimits;
     std::optional<retry::GrantTimes> m_grantTimes;
 };
--- a/src/egretlatch/decision/core_builder.cpp
+++ b/src/egretlatch/decision/core_builder.cpp
@@ -95,6 +95,12 @@
     return *this;
 }
 
+CoreBuilder &CoreBuilder::allowRaise()
+{
+    m_mayRaise = true;
+    return *this;
+}
+
 CoreBuilder &CoreBuilder::setKeyGrants(const retry::GrantTimes times)
 {
     m_grantTimes = times;
@@ -138,6 +144,9 @@
         .actions = {},
         .lastPlatformRequest = {},
     });
+    if (m_mayRaise) {
+        core->m_surroundings->roster.allowRaise();
+    }
     core->m_serving = std::make_unique<ServingHandler>(*core->m_surroundings, std::move(m_gate));
     std::unique_ptr<retry::ShardGrants> grants;
     if (m_grantTimes.has_value()) {
--- a/src/egretlatch/membership/gossip.cpp
+++ b/src/egretlatch/membership/gossip.cpp
@@ -194,6 +194,10 @@
     if (doubt.has_value()) {
         answer.suspicions.push_back(*doubt);
     }
+    if (const Member *const known = m_roster.find(sender); known != nullptr && known->incarnation > incarnation) {
+        // The sender may not know that an earlier life of it, begun by a clock that was ahead, overrules all that it says.
+        answer.members.push_back(*known);
+    }
     addDepartures(answer, sender, now);
     sendTo(sender, std::move(answer));
 }
--- a/src/egretlatch/membership/roster.cpp
+++ b/src/egretlatch/membership/roster.cpp
@@ -98,6 +98,11 @@
 
 MergeOutcome Roster::mergeSelf(const Member &member)
 {
+    if (isOutrankedByEarlierLife(member)) {
+        m_self.incarnation = Incarnation{member.incarnation.value + 1};
+        noteChanged(m_self.id);
+        return MergeOutcome::refuted;
+    }
     // A higher incarnation is the next life of this daemon on another VM: the older life must not overrule it.
     const bool isOfThisLife = member.incarnation == m_self.incarnation;
     const bool isOverruled = member.revision > m_self.revision;
@@ -109,6 +114,13 @@
     return MergeOutcome::refuted;
 }
 
+// Incarnations come from the time of day. Where that was set back, a life begins with a lower one than the life before it at
+// this very address, and without a raise nobody would take its word.
+bool Roster::isOutrankedByEarlierLife(const Member &member) const
+{
+    return m_mayRaise && member.endpoint == m_self.endpoint && member.incarnation > m_self.incarnation;
+}
+
 MergeOutcome Roster::replace(Entry &entry, const Member &member, const SteadyTime now)
 {
     const std::uint64_t latestBeat = std::max(member.beat, member.incarnation == entry.announced.incarnation ? entry.announced.beat : 0);
--- a/src/egretlatch/membership/roster.hpp
+++ b/src/egretlatch/membership/roster.hpp
@@ -48,6 +48,12 @@
      */
     explicit Roster(Member self);
 
+    /*! @brief Lets this daemon take a higher incarnation where an earlier life of it at the same address has one. */
+    void allowRaise() noexcept
+    {
+        m_mayRaise = true;
+    }
+
     /**
      * @brief Takes an entry.
      * @param member The entry, as the member itself made it.
@@ -165,11 +171,13 @@
     };
 
     [[nodiscard]] MergeOutcome mergeSelf(const Member &member);
+    [[nodiscard]] bool isOutrankedByEarlierLife(const Member &member) const;
     [[nodiscard]] MergeOutcome replace(Entry &entry, const Member &member, SteadyTime now);
     [[nodiscard]] Duration suspicionTimeout() const;
     void noteChanged(const DaemonId &id);
 
     Member m_self;
+    bool m_mayRaise{};
     std::map<DaemonId, Entry> m_others;
     std::uint64_t m_version{};
     std::vector<DaemonId> m_changed;
--- a/src/egretlatch/peer/stream_exchange.cpp
+++ b/src/egretlatch/peer/stream_exchange.cpp
@@ -61,6 +61,15 @@
     sendByLink(order);
 }
 
+void StreamExchange::beginLife(const Incarnation incarnation)
+{
+    m_incarnation = incarnation;
+    // Others hold a connection for that of one life.
+    for (const DaemonId &daemon : linkedDaemons()) {
+        endLink(daemon, true);
+    }
+}
+
 void StreamExchange::tick()
 {
     const SteadyTime now = m_clock.steadyNow();
@@ -68,11 +77,7 @@
     const bool hasStoodStill = now - m_lastTick >= internal::longestTickGap;
     m_lastTick = now;
     // A link may go while it is told of, so they are found anew by name.
-    std::vector<DaemonId> daemons;
-    for (const auto &[daemon, link] : m_links) {
-        daemons.push_back(daemon);
-    }
-    for (const DaemonId &daemon : daemons) {
+    for (const DaemonId &daemon : linkedDaemons()) {
         const auto found = m_links.find(daemon);
         if (found == m_links.end()) {
             continue;
@@ -114,6 +119,16 @@
     endLink(link.daemon(), wasOpen);
 }
 
+std::vector<DaemonId> StreamExchange::linkedDaemons() const
+{
+    std::vector<DaemonId> daemons;
+    daemons.reserve(m_links.size());
+    for (const auto &[daemon, link] : m_links) {
+        daemons.push_back(daemon);
+    }
+    return daemons;
+}
+
 void StreamExchange::endLink(const DaemonId &daemon, const bool wasOpen)
 {
     const auto found = m_links.find(daemon);
--- a/src/egretlatch/peer/stream_exchange.hpp
+++ b/src/egretlatch/peer/stream_exchange.hpp
@@ -59,6 +59,12 @@
      */
     void send(const decision::SendToPeer &order);
 
+    /**
+     * @brief Goes on under another incarnation; connections that were opened under the one before end.
+     * @param incarnation The incarnation.
+     */
+    void beginLife(Incarnation incarnation);
+
     /*! @brief Closes what is unused or silent; to be called some times a second. */
     void tick();
 
@@ -77,6 +83,7 @@
     [[nodiscard]] StreamLink *linkTo(const DaemonId &daemon, const std::string &endpoint);
     [[nodiscard]] bool makeRoom();
     void endLink(const DaemonId &daemon, bool wasOpen);
+    [[nodiscard]] std::vector<DaemonId> linkedDaemons() const;
     [[nodiscard]] QByteArray frame(const protocol::Message &message);
 
     net::Poller &m_poller;
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -129,6 +129,7 @@
     builder.setConfigurationFeed();
     builder.setUnownedKeys(retry::UnownedKeys::notNeeded);
     builder.setDelivery(decision::Delivery::oneLife);
+    builder.allowRaise();
     builder.setEntryRules({.countsOnlyArrivals = true, .retrySlack = m_bounds.retrySlack * usedShareOfRetries(), .traces = false});
     builder.setDoorTimes({
         .afterReport = internal::doorShare * m_bounds.drain / internal::hundredths,
@@ -245,6 +246,9 @@
         m_logger.info("member changed", {{"member", changed->id.value}, {"state", membership::toString(changed->state)}});
     } else if (const auto *const heard = std::get_if<decision::DepartureHeard>(&action)) {
         m_logger.info("departure heard", {{"instance", heard->instance}});
+    } else if (const auto *const raised = std::get_if<decision::LifeRaised>(&action)) {
+        m_logger.warning("life raised", {{"from", raised->from.value}, {"to", raised->to.value}});
+        m_peers.beginLife(raised->to);
     } else if (std::holds_alternative<decision::Drained>(action)) {
         endNow("nothing is under way");
     }
--- a/test/egretlatch/membership/gossip.cpp
+++ b/test/egretlatch/membership/gossip.cpp
@@ -249,6 +249,24 @@
     CHECK((network.seen(3, 6) == MemberState::serving));
 }
 
+TEST_CASE("a daemon that starts again with its clock set back is believed though its number is below that of its earlier life")
+{
+    for (const Duration away : {Duration{200ms}, Duration{30s}}) {
+        GossipNetwork network{20, seed};
+        gather(network);
+        network.kill(6);
+        network.run(away);
+        network.startWithClockSetBack(6);
+        const auto took = network.runUntil(
+            [&network] {
+                return network.isWhole() && network.node(3).roster.find(network.node(6).first.id)->incarnation == network.node(6).roster.self().incarnation;
+            },
+            15s);
+        CHECK(took.has_value());
+        CHECK(network.node(6).roster.self().incarnation > network.node(6).first.incarnation);
+    }
+}
+
 TEST_CASE("regions that were cut off from each other serve inside and meet again without a storm")
 {
     // Two regions lose each other for three minutes. Each must stay whole for itself. After the cut both hold each other
--- a/test/egretlatch/peer/stream_exchange.cpp
+++ b/test/egretlatch/peer/stream_exchange.cpp
@@ -92,6 +92,7 @@
         }
         const auto &request = std::get<protocol::CallRequest>(envelope.message);
         requests.push_back(request.call.value);
+        senderLives.push_back(envelope.incarnation.value);
         if (answers) {
             protocol::CallAnswer answer;
             answer.call = request.call;
@@ -109,6 +110,7 @@
     account::MetricsRegistry metrics;
     peer::StreamExchange exchange;
     std::vector<std::uint64_t> requests;
+    std::vector<std::uint64_t> senderLives;
     std::vector<std::uint64_t> answered;
     std::vector<std::uint64_t> unsent;
     std::vector<bool> lost;
@@ -169,6 +171,26 @@
     CHECK(again.requests == std::vector<std::uint64_t>{2});
 }
 
+TEST_CASE("a daemon that goes on under a higher life is heard under it, and the connections of the life before end")
+{
+    Daemon entry{"entry"};
+    Daemon serving{"serving"};
+    entry.request(serving, 1);
+    REQUIRE(fakes::runUntil([&entry] {
+        return entry.answered.size() == 1;
+    }));
+
+    entry.exchange.beginLife({2});
+    CHECK(entry.lost == std::vector<bool>{true});
+    entry.request(serving, 2);
+
+    REQUIRE(fakes::runUntil([&entry] {
+        return entry.answered.size() == 2;
+    }));
+    CHECK(serving.requests == std::vector<std::uint64_t>{1, 2});
+    CHECK(serving.senderLives == std::vector<std::uint64_t>{1, 2});
+}
+
 TEST_CASE("a connection that falls silent is given up, and one whose daemon is only slow is not")
 {
     // Requests of one VM to another wait for all their time, one after the other, while the second VM is well: their
--- a/test/fakes/gossip_network.cpp
+++ b/test/fakes/gossip_network.cpp
@@ -68,7 +68,18 @@
 
 void GossipNetwork::replace(const std::size_t index)
 {
-    m_nodes[index] = makeNode(index, m_nodes[index]->first.incarnation.value + 1);
+    start(index, m_nodes[index]->first.incarnation.value + 1);
+}
+
+void GossipNetwork::startWithClockSetBack(const std::size_t index)
+{
+    start(index, m_nodes[index]->first.incarnation.value - 1);
+    m_nodes[index]->roster.allowRaise();
+}
+
+void GossipNetwork::start(const std::size_t index, const std::uint64_t incarnation)
+{
+    m_nodes[index] = makeNode(index, incarnation);
     m_unread[index].clear();
     m_dead.erase(index);
 }
@@ -174,7 +185,7 @@
     egretlatch::membership::GossipEffects effects = node.gossip.takeEffects();
     node.rumours.insert(node.rumours.end(), effects.rumours.begin(), effects.rumours.end());
     for (egretlatch::membership::OutgoingGossip &outgoing : effects.messages) {
-        const egretlatch::protocol::Envelope envelope{.sender = node.first.id, .incarnation = node.first.incarnation, .message = outgoing.message};
+        const egretlatch::protocol::Envelope envelope{.sender = node.first.id, .incarnation = node.roster.self().incarnation, .message = outgoing.message};
         node.bytesSent += egretlatch::protocol::encode(envelope).size();
         ++node.messagesSent;
         const std::size_t to = internal::indexOf(outgoing.to.id);
@@ -187,7 +198,7 @@
                            .number = ++m_lastNumber,
                            .from = index,
                            .to = to,
-                           .incarnation = node.first.incarnation,
+                           .incarnation = node.roster.self().incarnation,
                            .message = std::move(outgoing.message)});
     }
 }
--- a/test/fakes/gossip_network.hpp
+++ b/test/fakes/gossip_network.hpp
@@ -59,6 +59,12 @@
      */
     void replace(std::size_t index);
 
+    /**
+     * @brief Starts a node anew, under its id and with a lower incarnation, as a clock that was set back brings about.
+     * @param index Its number.
+     */
+    void startWithClockSetBack(std::size_t index);
+
     /**
      * @brief Stops a node, or wakes it: what was sent to it meanwhile is delivered then.
      * @param index Its number.
@@ -162,6 +168,7 @@
         }
     };
 
+    void start(std::size_t index, std::uint64_t incarnation);
     [[nodiscard]] std::unique_ptr<GossipNode> makeNode(std::size_t index, std::uint64_t incarnation);
     void collect(std::size_t index);
     void deliverDue();
