Pings made for others stand in a class of their own

What is kept of a ping that was made for another daemon, and for how long, is membership/PingRelays now.

--- a/src/egretlatch/membership/gossip.cpp
+++ b/src/egretlatch/membership/gossip.cpp
@@ -17,7 +17,6 @@
 constexpr std::chrono::milliseconds unheardIntervalPerMember{125};
 // While nobody is known. A daemon that starts serves nobody until it is heard, and whoever it pings may be gone.
 constexpr std::chrono::milliseconds joinInterval{300};
-constexpr std::chrono::seconds relayTimeout{1};
 constexpr std::chrono::seconds longestTickGap{2};
 constexpr int spreadTargets = 2;
 constexpr int announceTargets = 4;
@@ -90,9 +89,7 @@
         m_roster.beat();
     }
     m_rumours.expire(now);
-    std::erase_if(m_relays, [now](const auto &item) {
-        return item.second.expires <= now;
-    });
+    m_relays.expire(now);
     m_effects.haveMembersChanged = m_roster.tick(now) || m_effects.haveMembersChanged;
     const std::vector<DaemonId> &participants = m_roster.participants();
     for (const ProbeOrder &order : m_prober.tick(participants, now)) {
@@ -205,8 +202,7 @@
 void Gossip::relayPing(const DaemonId &sender, const Incarnation incarnation, const GossipMessage &message, const SteadyTime now)
 {
     const std::uint64_t sequence = m_prober.nextSequence();
-    m_relays.insert_or_assign(sequence,
-                              Relay{.requester = sender, .incarnation = incarnation, .sequence = message.sequence, .expires = now + internal::relayTimeout});
+    m_relays.add(sequence, {.requester = sender, .incarnation = incarnation, .sequence = message.sequence}, now);
     GossipMessage ping = makeMessage(GossipPurpose::ping, now);
     ping.sequence = sequence;
     m_effects.messages.push_back({.to = message.subject, .message = std::move(ping)});
@@ -214,16 +210,14 @@
 
 void Gossip::relayAck(const std::uint64_t sequence, const SteadyTime now)
 {
-    const auto found = m_relays.find(sequence);
-    if (found == m_relays.end()) {
+    const std::optional<PingRelay> relay = m_relays.take(sequence);
+    if (!relay.has_value()) {
         return;
     }
-    const Relay relay = found->second;
-    m_relays.erase(found);
     GossipMessage answer = makeMessage(GossipPurpose::ack, now);
-    answer.sequence = relay.sequence;
-    answer.receiver = relay.incarnation;
-    sendTo(relay.requester, std::move(answer));
+    answer.sequence = relay->sequence;
+    answer.receiver = relay->incarnation;
+    sendTo(relay->requester, std::move(answer));
 }
 
 void Gossip::answerPull(const DaemonId &sender, const Incarnation incarnation, const GossipMessage &message, const SteadyTime now)
--- a/src/egretlatch/membership/gossip.hpp
+++ b/src/egretlatch/membership/gossip.hpp
@@ -2,7 +2,6 @@
 #define EGRETLATCH_MEMBERSHIP_GOSSIP_HPP
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <vector>
 
@@ -11,6 +10,7 @@
 #include <egretlatch/core/random_source.hpp>
 #include <egretlatch/membership/gossip_message.hpp>
 #include <egretlatch/membership/news_queue.hpp>
+#include <egretlatch/membership/ping_relays.hpp>
 #include <egretlatch/membership/prober.hpp>
 #include <egretlatch/membership/roster.hpp>
 #include <egretlatch/membership/rumour_store.hpp>
@@ -109,15 +109,6 @@
     }
 
 private:
-    /*! @brief A ping made for another daemon. */
-    struct Relay
-    {
-        DaemonId requester;
-        Incarnation incarnation;
-        std::uint64_t sequence{};
-        SteadyTime expires;
-    };
-
     void takeNews(const DaemonId &sender, const GossipMessage &message, SteadyTime now);
     void takeOutcome(MergeOutcome outcome, const DaemonId &id, NewsSource source);
     void answerPing(const DaemonId &sender, Incarnation incarnation, const GossipMessage &message, const std::optional<Suspicion> &doubt, SteadyTime now);
@@ -147,7 +138,7 @@
     NewsQueue m_news;
     Prober m_prober;
     StatePull m_pull;
-    std::map<std::uint64_t, Relay> m_relays;
+    PingRelays m_relays;
     GossipEffects m_effects;
     std::vector<admission::KindPace> m_paces;
     std::optional<SteadyTime> m_lastTick;
--- a/test/egretlatch/net/tcp_stream.cpp
+++ b/test/egretlatch/net/tcp_stream.cpp
@@ -71,7 +71,9 @@
         isOpen = true;
     }
 
-    void onBytes(const QByteArray & /*bytes*/) override {}
+    void onBytes(const QByteArray & /*bytes*/) override
+    {
+    }
 
     void onEnd(const net::StreamEnd end) override
     {
