Reports of the server beside are taken in a class of their own, which tests reach without a network

ReportIntake reads a report, follows the server's lives, says so in the log and gives what is to be decided upon and answered; the order (decision before acknowledgement) stays in Sidecar. No behaviour changed. Three unit tests: a first report, a life that has left, what is no report.

--- a/src/egretlatch/sidecar/fwd.hpp
+++ b/src/egretlatch/sidecar/fwd.hpp
@@ -8,6 +8,7 @@
 class CallerFront;
 class ConfigurationFeed;
 class LevelLog;
+class ReportIntake;
 class RequestLog;
 class ServerLife;
 class Sidecar;
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -9,7 +9,6 @@
 #include <egretlatch/platform/bounds.hpp>
 #include <egretlatch/platform/configuration_document.hpp>
 #include <egretlatch/platform/names.hpp>
-#include <egretlatch/platform/server_report.hpp>
 #include <egretlatch/sidecar/adaptive_options.hpp>
 #include <egretlatch/sidecar/gauges.hpp>
 #include <egretlatch/sidecar/leaving_times.hpp>
@@ -33,7 +32,6 @@
 constexpr std::chrono::milliseconds longestLookAround{1500};
 constexpr const char *metricsPath = "/metrics";
 constexpr int ok = 200;
-constexpr int badRequest = 400;
 constexpr int notFound = 404;
 constexpr int serviceUnavailable = 503;
 
@@ -95,7 +93,13 @@
                     takeReport(exchange, request);
                 },
                 [](ExchangeId /*exchange*/) {}}
-    , m_server{m_settings.service, m_settings.backend.text()}
+    , m_intake{m_settings.service,
+               m_settings.backend.text(),
+               m_logger,
+               m_metrics,
+               [this](const std::string &life) {
+                   return m_core->hasLeft(life);
+               }}
     , m_core{makeCore()}
 {
     m_logSink.setOmissionLine([this](const std::string &event, const std::uint64_t count) {
@@ -228,7 +232,7 @@
     } else if (auto *const send = std::get_if<decision::SendToPeer>(&action)) {
         m_peers.send(*send);
     } else if (const auto *const start = std::get_if<decision::StartRun>(&action)) {
-        m_backend.start(*start, m_server.instance());
+        m_backend.start(*start, m_intake.server().instance());
     } else if (const auto *const abort = std::get_if<decision::AbortRun>(&action)) {
         m_backend.abort(abort->execution);
     } else if (const auto *const ask = std::get_if<decision::AskPlatform>(&action)) {
@@ -321,51 +325,15 @@
 
 void Sidecar::takeReport(const ExchangeId exchange, const http::Request &request)
 {
-    const Result<platform::ServerReport> report = platform::readServerReport(request);
-    if (!report.has_value()) {
-        const bool isUnknown = report.error().code == ErrorCode::notFound;
-        m_logger.warning("report not taken", {{"reason", report.error().message}});
-        m_reports.answer(exchange, http::bareResponse(isUnknown ? internal::notFound : internal::badRequest));
-        return;
-    }
-    const std::string lifeBefore = m_server.lifeName();
-    const ReportEffect effect = effectOf(*report);
-    noteReport(*report, effect);
-    if (m_server.lifeName() != lifeBefore) {
-        m_logger.info("backend server's life began", {{"instance", m_server.instance()}, {"born", report->bornMs}, {"slots", m_server.slots()}});
+    TakenReport taken = m_intake.take(request);
+    if (taken.hasNewLife) {
         m_backend.forgetConnections();
     }
-    if (effect == ReportEffect::serving) {
-        post(decision::ServerAnnounced{
-            .service = m_settings.service, .slots = m_server.slots(), .connections = m_server.slots(), .instance = m_server.lifeName()});
-    } else if (effect == ReportEffect::leaving || effect == ReportEffect::leavingElsewhere) {
-        // Before the acknowledgement: from then on no new request may reach the server.
-        post(decision::ServerDraining{.instance = m_server.lifeOf(*report)});
-    }
-    m_reports.answer(exchange, platform::acknowledgement());
-}
-
-ReportEffect Sidecar::effectOf(const platform::ServerReport &report)
-{
-    const ReportEffect effect = m_server.take(report);
-    return effect == ReportEffect::serving && m_core->hasLeft(m_server.lifeName()) ? ReportEffect::leaving : effect;
-}
-
-void Sidecar::noteReport(const platform::ServerReport &report, const ReportEffect effect)
-{
-    m_metrics.count("server_reports", toString(effect));
-    const bool isAsBefore = (effect == ReportEffect::serving || effect == ReportEffect::leaving) && m_lastEffect == effect;
-    if (isAsBefore) {
-        return;
+    // Before the acknowledgement: from then on no new request may reach a server that leaves.
+    if (taken.event.has_value()) {
+        post(std::move(*taken.event));
     }
-    m_lastEffect = effect;
-    m_logger.info("server report",
-                  {{"instance", report.instance},
-                   {"born", report.bornMs},
-                   {"sequence", report.sequence},
-                   {"state", platform::toString(report.state)},
-                   {"effect", toString(effect)},
-                   {"presentLife", m_server.lifeName()}});
+    m_reports.answer(exchange, taken.answer);
 }
 
 void Sidecar::answerProbe(const ExchangeId exchange, const http::Request &request)
@@ -388,7 +356,7 @@
 http::Response Sidecar::metricsPage()
 {
     const SteadyTime now = m_clock.steadyNow();
-    setGauges(*m_core, {.slots = m_server.slots(), .inForceSince = m_inForceSince, .logLinesLeftOut = m_logSink.omitted()}, now, m_metrics);
+    setGauges(*m_core, {.slots = m_intake.server().slots(), .inForceSince = m_inForceSince, .logLinesLeftOut = m_logSink.omitted()}, now, m_metrics);
     http::Response response = http::bareResponse(internal::ok);
     response.headers.push_back({.name = "Content-Type", .value = "text/plain; version=0.0.4"});
     response.body = QByteArray::fromStdString(m_metrics.toPrometheus());
--- a/src/egretlatch/sidecar/sidecar.hpp
+++ b/src/egretlatch/sidecar/sidecar.hpp
@@ -20,8 +20,8 @@
 #include <egretlatch/sidecar/caller_front.hpp>
 #include <egretlatch/sidecar/configuration_feed.hpp>
 #include <egretlatch/sidecar/level_log.hpp>
+#include <egretlatch/sidecar/report_intake.hpp>
 #include <egretlatch/sidecar/request_log.hpp>
-#include <egretlatch/sidecar/server_life.hpp>
 #include <egretlatch/sidecar/store_client.hpp>
 
 namespace egretlatch::sidecar
@@ -74,8 +74,6 @@
     void noteLevel();
     [[nodiscard]] std::chrono::milliseconds longestTimeout() const;
     void takeReport(ExchangeId exchange, const http::Request &request);
-    [[nodiscard]] ReportEffect effectOf(const platform::ServerReport &report);
-    void noteReport(const platform::ServerReport &report, ReportEffect effect);
     void answerProbe(ExchangeId exchange, const http::Request &request);
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] http::Response metricsPage();
@@ -103,9 +101,7 @@
     http::Server m_readiness;
     http::Server m_metricsServer;
     http::Server m_reports;
-    ServerLife m_server;
-    /*! @brief What the last report led to; nothing before the first. */
-    std::optional<ReportEffect> m_lastEffect;
+    ReportIntake m_intake;
     std::unique_ptr<decision::Core> m_core;
     std::deque<decision::Event> m_events;
     QTimer m_tickTimer;
--- /dev/null
+++ b/test/egretlatch/sidecar/report_intake.cpp
@@ -0,0 +1,68 @@
+#include <doctest/doctest.h>
+
+#include <fakes/counting_metrics.hpp>
+
+#include <egretlatch/sidecar/report_intake.hpp>
+
+using namespace egretlatch;
+using namespace egretlatch::sidecar;
+
+namespace
+{
+
+[[nodiscard]] http::Request heartbeat(const std::string &instance, const int sequence)
+{
+    http::Request request;
+    request.method = "POST";
+    request.target = "/api/instances/" + instance + "/heartbeat";
+    const std::string number = std::to_string(sequence);
+    request.body =
+        QByteArray::fromStdString(R"({"address":"10.0.0.1:80","info":{"service":"roster","version":"v1","zone":"z","slots":4},"status":{"state":"ready","seq":)"
+                                  + number + R"(,"cold_remaining":"0ms"}})");
+    return request;
+}
+
+struct Fixture
+{
+    fakes::CountingMetrics metrics;
+    Logger logger{LogLevel::error, "test"};
+    bool hasLeft{};
+    ReportIntake intake{"roster", "10.0.0.1:80", logger, metrics, [this](const std::string & /*life*/) {
+                            return hasLeft;
+                        }};
+};
+
+} // namespace
+
+TEST_CASE("a first report begins a life and announces it, a second one with the same number changes nothing")
+{
+    Fixture fixture;
+    const TakenReport first = fixture.intake.take(heartbeat("i-1", 1));
+    CHECK(first.hasNewLife);
+    REQUIRE(first.event.has_value());
+    CHECK(std::holds_alternative<decision::ServerAnnounced>(*first.event));
+
+    const TakenReport again = fixture.intake.take(heartbeat("i-1", 1));
+    CHECK_FALSE(again.hasNewLife);
+    CHECK_FALSE(again.event.has_value());
+    CHECK(again.answer.status == first.answer.status);
+}
+
+TEST_CASE("a life that is known to have left is not announced, whoever acknowledged that")
+{
+    Fixture fixture;
+    fixture.hasLeft = true;
+    const TakenReport taken = fixture.intake.take(heartbeat("i-1", 1));
+    REQUIRE(taken.event.has_value());
+    CHECK(std::holds_alternative<decision::ServerDraining>(*taken.event));
+}
+
+TEST_CASE("what is no report is answered with an error and changes nothing")
+{
+    Fixture fixture;
+    http::Request request = heartbeat("i-1", 1);
+    request.body = "{";
+    const TakenReport taken = fixture.intake.take(request);
+    CHECK(taken.answer.status == 400);
+    CHECK_FALSE(taken.event.has_value());
+}
