--- a/test/egretlatch/decision/serving_handler.cpp
+++ b/test/egretlatch/decision/serving_handler.cpp
@@ -31,6 +31,16 @@
     return manifest::ManifestBuilder{}.addService(service).build();
 }
 
+[[nodiscard]] CoreBuilder servingDaemon(const Clock &clock, RandomSource &random, account::MetricsSink &metrics)
+{
+    membership::Member self;
+    self.id = {"serving"};
+    self.incarnation = selfLife;
+    CoreBuilder builder{clock, random, metrics};
+    builder.setSelf(self);
+    return builder;
+}
+
 [[nodiscard]] protocol::CallRequest callOf(const std::uint64_t number, const std::chrono::milliseconds remaining)
 {
     protocol::CallRequest request;
@@ -59,10 +69,7 @@
     fakes::ManualClock clock;
     SeededRandom random{seed};
     fakes::CountingMetrics metrics;
-    membership::Member self;
-    self.id = {"serving"};
-    self.incarnation = selfLife;
-    const std::unique_ptr<Core> core = CoreBuilder{clock, random, metrics}.setSelf(self).setGate(std::move(gate)).build();
+    const std::unique_ptr<Core> core = servingDaemon(clock, random, metrics).setGate(std::move(gate)).build();
     static_cast<void>(core->handle(ManifestChanged{.version = 1, .manifest = rosterManifest()}));
     static_cast<void>(core->handle(ServerAnnounced{.service = "roster", .slots = 1, .connections = 10, .instance = {}}));
     std::ptrdiff_t answers = 0;
@@ -82,10 +89,7 @@
     fakes::ManualClock clock;
     SeededRandom random{seed};
     fakes::CountingMetrics metrics;
-    membership::Member self;
-    self.id = {"serving"};
-    self.incarnation = selfLife;
-    const std::unique_ptr<Core> core = CoreBuilder{clock, random, metrics}.setSelf(self).setDelivery(delivery).build();
+    const std::unique_ptr<Core> core = servingDaemon(clock, random, metrics).setDelivery(delivery).build();
     protocol::CallRequest request = callOf(1, std::chrono::milliseconds{100});
     request.receiver = Incarnation{selfLife.value - 1};
     for (const Action &action : core->handle(PeerMessage{.envelope = {.sender = {"entry"}, .incarnation = peerLife, .message = request}})) {
