A link's events are switched off before their reader is closed

What callers saw: after pauses of several daemons with keys at once, daemons that heard nobody, for good: each held all others for gone and was held for gone by them, and callers at it got 503 for each call that needs another daemon. Nothing was logged.

Cause: ~PeerLink closed the reader of its socket's monitor events before the socket, which lives on until ZeroMQ's reaper thread has taken it over. When the connection ended in between, ZeroMQ's only I/O thread reported that to a PAIR socket without a peer and waited for one without a time limit; all connections of the process stood still from then on. After a pause all links end at the same moment, so the peer thread closes links while the I/O thread reports their ends.

Change: SocketMonitor owns the reader and switches the events off before it closes it; the links and the router use it. Weighed: zmq::monitor_t does the same but has no descriptor to watch; no monitor at all (heartbeats of our own) would find the end of a connection late, and could not prove that a message never left.

--- a/src/egretlatch/peer/fwd.hpp
+++ b/src/egretlatch/peer/fwd.hpp
@@ -17,6 +17,7 @@
 class PeerAuthenticator;
 class PeerExchange;
 class PeerLink;
+class SocketMonitor;
 class SocketWatch;
 class StreamExchange;
 class StreamLink;
--- a/src/egretlatch/peer/peer_exchange.cpp
+++ b/src/egretlatch/peer/peer_exchange.cpp
@@ -43,7 +43,7 @@
     , m_metrics{metrics}
     , m_gossipTraffic{metrics}
     , m_router{m_context, zmq::socket_type::router}
-    , m_routerMonitor{m_context, zmq::socket_type::pair}
+    , m_routerMonitor{m_context, m_router, internal::handshakeFailureEvents, internal::routerMonitorEndpoint}
     , m_links{m_context, m_watch, internal::routingId(m_self, incarnation), m_keys}
 {
 }
@@ -67,16 +67,13 @@
         m_router.set(zmq::sockopt::curve_server, 1);
         m_router.set(zmq::sockopt::curve_secretkey, m_keys->secretKey);
     }
-    zmq_socket_monitor(m_router.handle(), internal::routerMonitorEndpoint, internal::handshakeFailureEvents);
-    m_routerMonitor.set(zmq::sockopt::linger, 0);
-    m_routerMonitor.connect(internal::routerMonitorEndpoint);
     try {
         m_router.bind(endpoint);
     } catch (const zmq::error_t &error) {
         return tl::unexpected{Error{ErrorCode::unavailable, fmt::format("cannot bind {}: {}", endpoint, error.what())}};
     }
     m_watch.add(m_router, m_routerSource);
-    m_watch.add(m_routerMonitor, m_routerMonitorSource);
+    m_watch.add(m_routerMonitor.reader(), m_routerMonitorSource);
     countRefusedConnections();
     return {};
 }
@@ -185,9 +182,7 @@
 
 void PeerExchange::countRefusedConnections()
 {
-    zmq::message_t event;
-    while (m_routerMonitor.recv(event, zmq::recv_flags::dontwait).has_value()) {
-        internal::discardRemainingParts(m_routerMonitor, event.more());
+    while (m_routerMonitor.next().has_value()) {
         m_metrics.count("connections_refused", "handshake");
     }
 }
--- a/src/egretlatch/peer/peer_exchange.hpp
+++ b/src/egretlatch/peer/peer_exchange.hpp
@@ -19,6 +19,7 @@
 #include <egretlatch/peer/gossip_traffic.hpp>
 #include <egretlatch/peer/link_table.hpp>
 #include <egretlatch/peer/peer_authenticator.hpp>
+#include <egretlatch/peer/socket_monitor.hpp>
 #include <egretlatch/peer/socket_watch.hpp>
 #include <egretlatch/settings/peer_keys.hpp>
 
@@ -107,7 +108,7 @@
     std::unique_ptr<PeerAuthenticator> m_authenticator;
     SocketWatch m_watch;
     zmq::socket_t m_router;
-    zmq::socket_t m_routerMonitor;
+    SocketMonitor m_routerMonitor;
     SocketSource m_routerSource;
     SocketSource m_routerMonitorSource{.daemon = std::nullopt, .isMonitor = true};
     LinkTable m_links;
--- a/src/egretlatch/peer/peer_link.cpp
+++ b/src/egretlatch/peer/peer_link.cpp
@@ -1,7 +1,5 @@
 #include <egretlatch/peer/peer_link.hpp>
 
-#include <cstring>
-
 #include <fmt/format.h>
 
 namespace egretlatch::peer
@@ -41,7 +39,7 @@
     : m_watch{watch}
     , m_options{std::move(options)}
     , m_socket{context, zmq::socket_type::dealer}
-    , m_monitor{context, zmq::socket_type::pair}
+    , m_monitor{context, m_socket, internal::watchedEvents, fmt::format("inproc://link-{}", number)}
     , m_messageSource{.daemon = m_options.daemon, .isMonitor = false}
     , m_eventSource{.daemon = m_options.daemon, .isMonitor = true}
 {
@@ -59,15 +57,9 @@
         m_socket.set(zmq::sockopt::curve_secretkey, m_options.keys->secretKey);
         m_socket.set(zmq::sockopt::curve_serverkey, m_options.serverKey);
     }
-    const std::string monitorEndpoint = fmt::format("inproc://link-{}", number);
-    if (zmq_socket_monitor(m_socket.handle(), monitorEndpoint.c_str(), internal::watchedEvents) != 0) {
-        throw zmq::error_t{};
-    }
-    m_monitor.set(zmq::sockopt::linger, 0);
-    m_monitor.connect(monitorEndpoint);
     m_socket.connect(m_options.endpoint);
     m_watch.add(m_socket, m_messageSource);
-    m_watch.add(m_monitor, m_eventSource);
+    m_watch.add(m_monitor.reader(), m_eventSource);
     // A new ZeroMQ pipe signals its reader only after the reader has once found it empty.
     static_cast<void>(update());
 }
@@ -75,7 +67,7 @@
 PeerLink::~PeerLink()
 {
     m_watch.remove(m_socket);
-    m_watch.remove(m_monitor);
+    m_watch.remove(m_monitor.reader());
 }
 
 bool PeerLink::send(PendingMessage message, const SteadyTime now)
@@ -109,17 +101,8 @@
 
 LinkState PeerLink::update()
 {
-    zmq::message_t event;
-    while (m_monitor.recv(event, zmq::recv_flags::dontwait).has_value()) {
-        std::uint16_t number = 0;
-        std::memcpy(&number, event.data(), sizeof number);
-        bool hasMore = event.more();
-        while (hasMore) {
-            zmq::message_t address;
-            static_cast<void>(m_monitor.recv(address, zmq::recv_flags::dontwait));
-            hasMore = address.more();
-        }
-        handleMonitorEvent(number);
+    while (const std::optional<std::uint16_t> event = m_monitor.next()) {
+        handleMonitorEvent(*event);
     }
     return m_state;
 }
--- a/src/egretlatch/peer/peer_link.hpp
+++ b/src/egretlatch/peer/peer_link.hpp
@@ -10,6 +10,7 @@
 
 #include <egretlatch/core/clock.hpp>
 #include <egretlatch/core/ids.hpp>
+#include <egretlatch/peer/socket_monitor.hpp>
 #include <egretlatch/peer/socket_watch.hpp>
 #include <egretlatch/settings/peer_keys.hpp>
 
@@ -129,7 +130,7 @@
     SocketWatch &m_watch;
     LinkOptions m_options;
     zmq::socket_t m_socket;
-    zmq::socket_t m_monitor;
+    SocketMonitor m_monitor;
     SocketSource m_messageSource;
     SocketSource m_eventSource;
     LinkState m_state{LinkState::opening};
