The pipe for a socket's events has no limit

With 2,000 events unread, as after as many refused handshakes at the peer port while the peer thread is busy, ZeroMQ's I/O thread waits, and no connection of the daemon sends, receives, opens or is given up until the events are read. It would also have made switching the events off wait for ever, as that takes the lock under which the I/O thread reports.

Cause: a pipe inside the process holds the sum of both high water marks, 1,000 each by default. Change: the reader sets its own to zero, which removes the limit. What can wait there stays small: a link reports a handful of events in its life, the router only refused handshakes, and the peer thread reads both as they come.

--- a/src/egretlatch/peer/socket_monitor.cpp
+++ b/src/egretlatch/peer/socket_monitor.cpp
@@ -5,10 +5,19 @@
 namespace egretlatch::peer
 {
 
+namespace internal
+{
+
+constexpr int unlimitedMessages = 0;
+
+} // namespace internal
+
 SocketMonitor::SocketMonitor(zmq::context_t &context, zmq::socket_t &socket, const int events, const std::string &endpoint)
     : m_socket{socket}
     , m_reader{context, zmq::socket_type::pair}
 {
+    // A limit of zero at either end removes the limit of an inproc pipe. It must be set before the connection is made.
+    m_reader.set(zmq::sockopt::rcvhwm, internal::unlimitedMessages);
     m_reader.set(zmq::sockopt::linger, 0);
     if (zmq_socket_monitor(socket.handle(), endpoint.c_str(), events) != 0) {
         throw zmq::error_t{};
--- a/src/egretlatch/peer/socket_monitor.hpp
+++ b/src/egretlatch/peer/socket_monitor.hpp
@@ -11,11 +11,12 @@
 {
 
 /**
- * @brief Receives the connection events of a ZeroMQ socket.
+ * @brief Receives the connection events of a ZeroMQ socket, without ever making ZeroMQ wait for their reader.
  *
- * The thread of ZeroMQ that serves all connections of a context also writes these events, and waits without a time limit for
- * a reader once theirs is closed: no connection of the context would send or receive any more. So the events are switched off
- * before the reader is closed.
+ * The thread of ZeroMQ that serves all connections of a context also writes these events, and blocks while one cannot be
+ * written: once their pipe is full, and for ever once their reader is closed. No connection sends or receives meanwhile.
+ * So the pipe has no limit here, and the events are switched off before the reader is closed. `zmq::monitor_t` sets no such
+ * limit and has no descriptor to watch.
  */
 class SocketMonitor
 {
