What a link has received stays readable after its connection has ended

What callers saw: 502 with may-have-run for a call whose answer had arrived: the serving daemon's answer was in the entry daemon, its connection ended before the answer was read (a serving daemon that ends right after its last answer, or an entry daemon that was paused for longer than the heartbeat), and only the loss was reported.

Cause: with ZMQ_RECONNECT_IVL -1 ZeroMQ ends the pipe of a lost connection as soon as the socket takes that command, and a receive takes it together with the signal for the answer. What the pipe held is discarded.

The link is closed within a second of the end, so ZeroMQ still never reconnects it; the reason for one connection a link (docs/MEMBERSHIP.md) holds on. ZeroMQ now takes messages for an ended connection, so send() reads the events first: a message after an end that is already reported counts as not sent, as before.

--- a/src/egretlatch/peer/peer_exchange.cpp
+++ b/src/egretlatch/peer/peer_exchange.cpp
@@ -226,6 +226,8 @@
         m_linksToRead.insert(action.to);
         return;
     }
+    // send() may have read the event that the link has ended, so the descriptor does not signal it any more.
+    m_nextLinkUpdate = {};
     m_metrics.count("messages_dropped", "send-failed");
     if (request != nullptr) {
         reportUnsent(action.to, request->call);
--- a/src/egretlatch/peer/peer_link.cpp
+++ b/src/egretlatch/peer/peer_link.cpp
@@ -10,7 +10,9 @@
 
 constexpr int highWaterMark = 10'000;
 constexpr std::size_t maxPendingMessages = 1000;
-constexpr int noReconnection = -1;
+// ZeroMQ must keep an ended connection for reconnection, as it otherwise discards what was received and not yet read. The link is
+// closed long before this interval ends, so no reconnection takes place.
+constexpr int reconnectIntervalMs = 24 * 60 * 60 * 1000;
 constexpr int connectTimeoutMs = 2000;
 constexpr int handshakeTimeoutMs = 2000;
 constexpr int heartbeatMs = 2000;
@@ -45,7 +47,7 @@
 {
     setCommonOptions(m_socket);
     m_socket.set(zmq::sockopt::routing_id, m_options.routingId);
-    m_socket.set(zmq::sockopt::reconnect_ivl, internal::noReconnection);
+    m_socket.set(zmq::sockopt::reconnect_ivl, internal::reconnectIntervalMs);
     m_socket.set(zmq::sockopt::connect_timeout, internal::connectTimeoutMs);
     // A failed VM or a partitioned network does not close a connection, so heartbeats detect the loss. The remote end sends
     // none of its own: it times the connection out by the time to live that each heartbeat carries.
@@ -76,6 +78,8 @@
     if (message.call.has_value()) {
         m_hasCarriedCalls = true;
     }
+    // A message for a connection whose end ZeroMQ has reported already must count as not sent.
+    static_cast<void>(update());
     if (m_state == LinkState::opening) {
         if (m_pending.size() >= internal::maxPendingMessages) {
             return false;
--- a/src/egretlatch/peer/peer_link.hpp
+++ b/src/egretlatch/peer/peer_link.hpp
@@ -50,7 +50,7 @@
 /**
  * @brief Outgoing connection to another daemon, from opening to loss.
  *
- * Messages are handed to ZeroMQ only once the connection is open, and ZeroMQ never reconnects it. Otherwise they would
+ * Messages are handed to ZeroMQ only once the connection is open, and the link is closed before ZeroMQ reconnects it. Otherwise they would
  * stay in ZeroMQ's queue while a daemon is down and reach its next incarnation as if they were new, and a message already
  * reported as failed could still be sent.
  */
@@ -88,6 +88,8 @@
 
     /**
      * @brief Processes ZeroMQ's monitor events of the connection, and sends the queued messages once it is open.
+     *
+     * What was received before the connection ended can still be read afterwards.
      * @return The resulting state.
      */
     LinkState update();
--- /dev/null
+++ b/test/egretlatch/peer/peer_exchange_orders.cpp
@@ -0,0 +1,241 @@
+#include <doctest/doctest.h>
+
+#include <array>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <poll.h>
+#include <sys/epoll.h>
+
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include <fmt/format.h>
+
+#include <egretlatch/account/metrics_registry.hpp>
+#include <egretlatch/peer/peer_exchange.hpp>
+#include <egretlatch/protocol/codec.hpp>
+
+using namespace egretlatch;
+using namespace egretlatch::peer;
+
+namespace
+{
+
+// Keeps a failing test from hanging.
+constexpr std::chrono::milliseconds waitLimit{5000};
+constexpr int sliceMs = 20;
+
+[[nodiscard]] bool waitFor(const std::function<bool()> &isTrue)
+{
+    const SteadyTime end = std::chrono::steady_clock::now() + waitLimit;
+    while (!isTrue()) {
+        if (std::chrono::steady_clock::now() >= end) {
+            return false;
+        }
+    }
+    return true;
+}
+
+// Runs a given function at each count.
+struct HookedMetrics : account::MetricsSink
+{
+    void count(const std::string_view name, const std::string_view label) override
+    {
+        if (hook) {
+            hook(name, label);
+        }
+    }
+
+    void observe(std::string_view /*name*/, std::string_view /*label*/, Duration /*value*/) override
+    {
+    }
+    void set(std::string_view /*name*/, double /*value*/) override
+    {
+    }
+
+    std::function<void(std::string_view, std::string_view)> hook;
+};
+
+// Exchange that keeps its events, and is processed only when the test says so.
+struct LocalEnd
+{
+    LocalEnd()
+    {
+        QTcpServer server;
+        REQUIRE(server.listen(QHostAddress::LocalHost, 0));
+        endpoint = fmt::format("tcp://127.0.0.1:{}", server.serverPort());
+        server.close();
+        REQUIRE(exchange.start(endpoint).has_value());
+        exchange.processSockets();
+    }
+
+    void request(const std::string &to, const std::string &at)
+    {
+        protocol::CallRequest request;
+        request.call = {++requests};
+        request.root = *Uuid::fromBytes(std::string(16, 'r'));
+        exchange.send({.to = {to}, .endpoint = at, .message = request});
+        exchange.processPending();
+    }
+
+    void processOnce()
+    {
+        pollfd watched{.fd = exchange.descriptor(), .events = POLLIN, .revents = 0};
+        ::poll(&watched, 1, sliceMs);
+        exchange.processSockets();
+    }
+
+    // Tells whether a socket of a link is signalled, without taking the signal.
+    [[nodiscard]] bool isSignalled(const std::string &daemon, const bool isMonitor) const
+    {
+        std::array<epoll_event, 64> events{};
+        const int count = ::epoll_wait(exchange.descriptor(), events.data(), static_cast<int>(events.size()), 0);
+        for (int index = 0; index < count; ++index) {
+            const auto *const source = static_cast<const SocketSource *>(events.at(static_cast<std::size_t>(index)).data.ptr);
+            if (source->daemon == DaemonId{daemon} && source->isMonitor == isMonitor) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    HookedMetrics metrics;
+    int answers{};
+    int answersAfterLoss{};
+    int lost{};
+    int unsent{};
+    std::uint64_t lastRequest{};
+    int receivedRequests{};
+    std::uint64_t requests{};
+    std::string endpoint;
+    PeerExchange exchange{{"local"},
+                          {1},
+                          std::nullopt,
+                          [this](const decision::Event &event) {
+                              if (std::holds_alternative<decision::PeerLost>(event)) {
+                                  ++lost;
+                              } else if (std::holds_alternative<decision::SendFailed>(event)) {
+                                  ++unsent;
+                              } else if (const auto *const message = std::get_if<decision::PeerMessage>(&event)) {
+                                  const bool isAnswer = std::holds_alternative<protocol::CallAnswer>(message->envelope.message);
+                                  answers += isAnswer ? 1 : 0;
+                                  answersAfterLoss += isAnswer && lost > 0 ? 1 : 0;
+                                  receivedRequests += isAnswer ? 0 : 1;
+                                  if (const auto *const request = std::get_if<protocol::CallRequest>(&message->envelope.message)) {
+                                      lastRequest = request->call.value;
+                                  }
+                              }
+                          },
+                          metrics};
+};
+
+// Remote end of a link, whose messages the test writes itself.
+struct RemoteEnd
+{
+    explicit RemoteEnd(std::string daemon)
+        : id{std::move(daemon)}
+    {
+        router.bind("tcp://127.0.0.1:*");
+        endpoint = router.get(zmq::sockopt::last_endpoint);
+    }
+
+    // Receives a request, and keeps the routing id of its sender.
+    [[nodiscard]] bool receive(LocalEnd &local)
+    {
+        return waitFor([this, &local] {
+            local.processOnce();
+            zmq::message_t first;
+            if (!router.recv(first, zmq::recv_flags::dontwait).has_value()) {
+                return false;
+            }
+            requester = first.to_string();
+            zmq::message_t second;
+            return router.recv(second).has_value();
+        });
+    }
+
+    void send(const std::string_view bytes)
+    {
+        router.send(zmq::buffer(requester), zmq::send_flags::sndmore);
+        router.send(zmq::buffer(bytes), zmq::send_flags::none);
+    }
+
+    void answer(const std::uint64_t call)
+    {
+        protocol::CallAnswer message;
+        message.call = {call};
+        message.receiver = {1};
+        message.verdict = Verdict::completed;
+        send(protocol::encode({.sender = {id}, .incarnation = {1}, .message = message}));
+    }
+
+    // Closes the connection once all that was sent has been written to it.
+    void end()
+    {
+        router.close();
+        context.close();
+    }
+
+    std::string id;
+    zmq::context_t context;
+    zmq::socket_t router{context, zmq::socket_type::router};
+    std::string endpoint;
+    std::string requester;
+};
+
+} // namespace
+
+TEST_CASE("an answer that arrived before its connection ended is reported, and before the loss")
+{
+    // Guards against the loss of an answer: without reconnection ZeroMQ ends the pipe of a lost connection with what is in it.
+    constexpr int rounds = 10;
+    int answered = 0;
+    int late = 0;
+    for (int round = 0; round < rounds; ++round) {
+        LocalEnd local;
+        RemoteEnd remote{"remote"};
+        local.request("remote", remote.endpoint);
+        REQUIRE(remote.receive(local));
+        local.exchange.processSockets();
+
+        remote.answer(1);
+        REQUIRE(waitFor([&local] {
+            return local.isSignalled("remote", false);
+        }));
+        remote.end();
+        REQUIRE(waitFor([&local] {
+            return local.isSignalled("remote", true);
+        }));
+        REQUIRE(waitFor([&local] {
+            local.processOnce();
+            return local.lost == 1;
+        }));
+
+        answered += local.answers;
+        late += local.answersAfterLoss;
+    }
+    CHECK(answered == rounds);
+    CHECK(late == 0);
+}
+
+TEST_CASE("a request is reported as unsent if ZeroMQ has reported the end of its connection before")
+{
+    // Guards against a request that could be sent elsewhere but is answered as one that may have run.
+    LocalEnd local;
+    RemoteEnd remote{"remote"};
+    local.request("remote", remote.endpoint);
+    REQUIRE(remote.receive(local));
+    local.exchange.processSockets();
+    remote.end();
+    REQUIRE(waitFor([&local] {
+        return local.isSignalled("remote", true);
+    }));
+
+    local.request("remote", remote.endpoint);
+
+    CHECK(local.unsent == 1);
+}
