An ended link is read to its end before it is closed

What callers saw: 502 with may-have-run for calls whose answers had arrived, when a link with many answers ended, or one whose answer came at the moment at which the exchange looked at its links.

Cause: updateLinks() read one batch of 64 messages a link, then read the events of the links and closed each that had ended: what was beyond the batch was lost, and what came between the read and the event. Change: events first, then messages, of an ended link until there are none; only links whose end was seen by then are closed.

--- a/src/egretlatch/peer/link_table.cpp
+++ b/src/egretlatch/peer/link_table.cpp
@@ -40,19 +40,18 @@
     return link == nullptr ? nullptr : m_links.emplace(daemon, std::move(link)).first->second.get();
 }
 
-void LinkTable::update(const SteadyTime now)
+void LinkTable::closeUnneeded(const SteadyTime now)
 {
     for (auto item = m_links.begin(); item != m_links.end();) {
         PeerLink &link = *item->second;
-        const LinkState state = link.update();
-        const bool hasEnded = state == LinkState::lost || state == LinkState::failed;
-        if (state == LinkState::failed && reopen(item->first, link, now)) {
+        const bool hasFailed = link.state() == LinkState::failed;
+        if (hasFailed && reopen(item->first, link, now)) {
             ++item;
             continue;
         }
-        if (hasEnded || link.isIdle(now)) {
-            if (hasEnded || link.hasUnanswered()) {
-                recordEnded(item->first, link, state != LinkState::failed);
+        if (link.hasEnded() || link.isIdle(now)) {
+            if (link.hasEnded() || link.hasUnanswered()) {
+                recordEnded(item->first, link, !hasFailed);
             }
             item = m_links.erase(item);
             continue;
--- a/src/egretlatch/peer/link_table.hpp
+++ b/src/egretlatch/peer/link_table.hpp
@@ -53,10 +53,12 @@
     [[nodiscard]] PeerLink *linkTo(const DaemonId &daemon, const std::string &endpoint);
 
     /**
-     * @brief Processes the ZeroMQ monitor events of all links, closes unused links, and retries failed ones with the next key.
+     * @brief Closes ended and unused links, and retries failed ones with the next key.
+     *
+     * Reads no events: a link that ends after its owner has read its messages stays until the next call.
      * @param now Current time.
      */
-    void update(SteadyTime now);
+    void closeUnneeded(SteadyTime now);
 
     /**
      * @brief Takes the links that have ended.
--- a/src/egretlatch/peer/peer_exchange.cpp
+++ b/src/egretlatch/peer/peer_exchange.cpp
@@ -102,12 +102,18 @@
 void PeerExchange::updateLinks(const SteadyTime now)
 {
     m_nextLinkUpdate = now + internal::linkUpdateInterval;
-    // Reads what arrived before a link ended, as update() closes ended links.
+    // The end of a link is read before its messages, so that none arrives between the last read and the closing of the link.
     for (const auto &[daemon, link] : m_links.links()) {
+        static_cast<void>(link->update());
         m_linksToRead.insert(daemon);
     }
     receivePending();
-    m_links.update(now);
+    for (const auto &[daemon, link] : m_links.links()) {
+        if (link->hasEnded()) {
+            receiveAllFrom(daemon);
+        }
+    }
+    m_links.closeUnneeded(now);
 }
 
 void PeerExchange::processPending()
@@ -180,6 +186,14 @@
     m_linksToRead.insert(daemon);
 }
 
+void PeerExchange::receiveAllFrom(const DaemonId &daemon)
+{
+    do {
+        m_linksToRead.erase(daemon);
+        receiveFrom(daemon);
+    } while (m_linksToRead.contains(daemon));
+}
+
 void PeerExchange::countRefusedConnections()
 {
     while (m_routerMonitor.next().has_value()) {
--- a/src/egretlatch/peer/peer_exchange.hpp
+++ b/src/egretlatch/peer/peer_exchange.hpp
@@ -90,6 +90,7 @@
     void receivePending();
     void receiveFromRouter();
     void receiveFrom(const DaemonId &daemon);
+    void receiveAllFrom(const DaemonId &daemon);
     void countRefusedConnections();
     void handleMessage(std::string_view bytes, const std::string *routingId, PeerLink *link);
     void sendByLink(const decision::SendToPeer &action);
--- a/src/egretlatch/peer/peer_link.hpp
+++ b/src/egretlatch/peer/peer_link.hpp
@@ -110,6 +110,17 @@
      */
     [[nodiscard]] std::deque<PendingMessage> takeUnsent();
 
+    /*! @brief Tells whether update() has found that the connection was lost or could not be opened. */
+    [[nodiscard]] bool hasEnded() const noexcept
+    {
+        return m_state == LinkState::lost || m_state == LinkState::failed;
+    }
+
+    [[nodiscard]] LinkState state() const noexcept
+    {
+        return m_state;
+    }
+
     [[nodiscard]] const LinkOptions &options() const noexcept
     {
         return m_options;
--- a/test/egretlatch/peer/peer_exchange_orders.cpp
+++ b/test/egretlatch/peer/peer_exchange_orders.cpp
@@ -239,3 +239,78 @@
 
     CHECK(local.unsent == 1);
 }
+
+TEST_CASE("all answers that arrived before their connection ended are reported, also more than are read at a time")
+{
+    // Guards against the loss of the answers beyond the first batch, as a link is closed when its end is seen.
+    constexpr int count = 200;
+    LocalEnd local;
+    RemoteEnd remote{"remote"};
+    for (int request = 0; request < count; ++request) {
+        local.request("remote", remote.endpoint);
+        REQUIRE(remote.receive(local));
+    }
+    local.exchange.processSockets();
+
+    for (int call = 1; call <= count; ++call) {
+        remote.answer(static_cast<std::uint64_t>(call));
+    }
+    remote.end();
+    REQUIRE(waitFor([&local] {
+        return local.isSignalled("remote", true);
+    }));
+    REQUIRE(waitFor([&local] {
+        local.processOnce();
+        return local.lost == 1;
+    }));
+
+    CHECK(local.answers == count);
+    CHECK(local.answersAfterLoss == 0);
+}
+
+TEST_CASE("an answer that arrives together with the end of its connection while another link is read is reported")
+{
+    // Guards against the loss of an answer that arrives after its link is read and before the end of the link is seen.
+    LocalEnd local;
+    RemoteEnd first{"first"};
+    RemoteEnd second{"second"};
+    local.request("first", first.endpoint);
+    REQUIRE(first.receive(local));
+    local.request("second", second.endpoint);
+    REQUIRE(second.receive(local));
+    local.exchange.processSockets();
+
+    // Links are read in the order of their names, and an unreadable message is counted in between.
+    bool hasEnded = false;
+    local.metrics.hook = [&](const std::string_view name, const std::string_view /*label*/) {
+        if (name == "messages_dropped" && !hasEnded) {
+            hasEnded = true;
+            first.answer(1);
+            first.end();
+            CHECK(waitFor([&local] {
+                return local.isSignalled("first", true);
+            }));
+        }
+    };
+    // The end of a third link makes the exchange read all links, and then close those that have ended.
+    RemoteEnd third{"third"};
+    local.request("third", third.endpoint);
+    REQUIRE(third.receive(local));
+    local.exchange.processSockets();
+    third.end();
+    REQUIRE(waitFor([&local] {
+        return local.isSignalled("third", true);
+    }));
+    second.send("unreadable");
+    REQUIRE(waitFor([&local] {
+        return local.isSignalled("second", false);
+    }));
+    local.exchange.processSockets();
+    REQUIRE(hasEnded);
+    REQUIRE(waitFor([&local] {
+        local.processOnce();
+        return local.lost == 2;
+    }));
+
+    CHECK(local.answers == 1);
+}
