The link to an earlier address of a daemon is read before it is closed

What callers saw: 502 with may-have-run for a call whose answer had arrived, when the daemon that answered was heard of under a new address before the answer was read. Cause: linkTo() closed the link to the old address unread. Change: the exchange reads such a link before it asks for the new one.

--- a/src/egretlatch/peer/link_table.cpp
+++ b/src/egretlatch/peer/link_table.cpp
@@ -19,6 +19,12 @@
 {
 }
 
+bool LinkTable::isReplaced(const DaemonId &daemon, const std::string &endpoint) const
+{
+    const auto found = m_links.find(daemon);
+    return found != m_links.end() && !endpoint.empty() && found->second->options().endpoint != endpoint;
+}
+
 PeerLink *LinkTable::linkTo(const DaemonId &daemon, const std::string &endpoint)
 {
     const auto found = m_links.find(daemon);
@@ -28,7 +34,7 @@
     if (endpoint.empty()) {
         return nullptr;
     }
-    if (found != m_links.end()) {
+    if (isReplaced(daemon, endpoint)) {
         // The VM was replaced and its daemon has a new address; nothing more arrives from the old one.
         recordEnded(daemon, *found->second, true);
         m_links.erase(found);
--- a/src/egretlatch/peer/link_table.hpp
+++ b/src/egretlatch/peer/link_table.hpp
@@ -44,6 +44,14 @@
      */
     LinkTable(zmq::context_t &context, SocketWatch &watch, std::string routingId, std::optional<settings::PeerKeys> keys);
 
+    /**
+     * @brief Tells whether linkTo() would close the link to a daemon, because the daemon has a new address.
+     * @param daemon Daemon to reach.
+     * @param endpoint Address of the daemon; empty to use an existing link only.
+     * @return True if the link is to be read first, as what it has received is lost otherwise.
+     */
+    [[nodiscard]] bool isReplaced(const DaemonId &daemon, const std::string &endpoint) const;
+
     /**
      * @brief Returns the link to a daemon, opening one if necessary.
      * @param daemon Daemon to reach.
--- a/src/egretlatch/peer/peer_exchange.cpp
+++ b/src/egretlatch/peer/peer_exchange.cpp
@@ -235,6 +235,9 @@
         message.call = request->call;
     }
     m_gossipTraffic.countSent(action.message, message.bytes.size());
+    if (m_links.isReplaced(action.to, action.endpoint)) {
+        receiveAllFrom(action.to);
+    }
     PeerLink *const link = m_links.linkTo(action.to, action.endpoint);
     if (link != nullptr && link->send(std::move(message), std::chrono::steady_clock::now())) {
         m_linksToRead.insert(action.to);
--- a/test/egretlatch/peer/peer_exchange_orders.cpp
+++ b/test/egretlatch/peer/peer_exchange_orders.cpp
@@ -314,3 +314,24 @@
 
     CHECK(local.answers == 1);
 }
+
+TEST_CASE("an answer that arrived before its daemon is given a new address is reported")
+{
+    // Guards against the loss of an answer: the link to the old address is closed without being read.
+    LocalEnd local;
+    RemoteEnd before{"remote"};
+    RemoteEnd after{"remote"};
+    local.request("remote", before.endpoint);
+    REQUIRE(before.receive(local));
+    local.exchange.processSockets();
+
+    before.answer(1);
+    REQUIRE(waitFor([&local] {
+        return local.isSignalled("remote", false);
+    }));
+    local.request("remote", after.endpoint);
+    REQUIRE(after.receive(local));
+
+    CHECK(local.answers == 1);
+    CHECK(local.answersAfterLoss == 0);
+}
