--- a/test/egretlatch/peer/peer_exchange_orders.cpp
+++ b/test/egretlatch/peer/peer_exchange_orders.cpp
@@ -335,3 +335,98 @@
     CHECK(local.answers == 1);
     CHECK(local.answersAfterLoss == 0);
 }
+
+TEST_CASE("requests that arrived before their connection ended are reported")
+{
+    // Guards against the loss of requests whose sender ends its link before they are read.
+    constexpr int count = 200;
+    LocalEnd local;
+    zmq::context_t context;
+    zmq::socket_t sender{context, zmq::socket_type::dealer};
+    sender.set(zmq::sockopt::routing_id, "sender/1");
+    sender.connect(local.endpoint);
+    for (int call = 1; call <= count; ++call) {
+        protocol::CallRequest request;
+        request.call = {static_cast<std::uint64_t>(call)};
+        request.root = *Uuid::fromBytes(std::string(16, 'r'));
+        const std::string bytes = protocol::encode({.sender = {"sender"}, .incarnation = {1}, .message = request});
+        sender.send(zmq::buffer(bytes), zmq::send_flags::none);
+    }
+    // Returns once everything is written and the connection is closed.
+    sender.close();
+    context.close();
+    REQUIRE(waitFor([&local] {
+        local.processOnce();
+        return local.receivedRequests == count;
+    }));
+    CHECK(local.receivedRequests == count);
+}
+
+TEST_CASE("requests are reported as unsent if their connection never opens, and other links keep working")
+{
+    // Guards against requests that wait for ever, and against links that no longer open, after failed handshakes.
+    constexpr int count = 40;
+    bool isClosed = false;
+    SUBCASE("the remote end accepts and never answers the handshake")
+    {
+    }
+    SUBCASE("the remote end closes each connection")
+    {
+        isClosed = true;
+    }
+    LocalEnd local;
+    QTcpServer silent;
+    silent.setMaxPendingConnections(count);
+    REQUIRE(silent.listen(QHostAddress::LocalHost, 0));
+    const std::string endpoint = fmt::format("tcp://127.0.0.1:{}", silent.serverPort());
+    for (int link = 0; link < count; ++link) {
+        local.request(fmt::format("silent-{}", link), endpoint);
+    }
+    REQUIRE(waitFor([&] {
+        if (isClosed && silent.waitForNewConnection(0)) {
+            silent.nextPendingConnection()->abort();
+        }
+        local.processOnce();
+        return local.unsent == count;
+    }));
+    CHECK(local.lost == count);
+
+    RemoteEnd remote{"remote"};
+    local.request("remote", remote.endpoint);
+    CHECK(remote.receive(local));
+}
+
+TEST_CASE("a request is reported though earlier connections of its sender were replaced unread")
+{
+    // Guards against a daemon that no longer hears a peer that reconnected many times while nothing was read.
+    constexpr int count = 50;
+    LocalEnd local;
+    zmq::context_t context;
+    std::vector<zmq::socket_t> senders;
+    const auto connectAndSend = [&](const std::uint64_t call) {
+        zmq::socket_t &sender = senders.emplace_back(context, zmq::socket_type::dealer);
+        sender.set(zmq::sockopt::routing_id, "sender/1");
+        sender.connect(local.endpoint);
+        protocol::CallRequest request;
+        request.call = {call};
+        request.root = *Uuid::fromBytes(std::string(16, 'r'));
+        const std::string bytes = protocol::encode({.sender = {"sender"}, .incarnation = {1}, .message = request});
+        sender.send(zmq::buffer(bytes), zmq::send_flags::none);
+    };
+    for (int call = 1; call <= count; ++call) {
+        connectAndSend(static_cast<std::uint64_t>(call));
+        if (call % 2 == 0) {
+            senders.clear();
+        }
+    }
+    senders.clear();
+    context.close();
+
+    context = zmq::context_t{};
+    connectAndSend(count + 1);
+    CHECK(waitFor([&local] {
+        local.processOnce();
+        return local.lastRequest == count + 1;
+    }));
+    senders.back().set(zmq::sockopt::linger, 0);
+}
