Detects that a daemon hears no other daemon

A daemon to which no message of any other daemon arrives goes on running, takes all others for gone and says so nowhere.

IsolationMonitor records the time of the last message (a store per message) and yields a change once 10 s passed without one although some are expected, and once messages arrive again. 10 s leave time to find a dead connection (5 s, heartbeats of the links), to probe again (1 s) and for the shortest suspicion (4 s). Gaps of more than 2 s between ticks are pauses and do not count. Gossip expects messages of members that have not announced that they leave and of contacts not known as members, so a daemon that is alone by its settings, or the last one of a fleet that is shut down, is not reported.

Simulated: in fleets of 2, 3 and 20 no daemon is reported in five minutes with 30% of messages lost and after a pause of 8 s of one; of 20 daemons of which one receives nothing, this one alone is reported. Ruled out: a threshold per member (a search per message), and the state of the members as the sign (a large fleet needs minutes until all are seen as gone).

--- a/src/egretlatch/membership/fwd.hpp
+++ b/src/egretlatch/membership/fwd.hpp
@@ -11,8 +11,10 @@
 
 struct Contact;
 struct GossipMessage;
+struct IsolationChange;
 struct Member;
 struct OutgoingGossip;
+struct PeerSilence;
 struct PingRelay;
 struct Rumour;
 struct RumourKey;
@@ -21,6 +23,7 @@
 class ContactBook;
 class Departures;
 class Gossip;
+class IsolationMonitor;
 class PingRelays;
 class Prober;
 class Roster;
--- a/src/egretlatch/membership/gossip.cpp
+++ b/src/egretlatch/membership/gossip.cpp
@@ -104,6 +104,15 @@
     if (now >= m_nextSpread && !m_updates.isEmpty()) {
         sendUpdates(internal::spreadTargets, now);
     }
+    checkIsolation(now);
+}
+
+std::size_t Gossip::countExpected() const
+{
+    const auto unknown = std::count_if(m_contacts.begin(), m_contacts.end(), [this](const Contact &contact) {
+        return m_roster.find(contact.id) == nullptr;
+    });
+    return m_roster.countNotLeft() + static_cast<std::size_t>(unknown);
 }
 
 void Gossip::announceSelf(const SteadyTime now)
@@ -309,6 +318,15 @@
     }
 }
 
+void Gossip::checkIsolation(const SteadyTime now)
+{
+    // Counted only while no member is present, which is rare.
+    const bool expectsMessages = !m_roster.participants().empty() || countExpected() > 0;
+    if (const std::optional<IsolationChange> change = m_isolation.tick(expectsMessages, now)) {
+        m_effects.isolation = change;
+    }
+}
+
 void Gossip::pull(const SteadyTime now)
 {
     if (m_statePull.isDue(now)) {
--- a/src/egretlatch/membership/gossip.hpp
+++ b/src/egretlatch/membership/gossip.hpp
@@ -9,6 +9,7 @@
 #include <egretlatch/core/clock.hpp>
 #include <egretlatch/core/random_source.hpp>
 #include <egretlatch/membership/gossip_message.hpp>
+#include <egretlatch/membership/isolation_monitor.hpp>
 #include <egretlatch/membership/ping_relays.hpp>
 #include <egretlatch/membership/prober.hpp>
 #include <egretlatch/membership/roster.hpp>
@@ -28,6 +29,8 @@
     /*! @brief Performance that other daemons reported for their backend servers. */
     std::vector<std::pair<DaemonId, std::vector<admission::KindPerformance>>> performance;
     bool haveMembersChanged{};
+    /*! @brief Set if the isolation of this daemon began or ended. */
+    std::optional<IsolationChange> isolation;
 };
 
 /**
@@ -57,6 +60,32 @@
      */
     void handle(const DaemonId &sender, Incarnation incarnation, const GossipMessage &message, SteadyTime now);
 
+    /**
+     * @brief Records that a message of any type arrived from another daemon.
+     * @param now Current time.
+     */
+    void noteMessage(const SteadyTime now) noexcept
+    {
+        m_isolation.noteMessage(now);
+    }
+
+    /**
+     * @brief Counts the daemons that should answer the pings of this one: members that have not announced that they leave, and
+     * contacts that are not known as members.
+     * @return Their number.
+     */
+    [[nodiscard]] std::size_t countExpected() const;
+
+    /**
+     * @brief Returns the time without a message from any other daemon.
+     * @param now Current time.
+     * @return Its duration, and whether it is reported as isolation.
+     */
+    [[nodiscard]] PeerSilence peerSilence(const SteadyTime now) const
+    {
+        return m_isolation.silence(now);
+    }
+
     /**
      * @brief Runs everything that is due: probes, pulls, dissemination and expiry.
      * @param now Current time.
@@ -119,6 +148,7 @@
     void pingDirectly(const ProbeAction &action, SteadyTime now);
     void pingIndirectly(const ProbeAction &action, SteadyTime now);
     void pingAbsent(SteadyTime now);
+    void checkIsolation(SteadyTime now);
     void pull(SteadyTime now);
     void sendUpdates(int targets, SteadyTime now);
     void queue(const UpdateSubject &subject);
@@ -139,6 +169,7 @@
     Prober m_prober;
     StatePull m_statePull;
     PingRelays m_relays;
+    IsolationMonitor m_isolation;
     GossipEffects m_effects;
     std::vector<admission::KindPerformance> m_performance;
     std::optional<SteadyTime> m_lastTick;
--- a/src/egretlatch/membership/roster.cpp
+++ b/src/egretlatch/membership/roster.cpp
@@ -225,6 +225,13 @@
     return ids;
 }
 
+std::size_t Roster::countNotLeft() const
+{
+    return static_cast<std::size_t>(std::count_if(m_others.begin(), m_others.end(), [](const auto &item) {
+        return item.second.announced.state != MemberState::gone;
+    }));
+}
+
 std::vector<Member> Roster::announcedPage(const std::size_t page, const std::size_t pageSize) const
 {
     std::vector<Member> entries;
--- a/src/egretlatch/membership/roster.hpp
+++ b/src/egretlatch/membership/roster.hpp
@@ -131,6 +131,12 @@
      */
     [[nodiscard]] std::vector<DaemonId> absent() const;
 
+    /**
+     * @brief Counts the other members that have not announced that they leave.
+     * @return Their number, including those that are suspect or timed out.
+     */
+    [[nodiscard]] std::size_t countNotLeft() const;
+
     /**
      * @brief Lists a page of the entries to send to another daemon.
      * @param page Number of the page, counted from zero.
--- a/test/egretlatch/membership/gossip.cpp
+++ b/test/egretlatch/membership/gossip.cpp
@@ -49,6 +49,15 @@
     network.node(index).gossip.announceSelf(network.now());
 }
 
+[[nodiscard]] std::size_t countIsolationChanges(GossipNetwork &network)
+{
+    std::size_t count = 0;
+    for (std::size_t index = 0; index < network.size(); ++index) {
+        count += network.node(index).isolationChanges.size();
+    }
+    return count;
+}
+
 } // namespace
 
 TEST_CASE("daemons that start together with three contacts discover each other")
@@ -372,3 +381,58 @@
     MESSAGE("bytes a second at 10 daemons ", few, ", at 80 daemons ", many);
     CHECK(many < 1.5 * few);
 }
+
+TEST_CASE("no daemon of a fleet at rest is reported as isolated, with a third of the messages lost, a failure and a pause")
+{
+    // Guards against false alarms: each one would call a person.
+    for (const std::size_t size : {2, 3, 20}) {
+        CAPTURE(size);
+        GossipNetwork network{size, seed};
+        network.run(30s);
+        network.setLoss(0.3);
+        network.run(5min);
+        network.setLoss(0);
+        network.setRunning(1, false);
+        network.run(8s);
+        network.setRunning(1, true);
+        network.run(1min);
+        CHECK(countIsolationChanges(network) == 0);
+    }
+}
+
+TEST_CASE("a daemon that receives nothing is reported as isolated until it receives again, and no other daemon is")
+{
+    // Guards against a daemon that hears nobody, takes all others for gone and says so nowhere. Its own messages still arrive.
+    GossipNetwork network{20, seed};
+    waitForConvergence(network);
+    network.setPartition([](const std::size_t /*from*/, const std::size_t to) {
+        return to == 4;
+    });
+    network.run(60s);
+    REQUIRE(network.node(4).isolationChanges.size() == 1);
+    CHECK(network.node(4).isolationChanges.front().isIsolated);
+    CHECK(network.node(4).gossip.peerSilence(network.now()).isIsolated);
+    CHECK(network.node(4).gossip.countExpected() == 19);
+    network.setPartition(nullptr);
+    network.run(60s);
+    REQUIRE(network.node(4).isolationChanges.size() == 2);
+    CHECK_FALSE(network.node(4).isolationChanges.back().isIsolated);
+    CHECK(network.node(4).isolationChanges.back().silence >= 59s);
+    CHECK(countIsolationChanges(network) == 2);
+}
+
+TEST_CASE("the last daemon is not reported as isolated after the others announced that they leave")
+{
+    // Guards against an alarm of the last daemon each time a fleet is shut down.
+    GossipNetwork network{3, seed};
+    waitForConvergence(network);
+    for (const std::size_t leaving : {1, 2}) {
+        network.node(leaving).roster.updateSelf(MemberState::gone, {}, 0, 0);
+        network.node(leaving).gossip.announceSelf(network.now());
+        network.run(1s);
+        network.kill(leaving);
+    }
+    network.run(2min);
+    CHECK(network.node(0).gossip.countExpected() == 0);
+    CHECK(countIsolationChanges(network) == 0);
+}
--- a/test/fakes/gossip_network.cpp
+++ b/test/fakes/gossip_network.cpp
@@ -184,6 +184,9 @@
     GossipNode &node = *m_nodes[index];
     egretlatch::membership::GossipEffects effects = node.gossip.takeEffects();
     node.rumours.insert(node.rumours.end(), effects.rumours.begin(), effects.rumours.end());
+    if (effects.isolation.has_value()) {
+        node.isolationChanges.push_back(*effects.isolation);
+    }
     for (egretlatch::membership::OutgoingGossip &outgoing : effects.messages) {
         const egretlatch::protocol::Envelope envelope{
             .sender = node.initialSelf.id, .incarnation = node.roster.self().incarnation, .message = outgoing.message};
@@ -216,6 +219,7 @@
             m_undelivered[delivery.to].push_back(std::move(delivery));
             continue;
         }
+        m_nodes[delivery.to]->gossip.noteMessage(m_clock.steadyNow());
         m_nodes[delivery.to]->gossip.handle(internal::idOf(delivery.from), delivery.incarnation, delivery.message, m_clock.steadyNow());
         collect(delivery.to);
     }
--- a/test/fakes/gossip_network.hpp
+++ b/test/fakes/gossip_network.hpp
@@ -32,6 +32,7 @@
     std::uint64_t bytesSent{};
     std::uint64_t messagesSent{};
     std::vector<egretlatch::membership::Rumour> rumours;
+    std::vector<egretlatch::membership::IsolationChange> isolationChanges;
 };
 
 /*! @brief Simulated network of gossip instances with seeded random delay and loss. */
