A daemon that hears no other daemon says so in its log, metrics and /status

When a daemon heard nobody, on-call saw hundreds of 503 at it and no cause.

The decision core yields IsolationChanged; both kinds of daemon write one line for each change: the warning `isolated` with the silence, the number of daemons that should answer and of members still seen as present, and the info line `no longer isolated` with the length of the silence.

Ruled out: a line in each probe that fails (one a second), and a gauge of the silence alone, whose limit each alert would have to repeat.

--- a/src/egretlatch/daemon/decide_thread.cpp
+++ b/src/egretlatch/daemon/decide_thread.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <egretlatch/daemon/isolation_log.hpp>
 #include <egretlatch/daemon/status_document.hpp>
 
 namespace egretlatch::daemon
@@ -150,6 +151,8 @@
         m_logger.debug("member changed", {{"member", changed->id.value}, {"state", membership::toString(changed->state)}});
     } else if (const auto *const departure = std::get_if<decision::DepartureReported>(&action)) {
         m_logger.info("departure reported", {{"instance", departure->instance}});
+    } else if (const auto *const isolation = std::get_if<decision::IsolationChanged>(&action)) {
+        logIsolation(m_logger, *isolation);
     } else if (std::holds_alternative<decision::Drained>(action)) {
         m_onDrained();
     }
@@ -191,11 +194,14 @@
     m_metrics.set("concurrency_limit", load.limit);
     m_metrics.set("queued", load.queued);
     m_metrics.set("admission_level", load.level.priority + load.level.fraction);
+    const membership::PeerSilence silence = m_core->peerSilence();
+    m_metrics.set("isolated", silence.isIsolated ? 1.0 : 0.0);
+    m_metrics.set("peer_silence_seconds", std::chrono::duration<double>(silence.duration).count());
 }
 
 void DecideThread::writeStatus()
 {
-    std::string document = statusDocument(m_core->roster(), m_core->configurationReport(), m_core->load());
+    std::string document = statusDocument(m_core->roster(), m_core->configurationReport(), m_core->load(), m_core->peerSilence());
     const std::lock_guard lock{m_statusMutex};
     m_status = std::move(document);
     m_isStatusRequested.store(false);
--- a/src/egretlatch/daemon/status_document.cpp
+++ b/src/egretlatch/daemon/status_document.cpp
@@ -58,7 +58,10 @@
 
 } // namespace internal
 
-std::string statusDocument(const membership::Roster &roster, const configuration::Report &configuration, const admission::LoadReport &load)
+std::string statusDocument(const membership::Roster &roster,
+                           const configuration::Report &configuration,
+                           const admission::LoadReport &load,
+                           const membership::PeerSilence &silence)
 {
     QJsonArray members;
     for (const membership::Member &member : roster.members()) {
@@ -69,6 +72,8 @@
     document[u"configurationVersion"] = static_cast<qint64>(configuration.version);
     document[u"configuration"] = internal::describe(configuration);
     document[u"load"] = internal::describe(load);
+    document[u"isolated"] = silence.isIsolated;
+    document[u"peerSilenceMs"] = static_cast<qint64>(std::chrono::duration_cast<std::chrono::milliseconds>(silence.duration).count());
     document[u"members"] = members;
     return QJsonDocument{document}.toJson(QJsonDocument::Compact).toStdString();
 }
--- a/src/egretlatch/decision/action.hpp
+++ b/src/egretlatch/decision/action.hpp
@@ -15,6 +15,7 @@
 #include <egretlatch/core/header.hpp>
 #include <egretlatch/core/ids.hpp>
 #include <egretlatch/core/verdict.hpp>
+#include <egretlatch/membership/isolation_change.hpp>
 #include <egretlatch/membership/member.hpp>
 #include <egretlatch/protocol/messages.hpp>
 #include <egretlatch/store/requests.hpp>
@@ -157,6 +158,16 @@
     std::string instance;
 };
 
+/*! @brief Logs that no message of any other daemon arrives, or that messages arrive again. */
+struct IsolationChanged
+{
+    membership::IsolationChange change;
+    /*! @brief Daemons that should answer the pings of this one. */
+    std::size_t expected{};
+    /*! @brief Other members that are not seen as gone. */
+    std::size_t present{};
+};
+
 /*! @brief Reports that this daemon has raised its incarnation; all later messages must carry the new one. */
 struct IncarnationRaised
 {
@@ -180,6 +191,7 @@
                             ManifestInForce,
                             MemberChanged,
                             DepartureReported,
+                            IsolationChanged,
                             IncarnationRaised,
                             Drained>;
 using Actions = std::vector<Action>;
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -53,6 +53,11 @@
     return m_serving->load(m_context->clock.steadyNow());
 }
 
+membership::PeerSilence Core::peerSilence() const
+{
+    return m_gossip->peerSilence(m_context->clock.steadyNow());
+}
+
 std::vector<account::Figure> Core::levelFigures() const
 {
     return m_serving->levelFigures(m_context->clock.steadyNow());
@@ -91,6 +96,7 @@
                        m_entry->handleCallerGone(gone.exchange, now);
                    },
                    [&](const PeerMessage &message) {
+                       m_gossip->noteMessage(now);
                        handleMessage(message.envelope, now);
                    },
                    [&](const SendFailed &failed) {
@@ -283,6 +289,10 @@
             m_context->actions.emplace_back(MemberChanged{.id = id, .state = member->state});
         }
     }
+    if (effects.isolation.has_value()) {
+        const std::size_t present = m_context->roster.participants().size();
+        m_context->actions.emplace_back(IsolationChanged{.change = *effects.isolation, .expected = m_gossip->countExpected(), .present = present});
+    }
     for (membership::OutgoingGossip &outgoing : effects.messages) {
         m_context->actions.emplace_back(SendToPeer{.to = outgoing.to.id, .endpoint = outgoing.to.endpoint, .message = std::move(outgoing.message)});
     }
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -76,6 +76,9 @@
 
     [[nodiscard]] admission::LoadReport load() const;
 
+    /*! @brief Returns the time without a message from any other daemon, and whether it is reported as isolation. */
+    [[nodiscard]] membership::PeerSilence peerSilence() const;
+
     /*! @brief Returns the figures that determine the admission level of the local server, for logs. */
     [[nodiscard]] std::vector<account::Figure> levelFigures() const;
 
--- a/src/egretlatch/sidecar/gauges.cpp
+++ b/src/egretlatch/sidecar/gauges.cpp
@@ -56,6 +56,9 @@
         metrics.set(fmt::format("retries_left{{service=\"{}\"}}", service), retries);
     }
     internal::setMembers(core.roster(), metrics);
+    const membership::PeerSilence silence = core.peerSilence();
+    metrics.set("isolated", silence.isIsolated ? 1.0 : 0.0);
+    metrics.set("peer_silence_seconds", std::chrono::duration<double>(silence.duration).count());
     metrics.set("log_lines_left_out", static_cast<double>(sources.logLinesOmitted));
     if (const std::optional<double> bytes = internal::residentBytes()) {
         metrics.set("resident_memory_bytes", *bytes);
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <egretlatch/core/new_incarnation.hpp>
+#include <egretlatch/daemon/isolation_log.hpp>
 #include <egretlatch/platform/bounds.hpp>
 #include <egretlatch/platform/configuration_document.hpp>
 #include <egretlatch/platform/names.hpp>
@@ -251,6 +252,8 @@
         m_logger.info("member changed", {{"member", changed->id.value}, {"state", membership::toString(changed->state)}});
     } else if (const auto *const departure = std::get_if<decision::DepartureReported>(&action)) {
         m_logger.info("departure reported", {{"instance", departure->instance}});
+    } else if (const auto *const isolation = std::get_if<decision::IsolationChanged>(&action)) {
+        daemon::logIsolation(m_logger, *isolation);
     } else if (const auto *const raised = std::get_if<decision::IncarnationRaised>(&action)) {
         m_logger.warning("incarnation raised", {{"from", raised->from.value}, {"to", raised->to.value}});
         m_peers.beginIncarnation(raised->to);
--- a/test/egretlatch/cli/sessions.cpp
+++ b/test/egretlatch/cli/sessions.cpp
@@ -63,7 +63,7 @@
     membership::Member self;
     self.id = {id};
     // Goes through the status document that the daemon serves.
-    const std::string page = daemon::statusDocument(membership::Roster{self}, report, {});
+    const std::string page = daemon::statusDocument(membership::Roster{self}, report, {}, {});
     return {.url = "http://" + id, .report = cli::parseReport(QByteArray::fromStdString(page))};
 }
 
--- a/test/egretlatch/decision/membership.cpp
+++ b/test/egretlatch/decision/membership.cpp
@@ -298,3 +298,40 @@
     CHECK(DaemonFixture::find<Drained>(daemon.advance(2s, true)) != nullptr);
     CHECK((daemon.state() == MemberState::gone));
 }
+
+TEST_CASE("a daemon that hears nobody reports how many it expects and still sees, and any message ends the isolation")
+{
+    // Guards against an isolated daemon without a report, and against messages other than gossip that do not count.
+    DaemonFixture daemon;
+    daemon.addPeer("other");
+    daemon.addPeer("third");
+    const Actions silent = daemon.advance(11s, true);
+    const auto *const began = DaemonFixture::find<IsolationChanged>(silent);
+    REQUIRE(began != nullptr);
+    CHECK(began->change.isIsolated);
+    CHECK(began->expected == 2);
+    CHECK(began->present <= 2);
+    CHECK(daemon.core->peerSilence().isIsolated);
+    CHECK(DaemonFixture::find<IsolationChanged>(daemon.advance(1min, true)) == nullptr);
+
+    const protocol::CallAnswer answer;
+    static_cast<void>(daemon.core->handle(PeerMessage{.envelope = {.sender = {"other"}, .incarnation = peerIncarnation, .message = answer}}));
+    const Actions heard = daemon.advance(1s, true);
+    const auto *const ended = DaemonFixture::find<IsolationChanged>(heard);
+    REQUIRE(ended != nullptr);
+    CHECK_FALSE(ended->change.isIsolated);
+    CHECK_FALSE(daemon.core->peerSilence().isIsolated);
+}
+
+TEST_CASE("a daemon that sends messages only to itself is isolated all the same")
+{
+    // Guards against calls between this daemon's own callers and server that pass for messages of another daemon.
+    DaemonFixture daemon;
+    daemon.announce();
+    bool hasBegun = false;
+    for (std::uint64_t exchange = 1; exchange <= 15; ++exchange) {
+        static_cast<void>(daemon.arrive(exchange));
+        hasBegun = DaemonFixture::find<IsolationChanged>(daemon.advance(1s, true)) != nullptr || hasBegun;
+    }
+    CHECK(hasBegun);
+}
--- a/test/processes/test_membership.py
+++ b/test/processes/test_membership.py
@@ -136,6 +136,60 @@
         wait_until(lambda: states(observer)["duty-roster-1"] == "serving", "duty-roster-1 serving again")
 
 
+class Isolation(Fleet):
+    arguments = ["cod-proaspat", "--log-level", "info"]
+
+    @classmethod
+    def setUpClass(cls):
+        cls.folder = tempfile.TemporaryDirectory()
+        cls.arguments = [*cls.arguments, "--logs", cls.folder.name]
+        super().setUpClass()
+
+    @classmethod
+    def tearDownClass(cls):
+        super().tearDownClass()
+        cls.folder.cleanup()
+
+    def lines(self, daemon, *events):
+        """Returns the complete log lines of a daemon with one of the given events."""
+        text = (pathlib.Path(self.folder.name) / f"{daemon['id']}.log").read_text()
+        parsed = [json.loads(line) for line in text.splitlines(keepends=True) if line.endswith("\n")]
+        return [line for line in parsed if line["event"] in events]
+
+    def expect_isolated(self, daemon, others):
+        (line,) = self.lines(daemon, "isolated")
+        self.assertEqual(("warning", str(others)), (line["level"], line["expected"]))
+        self.assertGreaterEqual(int(line["silenceMs"]), 10_000)
+        self.assertLessEqual(int(line["present"]), others)
+        self.assertEqual(1, metric(daemon, "egretlatch_isolated"))
+        self.assertGreaterEqual(metric(daemon, "egretlatch_peer_silence_seconds"), 10)
+        self.assertTrue(json.loads(call(base(daemon) + "/status", None, method="GET")[2])["isolated"])
+        self.assertEqual(200, call(base(daemon) + "/readyz", None, method="GET")[0])
+
+    def test_a_daemon_that_hears_nobody_says_so_until_it_hears_others_again(self):
+        # Guards against a daemon that is cut off from all others, refuses the calls of its callers and names the cause nowhere.
+        isolated, *others = self.mesh["daemons"]
+        self.assertEqual(0, metric(isolated, "egretlatch_isolated"))
+        try:
+            for daemon in others:
+                os.kill(daemon["pid"], signal.SIGSTOP)
+            wait_until(lambda: metric(isolated, "egretlatch_isolated") == 1, "isolation in the metrics")
+            wait_until(lambda: self.lines(isolated, "isolated"), "isolation in the log")
+            self.expect_isolated(isolated, len(others))
+        finally:
+            for daemon in others:
+                os.kill(daemon["pid"], signal.SIGCONT)
+        wait_until(lambda: self.lines(isolated, "no longer isolated"), "end of the isolation in the log")
+        wait_until(lambda: metric(isolated, "egretlatch_isolated") == 0, "end of the isolation in the metrics")
+        events = [line["event"] for line in self.lines(isolated, "isolated", "no longer isolated")]
+        self.assertEqual(["isolated", "no longer isolated"], events)
+        # An alarm of each daemon whose VM was paused would call a person for nothing.
+        for daemon in others:
+            wait_until(lambda: metric(daemon, 'egretlatch_membership_total{label="tick-gap"}') > 0, "the noticed pause")
+            wait_until(lambda: set(states(daemon).values()) == {"serving"}, "all members serving again")
+            self.assertEqual([], self.lines(daemon, "isolated"))
+
+
 class Keys(Fleet):
     def setUp(self):
         self.folder = tempfile.TemporaryDirectory()
--- a/test/processes/test_sidecar.py
+++ b/test/processes/test_sidecar.py
@@ -149,6 +149,34 @@
         self.assertIn('egretlatch_run_duration_seconds_count{service="history"}', text)
         self.assertRegex(text, r"egretlatch_resident_memory_bytes \d+")
 
+    async def expect_metric(self, vm, line):
+        """Polls until a daemon shows a line of metrics; the time limit only keeps a failed run from hanging."""
+        for _ in range(600):
+            if line in (await asyncio.to_thread(self.metrics, vm)).splitlines():
+                return
+            await asyncio.sleep(0.1)
+        self.fail(f"{line} was not shown: {self.fleet.log(vm)}")
+
+    async def test_a_daemon_that_hears_nobody_says_so_until_it_hears_others_again(self):
+        # Guards against a VM that is cut off from all others, refuses the calls of its callers and names the cause nowhere.
+        isolated, *others = self.fleet.vms
+        await self.expect_metric(isolated, "egretlatch_isolated 0")
+        try:
+            for vm in others:
+                self.fleet.signal(vm, signal.SIGSTOP)
+            await self.expect_metric(isolated, "egretlatch_isolated 1")
+        finally:
+            for vm in others:
+                self.fleet.signal(vm, signal.SIGCONT)
+        await self.expect_metric(isolated, "egretlatch_isolated 0")
+        await asyncio.sleep(0.5)
+        lines = [json.loads(line) for line in self.fleet.log(isolated).splitlines()]
+        changes = [(line["event"], line["level"], line["expected"]) for line in lines if "isolated" in line["event"]]
+        expected = str(len(others))
+        self.assertEqual([("isolated", "warning", expected), ("no longer isolated", "info", expected)], changes)
+        for vm in others:
+            self.assertNotIn("isolated", self.fleet.log(vm), "a pause is no isolation")
+
     async def test_corrupt_and_extra_answers_reach_no_caller(self):
         # Guards against callers that get bytes no server sent for them: an answer sent twice, truncated or without a signature.
         for server in self.fleet.servers("roster"):
