The isolation test of the sidecar waits until all members are known

It failed in 1 of 5 runs: the line said 4 expected daemons in place of 5. It counts only those that it knows.

--- a/test/processes/test_sidecar.py
+++ b/test/processes/test_sidecar.py
@@ -160,6 +160,8 @@
     async def test_a_daemon_that_hears_nobody_says_so_until_it_hears_others_again(self):
         # Guards against a VM that is cut off from all others, refuses the calls of its callers and names the cause nowhere.
         isolated, *others = self.fleet.vms
+        # A daemon expects only those that it knows, and the last ones may become known after all services are reached.
+        await self.expect_metric(isolated, f'egretlatch_members{{state="serving"}} {len(self.fleet.vms)}')
         await self.expect_metric(isolated, "egretlatch_isolated 0")
         try:
             for vm in others:
