Faults of daemons that both soaks need are in a file of their own

Cause: a soak of daemons with keys injects the same kills, pauses and terminations and watches the same exits.

--- a/standin/fleet/record.py
+++ b/standin/fleet/record.py
@@ -5,13 +5,11 @@
 import json
 import time
 
+from .faults import FaultRecord
 from .server import STAMP, Observer
 
 NOT_RUN = (408, 421, 429, 503)
 CLIENT_ERRORS = range(300, 500)
-# Seconds past a route's timeout after which an answer counts as missing. The machine that runs a soak is busy, and the
-# check looks for answers that never come, not for slow ones.
-ANSWER_MARGIN = 4.0
 BUDGET_WINDOW = 10.0
 # Seconds after a fault of the link to a server in which arrivals may still be delayed by it (the documented stability window).
 LINK_FAULT_DELAY = 3.0
@@ -43,10 +41,11 @@
         self.is_repeat = is_repeat
 
 
-class Record(Observer):
+class Record(FaultRecord, Observer):
     """Collects events from clients and servers, and reports violated invariants as text."""
 
     def __init__(self, ratio, slack, drain):
+        super().__init__()
         self.ratio = ratio
         self.slack = slack
         self.drain = drain
@@ -58,13 +57,8 @@
         self.repeated_runs = set()
         self.answers = collections.defaultdict(set)
         self.leaving = {}
-        self.daemon_faults = collections.defaultdict(list)
         self.link_faults = collections.defaultdict(list)
         self.routes_seen = collections.defaultdict(set)
-        self.violations = []
-
-    def report_violation(self, invariant, text):
-        self.violations.append(f"{invariant}: {text}")
 
     # Events at servers.
 
@@ -157,14 +151,6 @@
 
     # Faults injected by the soak.
 
-    def note_daemon_fault(self, vm, seconds):
-        """Records that a daemon is killed or stopped now, and for how many seconds missing answers at it are excused."""
-        now = time.monotonic()
-        self.daemon_faults[vm.name].append((now, now + seconds))
-
-    def had_daemon_fault(self, vm, since, until):
-        return any(begin <= until and end >= since for begin, end in self.daemon_faults[vm.name])
-
     def note_link_fault(self, vm, seconds):
         """Records a fault of the link between a daemon and its server that starts now and lasts `seconds`."""
         now = time.monotonic()
--- a/standin/fleet/soak.py
+++ b/standin/fleet/soak.py
@@ -13,10 +13,11 @@
 import urllib.request
 
 from .client import Answer, Client, Pipeline
+from .faults import ANSWER_MARGIN, FaultySoak
 from .fleet import Fleet, configuration, route
 from .link import Link
 from .ports import free_ports
-from .record import ANSWER_MARGIN, Attempt, Record
+from .record import Attempt, Record
 from .server import Fault
 
 HOST = "soak.example"
@@ -28,14 +29,10 @@
 MIX = {"lookup": 4, "entry": 3, "read": 3, "added": 1}
 BOUNDS = {"grace": "4s", "drain": "1s", "retry_budget_ratio": "0.2", "budget_slack": "40"}
 # Seconds.
-PAUSE_BETWEEN_FAULTS = (0.05, 0.7)
 DRAIN = 1.0
 GRACE = 4.0
 # Seconds in which a fleet must serve every route again after the last fault; the bound is the documented one.
 RECOVERY = 15.0
-# Seconds after a daemon was killed, paused or cut off in which answers to its callers may be missing: the time it takes to
-# start, and the time until silent connections are given up.
-EXCUSED = 6.0
 LONGEST_TIMEOUT = 1.2
 
 
@@ -81,27 +78,32 @@
         return f"{method}, daemon killed: {self.restart or 'no'}, late heartbeat at step {self.late_at}"
 
 
-class Soak:
+class Soak(FaultySoak):
     """Runs one soak: `daemons` per service, `seconds` of faults, every choice drawn from the seed."""
 
     def __init__(self, binary, seed, seconds=20.0, daemons=3, clients=24, pipelining=4, leaves_around_restarts=True):
-        self.seed = seed
-        self.seconds = seconds
+        record = Record(float(BOUNDS["retry_budget_ratio"]), float(BOUNDS["budget_slack"]), DRAIN)
+        super().__init__(seed, seconds, record, GRACE)
         self.clients = clients
         self.pipelining = pipelining
         # A separate generator, so that seeds from before this fault existed still play the same.
         self.leaving = random.Random(f"{seed}/leaving") if leaves_around_restarts else None
-        self.random = random.Random(seed)
         services = {"history": (daemons, 12, 24), "log": (daemons, 12, 24), "roster": (daemons, 12, 24)}
         self.services = services
         self.fleet = FaultyFleet(binary, services, KINDS, heartbeat=0.3, bounds=BOUNDS, seed=seed)
-        self.record = Record(float(BOUNDS["retry_budget_ratio"]), float(BOUNDS["budget_slack"]), DRAIN)
         self.version = 0
         self.added = []
         self.request_count = 0
-        self.expected_exits = set()
-        self.story = []
-        self.is_over = False
+
+    @property
+    def vms(self):
+        return self.fleet.vms
+
+    def start_daemon(self, vm):
+        self.fleet.start_daemon(vm)
+
+    def log(self, vm):
+        return self.fleet.log(vm)
 
     # The run.
 
@@ -116,7 +118,7 @@
             clients = [asyncio.ensure_future(self.client(number)) for number in range(self.clients)]
             clients += [asyncio.ensure_future(self.pipelining_client(number)) for number in range(self.pipelining)]
             watcher = asyncio.ensure_future(self.watch_exits())
-            await self.inject_faults()
+            await self.inject_faults(self.faults())
             self.heal()
             if not await self.all_served(RECOVERY):
                 self.record.report_violation("RECOVER", f"not every route is served {RECOVERY:.0f} s after the last fault")
@@ -229,17 +231,10 @@
 
     # Faults.
 
-    async def inject_faults(self):
-        """Starts faults at random times; each ends by itself, and several overlap."""
-        faults = [self.kill, self.kill, self.pause, self.end_and_start, self.end_and_start, self.reload, self.server_fails, self.server_fails,
-                  self.server_crashes, self.server_leaves, self.server_leaves, self.link_fails, self.link_fails, self.link_fails,
-                  self.store_fails, self.configure, self.configure]
-        end = time.monotonic() + self.seconds
-        running = []
-        while time.monotonic() < end:
-            await asyncio.sleep(self.random.uniform(*PAUSE_BETWEEN_FAULTS))
-            running.append(asyncio.ensure_future(self.random.choice(faults)()))
-        await asyncio.gather(*running)
+    def faults(self):
+        return [self.kill, self.kill, self.pause, self.end_and_start, self.end_and_start, self.reload, self.server_fails, self.server_fails,
+                self.server_crashes, self.server_leaves, self.server_leaves, self.link_fails, self.link_fails, self.link_fails,
+                self.store_fails, self.configure, self.configure]
 
     def heal(self):
         self.fleet.store.fault = None
@@ -248,69 +243,13 @@
             for link in vm.links.values():
                 link.heal()
 
-    def note(self, vm, text):
-        self.story.append(f"{time.monotonic() - self.begin():.2f} s {vm.name if vm else 'store'}: {text}")
-
     def begin(self):
         return next(iter(self.record.sent.values())).began
 
-    def pick_vm(self):
-        """Returns a random VM without an active daemon or server fault, or None unless more than half of the VMs are free."""
-        free = [vm for vm in self.fleet.vms if not getattr(vm, "is_taken", False)]
-        return self.random.choice(free) if len(free) > len(self.fleet.vms) / 2 else None
-
-    async def kill(self):
-        vm = self.pick_vm()
-        if vm is None:
-            return
-        vm.is_taken = True
-        self.note(vm, "killed")
-        await self.kill_and_start(vm, self.random.uniform(0.0, 1.5))
-        await asyncio.sleep(1)
-        vm.is_taken = False
-
-    async def kill_and_start(self, vm, seconds):
-        self.record.note_daemon_fault(vm, EXCUSED)
-        self.expected_exits.add(vm.process.pid)
-        vm.process.kill()
-        await asyncio.to_thread(vm.process.wait)
-        await asyncio.sleep(seconds)
-        self.fleet.start_daemon(vm)
-
     async def pause(self):
         vm = self.pick_vm()
-        if vm is None:
-            return
-        vm.is_taken = True
-        seconds = self.random.uniform(0.2, 3.0)
-        self.note(vm, f"paused for {seconds:.2f} s")
-        self.record.note_daemon_fault(vm, seconds + EXCUSED)
-        vm.process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(seconds)
-        vm.process.send_signal(signal.SIGCONT)
-        await asyncio.sleep(1)
-        vm.is_taken = False
-
-    async def end_and_start(self):
-        """Terminates a daemon by SIGTERM, sometimes sent twice, and restarts it; requests in flight must be finished."""
-        vm = self.pick_vm()
-        if vm is None:
-            return
-        vm.is_taken = True
-        self.note(vm, "SIGTERM")
-        self.expected_exits.add(vm.process.pid)
-        vm.process.terminate()
-        if self.random.random() < 0.3:
-            await asyncio.sleep(0.1)
-            vm.process.terminate()
-        try:
-            await asyncio.to_thread(vm.process.wait, GRACE + ANSWER_MARGIN)
-        except Exception:
-            self.record.report_violation("GRACE", f"{vm.name} did not end within {GRACE + ANSWER_MARGIN:.0f} s of SIGTERM")
-            vm.process.kill()
-        self.fleet.start_daemon(vm)
-        await asyncio.sleep(1)
-        vm.is_taken = False
+        if vm is not None:
+            await self.pause_for(vm, self.random.uniform(0.2, 3.0))
 
     async def reload(self):
         vm = self.pick_vm()
@@ -422,17 +361,6 @@
 
     # Checks that concern no single request.
 
-    async def watch_exits(self):
-        """Reports and restarts daemons that exit although the soak did not end them."""
-        while True:
-            for vm in self.fleet.vms:
-                if vm.process.poll() is not None and vm.process.pid not in self.expected_exits:
-                    self.expected_exits.add(vm.process.pid)
-                    self.record.report_violation("EXIT", f"{vm.name} exited unexpectedly with {vm.process.returncode}:\n{self.fleet.log(vm)[-2000:]}")
-                    self.record.note_daemon_fault(vm, EXCUSED)
-                    self.fleet.start_daemon(vm)
-            await asyncio.sleep(0.2)
-
     async def check_rest(self):
         """Checks, without requests in flight, that nothing is left running or queued, that retries kept their budget and that logs are JSON."""
         for _ in range(50):
@@ -454,12 +382,3 @@
         with urllib.request.urlopen(f"http://{vm.readiness}/metrics", timeout=10) as page:
             lines = page.read().decode().splitlines()
         return {"egretlatch_in_flight 0", "egretlatch_queued 0"} <= set(lines)
-
-    def check_log(self, vm):
-        for line in self.fleet.log(vm).splitlines():
-            try:
-                json.loads(line)
-            except ValueError:
-                # A killed daemon may leave a truncated last line, to which the next one appends.
-                if not self.record.daemon_faults[vm.name]:
-                    self.record.report_violation("LOG", f"{vm.name}: {line[:200]}")
