--- /dev/null
+++ b/standin/fleet/keys_soak.py
@@ -0,0 +1,496 @@
+"""Soak test of daemons with keys: real daemons and callers under a seeded series of external faults, with the invariants checked.
+
+Faults overlap: up to half of the daemons are paused, killed, or terminated and restarted at a time; backend servers crash,
+hang, slow down, fail and refuse; operators change the configuration. Links between daemons have no faults of their own: a
+daemon announces the address at which it listens, so no relay stands between two of them.
+"""
+
+import asyncio
+import collections
+import itertools
+import json
+import pathlib
+import re
+import time
+import uuid
+
+from .client import Client
+from .faults import ANSWER_MARGIN, EXCUSED, FaultRecord, FaultySoak
+from .mesh import Mesh, MeshError, MeshOptions
+
+HOST = "soak.example"
+# Seconds.
+TIMEOUTS = (0.5, 1.0, 2.0)
+PAUSES = (0.5, 9.0)
+# Seconds in which members return and each service is served by way of each daemon after the last fault; the bound is the
+# documented one.
+RECOVERY = 60.0
+# Seconds in which a request may still be on its way to a daemon that gets SIGTERM.
+ON_ITS_WAY = 0.1
+CONTROLS = {"slows down": {"slowdown": 20.0}, "fails": {"failShare": 0.4}, "refuses": {"rejectShare": 0.4}, "cuts": {"cutShare": 0.4}}
+INNER_KEY = re.compile(r"(.+)\.(\d+)\.\d+")
+
+
+class Kind:
+    """Describes a kind of requests of the manifest."""
+
+    def __init__(self, service, document):
+        self.service = service
+        self.name = document["name"]
+        self.is_idempotent = document["idempotent"]
+        self.calls = [(call["service"], call["kind"]) for call in document.get("calls", [])]
+
+    @property
+    def path(self):
+        return f"{self.service}/{self.name}"
+
+
+class Sent:
+    """Describes one attempt of a caller; `key` is None for an attempt without one, and `is_resent` tells whether the key was sent before."""
+
+    def __init__(self, vm, kind, key, body, is_resent=False):
+        self.vm = vm
+        self.kind = kind
+        self.key = key
+        self.body = body
+        self.is_resent = is_resent
+        self.began = time.monotonic()
+        self.ended = None
+        self.status = None
+        self.verdict = None
+
+    def __str__(self):
+        return f"{self.kind.path} {self.key} at {self.vm.name}"
+
+
+class KeysRecord(FaultRecord):
+    """Records what callers observe and which keys ran, and checks the invariants between the two."""
+
+    def __init__(self, kinds):
+        super().__init__()
+        self.kinds = {(kind.service, kind.name): kind for kind in kinds}
+        self.sent = []
+        self.kind_by_key = {}
+        self.runs = collections.Counter()
+        # By daemon, the times [signal, end] of its terminations: its callers may find it closed until it has started again.
+        self.endings = collections.defaultdict(list)
+        # Attempts that must not have run, since their daemon did not answer them.
+        self.unanswered = []
+        self.log_breaks = collections.Counter()
+
+    def note_sent(self, sent):
+        self.sent.append(sent)
+        if sent.key is not None:
+            self.kind_by_key[sent.key] = sent.kind
+
+    def note_outcome(self, sent, answer, has_more=False, has_left=False):
+        """Records the outcome of an attempt; `has_more`: bytes came that belong to no request, `has_left`: the caller did not wait."""
+        sent.ended = time.monotonic()
+        sent.status = answer.status
+        sent.verdict = answer.fields.get("egretlatch-verdict")
+        if has_more:
+            self.report_violation("MIXED", f"unexpected bytes followed the answer to {sent}")
+        if answer.status is not None:
+            self.check_answer(sent, answer)
+        elif not has_left:
+            self.check_missing(sent)
+
+    def check_answer(self, sent, answer):
+        if sent.verdict is None:
+            self.report_violation("MIXED", f"{sent} got {answer.status} without a verdict")
+        elif answer.status == 200 and answer.body != sent.body:
+            self.report_violation("MIXED", f"{sent} sent {sent.body[:40]!r} and got {answer.body[:40]!r}")
+        elif answer.fields.get("content-type") == "application/problem+json":
+            problem = json.loads(answer.body)
+            told = (problem.get("service", sent.kind.service), problem.get("kind", sent.kind.name), problem["status"], problem["verdict"])
+            if told != (sent.kind.service, sent.kind.name, sent.status, sent.verdict):
+                self.report_violation("MIXED", f"{sent} got {answer.status}, {sent.verdict}, and the refusal of {told}")
+
+    def check_missing(self, sent):
+        if self.had_daemon_fault(sent.vm, sent.began, sent.ended):
+            return
+        signals = [signal for signal, end in self.endings[sent.vm.name] if signal <= sent.ended and end >= sent.began]
+        if not signals:
+            self.report_violation("LOST", f"{sent} had no answer after {sent.ended - sent.began:.2f} s")
+        elif sent.began < signals[0] - ON_ITS_WAY:
+            self.report_violation("LOST", f"{sent} was in flight {signals[0] - sent.began:.2f} s before SIGTERM and had no answer")
+        elif sent.key is not None and not sent.is_resent:
+            self.unanswered.append(sent)
+
+    def note_end(self, vm):
+        self.endings[vm.name].append((time.monotonic(), float("inf")))
+
+    def note_start(self, vm):
+        """Records the start of a daemon, which ends the time of its termination."""
+        until = time.monotonic() + EXCUSED
+        self.endings[vm.name] = [(signal, min(end, until)) for signal, end in self.endings[vm.name]]
+
+    def add_runs(self, counts):
+        self.runs.update(counts)
+
+    def kind_of(self, key):
+        """Returns the kind that a key names, by way of the run that made it for an inner call; None for a key that a daemon made."""
+        if key in self.kind_by_key:
+            return self.kind_by_key[key]
+        inner = INNER_KEY.fullmatch(key)
+        outer = self.kind_of(inner[1]) if inner else None
+        if outer is None or not 0 < int(inner[2]) <= len(outer.calls):
+            return None
+        return self.kinds[outer.calls[int(inner[2]) - 1]]
+
+    def check_runs(self):
+        """Checks the runs of all backend servers against what callers were told."""
+        for key, count in self.runs.items():
+            kind = self.kind_of(key)
+            # Daemons themselves make keys only for inner calls that are not idempotent.
+            if count > 1 and (kind is None or not kind.is_idempotent):
+                self.report_violation("TWICE", f"{kind.path if kind else 'an inner call'} {key} is not idempotent and ran {count} times")
+        for sent in self.sent:
+            if sent.verdict == "not-run" and self.runs[sent.key] > 0:
+                self.report_violation("REFUSED", f"{sent} was answered {sent.status} not-run and ran {self.runs[sent.key]} times")
+        for sent in self.unanswered:
+            if self.runs[sent.key] > 0:
+                self.report_violation("LOST", f"{sent} ran, but SIGTERM cut it off")
+
+    def check_log(self, vm, text):
+        """Checks that log lines are JSON; each kill may have cut off one."""
+        bad = []
+        for line in text.splitlines():
+            try:
+                json.loads(line)
+            except ValueError:
+                bad.append(line)
+        if len(bad) > self.log_breaks[vm.name]:
+            self.report_violation("LOG", f"{vm.name}, {self.log_breaks[vm.name]} times killed: {len(bad)} lines, the last is {bad[-1][:200]}")
+
+    def summary(self):
+        statuses = collections.Counter(f"{sent.status} {sent.verdict}" for sent in self.sent)
+        return {"sent": len(self.sent), "statuses": dict(sorted(statuses.items())), "runs": sum(self.runs.values()), "broken": self.violations}
+
+
+class Node:
+    """A daemon of the mesh and the backend server beside it."""
+
+    def __init__(self, mesh, daemon):
+        self.mesh = mesh
+        self.daemon = daemon
+        self.name = daemon["id"]
+        self.callers = f"127.0.0.1:{daemon['caller']}"
+        self.backend = f"127.0.0.1:{daemon['backend']}"
+        self.is_taken = False
+        self.has_backend_fault = False
+
+    @property
+    def process(self):
+        return self.mesh.processes[self.name]
+
+    @property
+    def backend_process(self):
+        return self.mesh.processes[self.name + "-backend"]
+
+
+async def ask(address, path, method="GET", body=b""):
+    """Returns the answer of a daemon or stand-in to a request of the soak itself."""
+    client = Client(address)
+    answer = await client.send("soak", HOST, path, method=method, body=body, timeout=2.0)
+    client.close()
+    return answer
+
+
+class KeysSoak(FaultySoak):
+    """Runs one soak: `daemons` per service, `seconds` of faults, every choice drawn from the seed."""
+
+    def __init__(self, build, seed, seconds=20.0, daemons=2, clients=16, is_encrypted=True):
+        self.mesh = Mesh(MeshOptions("gliding-union", build, servers=daemons, keys_without_owner="refuse", no_encryption=not is_encrypted,
+                                     log_level="debug"))
+        self.kinds = [Kind(service["name"], kind) for service in self.mesh.services for kind in service["kinds"]]
+        super().__init__(seed, seconds, KeysRecord(self.kinds), max(TIMEOUTS))
+        self.nodes = []
+        self.clients = clients
+        self.numbers = itertools.count()
+        self.version = 0
+        self.is_submitting = False
+
+    @property
+    def vms(self):
+        return self.nodes
+
+    def start_daemon(self, vm):
+        self.mesh.start_daemon(vm.daemon)
+        self.record.note_start(vm)
+
+    def log(self, vm):
+        return self.mesh.log_of(vm.name).read_text(errors="replace")
+
+    def begin(self):
+        return self.began
+
+    # The run.
+
+    async def play(self):
+        try:
+            self.began = time.monotonic()
+            await asyncio.to_thread(self.start)
+            self.began = time.monotonic()
+            callers = [asyncio.ensure_future(self.caller(number)) for number in range(self.clients)]
+            watcher = asyncio.ensure_future(self.watch_exits())
+            await self.inject_faults(self.faults())
+            await self.check_recovery()
+            self.is_over = True
+            await asyncio.gather(*callers)
+            await self.check_rest()
+            watcher.cancel()
+            return self.result()
+        except MeshError as error:
+            self.record.report_violation("START", str(error))
+            return self.result()
+        finally:
+            await asyncio.to_thread(self.mesh.stop)
+            self.mesh.folder.cleanup()
+
+    def start(self):
+        self.mesh.plan()
+        self.nodes = [Node(self.mesh, daemon) for daemon in self.mesh.daemons]
+        self.mesh.start_platform()
+        self.mesh.start_all()
+        self.mesh.wait()
+
+    def result(self):
+        result = {"seed": self.seed, "story": self.story, **self.record.summary()}
+        if result["broken"]:
+            result["logs"] = {vm.name: self.log(vm) for vm in self.vms}
+        return result
+
+    # Callers.
+
+    async def caller(self, number):
+        """Makes one call after another at random daemons, on kept or new connections."""
+        rng = self.generator(number)
+        client = None
+        while not self.is_over:
+            if client is None or rng.random() < 0.1:
+                vm = rng.choice(self.vms)
+                client = Client(vm.callers)
+            client = await self.call(vm, client, rng)
+            if client is not None and rng.random() < 0.4:
+                client.close()
+                client = None
+            await asyncio.sleep(rng.expovariate(8))
+
+    def generator(self, name):
+        return type(self.random)(f"{self.seed}/{name}")
+
+    async def call(self, vm, client, rng):
+        """Sends a request up to three times, each resend at a random daemon; returns the connection to go on with, if any."""
+        kind = rng.choice(self.kinds)
+        body = f"k{self.seed}-{next(self.numbers)} ".encode() + rng.randbytes(rng.choice((0, 10, 3000)))
+        key = await self.new_key(vm, client, kind, rng)
+        is_resent = False
+        for _ in range(rng.choice((1, 1, 2, 3))):
+            sent = await self.send(vm, client, Sent(vm, kind, key, body, is_resent), rng)
+            if sent.verdict == "completed" and rng.random() < 0.7:
+                break
+            is_resent = True
+            if sent.verdict == "not-run" and key is not None:
+                key, is_resent = sent.next_key, False
+                if key is None:
+                    break
+            client.close()
+            vm = rng.choice(self.vms)
+            client = Client(vm.callers)
+        return client if not is_resent else client.close()
+
+    async def new_key(self, vm, client, kind, rng):
+        """Returns a key that a daemon minted or that the caller made; None for some requests that need no key."""
+        if kind.is_idempotent:
+            return f"k{self.seed}-{next(self.numbers)}" if rng.random() < 0.7 else None
+        own = self.uuid7(rng)
+        if rng.random() < 0.2:
+            return own
+        answer = await client.send("soak", HOST, f"/keys/{kind.path}", method="POST", timeout=max(TIMEOUTS))
+        return json.loads(answer.body)["key"] if answer.status == 201 else own
+
+    @staticmethod
+    def uuid7(rng):
+        value = time.time_ns() // 1_000_000 << 80 | 0x7 << 76 | rng.getrandbits(12) << 64 | 0b10 << 62 | rng.getrandbits(62)
+        return str(uuid.UUID(int=value))
+
+    async def send(self, vm, client, sent, rng):
+        """Sends an attempt and records its outcome."""
+        timeout = rng.choice(TIMEOUTS)
+        fields = {"Request-Timeout-Ms": int(timeout * 1000)}
+        if sent.key is not None:
+            fields["Idempotency-Key"] = sent.key
+        has_left = rng.random() < 0.03
+        leaves_after = rng.uniform(0.0, 0.1) if has_left else None
+        if client.writer is not None and client.reader.at_eof():
+            client.close()
+        self.record.note_sent(sent)
+        answer = await client.send("soak", HOST, f"/call/{sent.kind.path}/", method="POST", body=sent.body, timeout=timeout + ANSWER_MARGIN,
+                                   fields=fields, disconnect_after=leaves_after)
+        self.record.note_outcome(sent, answer, client.has_more(), has_left)
+        sent.next_key = answer.fields.get("egretlatch-next-key")
+        return sent
+
+    # Faults.
+
+    def faults(self):
+        return [self.pause, self.pause, self.pause, self.kill, self.kill, self.end_and_start, self.end_and_start, self.backend_crashes,
+                self.backend_hangs, self.backend_misbehaves, self.backend_misbehaves, self.configure]
+
+    async def pause(self):
+        """Pauses one to half of the daemons, each for a time of its own."""
+        free = [vm for vm in self.vms if not vm.is_taken]
+        most = len(free) - len(self.vms) // 2
+        if most < 1:
+            return
+        paused = self.random.sample(free, self.random.randint(1, most))
+        await asyncio.gather(*(self.pause_for(vm, self.random.uniform(*PAUSES)) for vm in paused))
+
+    async def kill_and_start(self, vm, seconds):
+        self.record.log_breaks[vm.name] += 1
+        await super().kill_and_start(vm, seconds)
+
+    def note_end(self, vm):
+        self.record.note_end(vm)
+
+    def check_end(self, vm):
+        if vm.process.returncode != 0:
+            self.record.report_violation("EXIT", f"{vm.name} ended with {vm.process.returncode} after SIGTERM:\n{self.log(vm)[-2000:]}")
+
+    def pick_backend(self):
+        """Returns the VM of a random backend server without a fault, or None unless more than half of them have none."""
+        free = [vm for vm in self.vms if not vm.has_backend_fault]
+        return self.random.choice(free) if len(free) > len(self.vms) / 2 else None
+
+    async def backend_crashes(self):
+        vm = self.pick_backend()
+        if vm is None:
+            return
+        vm.has_backend_fault = True
+        self.note(vm, "backend server crashes")
+        await self.replace_backend(vm, self.random.uniform(0.0, 1.5))
+
+    async def backend_hangs(self):
+        """Lets a backend server hang; what hangs keeps its slots, so that it is then replaced."""
+        vm = self.pick_backend()
+        if vm is None:
+            return
+        vm.has_backend_fault = True
+        seconds = self.random.uniform(0.5, 4.0)
+        self.note(vm, f"backend server hangs for {seconds:.2f} s")
+        await self.control(vm, {"hangs": True})
+        await asyncio.sleep(seconds)
+        await self.replace_backend(vm, 0.0)
+
+    async def backend_misbehaves(self):
+        vm = self.pick_backend()
+        if vm is None:
+            return
+        vm.has_backend_fault = True
+        name = self.random.choice(list(CONTROLS))
+        seconds = self.random.uniform(0.5, 4.0)
+        self.note(vm, f"backend server {name} for {seconds:.2f} s")
+        await self.control(vm, CONTROLS[name])
+        await asyncio.sleep(seconds)
+        await self.control(vm, {})
+        vm.has_backend_fault = False
+
+    async def control(self, vm, behaviour):
+        answer = await ask(vm.backend, "/control", "POST", json.dumps(behaviour).encode())
+        if answer.status != 204:
+            raise RuntimeError(f"the backend server of {vm.name} answered {answer.status} to {behaviour}")
+
+    async def replace_backend(self, vm, seconds):
+        """Kills a backend server, whose runs are counted before, and starts the next one after some seconds."""
+        self.record.add_runs(await self.executions(vm))
+        vm.backend_process.kill()
+        await asyncio.to_thread(vm.backend_process.wait)
+        await asyncio.sleep(seconds)
+        self.mesh.start_backend(vm.daemon)
+        while (await ask(vm.backend, "/health")).status != 200:
+            await asyncio.sleep(0.1)
+        vm.has_backend_fault = False
+
+    async def executions(self, vm):
+        answer = await ask(vm.backend, "/executions")
+        return json.loads(answer.body) if answer.status == 200 else {}
+
+    async def configure(self):
+        """Submits a manifest with another number of slots for one service."""
+        if self.is_submitting:
+            return
+        self.is_submitting = True
+        services = json.loads(self.mesh.manifest.read_text())
+        self.random.choice(services["services"])["slots"] = self.random.randint(20, 40)
+        path = pathlib.Path(self.mesh.folder.name) / "submitted.json"
+        path.write_text(json.dumps(services))
+        submit = await asyncio.create_subprocess_exec(
+            f"{self.mesh.options.build}/egretlatch", "submit", "--manifest", str(path), "--base", str(self.version), "--platform", self.mesh.platform,
+            "--submitter", "soak", stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT)
+        output, _ = await submit.communicate()
+        if submit.returncode == 0:
+            self.version += 1
+        else:
+            self.record.report_violation("CONFIG", f"submit on version {self.version} ended with {submit.returncode}: {output.decode()[-500:]}")
+        self.note(None, f"configuration {self.version}")
+        self.is_submitting = False
+
+    # Checks that concern no single request.
+
+    async def check_recovery(self):
+        """Waits until daemons see each other and serve every service, and the newest configuration is in force."""
+        end = time.monotonic() + RECOVERY
+        unserved = [(vm, kind) for vm in self.vms for kind in self.probe_kinds()]
+        while True:
+            served = await asyncio.gather(*(self.probe(vm, kind) for vm, kind in unserved))
+            unserved = [pair for pair, is_served in zip(unserved, served) if not is_served]
+            views = await asyncio.gather(*(self.view(vm) for vm in self.vms))
+            missing = {vm.name: wrong + [f"no 200 for {kind.path}" for other, kind in unserved if other is vm] for vm, wrong in zip(self.vms, views)}
+            if not any(missing.values()):
+                self.note(None, f"all is well {time.monotonic() - end + RECOVERY:.1f} s after the last fault")
+                return
+            if time.monotonic() > end:
+                break
+            await asyncio.sleep(0.5)
+        for name, wrong in missing.items():
+            if wrong:
+                self.record.report_violation("RECOVER", f"{RECOVERY:.0f} s after the last fault at {name}: {', '.join(wrong)}")
+
+    def probe_kinds(self):
+        """Returns one kind of each service, one that may be repeated."""
+        kinds = {kind.service: kind for kind in self.kinds if kind.is_idempotent}
+        return list(kinds.values())
+
+    async def probe(self, vm, kind):
+        client = Client(vm.callers)
+        sent = await self.send(vm, client, Sent(vm, kind, None, f"k{self.seed}-{next(self.numbers)}".encode()), self.generator("probe"))
+        client.close()
+        return sent.status == 200
+
+    async def view(self, vm):
+        """Returns what is wrong with the status of a daemon, as a list of texts."""
+        answer = await ask(vm.callers, "/status")
+        if answer.status != 200:
+            return ["shows no status"]
+        status = json.loads(answer.body)
+        states = {member["id"]: member["state"] for member in status["members"]}
+        wrong = [f"sees {other.name} {states.get(other.name, 'not at all')}" for other in self.vms
+                 if states.get(other.name, "gone") in ("gone", "suspect")]
+        if status["configurationVersion"] != self.version:
+            wrong.append(f"has configuration {status['configurationVersion']} in place of {self.version}")
+        return wrong
+
+    async def check_rest(self):
+        """Checks, once no caller waits, what ran and that logs are JSON."""
+        for _ in range(50):
+            loads = [json.loads((await ask(vm.backend, "/load")).body or b"{}") for vm in self.vms]
+            if not any(load.get("running") or load.get("waiting") for load in loads):
+                break
+            await asyncio.sleep(0.2)
+        else:
+            self.record.report_violation("LEFT", "runs remain although no caller waits for them")
+        for vm in self.vms:
+            self.record.add_runs(await self.executions(vm))
+            self.record.check_log(vm, self.log(vm))
+        self.record.check_runs()
