--- a/standin/fleet/keys_soak.py
+++ b/standin/fleet/keys_soak.py
@@ -10,6 +10,7 @@
 import itertools
 import json
 import pathlib
+import random
 import re
 import time
 import uuid
@@ -58,6 +59,7 @@
         self.ended = None
         self.status = None
         self.verdict = None
+        self.next_key = None
 
     def __str__(self):
         return f"{self.kind.path} {self.key} at {self.vm.name}"
@@ -265,23 +267,20 @@
 
     async def caller(self, number):
         """Makes one call after another at random daemons, on kept or new connections."""
-        rng = self.generator(number)
+        rng = random.Random(f"{self.seed}/{number}")
         client = None
         while not self.is_over:
             if client is None or rng.random() < 0.1:
                 vm = rng.choice(self.vms)
                 client = Client(vm.callers)
-            client = await self.call(vm, client, rng)
-            if client is not None and rng.random() < 0.4:
+            vm, client = await self.call(vm, client, rng)
+            if rng.random() < 0.4:
                 client.close()
                 client = None
             await asyncio.sleep(rng.expovariate(8))
 
-    def generator(self, name):
-        return type(self.random)(f"{self.seed}/{name}")
-
     async def call(self, vm, client, rng):
-        """Sends a request up to three times, each resend at a random daemon; returns the connection to go on with, if any."""
+        """Sends a request up to three times, each resend at a random daemon; returns the daemon and connection of the last."""
         kind = rng.choice(self.kinds)
         body = f"k{self.seed}-{next(self.numbers)} ".encode() + rng.randbytes(rng.choice((0, 10, 3000)))
         key = await self.new_key(vm, client, kind, rng)
@@ -298,7 +297,7 @@
             client.close()
             vm = rng.choice(self.vms)
             client = Client(vm.callers)
-        return client if not is_resent else client.close()
+        return vm, client
 
     async def new_key(self, vm, client, kind, rng):
         """Returns a key that a daemon minted or that the caller made; None for some requests that need no key."""
@@ -464,19 +463,18 @@
 
     async def probe(self, vm, kind):
         client = Client(vm.callers)
-        sent = await self.send(vm, client, Sent(vm, kind, None, f"k{self.seed}-{next(self.numbers)}".encode()), self.generator("probe"))
+        sent = await self.send(vm, client, Sent(vm, kind, None, f"k{self.seed}-{next(self.numbers)}".encode()), random.Random(f"{self.seed}/probe"))
         client.close()
         return sent.status == 200
 
     async def view(self, vm):
         """Returns what is wrong with the status of a daemon, as a list of texts."""
         answer = await ask(vm.callers, "/status")
-        if answer.status != 200:
-            return ["shows no status"]
-        status = json.loads(answer.body)
+        return self.wrong_in(json.loads(answer.body)) if answer.status == 200 else ["shows no status"]
+
+    def wrong_in(self, status):
         states = {member["id"]: member["state"] for member in status["members"]}
-        wrong = [f"sees {other.name} {states.get(other.name, 'not at all')}" for other in self.vms
-                 if states.get(other.name, "gone") in ("gone", "suspect")]
+        wrong = [f"sees {vm.name} {states.get(vm.name, 'not at all')}" for vm in self.vms if states.get(vm.name, "gone") in ("gone", "suspect")]
         if status["configurationVersion"] != self.version:
             wrong.append(f"has configuration {status['configurationVersion']} in place of {self.version}")
         return wrong
--- a/test/processes/test_soak.py
+++ b/test/processes/test_soak.py
@@ -1,6 +1,7 @@
-"""Tests of the soak: its checks detect violations, and short seeded runs of real daemons violate no invariant."""
+"""Tests of the soaks: their checks detect violations, and short seeded runs of real daemons violate no invariant."""
 
 import asyncio
+import json
 import sys
 import types
 import unittest
@@ -11,6 +12,7 @@
 
 from fleet import wire  # noqa: E402
 from fleet.client import Answer  # noqa: E402
+from fleet.keys_soak import KeysRecord, KeysSoak, Kind, Sent  # noqa: E402
 from fleet.record import Attempt, Record  # noqa: E402
 from fleet.soak import Soak  # noqa: E402
 
@@ -18,6 +20,8 @@
 # test/soak-seeds.json (scripts/soak --known).
 SEEDS = {1: "none: a first seed", 8: "a daemon that had just started forgot the deregistration of its server"}
 
+KEYS_SEEDS = {1: "paused daemons and all others hold each other for gone for good"}
+
 
 def vm_of(service="history"):
     server = types.SimpleNamespace(service=service, instance="i-1")
@@ -146,12 +150,126 @@
         self.assertEqual(2, sum(violation.startswith("BUDGET") for violation in self.record.violations))
 
 
+class KeysChecks(unittest.TestCase):
+    def setUp(self):
+        entry = {"name": "launch-entry", "idempotent": False, "calls": [{"service": "duty-roster", "kind": "check"},
+                                                                        {"service": "logbook-archive", "kind": "append"}]}
+        kinds = [Kind("launch-log", entry), Kind("duty-roster", {"name": "check", "idempotent": True}),
+                 Kind("logbook-archive", {"name": "append", "idempotent": False})]
+        self.entry, self.check, _ = kinds
+        self.record = KeysRecord(kinds)
+        self.vm = types.SimpleNamespace(name="launch-log-0")
+
+    def send(self, status=200, verdict="completed", key="k", kind=None, began=0.0, **more):
+        """Records an attempt that began some seconds ago, and its outcome; without a body given, the answer has that of the request."""
+        sent = Sent(self.vm, kind or self.entry, key, b"text", more.pop("is_resent", False))
+        sent.began -= began
+        self.record.note_sent(sent)
+        fields = {"egretlatch-verdict": verdict, **more.pop("fields", {})} if verdict else {}
+        self.record.note_outcome(sent, Answer(key, status, fields, more.pop("body", b"text"), began), **more)
+
+    def assert_violated(self, *invariants):
+        self.record.check_runs()
+        self.assertEqual(list(invariants), [violation.split(":")[0] for violation in self.record.violations])
+
+    def test_what_goes_well_breaks_nothing(self):
+        self.send()
+        self.send(503, "may-have-run", is_resent=True)
+        self.send(key="c", kind=self.check)
+        self.record.add_runs({"k": 1, "k.1.0": 2, "k.2.0": 1, "c": 2, "made-by-a-daemon": 1})
+        self.record.check_log(self.vm, '{"event": "started"}\n')
+        self.assert_violated()
+
+    def test_a_second_run_of_what_may_run_once_is_found(self):
+        for key in ("k", "k.2.0", "made-by-a-daemon"):
+            self.setUp()
+            self.send()
+            self.record.add_runs({key: 1})
+            self.record.add_runs({key: 1})
+            self.assert_violated("TWICE")
+
+    def test_a_run_of_what_was_refused_as_not_run_is_found(self):
+        self.send(503, "not-run")
+        self.record.add_runs({"k": 1})
+        self.assert_violated("REFUSED")
+
+    def test_an_answer_to_another_request_is_found(self):
+        problem = {"service": "launch-log", "kind": "launch-entry", "status": 503, "verdict": "not-run"}
+        fields = {"content-type": "application/problem+json"}
+        self.send(503, "not-run", body=json.dumps(problem).encode(), fields=fields)
+        self.assert_violated()
+        self.send(body=b"other")
+        self.send(503, "not-run", body=json.dumps({**problem, "kind": "lookup"}).encode(), fields=fields)
+        self.send(429, "not-run", body=json.dumps(problem).encode(), fields=fields)
+        self.send(200, None)
+        self.send(has_more=True)
+        self.assert_violated(*["MIXED"] * 5)
+
+    def test_a_missing_answer_is_found_unless_its_daemon_had_a_fault_or_its_caller_left(self):
+        self.send(None, None)
+        self.assert_violated("LOST")
+        self.setUp()
+        self.send(None, None, has_left=True)
+        self.record.note_daemon_fault(self.vm, 5.0)
+        self.send(None, None)
+        self.assert_violated()
+
+    def test_an_answer_that_sigterm_cut_off_is_found(self):
+        self.record.note_end(self.vm)
+        self.send(None, None, key="sent-before", began=0.5)
+        self.assert_violated("LOST")
+        self.record.violations.clear()
+        self.send(None, None, key="ran")
+        self.send(None, None, key="did-not-run")
+        self.record.add_runs({"ran": 1})
+        self.assert_violated("LOST")
+
+    def test_a_missing_answer_long_after_the_restart_is_found(self):
+        self.record.note_end(self.vm)
+        self.record.note_start(self.vm)
+        self.record.endings["launch-log-0"] = [(signal - 10.0, end - 10.0) for signal, end in self.record.endings["launch-log-0"]]
+        self.send(None, None)
+        self.assert_violated("LOST")
+
+    def test_a_log_line_that_is_no_json_is_found_unless_a_kill_may_have_cut_it_off(self):
+        self.record.log_breaks["launch-log-0"] = 1
+        self.record.check_log(self.vm, '{"eve{"event": "started"}\n')
+        self.assert_violated()
+        self.record.check_log(self.vm, '{"eve{"event": "started"}\nterminate called\n')
+        self.assert_violated("LOG")
+
+    def test_a_daemon_that_does_not_see_another_is_found(self):
+        self.assertEqual([], self.view({"a": "serving", "b": "idle"}))
+        for states in ({"a": "serving", "b": "gone"}, {"a": "serving", "b": "suspect"}, {"a": "serving"}):
+            self.assertIn("sees b", self.view(states)[0])
+        self.assertEqual(["has configuration 1 in place of 0"], self.view({"a": "serving", "b": "serving"}, version=1))
+
+    @staticmethod
+    def view(states, version=0):
+        """Returns what is wrong with a status, as seen by a soak of two daemons."""
+        soak = types.SimpleNamespace(vms=[types.SimpleNamespace(name="a"), types.SimpleNamespace(name="b")], version=0)
+        status = {"members": [{"id": name, "state": state} for name, state in states.items()], "configurationVersion": version}
+        return KeysSoak.wrong_in(soak, status)
+
+    def test_an_end_after_sigterm_with_another_code_than_0_is_found(self):
+        for code, invariants in ((0, ()), (1, ("EXIT",)), (-15, ("EXIT",))):
+            self.setUp()
+            self.vm.process = types.SimpleNamespace(returncode=code)
+            KeysSoak.check_end(types.SimpleNamespace(record=self.record, log=lambda vm: ""), self.vm)
+            self.assert_violated(*invariants)
+
+
 class ShortRun(unittest.TestCase):
     def test_known_seeds_violate_no_invariant(self):
         for seed, cause in SEEDS.items():
             result = asyncio.run(Soak(str(BUILD / "egretlatch"), seed, seconds=6.0, daemons=2, clients=8).play())
             self.assertEqual([], result["broken"], f"seed {seed} ({cause}):\n" + "\n".join(result["story"]))
 
+    def test_known_seeds_of_daemons_with_keys_violate_no_invariant(self):
+        for seed, cause in KEYS_SEEDS.items():
+            result = asyncio.run(KeysSoak(str(BUILD), seed, seconds=6.0, clients=8).play())
+            self.assertEqual([], result["broken"], f"seed {seed} ({cause}):\n" + "\n".join(result["story"]))
+
 
 if __name__ == "__main__":
     unittest.main()
