--- a/standin/fleet/faults.py
+++ b/standin/fleet/faults.py
@@ -129,6 +129,12 @@
         if self.random.random() < 0.3:
             await asyncio.sleep(0.1)
             vm.process.terminate()
+        await self.wait_for_end(vm)
+        self.start_daemon(vm)
+        await asyncio.sleep(1)
+        vm.is_taken = False
+
+    async def wait_for_end(self, vm):
         try:
             await asyncio.to_thread(vm.process.wait, self.grace + ANSWER_MARGIN)
         except subprocess.TimeoutExpired:
@@ -136,9 +142,6 @@
             vm.process.kill()
         else:
             self.check_end(vm)
-        self.start_daemon(vm)
-        await asyncio.sleep(1)
-        vm.is_taken = False
 
     async def watch_exits(self):
         """Reports and restarts daemons that exit although the soak did not end them."""
--- a/standin/fleet/mesh.py
+++ b/standin/fleet/mesh.py
@@ -163,9 +163,10 @@
         for process in self.processes.values():
             if process.poll() is None:
                 process.terminate()
+        deadline = time.monotonic() + 5
         for process in self.processes.values():
             try:
-                process.wait(timeout=5)
+                process.wait(timeout=max(deadline - time.monotonic(), 0))
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
--- a/test/processes/test_soak.py
+++ b/test/processes/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import subprocess
 import sys
 import types
 import unittest
@@ -12,7 +13,9 @@
 
 from fleet import wire  # noqa: E402
 from fleet.client import Answer  # noqa: E402
-from fleet.keys_soak import KeysRecord, KeysSoak, Kind, Sent  # noqa: E402
+from fleet.faults import FaultRecord, FaultySoak  # noqa: E402
+from fleet.keys_record import KeysRecord, Kind, Sent  # noqa: E402
+from fleet.keys_soak import KeysSoak  # noqa: E402
 from fleet.record import Attempt, Record  # noqa: E402
 from fleet.soak import Soak  # noqa: E402
 
@@ -150,6 +153,37 @@
         self.assertEqual(2, sum(violation.startswith("BUDGET") for violation in self.record.violations))
 
 
+class FaultChecks(unittest.TestCase):
+    def setUp(self):
+        self.soak = FaultySoak(1, 0.0, FaultRecord(), grace=-3.9)
+
+    def process(self, command):
+        """Returns a daemon's stand-in that runs a shell command."""
+        process = subprocess.Popen(["sh", "-c", command])
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        return types.SimpleNamespace(name="vm-1", process=process)
+
+    def test_a_daemon_that_does_not_end_after_sigterm_is_found(self):
+        vm = self.process("exec sleep 60")
+        asyncio.run(self.soak.wait_for_end(vm))
+        self.assertEqual(["GRACE: vm-1 did not end within 0 s of SIGTERM"], self.soak.record.violations)
+
+    def test_a_daemon_that_exits_by_itself_is_found_and_started_again(self):
+        vm = self.process("exit 3")
+        vm.process.wait()
+        started = []
+        soak = types.SimpleNamespace(vms=[vm], expected_exits=set(), record=self.soak.record, log=lambda vm: "", start_daemon=started.append)
+
+        async def watch():
+            await asyncio.wait_for(FaultySoak.watch_exits(soak), 0.5)
+
+        with self.assertRaises(asyncio.TimeoutError):
+            asyncio.run(watch())
+        self.assertEqual(["EXIT: vm-1 exited unexpectedly with 3:\n"], self.soak.record.violations)
+        self.assertEqual([vm], started)
+
+
 class KeysChecks(unittest.TestCase):
     def setUp(self):
         entry = {"name": "launch-entry", "idempotent": False, "calls": [{"service": "duty-roster", "kind": "check"},
