--- a/standin/fleet/keys_soak.py
+++ b/standin/fleet/keys_soak.py
@@ -144,7 +144,9 @@
         key = await self.new_key(vm, client, kind, rng)
         is_resent = False
         for _ in range(rng.choice((1, 1, 2, 3))):
-            sent = await self.send(vm, client, Sent(vm, kind, key, body, is_resent), rng)
+            timeout = rng.choice(TIMEOUTS)
+            leaves_after = rng.uniform(0.0, 0.1) if rng.random() < 0.03 else None
+            sent = await self.send(client, Sent(vm, kind, key, body, is_resent), timeout, leaves_after)
             if sent.verdict == "completed" and rng.random() < 0.7:
                 break
             is_resent = True
@@ -172,20 +174,17 @@
         value = time.time_ns() // 1_000_000 << 80 | 0x7 << 76 | rng.getrandbits(12) << 64 | 0b10 << 62 | rng.getrandbits(62)
         return str(uuid.UUID(int=value))
 
-    async def send(self, vm, client, sent, rng):
-        """Sends an attempt and records its outcome."""
-        timeout = rng.choice(TIMEOUTS)
+    async def send(self, client, sent, timeout, leaves_after=None):
+        """Sends an attempt and records its outcome; `leaves_after` (seconds) closes the connection without waiting for the answer."""
         fields = {"Request-Timeout-Ms": int(timeout * 1000)}
         if sent.key is not None:
             fields["Idempotency-Key"] = sent.key
-        has_left = rng.random() < 0.03
-        leaves_after = rng.uniform(0.0, 0.1) if has_left else None
         if client.writer is not None and client.reader.at_eof():
             client.close()
         self.record.note_sent(sent)
         answer = await client.send("soak", HOST, f"/call/{sent.kind.path}/", method="POST", body=sent.body, timeout=timeout + ANSWER_MARGIN,
                                    fields=fields, disconnect_after=leaves_after)
-        self.record.note_outcome(sent, answer, client.has_more(), has_left)
+        self.record.note_outcome(sent, answer, client.has_more(), leaves_after is not None)
         sent.next_key = answer.fields.get("egretlatch-next-key")
         return sent
 
@@ -267,6 +266,8 @@
         self.mesh.start_backend(vm.daemon)
         while (await ask(vm.backend, "/health")).status != 200:
             await asyncio.sleep(0.1)
+            if vm.backend_process.poll() is not None:
+                self.mesh.start_backend(vm.daemon)
         vm.has_backend_fault = False
 
     async def executions(self, vm):
@@ -321,7 +322,7 @@
 
     async def probe(self, vm, kind):
         client = Client(vm.callers)
-        sent = await self.send(vm, client, Sent(vm, kind, None, f"k{self.seed}-{next(self.numbers)}".encode()), random.Random(f"{self.seed}/probe"))
+        sent = await self.send(client, Sent(vm, kind, None, f"k{self.seed}-{next(self.numbers)}".encode()), max(TIMEOUTS))
         client.close()
         return sent.status == 200
 
