Messages of Qt are lines of the log of a daemon with keys

What callers saw: nothing. On-call: a line in the log that is not JSON ("QNetworkReplyImplPrivate::error: Internal problem, this method must only be called once."), at which a program that reads the log ends. Cause: Qt's network access reports the end of a connection to the backend server twice and warns on standard error, between the daemon's own lines; nothing took its messages over. Not done for the sidecar, which uses no network access of Qt; no such line was seen there.

--- a/src/egretlatch/cli/daemon_command.cpp
+++ b/src/egretlatch/cli/daemon_command.cpp
@@ -11,6 +11,7 @@
 
 #include <egretlatch/cli/documents.hpp>
 #include <egretlatch/cli/exit_code.hpp>
+#include <egretlatch/cli/qt_message_log.hpp>
 #include <egretlatch/cli/signal_descriptor.hpp>
 #include <egretlatch/daemon/daemon.hpp>
 
@@ -39,6 +40,8 @@
     // Qt prefers GLib's event loop where it is available, which uses more processor time per call (docs/DESIGN.md).
     qputenv("QT_NO_GLIB", "1");
     const int signalDescriptor = openSignalDescriptor({SIGTERM, SIGINT});
+    const Logger logger{settings->logLevel, settings->id.value};
+    const QtMessageLog qtMessages{logger};
     QCoreApplication application{argc, argv};
     daemon::Daemon daemon{*settings, std::move(tokens), std::move(manifest)};
     QSocketNotifier notifier{signalDescriptor, QSocketNotifier::Read};
--- a/src/egretlatch/cli/fwd.hpp
+++ b/src/egretlatch/cli/fwd.hpp
@@ -6,6 +6,8 @@
 
 enum ExitCode : int;
 
+class QtMessageLog;
+
 } // namespace egretlatch::cli
 
 #endif
