A daemon with keys answers pipelined requests in their order

Callers saw, at `egretlatch daemon`, the answer to a later request in place of the one to an earlier request on the same connection: a slow call with `GET /healthz` and an unknown path behind it got "alive", then 404, then the answer of the call.

Cause: QAbstractHttpServer (Qt 6.4) hands over the next request of a connection while the one before it is unanswered, and CallerServer wrote each answer when it came. It also kept one exchange a connection: a caller that left with several under way had only the last one cancelled. CallerServer now keeps the exchanges of a connection in the order of their requests and writes an answer only after those before it; requests still run concurrently. All answers, pages and errors included, go through that order.

Ruled out: the sidecar, whose answer queue has kept the order already (test_pipelining).

--- a/src/egretlatch/daemon/caller_server.cpp
+++ b/src/egretlatch/daemon/caller_server.cpp
@@ -23,6 +23,7 @@
 constexpr QLatin1String callPrefix{"/call/"};
 constexpr QLatin1String keysPrefix{"/keys/"};
 constexpr QLatin1String backendPrefix{"/backend/"};
+constexpr char nothingHere[] = "there is nothing at this path";
 constexpr settings::Range<std::int64_t> slotsRange{.min = 1, .max = 10'000};
 constexpr settings::Range<std::int64_t> connectionsRange{.min = 1, .max = 100'000};
 
@@ -122,6 +123,16 @@
     return call;
 }
 
+[[nodiscard]] static Headers headersOf(const decision::CallerAnswer &answer)
+{
+    if (answer.verdict != Verdict::completed) {
+        return problemHeaders(answer);
+    }
+    Headers headers = answer.headers;
+    headers.push_back({.name = verdictHeader, .value = std::string{toString(answer.verdict)}});
+    return headers;
+}
+
 static void write(QHttpServerResponder &responder, const int status, const Headers &headers, const QByteArray &body)
 {
     responder.writeStatusLine(static_cast<StatusCode>(status));
@@ -132,15 +143,6 @@
     responder.writeBody(body);
 }
 
-static void writeRequestError(QHttpServerResponder responder, const StatusCode status, const std::string &requestError, const Verdict verdict = Verdict::notRun)
-{
-    decision::CallerAnswer answer;
-    answer.verdict = verdict;
-    answer.status = static_cast<int>(status);
-    answer.requestError = requestError;
-    write(responder, answer.status, problemHeaders(answer), problemBody(answer));
-}
-
 } // namespace internal
 
 CallerServer::CallerServer(const std::int64_t maxBodyBytes, EventHandler onEvent, account::MetricsSink &metrics)
@@ -186,52 +188,100 @@
 
 void CallerServer::answer(const decision::AnswerCaller &answer)
 {
-    const auto found = m_exchanges.find(answer.exchange);
+    const decision::CallerAnswer &callerAnswer = answer.answer;
+    const QByteArray body = callerAnswer.verdict == Verdict::completed ? callerAnswer.body : problemBody(callerAnswer);
+    send(answer.exchange, {.status = callerAnswer.status, .headers = internal::headersOf(callerAnswer), .body = body});
+}
+
+CallerServer::Answer CallerServer::page(const QByteArray &contentType, const QByteArray &body, const QHttpServerResponder::StatusCode status)
+{
+    return {.status = static_cast<int>(status), .headers = {{.name = "Content-Type", .value = contentType.toStdString()}}, .body = body};
+}
+
+ExchangeId CallerServer::begin(const QHttpServerRequest &request, QTcpSocket *const socket)
+{
+    const ExchangeId exchange{++m_lastExchange};
+    m_exchanges.emplace(exchange, Exchange{.responder = makeResponder(request, socket), .socket = socket, .answer = {}});
+    m_exchangesBySocket[socket].push_back(exchange);
+    if (!socket->property("egretlatchWatched").toBool()) {
+        socket->setProperty("egretlatchWatched", true);
+        connect(socket, &QTcpSocket::disconnected, this, [this, socket] {
+            handleDisconnected(socket);
+        });
+    }
+    return exchange;
+}
+
+void CallerServer::refuse(const ExchangeId exchange, const QHttpServerResponder::StatusCode status, const std::string &requestError, const Verdict verdict)
+{
+    decision::CallerAnswer refusal;
+    refusal.verdict = verdict;
+    refusal.status = static_cast<int>(status);
+    refusal.requestError = requestError;
+    answer({.exchange = exchange, .answer = refusal});
+}
+
+void CallerServer::send(const ExchangeId exchange, Answer answer)
+{
+    const auto found = m_exchanges.find(exchange);
     if (found == m_exchanges.end()) {
         return;
     }
-    Exchange exchange = std::move(found->second);
-    m_exchanges.erase(found);
-    if (exchange.socket.isNull()) {
+    if (found->second.socket.isNull()) {
+        m_exchanges.erase(found);
         return;
     }
-    m_exchangeBySocket.erase(exchange.socket.data());
-    const decision::CallerAnswer &callerAnswer = answer.answer;
-    if (callerAnswer.verdict == Verdict::completed) {
-        Headers headers = callerAnswer.headers;
-        headers.push_back({.name = verdictHeader, .value = std::string{toString(callerAnswer.verdict)}});
-        internal::write(exchange.responder, callerAnswer.status, headers, callerAnswer.body);
-        return;
+    found->second.answer = std::move(answer);
+    sendInOrder(found->second.socket);
+}
+
+void CallerServer::sendInOrder(QTcpSocket *const socket)
+{
+    // A caller assigns answers to its pipelined requests by their order.
+    auto waiting = m_exchangesBySocket.find(socket);
+    while (waiting != m_exchangesBySocket.end() && m_exchanges.at(waiting->second.front()).answer.has_value()) {
+        sendNext(socket);
+        waiting = m_exchangesBySocket.find(socket);
+    }
+}
+
+void CallerServer::sendNext(QTcpSocket *const socket)
+{
+    const auto waiting = m_exchangesBySocket.find(socket);
+    const auto found = m_exchanges.find(waiting->second.front());
+    Exchange exchange = std::move(found->second);
+    m_exchanges.erase(found);
+    waiting->second.pop_front();
+    if (waiting->second.empty()) {
+        m_exchangesBySocket.erase(waiting);
     }
-    internal::write(exchange.responder, callerAnswer.status, problemHeaders(callerAnswer), problemBody(callerAnswer));
+    internal::write(exchange.responder, exchange.answer->status, exchange.answer->headers, exchange.answer->body);
 }
 
 bool CallerServer::handleRequest(const QHttpServerRequest &request, QTcpSocket *const socket)
 {
     GuardedTcpServer::resetReceivedBytes(socket);
+    const ExchangeId exchange = begin(request, socket);
     const QString path = request.url().path();
     if (path.startsWith(internal::callPrefix)) {
-        handleCall(request, socket);
-        return true;
-    }
-    if (path.startsWith(internal::keysPrefix)) {
-        handleKeys(request, socket);
-        return true;
-    }
-    if (path.startsWith(internal::backendPrefix)) {
-        handleBackend(request, socket);
-        return true;
-    }
-    if (path == QLatin1String{"/healthz"}) {
-        makeResponder(request, socket).write("alive\n", "text/plain");
-        return true;
-    }
-    if (path == QLatin1String{"/readyz"}) {
-        makeResponder(request, socket)
-            .write(m_isReady ? "ready\n" : "not ready\n", "text/plain", m_isReady ? internal::StatusCode::Ok : internal::StatusCode::ServiceUnavailable);
-        return true;
+        handleCall(request, exchange);
+    } else if (path.startsWith(internal::keysPrefix)) {
+        handleKeys(request, exchange);
+    } else if (path.startsWith(internal::backendPrefix)) {
+        handleBackend(request, exchange);
+    } else if (path == QLatin1String{"/healthz"}) {
+        send(exchange, page("text/plain", "alive\n"));
+    } else if (path == QLatin1String{"/readyz"}) {
+        send(exchange, m_isReady ? page("text/plain", "ready\n") : page("text/plain", "not ready\n", internal::StatusCode::ServiceUnavailable));
+    } else {
+        handlePage(request, exchange);
     }
-    return handlePage(request, socket);
+    return true;
+}
+
+void CallerServer::missingHandler(const QHttpServerRequest &request, QTcpSocket *const socket)
+{
+    refuse(begin(request, socket), internal::StatusCode::NotFound, internal::nothingHere);
 }
 
 bool CallerServer::isAuthorized(const QHttpServerRequest &request) const
@@ -239,53 +289,46 @@
     return !m_token.has_value() || m_token->matchesBearer(request.value("Authorization").toStdString());
 }
 
-bool CallerServer::handlePage(const QHttpServerRequest &request, QTcpSocket *const socket)
+void CallerServer::handlePage(const QHttpServerRequest &request, const ExchangeId exchange)
 {
     const QString path = request.url().path();
-    const auto page = m_pages.find(path.toStdString());
+    const auto found = m_pages.find(path.toStdString());
     const bool isLookup = m_lookup && path.startsWith(m_lookupPrefix);
-    if (page == m_pages.end() && !isLookup) {
-        return false;
+    if (found == m_pages.end() && !isLookup) {
+        refuse(exchange, internal::StatusCode::NotFound, internal::nothingHere);
+        return;
     }
     if (!isAuthorized(request)) {
         const char *const requestError = m_token->isEmpty() ? "operators cannot read here: the settings name neither operatorTokenFile nor operatorAccess open"
                                                             : "the page needs the operators' token, as Authorization: Bearer";
-        internal::writeRequestError(makeResponder(request, socket), internal::StatusCode::Unauthorized, requestError);
-        return true;
+        refuse(exchange, internal::StatusCode::Unauthorized, requestError);
+        return;
     }
     if (!isLookup) {
-        makeResponder(request, socket).write(QByteArray::fromStdString(page->second.handler()), page->second.contentType);
-        return true;
+        send(exchange, page(found->second.contentType, QByteArray::fromStdString(found->second.handler())));
+        return;
     }
     const std::optional<std::string> text = m_lookup(path.mid(m_lookupPrefix.size()).toStdString());
     if (!text.has_value()) {
-        return false;
+        refuse(exchange, internal::StatusCode::NotFound, internal::nothingHere);
+        return;
     }
-    makeResponder(request, socket).write(QByteArray::fromStdString(*text), "application/json");
-    return true;
+    send(exchange, page("application/json", QByteArray::fromStdString(*text)));
 }
 
-void CallerServer::missingHandler(const QHttpServerRequest &request, QTcpSocket *const socket)
-{
-    internal::writeRequestError(makeResponder(request, socket), internal::StatusCode::NotFound, "there is nothing at this path");
-}
-
-void CallerServer::handleCall(const QHttpServerRequest &request, QTcpSocket *const socket)
+void CallerServer::handleCall(const QHttpServerRequest &request, const ExchangeId exchange)
 {
     const Verdict verdict = retry::verdictBeforeLookup(request.value(keyHeader).toStdString());
     if (request.body().size() > m_maxBodyBytes) {
         const std::string requestError = fmt::format("the body is larger than {} bytes", m_maxBodyBytes);
-        internal::writeRequestError(makeResponder(request, socket), internal::StatusCode::PayloadTooLarge, requestError, verdict);
+        refuse(exchange, internal::StatusCode::PayloadTooLarge, requestError, verdict);
         return;
     }
     tl::expected<decision::CallerCall, std::string> call = internal::parseCall(request);
     if (!call.has_value()) {
-        internal::writeRequestError(makeResponder(request, socket), internal::StatusCode::BadRequest, call.error(), verdict);
+        refuse(exchange, internal::StatusCode::BadRequest, call.error(), verdict);
         return;
     }
-    const ExchangeId exchange{++m_lastExchange};
-    m_exchanges.emplace(exchange, Exchange{.responder = makeResponder(request, socket), .socket = socket});
-    trackExchange(socket, exchange);
     decision::CallerAnswer busy;
     busy.service = call->service;
     busy.kind = call->kind;
@@ -302,16 +345,13 @@
     answer({.exchange = exchange, .answer = busy});
 }
 
-void CallerServer::handleKeys(const QHttpServerRequest &request, QTcpSocket *const socket)
+void CallerServer::handleKeys(const QHttpServerRequest &request, const ExchangeId exchange)
 {
     const QStringList parts = request.url().path().mid(internal::keysPrefix.size()).split(u'/');
     if (request.method() != QHttpServerRequest::Method::Post || parts.size() != 2) {
-        internal::writeRequestError(makeResponder(request, socket), internal::StatusCode::BadRequest, "keys are minted by POST /keys/{service}/{kind}");
+        refuse(exchange, internal::StatusCode::BadRequest, "keys are minted by POST /keys/{service}/{kind}");
         return;
     }
-    const ExchangeId exchange{++m_lastExchange};
-    m_exchanges.emplace(exchange, Exchange{.responder = makeResponder(request, socket), .socket = socket});
-    trackExchange(socket, exchange);
     if (m_onEvent(decision::KeyRequested{.exchange = exchange, .service = parts[0].toStdString(), .kind = parts[1].toStdString()})) {
         return;
     }
@@ -321,11 +361,11 @@
     answer({.exchange = exchange, .answer = busy});
 }
 
-void CallerServer::handleBackend(const QHttpServerRequest &request, QTcpSocket *const socket)
+void CallerServer::handleBackend(const QHttpServerRequest &request, const ExchangeId exchange)
 {
     const QString verb = request.url().path().mid(internal::backendPrefix.size());
     if (request.method() != QHttpServerRequest::Method::Post) {
-        internal::writeRequestError(makeResponder(request, socket), internal::StatusCode::MethodNotAllowed, "only POST is allowed here");
+        refuse(exchange, internal::StatusCode::MethodNotAllowed, "only POST is allowed here");
         return;
     }
     bool isQueued = false;
@@ -343,7 +383,7 @@
             for (const settings::Problem &problem : problems) {
                 lines += settings::toLine("announcement", problem) + "; ";
             }
-            internal::writeRequestError(makeResponder(request, socket), internal::StatusCode::BadRequest, lines);
+            refuse(exchange, internal::StatusCode::BadRequest, lines);
             return;
         }
         isQueued = m_onEvent(announced);
@@ -352,35 +392,25 @@
     } else if (verb == QLatin1String{"leave"}) {
         isQueued = m_onEvent(decision::ServerLeft{});
     } else {
-        internal::writeRequestError(makeResponder(request, socket), internal::StatusCode::NotFound, "the paths are /backend/announce, drain and leave");
+        refuse(exchange, internal::StatusCode::NotFound, "the paths are /backend/announce, drain and leave");
         return;
     }
-    makeResponder(request, socket).write(isQueued ? internal::StatusCode::NoContent : internal::StatusCode::ServiceUnavailable);
-}
-
-void CallerServer::trackExchange(QTcpSocket *const socket, const ExchangeId exchange)
-{
-    const bool isNew = !m_exchangeBySocket.contains(socket);
-    m_exchangeBySocket[socket] = exchange;
-    if (isNew && !socket->property("egretlatchWatched").toBool()) {
-        socket->setProperty("egretlatchWatched", true);
-        connect(socket, &QTcpSocket::disconnected, this, [this, socket] {
-            handleDisconnected(socket);
-        });
-    }
+    send(exchange, page("application/x-empty", {}, isQueued ? internal::StatusCode::NoContent : internal::StatusCode::ServiceUnavailable));
 }
 
 void CallerServer::handleDisconnected(QTcpSocket *const socket)
 {
-    const auto found = m_exchangeBySocket.find(socket);
-    if (found == m_exchangeBySocket.end()) {
+    const auto found = m_exchangesBySocket.find(socket);
+    if (found == m_exchangesBySocket.end()) {
         return;
     }
-    const ExchangeId exchange = found->second;
-    m_exchangeBySocket.erase(found);
-    m_exchanges.erase(exchange);
-    // If the ring is full, only the cancellation is lost; the call then ends at its deadline.
-    static_cast<void>(m_onEvent(decision::CallerGone{.exchange = exchange}));
+    const std::deque<ExchangeId> exchanges = std::move(found->second);
+    m_exchangesBySocket.erase(found);
+    for (const ExchangeId exchange : exchanges) {
+        m_exchanges.erase(exchange);
+        // If the ring is full, only the cancellation is lost; the call then ends at its deadline.
+        static_cast<void>(m_onEvent(decision::CallerGone{.exchange = exchange}));
+    }
 }
 
 } // namespace egretlatch::daemon
--- a/src/egretlatch/daemon/caller_server.hpp
+++ b/src/egretlatch/daemon/caller_server.hpp
@@ -1,6 +1,7 @@
 #ifndef EGRETLATCH_DAEMON_CALLER_SERVER_HPP
 #define EGRETLATCH_DAEMON_CALLER_SERVER_HPP
 
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -92,18 +93,33 @@
         PageHandler handler;
     };
 
+    struct Answer
+    {
+        int status{};
+        Headers headers;
+        QByteArray body;
+    };
+
     struct Exchange
     {
         QHttpServerResponder responder;
         QPointer<QTcpSocket> socket;
+        // Set while requests before this one on the connection are unanswered.
+        std::optional<Answer> answer;
     };
 
-    void handleCall(const QHttpServerRequest &request, QTcpSocket *socket);
+    void handleCall(const QHttpServerRequest &request, ExchangeId exchange);
     [[nodiscard]] bool isAuthorized(const QHttpServerRequest &request) const;
-    [[nodiscard]] bool handlePage(const QHttpServerRequest &request, QTcpSocket *socket);
-    void handleKeys(const QHttpServerRequest &request, QTcpSocket *socket);
-    void handleBackend(const QHttpServerRequest &request, QTcpSocket *socket);
-    void trackExchange(QTcpSocket *socket, ExchangeId exchange);
+    void handlePage(const QHttpServerRequest &request, ExchangeId exchange);
+    void handleKeys(const QHttpServerRequest &request, ExchangeId exchange);
+    void handleBackend(const QHttpServerRequest &request, ExchangeId exchange);
+    [[nodiscard]] static Answer
+    page(const QByteArray &contentType, const QByteArray &body, QHttpServerResponder::StatusCode status = QHttpServerResponder::StatusCode::Ok);
+    [[nodiscard]] ExchangeId begin(const QHttpServerRequest &request, QTcpSocket *socket);
+    void refuse(ExchangeId exchange, QHttpServerResponder::StatusCode status, const std::string &requestError, Verdict verdict = Verdict::notRun);
+    void send(ExchangeId exchange, Answer answer);
+    void sendInOrder(QTcpSocket *socket);
+    void sendNext(QTcpSocket *socket);
     void handleDisconnected(QTcpSocket *socket);
 
     std::int64_t m_maxBodyBytes;
@@ -114,7 +130,8 @@
     PageLookup m_lookup;
     std::optional<Secret> m_token;
     std::unordered_map<ExchangeId, Exchange> m_exchanges;
-    std::unordered_map<QTcpSocket *, ExchangeId> m_exchangeBySocket;
+    // The exchanges of each connection, in the order of their requests.
+    std::unordered_map<QTcpSocket *, std::deque<ExchangeId>> m_exchangesBySocket;
     std::uint64_t m_lastExchange{};
     bool m_isReady{};
 };
