A daemon with keys ends when its callers have their answers

Callers saw, at an `egretlatch daemon` that got SIGTERM: connections that ended without an answer to a request that had been sent, and answers cut off in the middle. Twenty callers that call without a pause lost their last request each, in every run; one that read slowly got 3,596,288 of 6,291,456 bytes.

Cause: the core alone decided when the process ends. It stopped deciding first, while the thread of the callers still read requests, and then destroyed the sockets with what they had not sent, with requests that nobody had read, and with connections not yet accepted. No refusal of a drain said that its connection ends, so callers went on using it until the last moment.

Evidence: strace of a daemon with twenty callers.

Why this works: from the signal on an answer says `Connection: close` unless a further request is already there, so a caller knows which requests are not run. Once the core has drained, CallerServer::finish accepts what waits, stops listening, closes connections without a request, and waits until the callers' systems have acknowledged all bytes, while the core goes on answering. Callers that do not read, or send half a request, hold up the end for 5 s at most.

Ruled out, with three daemons and twelve callers at one of them, no answer missing in any play: SIGTERM to the entry, to a serving daemon, to all, twice; kill -9 of the serving daemons (502); a paused serving daemon; an entry paused for 1.5 s and 4 s. Those that ended the entry lost all twelve last requests before.

--- a/src/egretlatch/daemon/caller_server.cpp
+++ b/src/egretlatch/daemon/caller_server.cpp
@@ -20,6 +20,9 @@
 using StatusCode = QHttpServerResponder::StatusCode;
 
 constexpr std::int64_t headerAllowance = 64LL * 1024LL;
+constexpr std::chrono::milliseconds finishCheckInterval{5};
+// Longest time for which callers that do not read their answers hold up the end of the process.
+constexpr std::chrono::seconds deliveryLimit{5};
 constexpr QLatin1String callPrefix{"/call/"};
 constexpr QLatin1String keysPrefix{"/keys/"};
 constexpr QLatin1String backendPrefix{"/backend/"};
@@ -176,6 +179,7 @@
     if (!server->listen(QHostAddress{QString::fromStdString(address)}, port)) {
         return tl::unexpected{Error{ErrorCode::unavailable, fmt::format("cannot listen on {}:{}", address, port)}};
     }
+    m_tcpServer = server.get();
     // bind() passes ownership of the TCP server to the HTTP server.
     bind(server.release());
     return {};
@@ -186,6 +190,40 @@
     m_isReady = isReady;
 }
 
+void CallerServer::retire()
+{
+    m_isRetiring = true;
+}
+
+void CallerServer::finish(std::function<void()> onFinished)
+{
+    retire();
+    m_onFinished = std::move(onFinished);
+    m_tcpServer->stopListening();
+    m_finishLimit = std::chrono::steady_clock::now() + internal::deliveryLimit;
+    connect(&m_finishTimer, &QTimer::timeout, this, &CallerServer::checkFinished);
+    m_finishTimer.start(internal::finishCheckInterval);
+}
+
+void CallerServer::checkFinished()
+{
+    for (QTcpSocket *const socket : m_tcpServer->connections()) {
+        if (!m_exchangesBySocket.contains(socket) && !m_tcpServer->isClosing(socket) && m_tcpServer->isIdle(socket)) {
+            m_tcpServer->closeAfterAnswer(socket);
+        }
+    }
+    m_tcpServer->abortDelivered();
+    const SteadyTime now = std::chrono::steady_clock::now();
+    if (!m_exchanges.empty()) {
+        // Each exchange ends at its own deadline at the latest.
+        m_finishLimit = now + internal::deliveryLimit;
+    }
+    if (m_tcpServer->connections().empty() || now >= m_finishLimit) {
+        m_finishTimer.stop();
+        m_onFinished();
+    }
+}
+
 void CallerServer::answer(const decision::AnswerCaller &answer)
 {
     const decision::CallerAnswer &callerAnswer = answer.answer;
@@ -255,7 +293,15 @@
     if (waiting->second.empty()) {
         m_exchangesBySocket.erase(waiting);
     }
+    // A request that was received behind this one is still answered.
+    const bool isLast = m_isRetiring && !m_exchangesBySocket.contains(socket) && !GuardedTcpServer::hasUnhandledBytes(socket);
+    if (isLast) {
+        exchange.answer->headers.push_back({.name = "Connection", .value = "close"});
+    }
     internal::write(exchange.responder, exchange.answer->status, exchange.answer->headers, exchange.answer->body);
+    if (isLast) {
+        m_tcpServer->closeAfterAnswer(socket);
+    }
 }
 
 bool CallerServer::handleRequest(const QHttpServerRequest &request, QTcpSocket *const socket)
--- a/src/egretlatch/daemon/caller_server.hpp
+++ b/src/egretlatch/daemon/caller_server.hpp
@@ -12,10 +12,13 @@
 #include <QHttpServerResponder>
 #include <QPointer>
 #include <QTcpSocket>
+#include <QTimer>
 
 #include <egretlatch/account/metrics_sink.hpp>
+#include <egretlatch/core/clock.hpp>
 #include <egretlatch/core/error.hpp>
 #include <egretlatch/core/secret.hpp>
+#include <egretlatch/daemon/fwd.hpp>
 #include <egretlatch/decision/action.hpp>
 #include <egretlatch/decision/event.hpp>
 
@@ -82,6 +85,18 @@
      */
     void setReady(bool isReady);
 
+    /*! @brief Makes each answer the last one of its connection unless a further request on it has already been received. */
+    void retire();
+
+    /**
+     * @brief Ends all connections after their answers have been delivered, and accepts no new ones.
+     *
+     * Requests that were received are still answered. Callers that do not read their answers, or do not complete their
+     * requests, are cut off after a time limit.
+     * @param onFinished Called once, on this server's thread, when no connection is left or the time limit has passed.
+     */
+    void finish(std::function<void()> onFinished);
+
 protected:
     bool handleRequest(const QHttpServerRequest &request, QTcpSocket *socket) override;
     void missingHandler(const QHttpServerRequest &request, QTcpSocket *socket) override;
@@ -121,6 +136,7 @@
     void sendInOrder(QTcpSocket *socket);
     void sendNext(QTcpSocket *socket);
     void handleDisconnected(QTcpSocket *socket);
+    void checkFinished();
 
     std::int64_t m_maxBodyBytes;
     EventHandler m_onEvent;
@@ -134,6 +150,12 @@
     std::unordered_map<QTcpSocket *, std::deque<ExchangeId>> m_exchangesBySocket;
     std::uint64_t m_lastExchange{};
     bool m_isReady{};
+    bool m_isRetiring{};
+    // Owned by the base class.
+    GuardedTcpServer *m_tcpServer{};
+    QTimer m_finishTimer;
+    SteadyTime m_finishLimit;
+    std::function<void()> m_onFinished;
 };
 
 } // namespace egretlatch::daemon
--- a/src/egretlatch/daemon/daemon.cpp
+++ b/src/egretlatch/daemon/daemon.cpp
@@ -83,8 +83,8 @@
 
 Result<void> Daemon::start()
 {
-    m_decideThread = std::make_unique<DecideThread>(makeCore(), m_eventRings, m_actionRings, m_decideWaker, m_metrics, m_logger, m_droppedRefusals, [] {
-        QMetaObject::invokeMethod(QCoreApplication::instance(), &QCoreApplication::quit, Qt::QueuedConnection);
+    m_decideThread = std::make_unique<DecideThread>(makeCore(), m_eventRings, m_actionRings, m_decideWaker, m_metrics, m_logger, m_droppedRefusals, [this] {
+        finishCallers();
     });
     m_callerThread.start();
     m_backendThread.start();
@@ -157,11 +157,25 @@
         &m_callerWaker,
         [this] {
             m_callerServer->setReady(false);
+            m_callerServer->retire();
             static_cast<void>(m_eventRings.fromCallers.tryPush(decision::ServerDraining{.isShutdown = true}));
         },
         Qt::QueuedConnection);
 }
 
+void Daemon::finishCallers()
+{
+    // The decide thread runs until all callers have their answers; requests arrive until their connections are closed.
+    QMetaObject::invokeMethod(
+        &m_callerWaker,
+        [this] {
+            m_callerServer->finish([] {
+                QMetaObject::invokeMethod(QCoreApplication::instance(), &QCoreApplication::quit, Qt::QueuedConnection);
+            });
+        },
+        Qt::QueuedConnection);
+}
+
 std::unique_ptr<decision::Core> Daemon::makeCore()
 {
     membership::Member self;
--- a/src/egretlatch/daemon/daemon.hpp
+++ b/src/egretlatch/daemon/daemon.hpp
@@ -57,7 +57,7 @@
     [[nodiscard]] Result<void> start();
 
     /**
-     * @brief Refuses new requests and quits the application's event loop once nothing is in flight.
+     * @brief Refuses new requests and quits the application's event loop once nothing is in flight and all answers are delivered.
      *
      * Must be called on the application's thread; may be called more than once.
      */
@@ -67,6 +67,7 @@
     [[nodiscard]] std::unique_ptr<decision::Core> makeCore();
     [[nodiscard]] PlatformAccess platformAccess() const;
     void addPages();
+    void finishCallers();
     void drainCallerRing();
     void drainBackendRing();
     void drainAccountRing();
--- a/src/egretlatch/daemon/guarded_tcp_server.cpp
+++ b/src/egretlatch/daemon/guarded_tcp_server.cpp
@@ -1,5 +1,11 @@
 #include <egretlatch/daemon/guarded_tcp_server.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
+#include <QTimer>
+
 #include <fmt/format.h>
 
 #include <egretlatch/daemon/problem_document.hpp>
@@ -12,6 +18,28 @@
 
 constexpr char receivedProperty[] = "egretlatchReceived";
 constexpr int payloadTooLarge = 413;
+// Time for a caller to read the last answer and close its connection.
+constexpr std::chrono::seconds lingerTime{2};
+// Time from the opening of a connection to its first request.
+constexpr std::chrono::milliseconds firstRequestTime{200};
+
+[[nodiscard]] static int descriptorOf(const QTcpSocket &socket)
+{
+    return static_cast<int>(socket.socketDescriptor());
+}
+
+[[nodiscard]] static bool hasUnread(const QTcpSocket &socket)
+{
+    int unread = 0;
+    return socket.bytesAvailable() > 0 || (::ioctl(descriptorOf(socket), FIONREAD, &unread) == 0 && unread > 0);
+}
+
+// The caller's system has acknowledged all bytes, and the end of the connection if it was sent.
+[[nodiscard]] static bool isAcknowledged(const QTcpSocket &socket)
+{
+    int unacknowledged = 0;
+    return socket.bytesToWrite() == 0 && (::ioctl(descriptorOf(socket), SIOCOUTQ, &unacknowledged) != 0 || unacknowledged == 0);
+}
 
 [[nodiscard]] static QByteArray tooLargeAnswer(const std::int64_t maxRequestBytes)
 {
@@ -40,6 +68,72 @@
     socket->setProperty(internal::receivedProperty, qlonglong{0});
 }
 
+void GuardedTcpServer::stopListening()
+{
+    // Closing the listening socket resets connections that wait to be accepted, whose requests may already have been sent.
+    const auto listener = static_cast<int>(socketDescriptor());
+    int descriptor = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    while (descriptor >= 0) {
+        incomingConnection(descriptor);
+        descriptor = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    }
+    close();
+}
+
+void GuardedTcpServer::closeAfterAnswer(QTcpSocket *const socket)
+{
+    const auto found = m_connections.find(socket);
+    if (found == m_connections.end() || found->second.isClosing) {
+        return;
+    }
+    found->second.isClosing = true;
+    if (socket->bytesToWrite() == 0) {
+        finishWriting(socket);
+        return;
+    }
+    connect(socket, &QTcpSocket::bytesWritten, this, [socket] {
+        if (socket->bytesToWrite() == 0) {
+            finishWriting(socket);
+        }
+    });
+}
+
+bool GuardedTcpServer::isClosing(QTcpSocket *const socket) const
+{
+    const auto found = m_connections.find(socket);
+    return found != m_connections.end() && found->second.isClosing;
+}
+
+bool GuardedTcpServer::hasUnhandledBytes(const QTcpSocket *const socket)
+{
+    return socket->property(internal::receivedProperty).toLongLong() > 0 || internal::hasUnread(*socket);
+}
+
+bool GuardedTcpServer::isIdle(QTcpSocket *const socket) const
+{
+    const bool isNew = std::chrono::steady_clock::now() - m_connections.at(socket).acceptedAt < internal::firstRequestTime;
+    return !isNew && !hasUnhandledBytes(socket) && socket->bytesToWrite() == 0;
+}
+
+void GuardedTcpServer::abortDelivered()
+{
+    for (QTcpSocket *const socket : connections()) {
+        if (isClosing(socket) && internal::isAcknowledged(*socket) && !internal::hasUnread(*socket)) {
+            socket->abort();
+        }
+    }
+}
+
+std::vector<QTcpSocket *> GuardedTcpServer::connections() const
+{
+    std::vector<QTcpSocket *> sockets;
+    sockets.reserve(m_connections.size());
+    for (const auto &[socket, connection] : m_connections) {
+        sockets.push_back(socket);
+    }
+    return sockets;
+}
+
 void GuardedTcpServer::incomingConnection(const qintptr descriptor)
 {
     auto *const socket = new QTcpSocket{this};
@@ -49,6 +143,7 @@
     }
     socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
     resetReceivedBytes(socket);
+    m_connections.emplace(socket, Connection{.acceptedAt = std::chrono::steady_clock::now()});
     // Connected before the HTTP server connects its own slot, so the bytes are counted before the HTTP server reads them.
     connect(socket, &QTcpSocket::readyRead, this, [this, socket] {
         countReceivedBytes(socket);
@@ -61,6 +156,10 @@
 
 void GuardedTcpServer::countReceivedBytes(QTcpSocket *const socket) const
 {
+    if (isClosing(socket)) {
+        socket->readAll();
+        return;
+    }
     const qlonglong before = socket->property(internal::receivedProperty).toLongLong();
     const qlonglong received = before + socket->bytesAvailable();
     socket->setProperty(internal::receivedProperty, received);
@@ -75,8 +174,17 @@
     socket->disconnectFromHost();
 }
 
-void GuardedTcpServer::handleDisconnected(const QTcpSocket *const socket) const
+void GuardedTcpServer::finishWriting(QTcpSocket *const socket)
+{
+    ::shutdown(internal::descriptorOf(*socket), SHUT_WR);
+    QTimer::singleShot(internal::lingerTime, socket, [socket] {
+        socket->abort();
+    });
+}
+
+void GuardedTcpServer::handleDisconnected(QTcpSocket *const socket)
 {
+    m_connections.erase(socket);
     const qlonglong received = socket->property(internal::receivedProperty).toLongLong();
     if (received > 0) {
         m_onDrop(received > m_maxRequestBytes ? "too-large" : "incomplete");
