A connection that cannot be attempted fails its link

What callers saw: calls to a daemon that wait until their deadline, when the connection to it can't even be begun: no free descriptor, a host name that is unknown, a port out of range. Cause: ZeroMQ reports no closed connection then, only that it would try again; that event was not watched.

--- /dev/null
+++ b/test/egretlatch/peer/peer_link_ends.cpp
@@ -0,0 +1,110 @@
+#include <doctest/doctest.h>
+
+#include <array>
+#include <functional>
+#include <string>
+
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include <fmt/format.h>
+
+#include <egretlatch/account/metrics_registry.hpp>
+#include <egretlatch/peer/peer_exchange.hpp>
+#include <egretlatch/peer/peer_link.hpp>
+
+using namespace egretlatch;
+using namespace egretlatch::peer;
+
+namespace
+{
+
+// Keeps a failing test from hanging.
+constexpr std::chrono::milliseconds waitLimit{5000};
+constexpr int sliceMs = 20;
+
+[[nodiscard]] bool waitFor(const std::function<bool()> &isTrue)
+{
+    const SteadyTime end = std::chrono::steady_clock::now() + waitLimit;
+    while (!isTrue()) {
+        if (std::chrono::steady_clock::now() >= end) {
+            return false;
+        }
+    }
+    return true;
+}
+
+// Exchange that counts its events, and is processed only when the test says so.
+struct LocalEnd
+{
+    LocalEnd(const std::string &id, std::optional<settings::PeerKeys> keys)
+        : exchange{{id},
+                   {1},
+                   std::move(keys),
+                   [this](const decision::Event &event) {
+                       lost += std::holds_alternative<decision::PeerLost>(event) ? 1 : 0;
+                       unsent += std::holds_alternative<decision::SendFailed>(event) ? 1 : 0;
+                       received += std::holds_alternative<decision::PeerMessage>(event) ? 1 : 0;
+                   },
+                   metrics}
+    {
+        QTcpServer server;
+        REQUIRE(server.listen(QHostAddress::LocalHost, 0));
+        endpoint = fmt::format("tcp://127.0.0.1:{}", server.serverPort());
+        server.close();
+        REQUIRE(exchange.start(endpoint).has_value());
+        exchange.processSockets();
+    }
+
+    void request(const std::string &to, const std::string &at)
+    {
+        protocol::CallRequest request;
+        request.call = {++requests};
+        request.root = *Uuid::fromBytes(std::string(16, 'r'));
+        exchange.send({.to = {to}, .endpoint = at, .message = request});
+    }
+
+    void processOnce()
+    {
+        pollfd watched{.fd = exchange.descriptor(), .events = POLLIN, .revents = 0};
+        ::poll(&watched, 1, sliceMs);
+        exchange.processSockets();
+    }
+
+    account::MetricsRegistry metrics;
+    int lost{};
+    int unsent{};
+    int received{};
+    std::uint64_t requests{};
+    std::string endpoint;
+    PeerExchange exchange;
+};
+
+struct KeyPair
+{
+    KeyPair()
+    {
+        REQUIRE(zmq_curve_keypair(publicKey.data(), secretKey.data()) == 0);
+    }
+
+    std::array<char, 41> publicKey{};
+    std::array<char, 41> secretKey{};
+};
+
+} // namespace
+
+TEST_CASE("a link whose connection cannot even be attempted fails")
+{
+    // Guards against requests that wait until their deadline: ZeroMQ reports no closed connection where none was begun, as
+    // without free descriptors, with an unknown host name or, here, with a port out of range.
+    zmq::context_t context;
+    SocketWatch watch;
+    PeerLink link{
+        context, watch, {.daemon = {"remote"}, .endpoint = "tcp://127.0.0.1:65536", .routingId = "local/1", .keys = std::nullopt, .serverKey = {}}, 1};
+    CHECK(waitFor([&link] {
+        return link.update() == LinkState::failed;
+    }));
+}
