A waiting request is not handed to a connection that has ended already

What callers would have seen: 502 with may-have-run for a request that never left, when the connection that it waited for had opened and ended before its owner read either event (after a pause). Cause: update() sent what waits at the first event, before it read the second. Change: what waits is sent once all events are read. An end that was seen stays an end, whatever event follows.

--- a/src/egretlatch/peer/peer_link.cpp
+++ b/src/egretlatch/peer/peer_link.cpp
@@ -108,6 +108,10 @@
     while (const std::optional<std::uint16_t> event = m_monitor.next()) {
         handleMonitorEvent(*event);
     }
+    // Not before all events are read: a message handed to a connection that has ended could no longer count as not sent.
+    if (m_state == LinkState::open && !m_pending.empty()) {
+        sendPending();
+    }
     return m_state;
 }
 
@@ -135,8 +139,7 @@
 void PeerLink::handleMonitorEvent(const std::uint16_t event)
 {
     if (event == ZMQ_EVENT_HANDSHAKE_SUCCEEDED) {
-        m_state = LinkState::open;
-        sendPending();
+        m_state = m_state == LinkState::opening ? LinkState::open : m_state;
         return;
     }
     // Only the first event after the end changes the state; the following ones report the same loss.
--- a/test/egretlatch/peer/peer_link_ends.cpp
+++ b/test/egretlatch/peer/peer_link_ends.cpp
@@ -94,6 +94,30 @@
     std::array<char, 41> secretKey{};
 };
 
+// Completes the remote side of a ZMTP handshake without encryption, ends the connection, and waits until ZeroMQ has closed it.
+[[nodiscard]] bool openAndEnd(QTcpServer &server)
+{
+    constexpr int waitMs = 5000;
+    if (!server.waitForNewConnection(waitMs)) {
+        return false;
+    }
+    QTcpSocket &connection = *server.nextPendingConnection();
+    QByteArray greeting(64, '\0');
+    greeting.replace(0, 16, QByteArray{"\xff\0\0\0\0\0\0\0\0\x7f\x03\0NULL", 16});
+    connection.write(greeting);
+    connection.write(QByteArray{"\x04\x1c\x05READY\x0bSocket-Type\0\0\0\x06ROUTER", 30});
+    QByteArray received;
+    while (!received.contains("READY")) {
+        if (!connection.waitForReadyRead(waitMs)) {
+            return false;
+        }
+        received += connection.readAll();
+    }
+    // ZeroMQ reports the end of the connection before it closes its descriptor.
+    ::shutdown(static_cast<int>(connection.socketDescriptor()), SHUT_WR);
+    return connection.state() == QAbstractSocket::UnconnectedState || connection.waitForDisconnected(waitMs);
+}
+
 } // namespace
 
 TEST_CASE("a link whose connection cannot even be attempted fails")
@@ -108,3 +132,26 @@
         return link.update() == LinkState::failed;
     }));
 }
+
+TEST_CASE("a request that waited for a connection which opened and ended meanwhile is not sent")
+{
+    // Guards against a request that never left but is answered as one that may have run, after a pause of the sender.
+    zmq::context_t context;
+    SocketWatch watch;
+    QTcpServer server;
+    REQUIRE(server.listen(QHostAddress::LocalHost, 0));
+    PeerLink link{context,
+                  watch,
+                  {.daemon = {"remote"},
+                   .endpoint = fmt::format("tcp://127.0.0.1:{}", server.serverPort()),
+                   .routingId = "local/1",
+                   .keys = std::nullopt,
+                   .serverKey = {}},
+                  1};
+    REQUIRE(link.send({.bytes = "request", .call = CallId{1}}, {}));
+    REQUIRE(openAndEnd(server));
+
+    CHECK(link.update() == LinkState::lost);
+    CHECK(link.takeUnsent().size() == 1);
+    CHECK_FALSE(link.hasUnanswered());
+}
