Requests that wait while the next accepted key is tried are all reported

What callers saw: no answer until their deadline, during a change of keys, for calls to a daemon that no accepted key opens: their attempts were neither sent nor reported as unsent. Cause: LinkTable::reopen() sent each waiting message over the link with the next key and ignored a failure. Change: the next link takes the waiting messages over as they are; its own end then reports them.

--- a/src/egretlatch/peer/link_table.cpp
+++ b/src/egretlatch/peer/link_table.cpp
@@ -51,7 +51,7 @@
     for (auto item = m_links.begin(); item != m_links.end();) {
         PeerLink &link = *item->second;
         const bool hasFailed = link.state() == LinkState::failed;
-        if (hasFailed && reopen(item->first, link, now)) {
+        if (hasFailed && reopen(item->first, link)) {
             ++item;
             continue;
         }
@@ -104,7 +104,7 @@
     return true;
 }
 
-bool LinkTable::reopen(const DaemonId &daemon, PeerLink &failed, const SteadyTime now)
+bool LinkTable::reopen(const DaemonId &daemon, PeerLink &failed)
 {
     // During a key rotation some daemons have the old key and some the new one, and only a connection attempt shows which.
     // A daemon that refuses every connection is down and must not be retried with each key for ever, so the attempts end
@@ -124,9 +124,7 @@
     if (link == nullptr) {
         return false;
     }
-    for (PendingMessage &message : failed.takeUnsent()) {
-        static_cast<void>(link->send(std::move(message), now));
-    }
+    link->takeOver(failed);
     m_links[daemon] = std::move(link);
     return true;
 }
--- a/src/egretlatch/peer/link_table.hpp
+++ b/src/egretlatch/peer/link_table.hpp
@@ -82,7 +82,7 @@
 private:
     [[nodiscard]] std::unique_ptr<PeerLink> open(const DaemonId &daemon, const std::string &endpoint);
     [[nodiscard]] bool evictLeastRecentlyUsed();
-    [[nodiscard]] bool reopen(const DaemonId &daemon, PeerLink &failed, SteadyTime now);
+    [[nodiscard]] bool reopen(const DaemonId &daemon, PeerLink &failed);
     void recordEnded(const DaemonId &daemon, PeerLink &link, bool wasOpen);
 
     zmq::context_t &m_context;
--- a/src/egretlatch/peer/peer_link.cpp
+++ b/src/egretlatch/peer/peer_link.cpp
@@ -136,6 +136,13 @@
     return pending;
 }
 
+void PeerLink::takeOver(PeerLink &other)
+{
+    m_pending = other.takeUnsent();
+    m_hasCarriedCalls = other.m_hasCarriedCalls;
+    m_lastUse = other.m_lastUse;
+}
+
 void PeerLink::handleMonitorEvent(const std::uint16_t event)
 {
     if (event == ZMQ_EVENT_HANDSHAKE_SUCCEEDED) {
--- a/src/egretlatch/peer/peer_link.hpp
+++ b/src/egretlatch/peer/peer_link.hpp
@@ -110,6 +110,12 @@
      */
     [[nodiscard]] std::deque<PendingMessage> takeUnsent();
 
+    /**
+     * @brief Takes over the messages of a link that never opened; update() sends them once this link is open.
+     * @param other Link to the same daemon.
+     */
+    void takeOver(PeerLink &other);
+
     /*! @brief Tells whether update() has found that the connection was lost or could not be opened. */
     [[nodiscard]] bool hasEnded() const noexcept
     {
--- a/test/egretlatch/peer/peer_link_ends.cpp
+++ b/test/egretlatch/peer/peer_link_ends.cpp
@@ -155,3 +155,28 @@
     CHECK(link.takeUnsent().size() == 1);
     CHECK_FALSE(link.hasUnanswered());
 }
+
+TEST_CASE("requests that wait for a connection are all reported as unsent when no accepted key opens it")
+{
+    // Guards against requests that are never reported, as the connection with the next key ends while they are moved to it.
+    constexpr int count = 900;
+    constexpr int rounds = 5;
+    const KeyPair own;
+    const KeyPair other;
+    for (int round = 0; round < rounds; ++round) {
+        LocalEnd local{"local", settings::PeerKeys{own.publicKey.data(), own.secretKey.data(), {own.publicKey.data(), other.publicKey.data()}}};
+        QTcpServer silent;
+        REQUIRE(silent.listen(QHostAddress::LocalHost, 0));
+        const std::string endpoint = fmt::format("tcp://127.0.0.1:{}", silent.serverPort());
+        for (int request = 0; request < count; ++request) {
+            local.request("remote", endpoint);
+        }
+        // The first connection ends, and the next one is refused.
+        silent.close();
+        REQUIRE(waitFor([&local] {
+            local.processOnce();
+            return local.lost == 1;
+        }));
+        CHECK(local.unsent == count);
+    }
+}
