Two daemon ids at one address do not share the remote end

What callers saw: 502 with may-have-run, 5 s later, for a call to a daemon at whose address a replaced daemon had been: a message to the old id (members that are gone are pinged for six hours) opened a second link to the same process. Cause: both links have the routing id of this daemon, so the remote ROUTER lets the second take the place of the first; the first stays open, is no longer heard, and is given up by its heartbeat. Change: a link closes another one to the same address first; if that has unanswered calls, none is opened.

--- a/src/egretlatch/peer/link_table.cpp
+++ b/src/egretlatch/peer/link_table.cpp
@@ -1,5 +1,7 @@
 #include <egretlatch/peer/link_table.hpp>
 
+#include <algorithm>
+
 namespace egretlatch::peer
 {
 
@@ -39,6 +41,9 @@
         recordEnded(daemon, *found->second, true);
         m_links.erase(found);
     }
+    if (!closeOthersAt(endpoint)) {
+        return nullptr;
+    }
     if (m_links.size() >= internal::maxLinks && !evictLeastRecentlyUsed()) {
         return nullptr;
     }
@@ -104,6 +109,24 @@
     return true;
 }
 
+bool LinkTable::closeOthersAt(const std::string &endpoint)
+{
+    // A second connection with the same routing id takes the place of the first at the remote end, which then no longer hears
+    // the first and does not close it either.
+    const auto other = std::find_if(m_links.begin(), m_links.end(), [&endpoint](const auto &item) {
+        return item.second->options().endpoint == endpoint;
+    });
+    if (other == m_links.end()) {
+        return true;
+    }
+    if (other->second->hasUnanswered()) {
+        return false;
+    }
+    recordEnded(other->first, *other->second, false);
+    m_links.erase(other);
+    return true;
+}
+
 bool LinkTable::reopen(const DaemonId &daemon, PeerLink &failed)
 {
     // During a key rotation some daemons have the old key and some the new one, and only a connection attempt shows which.
--- a/src/egretlatch/peer/link_table.hpp
+++ b/src/egretlatch/peer/link_table.hpp
@@ -82,6 +82,7 @@
 private:
     [[nodiscard]] std::unique_ptr<PeerLink> open(const DaemonId &daemon, const std::string &endpoint);
     [[nodiscard]] bool evictLeastRecentlyUsed();
+    [[nodiscard]] bool closeOthersAt(const std::string &endpoint);
     [[nodiscard]] bool reopen(const DaemonId &daemon, PeerLink &failed);
     void recordEnded(const DaemonId &daemon, PeerLink &link, bool wasOpen);
 
--- a/test/egretlatch/peer/peer_link_ends.cpp
+++ b/test/egretlatch/peer/peer_link_ends.cpp
@@ -180,3 +180,32 @@
         CHECK(local.unsent == count);
     }
 }
+
+TEST_CASE("requests reach the present daemon of an address after a message to an earlier daemon of it")
+{
+    // Guards against calls that end as ones that may have run whenever a replaced daemon is pinged at the address of its successor.
+    LocalEnd local{"local", std::nullopt};
+    LocalEnd remote{"present", std::nullopt};
+    const auto arrive = [&](const int count) {
+        return waitFor([&] {
+            local.processOnce();
+            remote.processOnce();
+            return remote.received >= count || local.lost > 0;
+        });
+    };
+    local.request("present", remote.endpoint);
+    REQUIRE(arrive(1));
+    local.request("earlier", remote.endpoint);
+    // Lets that message arrive, or be refused.
+    for (int round = 0; round < 25; ++round) {
+        local.processOnce();
+        remote.processOnce();
+    }
+    const int before = remote.received;
+
+    local.request("present", remote.endpoint);
+
+    CHECK(arrive(before + 1));
+    CHECK(remote.received == before + 1);
+    CHECK(local.lost == 0);
+}
