Tests of the exchange: addresses of their own, and an end also when they fail

The links whose connection never opens each have an address of their own, as a link now closes another one to the same address. Two senders wait for 5 s at most before they close, where a deaf exchange would have held the test up for ever; no check is changed. A remote end looks at its socket before it waits for the local one.

--- a/test/egretlatch/peer/peer_exchange_orders.cpp
+++ b/test/egretlatch/peer/peer_exchange_orders.cpp
@@ -28,6 +28,8 @@
 // Keeps a failing test from hanging.
 constexpr std::chrono::milliseconds waitLimit{5000};
 constexpr int sliceMs = 20;
+// Time for a sender to write everything before it closes its connection; keeps a failing test from hanging.
+constexpr int senderLingerMs = 5000;
 
 [[nodiscard]] bool waitFor(const std::function<bool()> &isTrue)
 {
@@ -147,9 +149,9 @@
     [[nodiscard]] bool receive(LocalEnd &local)
     {
         return waitFor([this, &local] {
-            local.processOnce();
             zmq::message_t first;
             if (!router.recv(first, zmq::recv_flags::dontwait).has_value()) {
+                local.processOnce();
                 return false;
             }
             requester = first.to_string();
@@ -344,6 +346,7 @@
     zmq::context_t context;
     zmq::socket_t sender{context, zmq::socket_type::dealer};
     sender.set(zmq::sockopt::routing_id, "sender/1");
+    sender.set(zmq::sockopt::linger, senderLingerMs);
     sender.connect(local.endpoint);
     for (int call = 1; call <= count; ++call) {
         protocol::CallRequest request;
@@ -375,16 +378,16 @@
         isClosed = true;
     }
     LocalEnd local;
-    QTcpServer silent;
-    silent.setMaxPendingConnections(count);
-    REQUIRE(silent.listen(QHostAddress::LocalHost, 0));
-    const std::string endpoint = fmt::format("tcp://127.0.0.1:{}", silent.serverPort());
-    for (int link = 0; link < count; ++link) {
-        local.request(fmt::format("silent-{}", link), endpoint);
+    std::array<QTcpServer, count> silent;
+    for (QTcpServer &server : silent) {
+        REQUIRE(server.listen(QHostAddress::LocalHost, 0));
+        local.request(fmt::format("silent-{}", server.serverPort()), fmt::format("tcp://127.0.0.1:{}", server.serverPort()));
     }
     REQUIRE(waitFor([&] {
-        if (isClosed && silent.waitForNewConnection(0)) {
-            silent.nextPendingConnection()->abort();
+        for (QTcpServer &server : silent) {
+            if (isClosed && server.waitForNewConnection(0)) {
+                server.nextPendingConnection()->abort();
+            }
         }
         local.processOnce();
         return local.unsent == count;
@@ -406,6 +409,7 @@
     const auto connectAndSend = [&](const std::uint64_t call) {
         zmq::socket_t &sender = senders.emplace_back(context, zmq::socket_type::dealer);
         sender.set(zmq::sockopt::routing_id, "sender/1");
+        sender.set(zmq::sockopt::linger, senderLingerMs);
         sender.connect(local.endpoint);
         protocol::CallRequest request;
         request.call = {call};
