A new address of a daemon does not end the request that is sent there

What callers saw: 502 with may-have-run at once for the first call to a daemon whose VM was replaced under its id. Cause: linkTo() reported the link to the old address as one that had been open, whatever it carried, and the entry then ends all its attempts at that daemon, the one just sent among them. Found by the review, by reading. Change: it is reported so only if it has requests without an answer.

--- a/src/egretlatch/peer/link_table.cpp
+++ b/src/egretlatch/peer/link_table.cpp
@@ -38,7 +38,7 @@
     }
     if (isReplaced(daemon, endpoint)) {
         // The VM was replaced and its daemon has a new address; nothing more arrives from the old one.
-        recordEnded(daemon, *found->second, true);
+        recordEnded(daemon, *found->second, found->second->hasUnanswered());
         m_links.erase(found);
     }
     if (!closeOthersAt(endpoint)) {
--- a/test/egretlatch/peer/peer_link_ends.cpp
+++ b/test/egretlatch/peer/peer_link_ends.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include <poll.h>
 #include <sys/socket.h>
@@ -13,6 +14,7 @@
 #include <fmt/format.h>
 
 #include <egretlatch/account/metrics_registry.hpp>
+#include <egretlatch/peer/link_table.hpp>
 #include <egretlatch/peer/peer_exchange.hpp>
 #include <egretlatch/peer/peer_link.hpp>
 
@@ -209,3 +211,18 @@
     CHECK(remote.received == before + 1);
     CHECK(local.lost == 0);
 }
+
+TEST_CASE("a new address of a daemon ends no request unless the link to the old one has unanswered requests")
+{
+    // Guards against the first request to a daemon at its new address that is answered at once as one that may have run.
+    zmq::context_t context;
+    SocketWatch watch;
+    LinkTable table{context, watch, "local/1", std::nullopt};
+    REQUIRE(table.linkTo({"remote"}, "tcp://127.0.0.1:9") != nullptr);
+
+    REQUIRE(table.linkTo({"remote"}, "tcp://127.0.0.2:9") != nullptr);
+
+    const std::vector<EndedLink> ended = table.takeEnded();
+    REQUIRE(ended.size() == 1);
+    CHECK_FALSE(ended.front().wasOpen);
+}
