The peer thread stops before its ring of messages is destroyed

Callers saw nothing that is known. Found by the review, by reading: m_actionRings is declared after m_peerThread, so it was destroyed while the peer thread could still take messages from it, against the comment on PeerThread::stop(). No test forces it; the process tests of shutdowns pass.

--- a/src/egretlatch/daemon/daemon.cpp
+++ b/src/egretlatch/daemon/daemon.cpp
@@ -54,6 +54,8 @@
 Daemon::~Daemon()
 {
     m_decideThread.reset();
+    // Its ring of messages to send is destroyed before it.
+    m_peerThread.stop();
     stopThread(m_callerThread, m_callerWaker, [this] {
         m_callerServer.reset();
     });
