Fakes of the tests in one place: recorded log lines, a free address, waiting for a condition

Three tests had a log sink of their own, four a search for a free address, two a wait; duplicates named them.

--- a/test/egretlatch/cli/qt_message_log.cpp
+++ b/test/egretlatch/cli/qt_message_log.cpp
@@ -1,34 +1,17 @@
 #include <doctest/doctest.h>
 
-#include <string>
-#include <vector>
-
 #include <QDebug>
 
+#include <fakes/recorded_lines.hpp>
+
 #include <egretlatch/cli/qt_message_log.hpp>
 
 using namespace egretlatch;
 
-namespace
-{
-
-class Lines : public LogSink
-{
-public:
-    void write(std::string_view /*event*/, const std::string &line) override
-    {
-        lines.push_back(line);
-    }
-
-    std::vector<std::string> lines;
-};
-
-} // namespace
-
 TEST_CASE("a message of Qt is a line of the log at its level")
 {
     // Guards against lines in a daemon's log that are not JSON, which end a program that reads it.
-    Lines sink;
+    fakes::RecordedLines sink;
     const Logger logger{LogLevel::info, "self", sink};
     {
         const cli::QtMessageLog messages{logger};
--- a/test/egretlatch/daemon/isolation_log.cpp
+++ b/test/egretlatch/daemon/isolation_log.cpp
@@ -1,33 +1,16 @@
 #include <doctest/doctest.h>
 
-#include <vector>
+#include <fakes/recorded_lines.hpp>
 
-#include <egretlatch/core/log_sink.hpp>
 #include <egretlatch/daemon/isolation_log.hpp>
 
 using namespace std::chrono_literals;
 using namespace egretlatch;
 
-namespace
-{
-
-class Lines : public LogSink
-{
-public:
-    void write(std::string_view /*event*/, const std::string &line) override
-    {
-        lines.push_back(line);
-    }
-
-    std::vector<std::string> lines;
-};
-
-} // namespace
-
 TEST_CASE("the begin of an isolation is a warning with its figures, and the end is at the level info")
 {
     // Guards against a line that is dropped at the level of warnings, or that does not tell how many daemons are not heard.
-    Lines sink;
+    fakes::RecordedLines sink;
     const decision::IsolationChanged began{.change = {.isIsolated = true, .silence = 10050ms}, .expected = 7, .present = 3};
     const decision::IsolationChanged ended{.change = {.isIsolated = false, .silence = 61s}, .expected = 7, .present = 1};
     daemon::logIsolation(Logger{LogLevel::warning, "self", sink}, began);
--- a/test/egretlatch/daemon/peer_thread.cpp
+++ b/test/egretlatch/daemon/peer_thread.cpp
@@ -5,9 +5,8 @@
 
 #include <QTcpServer>
 
-#include <fmt/format.h>
-
 #include <fakes/counting_metrics.hpp>
+#include <fakes/loopback.hpp>
 
 #include <egretlatch/account/metrics_registry.hpp>
 #include <egretlatch/daemon/condition_waker.hpp>
@@ -16,17 +15,11 @@
 using namespace std::chrono_literals;
 using namespace egretlatch;
 using namespace egretlatch::daemon;
+using fakes::freeEndpoint;
 
 namespace
 {
 
-[[nodiscard]] std::string freeEndpoint()
-{
-    QTcpServer server;
-    REQUIRE(server.listen(QHostAddress::LocalHost, 0));
-    return fmt::format("tcp://127.0.0.1:{}", server.serverPort());
-}
-
 [[nodiscard]] settings::PeerKeys makeKeys()
 {
     constexpr std::size_t textSize = 41;
--- a/test/egretlatch/peer/peer_exchange.cpp
+++ b/test/egretlatch/peer/peer_exchange.cpp
@@ -6,13 +6,14 @@
 
 #include <QTcpServer>
 
-#include <fmt/format.h>
+#include <fakes/loopback.hpp>
 
 #include <egretlatch/account/metrics_registry.hpp>
 #include <egretlatch/peer/peer_exchange.hpp>
 
 using namespace egretlatch;
 using namespace egretlatch::peer;
+using fakes::freeEndpoint;
 
 namespace
 {
@@ -20,13 +21,6 @@
 // Prevents a failing test from hanging.
 constexpr int pollTimeoutMs = 30'000;
 
-[[nodiscard]] std::string freeEndpoint()
-{
-    QTcpServer server;
-    REQUIRE(server.listen(QHostAddress::LocalHost, 0));
-    return fmt::format("tcp://127.0.0.1:{}", server.serverPort());
-}
-
 // Daemon that answers each request at once and sends the next request on each answer.
 struct Daemon
 {
--- a/test/egretlatch/peer/peer_exchange_orders.cpp
+++ b/test/egretlatch/peer/peer_exchange_orders.cpp
@@ -15,33 +15,24 @@
 
 #include <fmt/format.h>
 
+#include <fakes/loopback.hpp>
+
 #include <egretlatch/account/metrics_registry.hpp>
 #include <egretlatch/peer/peer_exchange.hpp>
 #include <egretlatch/protocol/codec.hpp>
 
 using namespace egretlatch;
 using namespace egretlatch::peer;
+using fakes::freeEndpoint;
+using fakes::waitFor;
 
 namespace
 {
 
-// Keeps a failing test from hanging.
-constexpr std::chrono::milliseconds waitLimit{5000};
 constexpr int sliceMs = 20;
 // Time for a sender to write everything before it closes its connection; keeps a failing test from hanging.
 constexpr int senderLingerMs = 5000;
 
-[[nodiscard]] bool waitFor(const std::function<bool()> &isTrue)
-{
-    const SteadyTime end = std::chrono::steady_clock::now() + waitLimit;
-    while (!isTrue()) {
-        if (std::chrono::steady_clock::now() >= end) {
-            return false;
-        }
-    }
-    return true;
-}
-
 // Runs a given function at each count.
 struct HookedMetrics : account::MetricsSink
 {
@@ -67,10 +58,6 @@
 {
     LocalEnd()
     {
-        QTcpServer server;
-        REQUIRE(server.listen(QHostAddress::LocalHost, 0));
-        endpoint = fmt::format("tcp://127.0.0.1:{}", server.serverPort());
-        server.close();
         REQUIRE(exchange.start(endpoint).has_value());
         exchange.processSockets();
     }
@@ -113,7 +100,7 @@
     std::uint64_t lastRequest{};
     int receivedRequests{};
     std::uint64_t requests{};
-    std::string endpoint;
+    std::string endpoint{freeEndpoint()};
     PeerExchange exchange{{"local"},
                           {1},
                           std::nullopt,
--- a/test/egretlatch/peer/peer_link_ends.cpp
+++ b/test/egretlatch/peer/peer_link_ends.cpp
@@ -13,6 +13,8 @@
 
 #include <fmt/format.h>
 
+#include <fakes/loopback.hpp>
+
 #include <egretlatch/account/metrics_registry.hpp>
 #include <egretlatch/peer/link_table.hpp>
 #include <egretlatch/peer/peer_exchange.hpp>
@@ -20,25 +22,14 @@
 
 using namespace egretlatch;
 using namespace egretlatch::peer;
+using fakes::freeEndpoint;
+using fakes::waitFor;
 
 namespace
 {
 
-// Keeps a failing test from hanging.
-constexpr std::chrono::milliseconds waitLimit{5000};
 constexpr int sliceMs = 20;
 
-[[nodiscard]] bool waitFor(const std::function<bool()> &isTrue)
-{
-    const SteadyTime end = std::chrono::steady_clock::now() + waitLimit;
-    while (!isTrue()) {
-        if (std::chrono::steady_clock::now() >= end) {
-            return false;
-        }
-    }
-    return true;
-}
-
 // Exchange that counts its events, and is processed only when the test says so.
 struct LocalEnd
 {
@@ -53,10 +44,6 @@
                    },
                    metrics}
     {
-        QTcpServer server;
-        REQUIRE(server.listen(QHostAddress::LocalHost, 0));
-        endpoint = fmt::format("tcp://127.0.0.1:{}", server.serverPort());
-        server.close();
         REQUIRE(exchange.start(endpoint).has_value());
         exchange.processSockets();
     }
@@ -81,7 +68,7 @@
     int unsent{};
     int received{};
     std::uint64_t requests{};
-    std::string endpoint;
+    std::string endpoint{freeEndpoint()};
     PeerExchange exchange;
 };
 
--- a/test/egretlatch/sidecar/level_log.cpp
+++ b/test/egretlatch/sidecar/level_log.cpp
@@ -1,35 +1,17 @@
 #include <doctest/doctest.h>
 
-#include <vector>
-
 #include <fakes/manual_clock.hpp>
+#include <fakes/recorded_lines.hpp>
 
-#include <egretlatch/core/log_sink.hpp>
 #include <egretlatch/sidecar/level_log.hpp>
 
 using namespace std::chrono_literals;
 using namespace egretlatch;
 
-namespace
-{
-
-class Lines : public LogSink
-{
-public:
-    void write(std::string_view /*event*/, const std::string &line) override
-    {
-        lines.push_back(line);
-    }
-
-    std::vector<std::string> lines;
-};
-
-} // namespace
-
 TEST_CASE("a level change is logged with the figures that determine it, at most once a second")
 {
     fakes::ManualClock clock;
-    Lines sink;
+    fakes::RecordedLines sink;
     const Logger logger{LogLevel::info, "self", sink};
     sidecar::LevelLog log{logger};
     const auto logIfDue = [&](const admission::Level &level) {
