--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,8 @@
-"""A daemon is stopped while a server reads long requests slowly; the requests are broken off although the server is at work.
+"""All daemons are killed right after one acknowledged that its server leaves; a heartbeat from before comes after their start.
 
-The log servers take the head of a long entry, begin to work on it, and read the rest of its body four seconds later. The daemon
-beside the server gives the connection up after three seconds without room for more bytes. The caller, whose daemon is in an
-orderly shutdown, gets an answer of the daemon's own, 502, in place of the server's.
+The server deregisters and gets its acknowledgement. All daemons are killed and start again: nobody is left who was told. A
+heartbeat that the server sent before, held up on its way, arrives. The new daemon takes the server for a serving one, and it
+gets entries seconds after `drain`; what runs there is lost when the server ends.
 """
 
 import asyncio
@@ -14,108 +14,100 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 import support  # noqa: E402
-from fleet import wire  # noqa: E402
-from support import GRACE, HOST, Client, has_trouble, route  # noqa: E402
+from fleet.server import Observer  # noqa: E402
+from support import HOST, Client, has_trouble, route  # noqa: E402
 
-ENTRIES = 4
-BODY = b"e" * 900_000
-PAUSE = 4.0
-WORK = 0.1
-SIGTERM_AFTER = 0.5
-TIMEOUT = 6.0
-SERVICES = {"history": (2, 8, 8), "log": (2, 8, 8)}
-KINDS = {"lookup": {"work": 0.02}, "entry": {"work": 0.02}}
+DRAIN = 2.0
+IN_TOUCH = 3.0
+KILL_AFTER = 0.05
+RESTART_AFTER = 0.5
+HEARTBEAT_AT = 4.5
+SERVER_ENDS_AT = 8.0
+ENTRIES = 60
+SERVICES = {"history": (2, 8, 8), "log": (3, 8, 8)}
+KINDS = {"lookup": {"work": 0.02}, "entry": {"work": 0.8}}
 
 
 def routes():
     return {"lookup": {**route(HOST, "history"), "prefix": "/lookup/"},
-            "entry": {**route(HOST, "log", kind="non_idempotent", priority=0, timeout=int(TIMEOUT * 1000), target=5000), "prefix": "/entry/"}}
-
-
-class LongEntries:
-    """Makes a server read the bodies of long entries `pause` seconds after their heads."""
-
-    def __init__(self, server, pause, record):
-        self.server = server
-        self.pause = pause
-        self.record = record
-        self.at_work = {}
-        self.plain_serve = server.serve
-
-    async def serve(self, reader, writer):
-        try:
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-                lines = head.split("\r\n")
-                fields = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines[1:] if line)}
-                name = fields["x-request-id"]
-                length = int(fields.get("content-length", 0))
-                if fields.get("x-expected-instance") not in (None, self.server.instance):
-                    writer.write(wire.response(421, {"X-Request-Id": name, "X-Not-Executed": "1"}))
-                    return
-                self.server.runs[name] += 1
-                is_long = length > 100_000
-                if is_long:
-                    self.record.note(f"the server begins {name}, {length} bytes")
-                    self.at_work[name] = "at work"
-                    writer.transport.pause_reading()
-                    await asyncio.sleep(self.pause)
-                    writer.transport.resume_reading()
-                try:
-                    body = await reader.readexactly(length)
-                except asyncio.IncompleteReadError as cut:
-                    self.record.note(f"the server found {name} broken off: {len(cut.partial)} of {length} bytes")
-                    return
-                await asyncio.sleep(WORK)
-                answer = {"X-Request-Id": name, "X-Server-Stamp": f"{self.server.instance}.{name}"}
-                writer.write(wire.response(200, answer, str(len(body)).encode()))
-                await writer.drain()
-                if is_long:
-                    self.at_work[name] = "answered"
-                    self.record.note(f"the server has answered {name}")
-        except (ConnectionError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            writer.close()
+            "entry": {**route(HOST, "log", kind="non_idempotent", priority=0, timeout=4000, target=3000), "prefix": "/entry/"}}
+
+
+class Arrivals(Observer):
+    """Notes when requests arrive at a server; those that it answers 421 are not seen here."""
+
+    def __init__(self):
+        self.at = {}
+
+    def arrived(self, server, name, request):
+        self.at[name] = time.monotonic()
 
 
 async def send_entry(vm, name, record):
     record.note(f"sent {name}")
-    answer = await Client(vm.callers).send(name, HOST, "/entry/", method="POST", body=BODY, timeout=TIMEOUT)
-    answer.at = time.monotonic()
-    record.note(f"{name}: {answer.status} {answer.body[:100]!r} after {answer.seconds:.2f} s")
+    answer = await Client(vm.callers).send(name, HOST, "/entry/", method="POST", timeout=5.0)
+    record.note(f"{name}: {answer.status} after {answer.seconds:.2f} s")
     return answer
 
 
 async def case(record):
-    fleet = support.Fleet(support.binary(), SERVICES, KINDS, bounds=support.BOUNDS, heartbeat=0.5)
-    async with fleet:
+    async with support.Fleet(support.binary(), SERVICES, KINDS, bounds=support.BOUNDS, heartbeat=0.5) as fleet:
         await support.start(fleet, routes(), SERVICES, ["/lookup/", "/entry/"])
-        slow = {}
-        for server in fleet.servers("log"):
-            server.server.close()
-            slow[server.instance] = LongEntries(server, PAUSE if has_trouble() else 0.0, record)
-            server.serve = slow[server.instance].serve
-            await server.start()
         await asyncio.sleep(4)
-        stopped = next(vm for vm in fleet.vms if vm.server.service == "history")
-        entries = [asyncio.ensure_future(send_entry(stopped, f"entry-{number}", record)) for number in range(ENTRIES)]
-        await asyncio.sleep(SIGTERM_AFTER)
-        signalled = time.monotonic()
+        vm = next(vm for vm in fleet.vms if vm.server.service == "log")
+        caller = next(vm for vm in fleet.vms if vm.server.service == "history")
+        vm.heartbeat_task.cancel()
+        # The heartbeat that is held up on its way: the last one that the server sent as a ready one.
+        server = vm.server
+        server.sequence += 1
+        held = server.sequence
+        status = await server.deregister(vm.reports)
+        acknowledged = time.monotonic()
+        if status != 200:
+            raise support.NotRun(f"the deregistration was answered {status}")
+        record.note(f"{server.instance} has deregistered and got its acknowledgement")
+
+        def since():
+            return time.monotonic() - acknowledged
+
+        await asyncio.sleep(KILL_AFTER)
         if has_trouble():
-            record.note("SIGTERM to the daemon that took the requests")
-            fleet.signal(stopped, signal.SIGTERM)
-        answers = await asyncio.gather(*entries)
+            record.note("SIGKILL to all daemons")
+            for each in fleet.vms:
+                fleet.signal(each, signal.SIGKILL)
+            for each in fleet.vms:
+                await asyncio.to_thread(each.process.wait)
+            await asyncio.sleep(RESTART_AFTER - since())
+            for each in fleet.vms:
+                fleet.start_daemon(each)
+            restarted = time.monotonic()
+        if not await fleet.ready(4):
+            raise support.NotRun("the daemons did not get ready again")
+        await asyncio.sleep(HEARTBEAT_AT - since())
+        status = await server.send_heartbeat(vm.reports, "ready", held)
+        record.note(f"the heartbeat from before arrives: {status}")
+        arrivals = Arrivals()
+        server.observer = arrivals
+        await asyncio.sleep(0.2)
+        entries = []
+        for number in range(ENTRIES):
+            entries.append(asyncio.ensure_future(send_entry(caller, f"entry-{number}", record)))
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(max(0.0, SERVER_ENDS_AT - since()))
+        record.note(f"{server.instance} ends")
+        server.server.close()
+        for writer in list(server.writers):
+            writer.transport.abort()
+        answers = {answer.name: answer for answer in await asyncio.gather(*entries)}
         violations = []
-        for answer in answers:
-            runs = fleet.runs(answer.name)
-            states = [entries.at_work[answer.name] for entries in slow.values() if answer.name in entries.at_work]
-            record.note(f"{answer.name}: ran {runs} times, answered {answer.status}, its server was then {states}")
-            is_in_time = answer.at - signalled < GRACE + 1 and answer.seconds < TIMEOUT - 0.5
-            if is_in_time and runs > 0 and "answered" not in states and answer.status != 200:
-                violations.append(f"LOST: {answer.name} was broken off {answer.at - signalled:.2f} s after SIGTERM, {answer.seconds:.2f} s of {TIMEOUT:.0f} s, "
-                                  f"while its server was at work; the answer in its place was {answer.status}")
-        await asyncio.sleep(1.5)
+        lost = []
+        for name, at in arrivals.at.items():
+            record.note(f"{name} reached {server.instance} {at - acknowledged:.2f} s after the acknowledgement; answered {answers[name].status}")
+            if at - acknowledged > DRAIN and (not has_trouble() or at - restarted > IN_TOUCH):
+                violations.append(f"DRAIN: {name} reached the server that left {at - acknowledged:.2f} s after the acknowledgement, answered {answers[name].status}")
+            if answers[name].status != 200 and fleet.runs(name) > 0:
+                lost.append(name)
+        record.note(f"{len(arrivals.at)} entries reached the server that left; {len(lost)} of them ran there and were lost with it: {lost}")
         return violations
 
 
