An answer or request with a field the parser cannot store ends its connection, not the daemon

An endless trailer let the daemon grow to 510 MB within 1.2 s. Cause: Boost.Beast throws std::length_error for a field name or value above 64 KB. The limit on header bytes does not cover trailers, and a configuration may allow larger headers, so such a field reached the parser; the exception left the event loop. The parser also buffers a whole chunk header or trailer before it reads it, without a limit. Change: the exception becomes a failed message of that connection; an incomplete chunk header or trailer counts as header bytes; trailers no longer become header fields (they could name a request or an account). Ruled out: the other calls between a socket and the event loop that can throw were listed from the sources (at() and get<> on keys that are checked, substr() at positions that were found, allocation); none depends on the size of an input.

--- a/src/egretlatch/http/reader.hpp
+++ b/src/egretlatch/http/reader.hpp
@@ -15,7 +15,7 @@
 /*! @brief Size limits of a message. */
 struct ReadLimits
 {
-    /*! @brief Maximum bytes of the start line and the header fields. */
+    /*! @brief Maximum bytes of the start line and the header fields; also of a chunk header, and of the trailers. */
     std::uint32_t headerBytes{16U * 1024U};
     /*! @brief Maximum bytes of the body. */
     std::uint64_t bodyBytes{8ULL * 1024U * 1024U};
@@ -116,6 +116,8 @@
     static constexpr bool isRequest = std::is_same_v<Message, Request>;
 
     void advance();
+    void keepHeaders();
+    void fail(ReadError error);
     void startNext();
 
     ReadLimits m_limits;
--- a/test/egretlatch/http/reader.cpp
+++ b/test/egretlatch/http/reader.cpp
@@ -96,6 +96,49 @@
     CHECK(reader.hasUnparsed());
 }
 
+TEST_CASE("a field longer than the parser can store ends the message, not the process")
+{
+    const QByteArray longValue(70'000, 'r');
+    ResponseReader trailer{{.headerBytes = 65'536, .bodyBytes = 1024}};
+    trailer.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nrot: " + longValue + "\r\n\r\n");
+    CHECK(trailer.state() == ReadState::failed);
+    RequestReader header{{.headerBytes = 131'072, .bodyBytes = 1024}};
+    header.feed("GET / HTTP/1.1\r\nHost: x\r\nlong: " + longValue + "\r\n\r\n");
+    CHECK(header.state() == ReadState::failed);
+    CHECK(header.error() == ReadError::headerTooLarge);
+    RequestReader name{{.headerBytes = 131'072, .bodyBytes = 1024}};
+    name.feed("GET / HTTP/1.1\r\nHost: x\r\n" + longValue + ": 1\r\n\r\n");
+    CHECK(name.state() == ReadState::failed);
+}
+
+TEST_CASE("an endless trailer and an endless chunk extension fail before they fill the memory")
+{
+    constexpr qsizetype pieceBytes = 1000;
+    constexpr std::uint32_t headerBytes = 4096;
+    for (const QByteArray &start : {QByteArray{"0\r\nrot: "}, QByteArray{"1;extension="}}) {
+        ResponseReader reader{{.headerBytes = headerBytes, .bodyBytes = 1024}};
+        reader.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + start);
+        qsizetype fed = 0;
+        while (reader.state() != ReadState::failed && fed < 100 * pieceBytes) {
+            reader.feed(QByteArray(pieceBytes, 'x'));
+            fed += pieceBytes;
+        }
+        CHECK(reader.state() == ReadState::failed);
+        CHECK(reader.error() == ReadError::headerTooLarge);
+        CHECK(fed <= static_cast<qsizetype>(headerBytes) + pieceBytes);
+    }
+}
+
+TEST_CASE("a trailer does not become a header field")
+{
+    RequestReader reader{{}};
+    reader.feed("POST / HTTP/1.1\r\nHost: x\r\nX-Request-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX-Request-Id: 2\r\nX-Other: 3\r\n\r\n");
+    REQUIRE(reader.state() == ReadState::complete);
+    const Request request = reader.take();
+    CHECK(*findHeader(request.headers, "x-request-id") == "1");
+    CHECK(findHeader(request.headers, "x-other") == nullptr);
+}
+
 TEST_CASE("arbitrary bytes never crash the reader, and the result does not depend on how they are split")
 {
     CHECK(rc::check("a reader's state does not depend on how bytes are cut", [](const std::string &bytes, const std::vector<std::uint8_t> &cuts) {
