A daemon that ends waits for callers that still read their answers

Cause: the process ended as soon as no request was in flight, whatever its connections had not sent; and a connection was closed two seconds after its last answer was handed over, however many bytes the caller had taken since. Change: the end waits until no caller is owed an answer or bytes of one, or until 95 in 100 of the grace period; the two seconds count from the last byte that the caller took. A caller that takes nothing for two seconds is not waited for. Requests still at their servers at 85 in 100 of the period may complete until then, where they were cut off before.

--- a/src/egretlatch/http/server.cpp
+++ b/src/egretlatch/http/server.cpp
@@ -1,5 +1,7 @@
 #include <egretlatch/http/server.hpp>
 
+#include <algorithm>
+
 namespace egretlatch::http
 {
 
@@ -57,6 +59,13 @@
     }
 }
 
+bool Server::owesAnswers() const
+{
+    return std::any_of(m_connections.begin(), m_connections.end(), [](const auto &entry) {
+        return entry.second->isOwed();
+    });
+}
+
 void Server::tick()
 {
     std::vector<ServerConnection *> all;
--- a/src/egretlatch/http/server.hpp
+++ b/src/egretlatch/http/server.hpp
@@ -68,6 +68,9 @@
     /*! @brief Enforces timeouts and destroys closed connections; call it a few times per second. */
     void tick();
 
+    /*! @brief Checks whether any caller is owed an answer, or bytes of one that it has not received. */
+    [[nodiscard]] bool owesAnswers() const;
+
     [[nodiscard]] bool isIdle() const noexcept
     {
         return m_unanswered.empty();
--- a/src/egretlatch/http/server_connection.cpp
+++ b/src/egretlatch/http/server_connection.cpp
@@ -10,7 +10,7 @@
 constexpr int requestTimeout = 408;
 constexpr int payloadTooLarge = 413;
 constexpr int headerFieldsTooLarge = 431;
-// Time for a caller to read the last answer and close. Closing immediately with unread bytes of the caller would reset the
+// Time for a caller to take further bytes of the last answer, and to close after them. Closing immediately with unread bytes of the caller would reset the
 // connection and lose the answer.
 constexpr std::chrono::seconds lingerTime{2};
 // Maximum bytes buffered of requests that cannot be parsed yet; flow control holds the rest back at the caller.
@@ -200,13 +200,11 @@
     if (m_isClosed) {
         return;
     }
-    const Duration waited = m_clock.steadyNow() - m_phaseStart;
     if (m_isLingering) {
-        if (waited > internal::lingerTime) {
-            shutDown();
-        }
+        checkLinger();
         return;
     }
+    const Duration waited = m_clock.steadyNow() - m_phaseStart;
     if (m_ignoresRequests || m_waiting.has_value() || m_stream.unsentBytes() > 0) {
         return;
     }
@@ -222,6 +220,20 @@
     }
 }
 
+void ServerConnection::checkLinger()
+{
+    // The time counts from the last byte that the caller took: a long answer takes a slow reader longer than any fixed time.
+    const qsizetype undelivered = m_stream.undeliveredBytes();
+    if (undelivered != m_undelivered) {
+        m_undelivered = undelivered;
+        m_phaseStart = m_clock.steadyNow();
+        return;
+    }
+    if (m_clock.steadyNow() - m_phaseStart > internal::lingerTime) {
+        shutDown();
+    }
+}
+
 void ServerConnection::onEnd(net::StreamEnd /*end*/)
 {
     shutDown();
--- a/src/egretlatch/http/server_connection.hpp
+++ b/src/egretlatch/http/server_connection.hpp
@@ -103,6 +103,12 @@
         return m_queue.isEmpty() && !m_waiting.has_value() && m_reader.state() == ReadState::waiting && m_stream.unsentBytes() == 0;
     }
 
+    /*! @brief Checks whether the caller is owed an answer, or bytes of one that it has not received. */
+    [[nodiscard]] bool isOwed() const
+    {
+        return !m_isClosed && (!m_queue.isEmpty() || m_stream.undeliveredBytes() > 0);
+    }
+
 private:
     void onOpen() override
     {
@@ -120,6 +126,7 @@
     void ignoreFurtherRequests();
     [[nodiscard]] bool sendNext();
     void sendFinal(Response response);
+    void checkLinger();
     void updateReading();
     void shutDown();
 
@@ -136,7 +143,7 @@
     RequestReader m_reader;
     net::TcpStream m_stream;
     const Clock &m_clock;
-    /*! @brief Time at which the connection became idle, the first byte of a request was received, or the last answer was sent. */
+    /*! @brief Time at which the connection became idle, the first byte of a request was received, or the caller last took bytes of the last answer. */
     SteadyTime m_phaseStart;
     /*! @brief Time at which bytes were last received. */
     SteadyTime m_readAt;
@@ -150,6 +157,8 @@
     bool m_isProceeding{};
     /*! @brief The last answer has been written and the caller is expected to close. */
     bool m_isLingering{};
+    /*! @brief Bytes of the last answer that the caller had not received when this was last checked. */
+    qsizetype m_undelivered{};
     bool m_isClosed{};
     bool m_hasSentContinue{};
 };
--- a/src/egretlatch/net/tcp_options.hpp
+++ b/src/egretlatch/net/tcp_options.hpp
@@ -13,7 +13,7 @@
 /**
  * @brief Sets TCP_NODELAY and TCP_USER_TIMEOUT, so that small writes are sent immediately and an unresponsive peer is detected.
  * @param descriptor The socket; sockets accepted by a listening one inherit the options.
- * @param unacknowledged Time after which unacknowledged bytes end the connection.
+ * @param unacknowledged Time after which unacknowledged bytes end the connection; zero for the long default of the kernel.
  */
 inline void setTcpOptions(const int descriptor, const std::chrono::milliseconds unacknowledged)
 {
--- a/src/egretlatch/net/tcp_stream.cpp
+++ b/src/egretlatch/net/tcp_stream.cpp
@@ -5,8 +5,10 @@
 #include <chrono>
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -22,6 +24,8 @@
 // Unacknowledged bytes end the connection after this time: a VM that lost power or a network partition sends no reset, and
 // the connection would hang for minutes. Longer than one second of packet loss with its retransmissions.
 constexpr std::chrono::milliseconds unacknowledgedLimit{3000};
+// A peer that is alive answers each probe of its closed window, so at most the latest one is unanswered.
+constexpr int unansweredProbes = 2;
 
 } // namespace internal
 
@@ -98,6 +102,36 @@
     }
 }
 
+qsizetype TcpStream::undeliveredBytes() const
+{
+    int inKernel = 0;
+    // Without this figure, only the bytes that the kernel has not taken yet count.
+    if (m_descriptor < 0 || ::ioctl(m_descriptor, SIOCOUTQ, &inKernel) != 0) {
+        inKernel = 0;
+    }
+    return m_unsent.size() + inKernel;
+}
+
+void TcpStream::setPatience(const bool isPatient)
+{
+    if (m_descriptor < 0 || isPatient == m_isPatient) {
+        return;
+    }
+    m_isPatient = isPatient;
+    setTcpOptions(m_descriptor, isPatient ? std::chrono::milliseconds{0} : internal::unacknowledgedLimit);
+}
+
+bool TcpStream::isSilent() const
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (m_descriptor < 0 || ::getsockopt(m_descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+        return false;
+    }
+    const int unanswered = info.tcpi_retransmits + info.tcpi_probes;
+    return unanswered >= internal::unansweredProbes && std::chrono::milliseconds{info.tcpi_last_ack_recv} > internal::unacknowledgedLimit;
+}
+
 void TcpStream::close()
 {
     if (m_descriptor < 0) {
--- a/src/egretlatch/net/tcp_stream.hpp
+++ b/src/egretlatch/net/tcp_stream.hpp
@@ -97,6 +97,26 @@
         return m_unsent.size();
     }
 
+    /*! @brief Returns the number of bytes that the peer has not acknowledged, including those that are still buffered here. */
+    [[nodiscard]] qsizetype undeliveredBytes() const;
+
+    /**
+     * @brief Sets whether a peer may stop reading for longer than it may leave bytes unacknowledged.
+     *
+     * The kernel's timeout ends a connection also if the peer keeps its receive window closed while it answers probes, as a busy
+     * server does that reads a long body late. With patience, isSilent() takes the place of that timeout.
+     * @param isPatient True to keep a connection whose peer does not read.
+     */
+    void setPatience(bool isPatient);
+
+    [[nodiscard]] bool isPatient() const noexcept
+    {
+        return m_isPatient;
+    }
+
+    /*! @brief Checks whether the peer has left bytes and window probes unanswered for so long that it must be considered lost. */
+    [[nodiscard]] bool isSilent() const;
+
     [[nodiscard]] bool isOpen() const noexcept
     {
         return m_descriptor >= 0 && !m_isConnecting;
@@ -118,6 +138,7 @@
     bool m_isReading{true};
     bool m_hasEnded{};
     bool m_isFinishing{};
+    bool m_isPatient{};
     Poller::Interest m_interest;
     QByteArray m_unsent;
 };
--- a/src/egretlatch/sidecar/shutdown_times.hpp
+++ b/src/egretlatch/sidecar/shutdown_times.hpp
@@ -11,8 +11,10 @@
 {
     /*! @brief End of accepting new requests: until then callers, and daemons that know no other server, may still send some. */
     std::chrono::milliseconds notice{};
-    /*! @brief Latest exit of the process, regardless of requests in flight. */
+    /*! @brief End of waiting for requests in flight. */
     std::chrono::milliseconds end{};
+    /*! @brief Latest exit of the process, while callers still read answers that are complete here. */
+    std::chrono::milliseconds delivery{};
 
     friend bool operator==(const ShutdownTimes &, const ShutdownTimes &) = default;
 };
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -259,7 +259,7 @@
         m_logger.warning("incarnation raised", {{"from", raised->from.value}, {"to", raised->to.value}});
         m_peers.beginIncarnation(raised->to);
     } else if (std::holds_alternative<decision::Drained>(action)) {
-        stop("no requests in flight");
+        beginStop("no requests in flight");
     }
 }
 
@@ -291,9 +291,13 @@
     m_store.tick();
     followConfiguration();
     logLevelChange();
-    if (!m_drainSince.has_value()) {
-        return;
+    if (m_drainSince.has_value()) {
+        tickShutdown();
     }
+}
+
+void Sidecar::tickShutdown()
+{
     const Duration sinceDrain = m_clock.steadyNow() - *m_drainSince;
     const ShutdownTimes times = shutdownTimes(m_bounds.grace, maxTimeout());
     if (!m_isShuttingDown && sinceDrain >= times.notice) {
@@ -301,7 +305,12 @@
         post(decision::ServerDraining{.isShutdown = true, .isSignal = true});
     }
     if (sinceDrain >= times.end) {
-        stop("drain time limit reached");
+        beginStop("drain time limit reached");
+    }
+    if (sinceDrain >= times.delivery) {
+        stop("callers still read their answers");
+    } else if (m_isStopping && !m_frontend.server().owesAnswers()) {
+        stop("all answers delivered");
     }
 }
 
@@ -393,6 +402,16 @@
     m_frontend.setManifest(m_core->manifest());
 }
 
+void Sidecar::beginStop(const std::string_view reason)
+{
+    if (m_isStopping) {
+        return;
+    }
+    m_isStopping = true;
+    m_logger.info("nothing more to do", {{"reason", reason}, {"owesAnswers", m_frontend.server().owesAnswers()}});
+    m_frontend.server().closeIdle();
+}
+
 void Sidecar::stop(const std::string_view reason)
 {
     if (m_hasEnded) {
--- a/src/egretlatch/sidecar/sidecar.hpp
+++ b/src/egretlatch/sidecar/sidecar.hpp
@@ -81,6 +81,8 @@
     [[nodiscard]] http::Response metricsPage();
     void handleConfiguration(const QByteArray &document);
     void applyConfiguration();
+    void beginStop(std::string_view reason);
+    void tickShutdown();
     void stop(std::string_view reason);
 
     settings::SidecarSettings m_settings;
@@ -115,6 +117,8 @@
     /*! @brief Time at which the current configuration came into force; empty without one. */
     std::optional<SteadyTime> m_inForceSince;
     bool m_isShuttingDown{};
+    /*! @brief Set once no request is in flight, or they have been given up; the exit waits for callers that still read. */
+    bool m_isStopping{};
     bool m_hasEnded{};
 };
 
--- a/test/egretlatch/http/connections.cpp
+++ b/test/egretlatch/http/connections.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <fakes/event_loop.hpp>
+#include <fakes/manual_clock.hpp>
 
 #include <egretlatch/http/client_pool.hpp>
 #include <egretlatch/http/server.hpp>
@@ -247,3 +248,107 @@
     }));
     CHECK(abandoned == requests);
 }
+
+namespace
+{
+
+/*! @brief Server that answers each request with a large body, and one caller that reads only when told to. */
+struct SlowReaderFixture
+{
+    static constexpr qsizetype answerBytes = 16 * 1024 * 1024;
+
+    SlowReaderFixture()
+    {
+        net::Endpoint endpoint;
+        {
+            const RawServer free;
+            endpoint = free.endpoint();
+        }
+        REQUIRE(server.listen(endpoint).has_value());
+        caller = ::socket(AF_INET, SOCK_STREAM, 0);
+        constexpr int receiveBytes = 16384;
+        ::setsockopt(caller, SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof receiveBytes);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(endpoint.port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(::connect(caller, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0);
+        const std::string request = "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        REQUIRE(::send(caller, request.data(), request.size(), 0) == static_cast<ssize_t>(request.size()));
+        REQUIRE(fakes::runUntil([this] {
+            return hasAnswered;
+        }));
+    }
+
+    SlowReaderFixture(const SlowReaderFixture &) = delete;
+    SlowReaderFixture &operator=(const SlowReaderFixture &) = delete;
+
+    ~SlowReaderFixture()
+    {
+        ::close(caller);
+    }
+
+    // Reads until the kernel has passed on bytes of the answer.
+    void readSome()
+    {
+        std::vector<char> buffer(65536);
+        REQUIRE(fakes::runUntil([this, &buffer] {
+            const ssize_t count = ::recv(caller, buffer.data(), buffer.size(), MSG_DONTWAIT);
+            received += std::max<ssize_t>(count, 0);
+            return count > 0;
+        }));
+    }
+
+    void pass(const Duration span)
+    {
+        clock.advance(span);
+        server.tick();
+    }
+
+    Application application;
+    fakes::ManualClock clock;
+    net::Poller poller;
+    bool hasAnswered{};
+    int caller{-1};
+    qsizetype received{};
+    Server server{poller,
+                  clock,
+                  [this](const ExchangeId exchange, const Request & /*request*/, SteadyTime /*readAt*/) {
+                      Response response;
+                      response.status = 200;
+                      response.body = QByteArray(answerBytes, 'a');
+                      hasAnswered = true;
+                      server.answer(exchange, std::move(response));
+                  },
+                  [](const ExchangeId /*exchange*/) {}};
+};
+
+} // namespace
+
+TEST_CASE("a caller that goes on reading its last answer is not cut off, however long it takes")
+{
+    // Guards against downloads over slow lines being cut off two seconds after the answer was handed over, as at a shutdown.
+    SlowReaderFixture fixture;
+    for (int second = 0; second < 20; ++second) {
+        fixture.readSome();
+        fixture.pass(std::chrono::seconds{1});
+        REQUIRE(fixture.server.owesAnswers());
+    }
+    while (fixture.received < SlowReaderFixture::answerBytes) {
+        fixture.readSome();
+    }
+    // The last acknowledgement may be under way.
+    CHECK(fakes::runUntil([&fixture] {
+        return !fixture.server.owesAnswers();
+    }));
+}
+
+TEST_CASE("a caller that reads nothing of its last answer is not waited for")
+{
+    SlowReaderFixture fixture;
+    REQUIRE(fixture.server.owesAnswers());
+    for (int step = 0; step < 5; ++step) {
+        fixture.pass(std::chrono::seconds{1});
+    }
+    CHECK_FALSE(fixture.server.owesAnswers());
+}
--- a/test/egretlatch/sidecar/shutdown_times.cpp
+++ b/test/egretlatch/sidecar/shutdown_times.cpp
@@ -13,7 +13,7 @@
     CHECK(shorter.notice + 1200ms <= shorter.end);
     CHECK(shorter.end < 4s);
     // A grace period of 6 s leaves room for the full notice.
-    CHECK(sidecar::shutdownTimes(6s, 1200ms) == sidecar::ShutdownTimes{.notice = 2300ms, .end = 5100ms});
+    CHECK(sidecar::shutdownTimes(6s, 1200ms) == sidecar::ShutdownTimes{.notice = 2300ms, .end = 5100ms, .delivery = 5700ms});
     // The platform keeps sending callers for 2 s, however long their requests take.
     CHECK(sidecar::shutdownTimes(4s, 30s).notice == 2s);
 }
