A server that reads a long body late keeps its request

Cause: TCP_USER_TIMEOUT ends a connection also when the peer answers the probes of its closed window. Change: for a request that may not fit into a receive window, towards servers and the store, that timeout is off; the connection is given up when two probes or retransmissions in a row are unanswered for three seconds, as the kernel reports them. The deadline of the request bounds the rest. Small requests keep the timeout, which also works where the kernel reports nothing.

--- a/src/egretlatch/http/client_connection.cpp
+++ b/src/egretlatch/http/client_connection.cpp
@@ -12,6 +12,8 @@
 constexpr int firstFinalStatus = 200;
 // Longer than the retransmission of a lost SYN, which takes one second.
 constexpr std::chrono::milliseconds connectTimeout{1500};
+// A request up to this size fits into any receive window, so a peer that does not acknowledge it is lost.
+constexpr qsizetype maxBytesInWindow = 16384;
 // Upper bound, and the default if the server announces no timeout. Far below ten seconds, the shortest idle timeout of the
 // servers, since a request that collides with the close may have run.
 constexpr std::chrono::milliseconds maxIdleTime{4000};
@@ -58,8 +60,7 @@
 {
     m_isBusy = true;
     m_outgoing = std::move(outgoing);
-    m_stream.write(m_outgoing.bytes);
-    m_outgoing.bytes.clear();
+    write();
 }
 
 void ClientConnection::cancel()
@@ -90,6 +91,10 @@
         fail(Failure::notConnected);
         return;
     }
+    if (m_isOpen && m_stream.isPatient() && m_stream.isSilent()) {
+        fail(Failure::lost);
+        return;
+    }
     if (now >= m_outgoing.deadline) {
         fail(m_isOpen ? Failure::timedOut : Failure::notConnected);
     }
@@ -98,6 +103,13 @@
 void ClientConnection::onOpen()
 {
     m_isOpen = true;
+    write();
+}
+
+void ClientConnection::write()
+{
+    // A server may read a long body late while it is at work on it; the deadline of the request bounds that.
+    m_stream.setPatience(m_outgoing.bytes.size() > internal::maxBytesInWindow);
     m_stream.write(m_outgoing.bytes);
     m_outgoing.bytes.clear();
 }
--- a/src/egretlatch/http/client_connection.hpp
+++ b/src/egretlatch/http/client_connection.hpp
@@ -90,6 +90,7 @@
     void onOpen() override;
     void onBytes(const QByteArray &bytes) override;
     void onEnd(net::StreamEnd end) override;
+    void write();
     void handleAnswers();
     void handleAnswer(Response response);
     void fail(Failure failure);
--- a/test/egretlatch/net/tcp_stream.cpp
+++ b/test/egretlatch/net/tcp_stream.cpp
@@ -51,6 +51,13 @@
         m_connection = ::accept(m_listener, nullptr, nullptr);
     }
 
+    /*! @brief Bounds the bytes that the kernel takes for this end, which reads none. */
+    void limitReceiving() const
+    {
+        constexpr int bytes = 4096;
+        REQUIRE(::setsockopt(m_listener, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes) == 0);
+    }
+
     void dropIncoming() const
     {
         sock_filter dropAll{.code = BPF_RET | BPF_K, .jt = 0, .jf = 0, .k = 0};
@@ -104,3 +111,34 @@
         return listener.ended.has_value();
     }));
 }
+
+TEST_CASE("a peer that reads late keeps the connection of a patient stream, and one that is gone does not")
+{
+    // Guards against a failure in place of the answer of a server that is at work while it has not read a long body.
+    constexpr qsizetype manyBytes = 16 * 1024 * 1024;
+    constexpr std::chrono::milliseconds lateReading{4000};
+    fakes::ensureApplication();
+    net::Poller poller;
+    RemotePeer remotePeer;
+    remotePeer.limitReceiving();
+    Listener listener;
+    net::TcpStream stream{poller, listener};
+    REQUIRE(stream.open(remotePeer.endpoint()));
+    remotePeer.accept();
+    REQUIRE(fakes::runUntil([&listener] {
+        return listener.isOpen;
+    }));
+    stream.setPatience(true);
+    stream.write(QByteArray(manyBytes, 'x'));
+    const auto start = std::chrono::steady_clock::now();
+    REQUIRE(fakes::runUntil([&start, lateReading] {
+        return std::chrono::steady_clock::now() - start > lateReading;
+    }));
+    CHECK_FALSE(listener.ended.has_value());
+    CHECK_FALSE(stream.isSilent());
+    CHECK(stream.undeliveredBytes() > 0);
+    remotePeer.dropIncoming();
+    CHECK(fakes::runUntil([&stream] {
+        return stream.isSilent();
+    }));
+}
