After a loss of all daemons, a server is announced only once it has confirmed itself

Cause: departures are known to the daemons alone. With all of them killed, a report from before the departure, held up on its way, made a new daemon take the server for a serving one. Ways weighed: (a) the departure kept in the store before it is acknowledged: a write for each departure, none acknowledged while the store is away, and each start has to read them; not built. (b) the first announcement after a start of the daemon waits until the server confirms it: its health check names its incarnation and is negative while it leaves; one probe a start, a few milliseconds. A health check may be wrong in either direction, so a second report at least 200 ms after the first confirms too: a server that has left sends none. What is left: a wrong positive health check, or two late reports apart from each other, together with the loss of all daemons. The stand-in answers health checks now.

--- a/src/egretlatch/manifest/parse_manifest.cpp
+++ b/src/egretlatch/manifest/parse_manifest.cpp
@@ -75,6 +75,7 @@
     service.connections = static_cast<int>(reader.integer("connections", connectionsRange));
     service.queueTarget = reader.milliseconds("queueTargetMs", queueTargetRange, defaults.queueTarget.count());
     service.retryRatio = reader.number("retryRatio", retryRatioRange, defaults.retryRatio);
+    service.healthPath = reader.text("healthPath", "");
     if (service.connections < service.slots) {
         reader.report("connections", fmt::format("{}, less than the {} slots", service.connections, service.slots), "at least as many as slots");
     }
--- a/src/egretlatch/manifest/service_spec.hpp
+++ b/src/egretlatch/manifest/service_spec.hpp
@@ -22,6 +22,8 @@
     std::chrono::milliseconds queueTarget{20};
     /*! @brief Retries per first attempt that the service accepts, over all callers together. */
     double retryRatio{0.1};
+    /*! @brief Path at which a backend server answers health checks; empty if it has none. */
+    std::string healthPath{};
     std::vector<KindSpec> kinds;
 
     friend bool operator==(const ServiceSpec &, const ServiceSpec &) = default;
--- a/src/egretlatch/platform/configuration_document.cpp
+++ b/src/egretlatch/platform/configuration_document.cpp
@@ -91,6 +91,7 @@
         {QLatin1String{"slots"}, 1},
         {QLatin1String{"connections"}, connections},
         {QLatin1String{"retryRatio"}, retryRatio},
+        {QLatin1String{"healthPath"}, field(spec, "health_path").toString()},
     };
 }
 
--- a/src/egretlatch/platform/names.hpp
+++ b/src/egretlatch/platform/names.hpp
@@ -12,6 +12,8 @@
 inline constexpr const char *callerServiceHeader = "X-Caller-Service";
 /*! @brief Only incarnation of a backend server that may execute the request. */
 inline constexpr const char *expectedInstanceHeader = "X-Expected-Instance";
+/*! @brief Incarnation of a backend server, in its answers to health checks and in 421. */
+inline constexpr const char *instanceHeader = "X-Instance-Id";
 /*! @brief Signature of a backend server on its answer. */
 inline constexpr const char *serverStampHeader = "X-Server-Stamp";
 /*! @brief Present if the backend server did not execute the request. */
--- a/src/egretlatch/sidecar/backend_runner.hpp
+++ b/src/egretlatch/sidecar/backend_runner.hpp
@@ -8,6 +8,7 @@
 #include <egretlatch/decision/action.hpp>
 #include <egretlatch/decision/event.hpp>
 #include <egretlatch/http/client_pool.hpp>
+#include <egretlatch/platform/server_wire.hpp>
 
 namespace egretlatch::sidecar
 {
@@ -17,6 +18,7 @@
 {
 public:
     using EndedHandler = std::function<void(decision::RunEnded ended)>;
+    using HealthHandler = std::function<void(const platform::ServerHealth &health)>;
 
     /**
      * @brief Builds a runner.
@@ -40,6 +42,13 @@
      */
     void abort(ExecutionId execution);
 
+    /**
+     * @brief Checks the health of the backend server.
+     * @param path Path of the health check.
+     * @param onHealth Receives the answer; not called without one.
+     */
+    void checkHealth(const std::string &path, HealthHandler onHealth);
+
     /*! @brief Closes connections without a request in flight, as they lead to an ended incarnation of the server. */
     void closeIdleConnections()
     {
@@ -53,6 +62,7 @@
 
 private:
     const Clock &m_clock;
+    std::string m_host;
     EndedHandler m_onEnded;
     http::ClientPool m_pool;
     std::unordered_map<std::uint64_t, http::ClientRequestId> m_requestIds;
--- a/src/egretlatch/sidecar/fwd.hpp
+++ b/src/egretlatch/sidecar/fwd.hpp
@@ -10,6 +10,7 @@
 class LevelLog;
 class ReportHandler;
 class RequestLog;
+class ServerConfirmation;
 class ServerTracker;
 class Sidecar;
 class StoreClient;
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -354,11 +354,48 @@
     }
     // Posted before the acknowledgement, after which no new request may reach a leaving server.
     if (handled.event.has_value()) {
-        post(std::move(*handled.event));
+        handleServerEvent(std::move(*handled.event));
     }
     m_reportServer.answer(exchange, handled.answer);
 }
 
+void Sidecar::handleServerEvent(decision::Event event)
+{
+    const auto *const announced = std::get_if<decision::ServerAnnounced>(&event);
+    if (announced == nullptr) {
+        m_confirmation.handleLeaving();
+        post(std::move(event));
+        return;
+    }
+    const bool wasHolding = m_confirmation.isHolding();
+    if (const auto confirmed = m_confirmation.handleAnnounced(*announced, m_reportHandler.server().instance(), m_clock.steadyNow())) {
+        announce(*confirmed, wasHolding ? "a later report" : "");
+        return;
+    }
+    checkHealth();
+}
+
+void Sidecar::announce(const decision::ServerAnnounced &announced, const std::string_view confirmedBy)
+{
+    if (!confirmedBy.empty()) {
+        m_logger.info("backend server confirmed", {{"instance", announced.instance}, {"by", confirmedBy}});
+    }
+    post(announced);
+}
+
+void Sidecar::checkHealth()
+{
+    const manifest::ServiceSpec *const service = m_core->manifest() == nullptr ? nullptr : m_core->manifest()->findService(m_settings.service);
+    if (!m_confirmation.isHolding() || service == nullptr || service->healthPath.empty()) {
+        return;
+    }
+    m_backend.checkHealth(service->healthPath, [this](const platform::ServerHealth &health) {
+        if (const auto confirmed = m_confirmation.handleHealth(health)) {
+            announce(*confirmed, "its health check");
+        }
+    });
+}
+
 void Sidecar::answerProbe(const ExchangeId exchange, const http::Request &request)
 {
     if (request.target == internal::metricsPath) {
@@ -400,6 +437,8 @@
 {
     m_inForceSince = m_clock.steadyNow();
     m_frontend.setManifest(m_core->manifest());
+    // A report that came before the configuration waits for the health check that this declares.
+    checkHealth();
 }
 
 void Sidecar::beginStop(const std::string_view reason)
--- a/src/egretlatch/sidecar/sidecar.hpp
+++ b/src/egretlatch/sidecar/sidecar.hpp
@@ -22,6 +22,7 @@
 #include <egretlatch/sidecar/level_log.hpp>
 #include <egretlatch/sidecar/report_handler.hpp>
 #include <egretlatch/sidecar/request_log.hpp>
+#include <egretlatch/sidecar/server_confirmation.hpp>
 #include <egretlatch/sidecar/store_client.hpp>
 
 namespace egretlatch::sidecar
@@ -76,6 +77,9 @@
     void logLevelChange();
     [[nodiscard]] std::chrono::milliseconds maxTimeout() const;
     void handleReport(ExchangeId exchange, const http::Request &request);
+    void handleServerEvent(decision::Event event);
+    void announce(const decision::ServerAnnounced &announced, std::string_view confirmedBy);
+    void checkHealth();
     void answerProbe(ExchangeId exchange, const http::Request &request);
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] http::Response metricsPage();
@@ -106,6 +110,7 @@
     http::Server m_metricsServer;
     http::Server m_reportServer;
     ReportHandler m_reportHandler;
+    ServerConfirmation m_confirmation;
     std::unique_ptr<decision::Core> m_core;
     std::deque<decision::Event> m_events;
     QTimer m_tickTimer;
--- a/standin/fleet/server.py
+++ b/standin/fleet/server.py
@@ -9,6 +9,7 @@
 from . import wire
 
 STAMP = "x-server-stamp"
+HEALTH_PATH = "/health"
 
 
 class Fault:
@@ -102,7 +103,15 @@
             self.writers.discard(writer)
             writer.close()
 
+    def answer_health(self, writer):
+        """Answers a health check: 200 while the server accepts requests, 503 once it leaves."""
+        status = 200 if self.state == "ready" else 503
+        writer.write(wire.response(status, {"X-Instance-Id": self.instance, "X-Server-Load": self.load()}))
+
     async def take(self, request, reader, writer):
+        if request.method == "GET" and request.target == HEALTH_PATH:
+            self.answer_health(writer)
+            return True
         name = request.fields.get("x-request-id", "")
         expected = request.fields.get("x-expected-instance")
         if expected not in (None, self.instance):
