--- a/src/egretlatch/core/clock.hpp
+++ b/src/egretlatch/core/clock.hpp
@@ -3,6 +3,8 @@
 
 #include <chrono>
 
+#include <time.h>
+
 namespace egretlatch
 {
 
@@ -13,6 +15,19 @@
 /*! @brief Duration in nanoseconds. */
 using Duration = std::chrono::nanoseconds;
 
+/*! @brief Clock of the time since the machine started; other than the steady clock, it goes on while the machine is suspended. */
+struct BootClock
+{
+    using duration = Duration;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<BootClock>;
+    static constexpr bool is_steady = true;
+};
+
+/*! @brief Time point of the boot clock; meaningless on another machine. */
+using BootTime = BootClock::time_point;
+
 /*! @brief Source of the current time. */
 class Clock
 {
@@ -30,6 +45,12 @@
      * @return The current wall clock time.
      */
     [[nodiscard]] virtual WallTime wallNow() const = 0;
+
+    /**
+     * @brief Returns the time for ages that must not be underestimated, even if the machine was suspended meanwhile.
+     * @return The current time since the machine started.
+     */
+    [[nodiscard]] virtual BootTime bootNow() const = 0;
 };
 
 /*! @brief Clock of the operating system. */
@@ -45,6 +66,13 @@
     {
         return std::chrono::system_clock::now();
     }
+
+    [[nodiscard]] BootTime bootNow() const override
+    {
+        timespec time{};
+        ::clock_gettime(CLOCK_BOOTTIME, &time);
+        return BootTime{std::chrono::seconds{time.tv_sec} + std::chrono::nanoseconds{time.tv_nsec}};
+    }
 };
 
 } // namespace egretlatch
