--- a/src/egretlatch/account/refusal.cpp
+++ b/src/egretlatch/account/refusal.cpp
@@ -24,7 +24,7 @@
 constexpr int conflict = 409;
 constexpr int clientClosedRequest = 499;
 
-constexpr std::array<ReasonEntry, 14> reasons{{
+constexpr std::array<ReasonEntry, 16> reasons{{
     {RefusalReason::overloadAtEntry, "overload-at-entry", tooManyRequests},
     {RefusalReason::overloadAtServer, "overload-at-server", tooManyRequests},
     {RefusalReason::overloadInQueue, "overload-in-queue", tooManyRequests},
@@ -39,6 +39,8 @@
     {RefusalReason::storeUnavailable, "store-unavailable", serviceUnavailable},
     {RefusalReason::quarantined, "quarantined", serviceUnavailable},
     {RefusalReason::daemonBusy, "daemon-busy", serviceUnavailable},
+    {RefusalReason::overQuota, "over-quota", tooManyRequests},
+    {RefusalReason::configurationUnproven, "configuration-unproven", serviceUnavailable},
 }};
 
 [[nodiscard]] static const ReasonEntry &entryOf(const RefusalReason reason)
--- a/src/egretlatch/account/refusal.hpp
+++ b/src/egretlatch/account/refusal.hpp
@@ -44,6 +44,10 @@
     quarantined,
     /*! @brief A ring between two threads of the daemon is full. */
     daemonBusy,
+    /*! @brief The client account has used up its quota. */
+    overQuota,
+    /*! @brief The configuration in force may be too old to decide by an API key, or to attribute a call without one. */
+    configurationUnproven,
 };
 
 /**
--- a/src/egretlatch/account/refusal_record.cpp
+++ b/src/egretlatch/account/refusal_record.cpp
@@ -57,6 +57,10 @@
         return "similar requests had crashed backend servers";
     case RefusalReason::daemonBusy:
         return "the daemon had more calls waiting than it could process";
+    case RefusalReason::overQuota:
+        return "its client account had used up its quota";
+    case RefusalReason::configurationUnproven:
+        return "the configuration known to the daemon may have been too old to decide by its API key, or it had none and its origin was not known";
     }
     return "the reason is not known to this version";
 }
--- a/src/egretlatch/cli/main.cpp
+++ b/src/egretlatch/cli/main.cpp
@@ -6,6 +6,7 @@
 #include <egretlatch/cli/documents.hpp>
 #include <egretlatch/cli/exit_code.hpp>
 #include <egretlatch/cli/explain_command.hpp>
+#include <egretlatch/cli/key_digest_command.hpp>
 #include <egretlatch/cli/keys_command.hpp>
 #include <egretlatch/cli/losses_command.hpp>
 #include <egretlatch/cli/sidecar_command.hpp>
@@ -125,6 +126,8 @@
 
     CLI::App *const keys = app.add_subcommand("keys", "Generate a key pair for the connections between daemons and print it as JSON.");
     keys->footer("Example: egretlatch keys > /etc/egretlatch/peer-keys.json");
+    CLI::App *const keyDigest = app.add_subcommand("key-digest", "Print the digest of an API key for a manifest; the key is read from standard input.");
+    keyDigest->footer("Example: egretlatch key-digest < club.key");
     SubmitOptions submitOptions;
     CLI::App *const submit = addSubmit(app, submitOptions);
     StatusOptions statusOptions;
@@ -152,6 +155,8 @@
         result = check(settingsPath, manifestPath);
     } else if (keys->parsed()) {
         result = makeKeys();
+    } else if (keyDigest->parsed()) {
+        result = printKeyDigest();
     } else if (submit->parsed()) {
         result = runSubmit(submitOptions, argc, argv);
     } else if (status->parsed()) {
--- a/src/egretlatch/configuration/confirmation.cpp
+++ b/src/egretlatch/configuration/confirmation.cpp
@@ -52,7 +52,7 @@
     return m_confirmedAt.has_value() ? std::optional{std::max(now - *m_confirmedAt, Duration{})} : std::nullopt;
 }
 
-ReadReason Confirmation::reasonToRead(const ReadDuty duty, const std::size_t daemons, const SteadyTime now)
+ReadReason Confirmation::reasonToRead(const ReadDuty duty, const std::size_t daemons, const bool isProofStale, const SteadyTime now)
 {
     if (!m_startedAt.has_value()) {
         m_startedAt = now;
@@ -68,7 +68,7 @@
     if (duty != ReadDuty::none && *confirmedAge > internal::maxAgeAtDeputy) {
         return ReadReason::deputy;
     }
-    if (*confirmedAge <= internal::maxAge) {
+    if (*confirmedAge <= internal::maxAge && !isProofStale) {
         m_staleTurn.reset();
         return ReadReason::none;
     }
--- a/src/egretlatch/configuration/confirmation.hpp
+++ b/src/egretlatch/configuration/confirmation.hpp
@@ -56,10 +56,11 @@
      * @brief Decides whether this daemon should read the store now; to be called several times a second.
      * @param duty Its part in reading for the fleet.
      * @param daemons Known daemons, including this one.
+     * @param isProofStale Set if the fleet needs a proof of the configuration's age, and this daemon's is missing or old.
      * @param now Current time.
      * @return The reason to read, or none.
      */
-    [[nodiscard]] ReadReason reasonToRead(ReadDuty duty, std::size_t daemons, SteadyTime now);
+    [[nodiscard]] ReadReason reasonToRead(ReadDuty duty, std::size_t daemons, bool isProofStale, SteadyTime now);
 
 private:
     [[nodiscard]] bool isTurnWhileStale(std::size_t daemons, SteadyTime now);
--- a/src/egretlatch/configuration/follower.cpp
+++ b/src/egretlatch/configuration/follower.cpp
@@ -88,9 +88,33 @@
     m_confirmation.note(at);
 }
 
-ReadReason Follower::reasonToRead(const SteadyTime now)
+ReadReason Follower::reasonToRead(const SteadyTime now, const BootTime bootNow)
 {
-    return m_confirmation.reasonToRead(m_delegate.readDuty(), m_delegate.countPeers() + 1, now);
+    return m_confirmation.reasonToRead(m_delegate.readDuty(), m_delegate.countPeers() + 1, isProofStale(bootNow), now);
+}
+
+bool Follower::isProofStale(const BootTime bootNow) const
+{
+    if (!m_options.maxProofAge.has_value() || !m_hasAccounts) {
+        return false;
+    }
+    const std::optional<Duration> age = m_proof.age(bootNow);
+    return !age.has_value() || *age > *m_options.maxProofAge;
+}
+
+void Follower::noteProven(const store::StoreTime at, const SteadyTime now)
+{
+    if (isBehind()) {
+        return;
+    }
+    m_proof.note(at);
+    if (!m_options.maxProofAge.has_value() || !m_hasAccounts) {
+        return;
+    }
+    // Proofs age fast, so each reaches many daemons without waiting for the next advert.
+    std::vector<Peer> neighbours = m_delegate.neighbours();
+    const std::size_t count = neighbours.size();
+    advertise(std::move(neighbours), count, now);
 }
 
 void Follower::noteConfirmationOf(const Advert &advert, const SteadyTime now)
@@ -99,6 +123,10 @@
     if (advert.confirmedAge.has_value()) {
         m_confirmation.note(now - *advert.confirmedAge);
     }
+    // A proof holds for the version of its sender, and so for each newer one.
+    if (advert.provenAt.has_value() && advert.version <= m_inForce.version) {
+        m_proof.note(*advert.provenAt);
+    }
 }
 
 void Follower::handleBodyRequest(const DaemonId &sender, const BodyRequest &request)
@@ -219,6 +247,7 @@
     }
     m_inForce = m_target;
     m_manifest = manifest;
+    m_hasAccounts = !parsed->manifest->accounts().empty();
     m_sources.clear();
     m_delegate.putInForce(m_inForce.version, parsed->manifest, source);
     advertise(m_delegate.peers(), m_options.fanout, now);
@@ -312,6 +341,7 @@
     if (const std::optional<Duration> age = m_confirmation.age(now)) {
         advert.confirmedAge = std::chrono::ceil<std::chrono::milliseconds>(*age);
     }
+    advert.provenAt = m_proof.provenAt();
     return advert;
 }
 
--- a/src/egretlatch/configuration/follower.hpp
+++ b/src/egretlatch/configuration/follower.hpp
@@ -10,6 +10,7 @@
 #include <QByteArray>
 
 #include <egretlatch/configuration/confirmation.hpp>
+#include <egretlatch/configuration/currency_proof.hpp>
 #include <egretlatch/configuration/follower_delegate.hpp>
 #include <egretlatch/configuration/head.hpp>
 #include <egretlatch/core/clock.hpp>
@@ -37,6 +38,8 @@
     std::size_t fanout{4};
     /*! @brief Time limit for a peer to send a manifest. */
     Duration bodyTimeout{std::chrono::milliseconds{500}};
+    /*! @brief Age from which a proof of the configuration's age is renewed, where client accounts need one; empty if they do not. */
+    std::optional<Duration> maxProofAge{};
     /*! @brief Address of this daemon's peer socket. */
     std::string endpoint;
 
@@ -97,6 +100,32 @@
      */
     void noteConfirmed(SteadyTime at);
 
+    /**
+     * @brief Handles a reading of the store's clock.
+     * @param reading The reading.
+     */
+    void noteStoreClock(const store::ClockReading &reading)
+    {
+        m_proof.noteClock(reading);
+    }
+
+    /**
+     * @brief Handles a proof by the store, and passes it on at once.
+     * @param at Time of the store's clock up to which no configuration was accepted that is newer than those passed on here.
+     * @param now Current time.
+     */
+    void noteProven(store::StoreTime at, SteadyTime now);
+
+    /**
+     * @brief Returns the greatest age that the configuration in force can have.
+     * @param now Current time.
+     * @return The age; nothing without a proof.
+     */
+    [[nodiscard]] std::optional<Duration> proofAge(const BootTime now) const
+    {
+        return m_proof.age(now);
+    }
+
     /*! @brief Skips the delay before the first read of the store; meant for a few daemons of a fleet. */
     void hastenFirstRead()
     {
@@ -106,9 +135,10 @@
     /**
      * @brief Decides whether the caller should read the store and pass manifests to handleAccepted(); to be called several times a second.
      * @param now Current time.
+     * @param bootNow Current time, for the age of the proof.
      * @return The reason to read, or none.
      */
-    [[nodiscard]] ReadReason reasonToRead(SteadyTime now);
+    [[nodiscard]] ReadReason reasonToRead(SteadyTime now, BootTime bootNow);
 
     /**
      * @brief Returns the age of the store's latest confirmation that no newer configuration was accepted.
@@ -190,6 +220,7 @@
     void schedulePoll(SteadyTime now);
     void advertise(std::vector<Peer> peers, std::size_t count, SteadyTime now);
     void advertiseIfDue(SteadyTime now);
+    [[nodiscard]] bool isProofStale(BootTime bootNow) const;
     void noteConfirmationOf(const Advert &advert, SteadyTime now);
     void removeGonePeers(const std::vector<Peer> &peers);
     [[nodiscard]] Advert advert(SteadyTime now) const;
@@ -213,6 +244,9 @@
     SteadyTime m_nextPoll;
     SteadyTime m_nextAdvert;
     Confirmation m_confirmation;
+    CurrencyProof m_proof;
+    /*! @brief Set if the configuration in force declares client accounts. */
+    bool m_hasAccounts{};
     std::map<DaemonId, ReceivedVersion> m_fleet;
 };
 
--- a/src/egretlatch/configuration/fwd.hpp
+++ b/src/egretlatch/configuration/fwd.hpp
@@ -22,6 +22,7 @@
 class FollowerDelegate;
 class Follower;
 class Confirmation;
+class CurrencyProof;
 class Submission;
 
 } // namespace egretlatch::configuration
--- a/src/egretlatch/configuration/messages.hpp
+++ b/src/egretlatch/configuration/messages.hpp
@@ -8,6 +8,8 @@
 
 #include <QByteArray>
 
+#include <egretlatch/store/store_time.hpp>
+
 namespace egretlatch::configuration
 {
 
@@ -21,6 +23,8 @@
     std::string endpoint;
     /*! @brief Age of the latest confirmation by the store that no newer version was accepted, as known to the sender; empty for none. */
     std::optional<std::chrono::milliseconds> confirmedAge{};
+    /*! @brief Time of the store's clock up to which no newer version was accepted, as proven to the sender; empty for none. */
+    std::optional<store::StoreTime> provenAt{};
 
     friend bool operator==(const Advert &, const Advert &) = default;
 };
--- a/src/egretlatch/core/secret.cpp
+++ b/src/egretlatch/core/secret.cpp
@@ -1,5 +1,7 @@
 #include <egretlatch/core/secret.hpp>
 
+#include <QCryptographicHash>
+
 namespace egretlatch
 {
 
@@ -7,6 +9,8 @@
 {
 
 constexpr std::string_view bearerPrefix{"Bearer "};
+// Separates these digests from other hashes of the same bytes.
+constexpr std::string_view digestPrefix{"egretlatch api key\n"};
 
 } // namespace internal
 
@@ -23,6 +27,17 @@
     return difference == 0;
 }
 
+std::string Secret::digest() const
+{
+    if (m_token.empty()) {
+        return {};
+    }
+    QCryptographicHash hash{QCryptographicHash::Sha256};
+    hash.addData(QByteArrayView{internal::digestPrefix.data(), static_cast<qsizetype>(internal::digestPrefix.size())});
+    hash.addData(QByteArrayView{m_token.data(), static_cast<qsizetype>(m_token.size())});
+    return hash.result().toHex().toStdString();
+}
+
 std::string Secret::toBearer() const
 {
     return m_token.empty() ? std::string{} : std::string{internal::bearerPrefix} + m_token;
--- a/src/egretlatch/core/secret.hpp
+++ b/src/egretlatch/core/secret.hpp
@@ -51,6 +51,12 @@
      */
     [[nodiscard]] bool matchesBearer(std::string_view header) const noexcept;
 
+    /**
+     * @brief Returns a digest by which the token is looked up and compared without being kept.
+     * @return SHA-256 of the token with a prefix of its own, as 64 lowercase hexadecimal digits; empty if the secret is empty.
+     */
+    [[nodiscard]] std::string digest() const;
+
 private:
     std::string m_token;
 };
--- a/src/egretlatch/daemon/backend_client.cpp
+++ b/src/egretlatch/daemon/backend_client.cpp
@@ -37,6 +37,9 @@
     request.setRawHeader(kindHeader, toQt(run.kind));
     request.setRawHeader(callHeader, toQt(run.runToken));
     request.setRawHeader(traceHeader, toQt(account::toTraceParent(run.trace)));
+    if (!run.account.empty()) {
+        request.setRawHeader(accountHeader, toQt(run.account));
+    }
     if (!run.key.empty()) {
         request.setRawHeader(keyHeader, toQt(run.key));
     }
--- a/src/egretlatch/daemon/http_headers.cpp
+++ b/src/egretlatch/daemon/http_headers.cpp
@@ -9,7 +9,7 @@
 namespace internal
 {
 
-constexpr std::array<const char *, 19> hopByHopHeaders{
+constexpr std::array<const char *, 21> hopByHopHeaders{
     "connection",
     "keep-alive",
     "proxy-authenticate",
@@ -29,6 +29,8 @@
     verdictHeader,
     traceHeader,
     kindHeader,
+    apiKeyHeader,
+    accountHeader,
 };
 
 } // namespace internal
--- a/src/egretlatch/daemon/http_headers.hpp
+++ b/src/egretlatch/daemon/http_headers.hpp
@@ -21,6 +21,11 @@
 /*! @brief Trace context of the request (W3C Trace Context). */
 constexpr char traceHeader[] = "traceparent";
 
+/*! @brief API key of a client account; never forwarded. */
+constexpr char apiKeyHeader[] = "Egretlatch-Api-Key";
+/*! @brief Client account of the request, sent to the backend server. */
+constexpr char accountHeader[] = "Egretlatch-Account";
+
 /**
  * @brief Checks if a header field is forwarded.
  * @param name Name of the field, case-insensitive.
--- a/src/egretlatch/daemon/parse_call.cpp
+++ b/src/egretlatch/daemon/parse_call.cpp
@@ -2,6 +2,7 @@
 
 #include <QUrl>
 
+#include <egretlatch/core/secret.hpp>
 #include <egretlatch/daemon/http_headers.hpp>
 
 namespace egretlatch::daemon
@@ -93,6 +94,7 @@
     call.headers = internal::endToEndHeaders(request);
     call.body = request.body();
     call.key = request.value(keyHeader).toStdString();
+    call.apiKeyDigest = Secret{request.value(apiKeyHeader).toStdString()}.digest();
     call.runToken = request.value(callHeader).toStdString();
     const QByteArray timeout = request.value(timeoutHeader);
     if (!timeout.isEmpty()) {
--- /dev/null
+++ b/src/egretlatch/decision/account_gate.hpp
@@ -0,0 +1,91 @@
+#ifndef EGRETLATCH_DECISION_ACCOUNT_GATE_HPP
+#define EGRETLATCH_DECISION_ACCOUNT_GATE_HPP
+
+#include <optional>
+#include <string>
+
+#include <egretlatch/configuration/follower.hpp>
+#include <egretlatch/decision/account_rules.hpp>
+#include <egretlatch/decision/core_context.hpp>
+#include <egretlatch/decision/event.hpp>
+#include <egretlatch/decision/quota_handler.hpp>
+#include <egretlatch/decision/serving_handler.hpp>
+
+namespace egretlatch::decision
+{
+
+/*! @brief Account of a call, or the reason for which it is not admitted. */
+struct AccountDecision
+{
+    /*! @brief Account that the call counts for; null for none. Valid as long as the configuration is in force. */
+    const manifest::AccountSpec *account{};
+    std::optional<account::Refusal> refusal;
+    /*! @brief Set if the call has no valid key, and no later attempt with the same key would have one. */
+    bool isUnauthorized{};
+};
+
+/**
+ * @brief Decides by API key and quota whether a call may enter.
+ *
+ * A key counts only while the configuration in force is proven to be recent: a daemon that is cut off or stood still would
+ * otherwise admit a key that has been withdrawn. Calls that a backend server makes while it runs a request carry no key; they are
+ * recognized by the run in progress on this VM, not by what they say of themselves.
+ */
+class AccountGate
+{
+public:
+    /**
+     * @brief Builds a gate.
+     * @param context State shared with the rest of the core; must outlive the gate.
+     * @param serving Handler of the runs on this VM; must outlive the gate.
+     * @param configuration Follower that proves the age of the configuration; must outlive the gate.
+     * @param rules Rules for calls of client accounts.
+     */
+    AccountGate(CoreContext &context, const ServingHandler &serving, const configuration::Follower &configuration, const AccountRules &rules);
+
+    /**
+     * @brief Finds the account of a call.
+     * @param call The call.
+     * @param kind Its kind.
+     * @param isInner Set if it is known to be made by a run on this VM.
+     * @param now Current time.
+     * @return The account or the refusal; neither for a call that needs no account.
+     */
+    [[nodiscard]] AccountDecision check(const CallerCall &call, const manifest::KindSpec &kind, bool isInner, SteadyTime now);
+
+    /**
+     * @brief Decides on a call by the quota of its account.
+     * @param account The account.
+     * @param root Root of the call, which spreads the times at which refused callers come back.
+     * @param now Current time.
+     * @return The refusal, or nothing if the call is admitted.
+     */
+    [[nodiscard]] std::optional<account::Refusal> checkQuota(const manifest::AccountSpec &account, const Uuid &root, SteadyTime now);
+
+    [[nodiscard]] QuotaHandler &quotas() noexcept
+    {
+        return m_quotas;
+    }
+
+    [[nodiscard]] const QuotaHandler &quotas() const noexcept
+    {
+        return m_quotas;
+    }
+
+private:
+    [[nodiscard]] AccountDecision checkWithoutKey(SteadyTime now);
+    [[nodiscard]] AccountDecision checkUnknownKey(SteadyTime now);
+    [[nodiscard]] account::Refusal refuseUnproven(const std::string &rule, std::optional<Duration> age);
+
+    CoreContext &m_context;
+    const ServingHandler &m_serving;
+    const configuration::Follower &m_configuration;
+    AccountRules m_rules;
+    QuotaHandler m_quotas;
+    /*! @brief Set once a call of the backend server has named the run that makes it; all its calls do then. */
+    bool m_areRunsNamed{};
+};
+
+} // namespace egretlatch::decision
+
+#endif
--- a/src/egretlatch/decision/action.hpp
+++ b/src/egretlatch/decision/action.hpp
@@ -71,6 +71,8 @@
     Duration remaining{};
     /*! @brief Identifies the run in its inner calls; sent as `Egretlatch-Call`. */
     std::string runToken;
+    /*! @brief Client account of the request; empty for inner calls and without accounts. */
+    std::string account;
     /*! @brief Sent as `Idempotency-Key` if not empty. */
     std::string key;
     account::TraceContext trace;
@@ -99,6 +101,8 @@
     RefusalRecord record;
     /*! @brief Name that the caller gave its request; empty if it gave none. */
     std::string requestName;
+    /*! @brief Client account of the request; empty for none. */
+    std::string account;
     /*! @brief Daemon of the last attempt; empty if there was none. */
     DaemonId server;
     /*! @brief Time since the request arrived. */
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -70,7 +70,12 @@
 
 configuration::ReadReason Core::reasonToReadConfiguration()
 {
-    return m_configuration->reasonToRead(m_context->clock.steadyNow());
+    return m_configuration->reasonToRead(m_context->clock.steadyNow(), m_context->clock.bootNow());
+}
+
+std::optional<Duration> Core::configurationProofAge() const
+{
+    return m_configuration->proofAge(m_context->clock.bootNow());
 }
 
 std::optional<Duration> Core::configurationConfirmedAge() const
@@ -137,6 +142,12 @@
                    [&](const ConfigurationConfirmed &confirmed) {
                        m_configuration->noteConfirmed(confirmed.at);
                    },
+                   [&](const StoreClockRead &read) {
+                       m_configuration->noteStoreClock(read.reading);
+                   },
+                   [&](const ConfigurationProven &proven) {
+                       m_configuration->noteProven(proven.at, now);
+                   },
                    [&](const PlatformAnswered &answered) {
                        handlePlatform(answered, now);
                    },
@@ -176,6 +187,12 @@
                    [&](const configuration::BodyReply &reply) {
                        m_configuration->handleBodyReply(envelope.sender, reply, now);
                    },
+                   [&](const quota::UseReport &report) {
+                       m_accounts->quotas().handleReport(envelope.sender, report, now);
+                   },
+                   [&](const quota::GrantReply &reply) {
+                       m_accounts->quotas().handleReply(reply, now);
+                   },
                },
                envelope.message);
 }
@@ -183,6 +200,7 @@
 void Core::handlePeerLost(const PeerLost &lost, const SteadyTime now)
 {
     m_gossip->noteUnreachable(lost.daemon);
+    m_accounts->quotas().handlePeerLost(lost, now);
     m_entry->handlePeerLost(lost, now);
 }
 
@@ -252,6 +270,7 @@
 void Core::tickFleet(const SteadyTime now)
 {
     m_configuration->tick(now);
+    m_accounts->quotas().tick(now);
     tickServer(now);
     m_gossip->setPerformance(m_serving->performance(now));
     m_gossip->tick(now);
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -6,6 +6,7 @@
 
 #include <egretlatch/configuration/follower.hpp>
 #include <egretlatch/configuration/report.hpp>
+#include <egretlatch/decision/account_gate.hpp>
 #include <egretlatch/decision/action.hpp>
 #include <egretlatch/decision/configuration_delegate.hpp>
 #include <egretlatch/decision/core_context.hpp>
@@ -86,6 +87,18 @@
      */
     [[nodiscard]] std::optional<Duration> configurationConfirmedAge() const;
 
+    /**
+     * @brief Returns the greatest age that the configuration in force can have.
+     * @return The age; nothing without a proof.
+     */
+    [[nodiscard]] std::optional<Duration> configurationProofAge() const;
+
+    /*! @brief Counts the client accounts with requests here whose quota is short. */
+    [[nodiscard]] std::size_t countShortQuotas() const
+    {
+        return m_accounts->quotas().countShort();
+    }
+
     [[nodiscard]] admission::LoadReport load() const;
 
     /*! @brief Returns the time without a message from any other daemon, and whether it is reported as isolation. */
@@ -141,6 +154,7 @@
     std::unique_ptr<EntryHandler> m_entry;
     std::unique_ptr<ConfigurationDelegate> m_configurationDelegate;
     std::unique_ptr<configuration::Follower> m_configuration;
+    std::unique_ptr<AccountGate> m_accounts;
     /*! @brief Separate source, so that gossip does not change the random numbers drawn for calls. */
     std::unique_ptr<RandomSource> m_gossipRandom;
     std::unique_ptr<membership::Gossip> m_gossip;
@@ -226,6 +240,13 @@
      */
     CoreBuilder &setConfigurationFeed();
 
+    /**
+     * @brief Sets the rules for calls of client accounts.
+     * @param rules The rules.
+     * @return This builder.
+     */
+    CoreBuilder &setAccountRules(const AccountRules &rules);
+
     /**
      * @brief Sets the rules for attempts.
      * @param rules The rules.
@@ -292,6 +313,7 @@
     std::unique_ptr<admission::Gate> m_gate;
     bool m_followsPlatform{};
     bool m_receivesManifests{};
+    AccountRules m_accountRules;
     EntryRules m_entryRules;
     DrainTimes m_drainTimes;
     retry::UnownedKeys m_unownedKeys{retry::UnownedKeys::refuse};
--- a/src/egretlatch/decision/core_builder.cpp
+++ b/src/egretlatch/decision/core_builder.cpp
@@ -21,6 +21,8 @@
 // A peer answers within milliseconds. With a timeout of 500 ms, and a turn for the store, which is not queried here, one
 // lost answer cost 0.7 s of the two seconds.
 constexpr std::chrono::milliseconds fedBodyTimeout{150};
+// Part of the greatest age at which keys count from which a proof is renewed; the rest is time to reach the store by turns.
+constexpr double staleShareOfProofAge = 0.65;
 
 } // namespace internal
 
@@ -73,6 +75,12 @@
     return *this;
 }
 
+CoreBuilder &CoreBuilder::setAccountRules(const AccountRules &rules)
+{
+    m_accountRules = rules;
+    return *this;
+}
+
 CoreBuilder &CoreBuilder::setEntryRules(const EntryRules &rules)
 {
     m_entryRules = rules;
@@ -171,8 +179,13 @@
         options.firstAdvertInterval = internal::fedFirstAdvertInterval;
         options.bodyTimeout = internal::fedBodyTimeout;
     }
+    if (m_accountRules.maxAgeForKeys.has_value()) {
+        options.maxProofAge = std::chrono::duration_cast<Duration>(*m_accountRules.maxAgeForKeys * internal::staleShareOfProofAge);
+    }
     options.endpoint = m_self.endpoint;
     core->m_configuration = std::make_unique<configuration::Follower>(*core->m_configurationDelegate, m_random, options);
+    core->m_accounts = std::make_unique<AccountGate>(*core->m_context, *core->m_serving, *core->m_configuration, m_accountRules);
+    core->m_entry->setAccounts(*core->m_accounts);
     core->m_gossipRandom = std::make_unique<SeededRandom>(m_random.next());
     if (m_followsPlatform) {
         core->m_contactBook =
--- a/src/egretlatch/decision/entry_answers.cpp
+++ b/src/egretlatch/decision/entry_answers.cpp
@@ -26,6 +26,9 @@
     if (pending.holdsKey) {
         releaseKey(pending, answer);
     }
+    if (pending.usesQuota && answer.verdict == Verdict::notRun) {
+        m_accounts->quotas().giveBack(pending.call.account);
+    }
     if (pending.parent.has_value()) {
         const bool hasFailed = answer.refusal.has_value() || answer.status >= internal::firstServerError;
         const int returned = m_rules.countsOnlyArrivals ? 0 : pending.attemptsLeft;
@@ -114,6 +117,7 @@
     m_context.actions.emplace_back(RecordRefusal{
         .record = std::move(record),
         .requestName = pending.call.requestName,
+        .account = pending.call.account,
         .server = pending.server,
         .elapsed = m_context.clock.steadyNow() - pending.arrived,
         .depth = pending.depth,
--- a/src/egretlatch/decision/entry_attempts.cpp
+++ b/src/egretlatch/decision/entry_attempts.cpp
@@ -65,6 +65,7 @@
     request.headers = pending.call.headers;
     request.body = pending.call.body;
     request.key = pending.call.key;
+    request.account = pending.call.account;
     request.requestName = pending.call.requestName;
     request.remaining = pending.deadline - now;
     request.trace = pending.attemptTrace;
--- a/src/egretlatch/decision/entry_handler.cpp
+++ b/src/egretlatch/decision/entry_handler.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr int badRequest = 400;
+constexpr int unauthorized = 401;
 constexpr int notFound = 404;
 constexpr int firstServerError = 500;
 constexpr std::chrono::minutes retryAfterQuarantine{1};
@@ -100,10 +101,19 @@
     if (!call.parentName.empty()) {
         inner = m_serving.findRunNamed(call.parentName);
     }
+    const AccountDecision decision = m_accounts == nullptr ? AccountDecision{} : m_accounts->check(call, *kind, inner.has_value(), now);
+    if (decision.isUnauthorized) {
+        refuseKey(arrived);
+        return;
+    }
     if (inner.has_value()) {
         m_serving.noteInnerBegan(inner->execution, {call.service, call.kind});
     }
     Pending pending = begin(arrived, *kind, inner, now);
+    if (std::optional<account::Refusal> refusal = applyAccount(pending, decision, now)) {
+        finishRefused(std::move(pending), std::move(*refusal), now);
+        return;
+    }
     if (!kind->idempotent && m_context.unownedKeys != retry::UnownedKeys::notNeeded) {
         findOwner(std::move(pending), inner, now);
         return;
@@ -111,6 +121,28 @@
     admit(std::move(pending), now);
 }
 
+std::optional<account::Refusal> EntryHandler::applyAccount(Pending &pending, const AccountDecision &decision, const SteadyTime now)
+{
+    if (decision.refusal.has_value() || decision.account == nullptr) {
+        return decision.refusal;
+    }
+    pending.call.account = decision.account->name;
+    pending.rank.priority = decision.account->priority.value_or(pending.rank.priority);
+    std::optional<account::Refusal> refusal = m_accounts->checkQuota(*decision.account, pending.root, now);
+    pending.usesQuota = !refusal.has_value();
+    return refusal;
+}
+
+void EntryHandler::refuseKey(const CallArrived &arrived)
+{
+    const CallerCall &call = arrived.call;
+    const std::string error = call.apiKeyDigest.empty() ? "an API key is required" : "no client account holds this API key";
+    m_context.metrics.count("refusals", "unauthorized");
+    m_context.actions.emplace_back(LogRequest{
+        .event = "API key refused", .requestName = call.requestName, .service = call.service, .kind = call.kind, .server = {}, .reason = error, .elapsed = {}});
+    answerRequestError(arrived.exchange, call, internal::unauthorized, error);
+}
+
 void EntryHandler::admit(Pending pending, const SteadyTime now)
 {
     // No other daemon runs a key that this one owns, so while it shuts down it still admits calls with such keys.
--- a/src/egretlatch/decision/entry_handler.hpp
+++ b/src/egretlatch/decision/entry_handler.hpp
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include <egretlatch/decision/account_gate.hpp>
 #include <egretlatch/decision/core_context.hpp>
 #include <egretlatch/decision/entry_rules.hpp>
 #include <egretlatch/decision/event.hpp>
@@ -38,6 +39,15 @@
      */
     EntryHandler(CoreContext &context, ServingHandler &serving, retry::KeyLedgerLimits ledgerLimits, std::unique_ptr<retry::ShardGrants> grants);
 
+    /**
+     * @brief Sets the gate that admits calls by API key and quota; without one, no call needs a key.
+     * @param accounts The gate; must outlive the handler.
+     */
+    void setAccounts(AccountGate &accounts)
+    {
+        m_accounts = &accounts;
+    }
+
     /**
      * @brief Handles a call.
      * @param arrived The call.
@@ -172,6 +182,8 @@
         admission::Rank rank;
         admission::RootCosts rootCosts;
         int depth{};
+        /*! @brief Set if the call counts for the quota of its account. */
+        bool usesQuota{};
         /*! @brief Set if a backend server may already have received the request. */
         bool isRepeat{};
         /*! @brief Set if the calling run is itself a repeat, which makes each attempt of this call a repeat. */
@@ -199,6 +211,8 @@
     static constexpr std::size_t maxMoves = 4;
 
     [[nodiscard]] std::optional<std::string> findRequestError(const CallerCall &call, bool isInner) const;
+    [[nodiscard]] std::optional<account::Refusal> applyAccount(Pending &pending, const AccountDecision &decision, SteadyTime now);
+    void refuseKey(const CallArrived &arrived);
     void answerRequestError(ExchangeId exchange, const CallerCall &call, int status, std::string requestError);
     [[nodiscard]] bool isQuarantined(const Pending &pending, SteadyTime now) const;
     void admit(Pending pending, SteadyTime now);
@@ -241,6 +255,7 @@
 
     CoreContext &m_context;
     ServingHandler &m_serving;
+    AccountGate *m_accounts{};
     PendingMap m_pending;
     std::map<ExchangeId, CallId> m_byExchange;
     /*! @brief Calls waiting for another call with the same key, by key. */
--- a/src/egretlatch/decision/entry_keys.cpp
+++ b/src/egretlatch/decision/entry_keys.cpp
@@ -296,6 +296,7 @@
     pending.call.headers = request.headers;
     pending.call.body = request.body;
     pending.call.key = request.key;
+    pending.call.account = request.account;
     pending.root = request.root;
     pending.rank = request.rank;
     pending.rootCosts = request.rootCosts;
--- a/src/egretlatch/decision/event.hpp
+++ b/src/egretlatch/decision/event.hpp
@@ -33,6 +33,10 @@
     QByteArray body;
     /*! @brief Value of `Idempotency-Key`; empty if there was none. */
     std::string key;
+    /*! @brief Digest of its API key; empty if there was none. */
+    std::string apiKeyDigest;
+    /*! @brief Client account, once the key has been found; empty without one. */
+    std::string account;
     /*! @brief Value of `Request-Timeout-Ms`. */
     std::optional<std::chrono::milliseconds> timeout;
     std::optional<account::TraceContext> trace;
@@ -163,6 +167,18 @@
     SteadyTime at;
 };
 
+/*! @brief An answer of the store carried the time of its clock. */
+struct StoreClockRead
+{
+    store::ClockReading reading;
+};
+
+/*! @brief The store proved that no configuration newer than those passed on was accepted up to a time of its clock. */
+struct ConfigurationProven
+{
+    store::StoreTime at;
+};
+
 /*! @brief The platform answered, or the request timed out. */
 struct PlatformAnswered
 {
@@ -188,6 +204,8 @@
                            ManifestChanged,
                            ManifestAccepted,
                            ConfigurationConfirmed,
+                           StoreClockRead,
+                           ConfigurationProven,
                            PlatformAnswered,
                            Tick>;
 
--- a/src/egretlatch/decision/fwd.hpp
+++ b/src/egretlatch/decision/fwd.hpp
@@ -4,6 +4,8 @@
 namespace egretlatch::decision
 {
 
+struct AccountDecision;
+struct AccountRules;
 struct CallerCall;
 struct CallerAnswer;
 struct RunRequest;
@@ -15,7 +17,9 @@
 enum class Delivery;
 enum class RunFailure;
 
+class AccountGate;
 class EntryHandler;
+class QuotaHandler;
 class ServingHandler;
 class ConfigurationRoles;
 class Core;
--- a/src/egretlatch/decision/serving_handler.cpp
+++ b/src/egretlatch/decision/serving_handler.cpp
@@ -167,6 +167,7 @@
         .latency = now - *attempt.started,
         .waitedForInner = attempt.innerWait,
     };
+    m_lastRunEnd = now;
     m_context.metrics.observe("run_duration", attempt.request.service, observation.latency);
     recordOutcome(attempt, ended, now);
     detectCrash(attempt, ended, now);
@@ -268,6 +269,7 @@
                     .kind = request.kind,
                     .remaining = attempt.deadline - now,
                     .runToken = tokenOf(execution),
+                    .account = request.account,
                     .key = request.key,
                     .trace = attempt.trace,
                     .mayRepeat = kind != nullptr && kind->idempotent},
@@ -303,6 +305,7 @@
         return;
     }
     abandoned.verdict = retry::verdictOf(retry::AttemptEnd::aborted);
+    m_lastRunEnd = now;
     m_performanceMeter.noteAbandoned(attempt.request.kind, now - *attempt.started - attempt.innerWait, now);
     m_context.actions.emplace_back(AbortRun{.execution = execution});
     const admission::Observation observation{
--- a/src/egretlatch/decision/serving_handler.hpp
+++ b/src/egretlatch/decision/serving_handler.hpp
@@ -178,6 +178,18 @@
      */
     void noteInnerEnded(ExecutionId execution, const InnerCallResult &end, SteadyTime now);
 
+    /*! @brief Checks whether the backend server runs any request. */
+    [[nodiscard]] bool hasRuns() const noexcept
+    {
+        return m_attempts.size() > static_cast<std::size_t>(m_waiting);
+    }
+
+    /*! @brief Returns the time at which a run last ended. */
+    [[nodiscard]] SteadyTime lastRunEnd() const noexcept
+    {
+        return m_lastRunEnd;
+    }
+
     [[nodiscard]] bool hasWaiting() const noexcept
     {
         return m_waiting > 0;
@@ -250,6 +262,7 @@
     std::uint64_t m_answers{};
     /*! @brief Attempts that have not been started. */
     int m_waiting{};
+    SteadyTime m_lastRunEnd;
     bool m_hasServer{};
     bool m_isDraining{};
 };
--- a/src/egretlatch/manifest/fwd.hpp
+++ b/src/egretlatch/manifest/fwd.hpp
@@ -4,6 +4,7 @@
 namespace egretlatch::manifest
 {
 
+struct AccountSpec;
 struct InnerCall;
 struct KindSpec;
 struct ServiceSpec;
--- a/src/egretlatch/manifest/kind_spec.hpp
+++ b/src/egretlatch/manifest/kind_spec.hpp
@@ -37,6 +37,8 @@
     std::chrono::milliseconds cost{10};
     /*! @brief Attempts beyond the first of each call, over the whole call tree of a root of this kind. */
     int retryBudget{2};
+    /*! @brief True if callers need no API key, even if the manifest declares accounts. */
+    bool isPublic{};
     std::vector<InnerCall> calls;
 
     friend bool operator==(const KindSpec &, const KindSpec &) = default;
--- a/src/egretlatch/manifest/manifest.cpp
+++ b/src/egretlatch/manifest/manifest.cpp
@@ -65,6 +65,18 @@
     return nullptr;
 }
 
+const AccountSpec *Manifest::findAccountByKey(const std::string &keyDigest) const
+{
+    const auto found = m_accountsByKey.find(keyDigest);
+    return found == m_accountsByKey.end() ? nullptr : &m_accounts[found->second];
+}
+
+const AccountSpec *Manifest::findAccount(const std::string &name) const
+{
+    const auto found = m_accountsByName.find(name);
+    return found == m_accountsByName.end() ? nullptr : &m_accounts[found->second];
+}
+
 ManifestBuilder &ManifestBuilder::addService(ServiceSpec service)
 {
     m_services.push_back(std::move(service));
@@ -77,6 +89,12 @@
     return *this;
 }
 
+ManifestBuilder &ManifestBuilder::addAccount(AccountSpec account)
+{
+    m_accounts.push_back(std::move(account));
+    return *this;
+}
+
 ManifestBuilder &ManifestBuilder::setCallerLimits(const CallerLimits &limits)
 {
     m_callerLimits = limits;
@@ -102,6 +120,13 @@
     for (std::size_t index = 0; index < m_routes.size(); ++index) {
         manifest.m_routeIndices.emplace(internal::routeKey(m_routes[index].host, m_routes[index].prefix), index);
     }
+    manifest.m_accounts = m_accounts;
+    for (std::size_t index = 0; index < m_accounts.size(); ++index) {
+        manifest.m_accountsByName.emplace(m_accounts[index].name, index);
+        for (const std::string &digest : m_accounts[index].keyDigests) {
+            manifest.m_accountsByKey.emplace(digest, index);
+        }
+    }
     manifest.m_callerLimits = m_callerLimits;
     manifest.m_hash = m_hash;
     return std::make_shared<const Manifest>(std::move(manifest));
--- a/src/egretlatch/manifest/manifest.hpp
+++ b/src/egretlatch/manifest/manifest.hpp
@@ -13,6 +13,7 @@
 
 #include <tl/expected.hpp>
 
+#include <egretlatch/manifest/account_spec.hpp>
 #include <egretlatch/manifest/route_spec.hpp>
 #include <egretlatch/manifest/service_spec.hpp>
 #include <egretlatch/settings/problem.hpp>
@@ -70,6 +71,29 @@
      */
     [[nodiscard]] const RouteSpec *findRoute(std::string_view host, std::string_view path) const;
 
+    /**
+     * @brief Returns the declared client accounts.
+     * @return The accounts; if there are none, callers need no API keys.
+     */
+    [[nodiscard]] const std::vector<AccountSpec> &accounts() const noexcept
+    {
+        return m_accounts;
+    }
+
+    /**
+     * @brief Finds the account that holds an API key.
+     * @param keyDigest Digest of the key.
+     * @return The account, or null if no account holds the key; valid for the lifetime of the manifest.
+     */
+    [[nodiscard]] const AccountSpec *findAccountByKey(const std::string &keyDigest) const;
+
+    /**
+     * @brief Finds an account by name.
+     * @param name Its name.
+     * @return The account, or null if it is not declared; valid for the lifetime of the manifest.
+     */
+    [[nodiscard]] const AccountSpec *findAccount(const std::string &name) const;
+
     [[nodiscard]] const CallerLimits &callerLimits() const noexcept
     {
         return m_callerLimits;
@@ -87,6 +111,10 @@
     std::unordered_map<std::string, std::size_t> m_routeIndices;
     /*! @brief Indices into m_services and the kinds of the service, by the names of service and kind. */
     std::unordered_map<std::string, std::pair<std::size_t, std::size_t>> m_kindIndices;
+    std::vector<AccountSpec> m_accounts;
+    /*! @brief Indices into m_accounts, by the digests of their keys and by their names. */
+    std::unordered_map<std::string, std::size_t> m_accountsByKey;
+    std::unordered_map<std::string, std::size_t> m_accountsByName;
     CallerLimits m_callerLimits;
     std::string m_hash;
 };
@@ -109,6 +137,13 @@
      */
     ManifestBuilder &addRoute(RouteSpec route);
 
+    /**
+     * @brief Adds a client account.
+     * @param account The account; if two hold the same key, the first is used.
+     * @return This builder.
+     */
+    ManifestBuilder &addAccount(AccountSpec account);
+
     /**
      * @brief Sets the limits for callers of routes.
      * @param limits The limits.
@@ -132,6 +167,7 @@
 private:
     std::vector<ServiceSpec> m_services;
     std::vector<RouteSpec> m_routes;
+    std::vector<AccountSpec> m_accounts;
     CallerLimits m_callerLimits;
     std::string m_hash;
 };
--- a/src/egretlatch/manifest/parse_manifest.cpp
+++ b/src/egretlatch/manifest/parse_manifest.cpp
@@ -19,6 +19,7 @@
 using settings::Problems;
 using settings::Range;
 
+constexpr std::size_t keyDigestLength = 64;
 constexpr Range<std::int64_t> priorityRange{.min = 0, .max = 9};
 constexpr Range<double> worthRange{.min = 0.0, .max = 1e6};
 constexpr Range<std::int64_t> deadlineRange{.min = 1, .max = 600'000};
@@ -32,6 +33,7 @@
 constexpr Range<std::int64_t> headerBytesRange{.min = 256, .max = 1024LL * 1024};
 constexpr Range<std::int64_t> bodyBytesRange{.min = 0, .max = 1024LL * 1024 * 1024};
 constexpr Range<std::int64_t> timeoutRange{.min = 1, .max = 3'600'000};
+constexpr Range<double> accountRateRange{.min = 0.0, .max = 1e9};
 constexpr Range<double> retryRatioRange{.min = 0.0, .max = 1.0};
 
 [[nodiscard]] static InnerCall readCall(const QJsonValue &value, const std::string &pointer, Problems &problems)
@@ -57,6 +59,7 @@
     kind.deadline = reader.milliseconds("deadlineMs", deadlineRange, defaults.deadline.count());
     kind.cost = reader.milliseconds("costMs", costRange, defaults.cost.count());
     kind.answerTarget = reader.milliseconds("answerTargetMs", deadlineRange, kind.deadline.count());
+    kind.isPublic = reader.flag("public", false);
     kind.retryBudget = static_cast<int>(reader.integer("retryBudget", retryBudgetRange, defaults.retryBudget));
     reader.list("calls", false, [&](const QJsonValue &element, const std::string &elementPointer) {
         kind.calls.push_back(readCall(element, elementPointer, problems));
@@ -139,6 +142,50 @@
     }
 }
 
+[[nodiscard]] static AccountSpec readAccount(const QJsonValue &value, const std::string &pointer, Problems &problems)
+{
+    JsonObjectReader reader{value, pointer, problems};
+    AccountSpec account;
+    account.name = reader.text("name");
+    if (account.name.empty()) {
+        reader.report("name", "an empty text", "a name");
+    }
+    if (reader.member("priority").has_value()) {
+        account.priority = static_cast<int>(reader.integer("priority", priorityRange));
+    }
+    account.ratePerSecond = reader.number("ratePerSecond", accountRateRange, 0.0);
+    account.burst = reader.number("burst", accountRateRange, 0.0);
+    reader.list("keyDigests", false, [&](const QJsonValue &element, const std::string &elementPointer) {
+        const std::string digest = element.toString().toStdString();
+        if (digest.size() != keyDigestLength) {
+            // The text is not shown: it may be the key itself, written here by mistake.
+            problems.push_back({.pointer = elementPointer, .found = "no digest", .allowed = "64 hexadecimal digits, as `egretlatch key-digest` prints"});
+        }
+        account.keyDigests.push_back(digest);
+    });
+    reader.finish();
+    return account;
+}
+
+// Reports accounts that share a name or a key: a request with the key would be counted for either.
+static void checkAccounts(const Manifest &manifest, Problems &problems)
+{
+    std::set<std::string> names;
+    std::set<std::string> digests;
+    for (std::size_t index = 0; index < manifest.accounts().size(); ++index) {
+        const AccountSpec &account = manifest.accounts()[index];
+        if (!names.insert(account.name).second) {
+            problems.push_back({.pointer = fmt::format("/accounts/{}/name", index), .found = "a duplicate name", .allowed = "a unique name"});
+        }
+        for (std::size_t key = 0; key < account.keyDigests.size(); ++key) {
+            if (!digests.insert(account.keyDigests[key]).second) {
+                problems.push_back(
+                    {.pointer = fmt::format("/accounts/{}/keyDigests/{}", index, key), .found = "a key of another account", .allowed = "a key of its own"});
+            }
+        }
+    }
+}
+
 [[nodiscard]] static CallerLimits readCallerLimits(const QJsonValue &value, const std::string &pointer, Problems &problems)
 {
     const CallerLimits defaults;
@@ -174,6 +221,9 @@
     reader.list("routes", false, [&](const QJsonValue &element, const std::string &pointer) {
         builder.addRoute(internal::readRoute(element, pointer, problems));
     });
+    reader.list("accounts", false, [&](const QJsonValue &element, const std::string &pointer) {
+        builder.addAccount(internal::readAccount(element, pointer, problems));
+    });
     if (const std::optional<QJsonValue> limits = reader.member("callerLimits")) {
         builder.setCallerLimits(internal::readCallerLimits(*limits, reader.pointerTo("callerLimits"), problems));
     }
@@ -182,6 +232,7 @@
     std::shared_ptr<const Manifest> manifest = builder.build();
     const settings::Problems graphProblems = checkCallGraph(*manifest);
     internal::checkTargets(*manifest, problems);
+    internal::checkAccounts(*manifest, problems);
     problems.insert(problems.end(), graphProblems.begin(), graphProblems.end());
     if (settings::hasError(problems)) {
         return tl::unexpected{problems};
--- a/src/egretlatch/platform/bounds.cpp
+++ b/src/egretlatch/platform/bounds.cpp
@@ -39,6 +39,18 @@
             bounds.retryRatio = internal::parseNumber(value).value_or(bounds.retryRatio);
         } else if (name == "budget_slack") {
             bounds.retrySlack = internal::parseNumber(value).value_or(bounds.retrySlack);
+        } else if (name == "config_apply") {
+            bounds.configurationApply = parseDuration(value).value_or(bounds.configurationApply);
+        } else if (name == "revoke_strict") {
+            bounds.isWithdrawalStrict = value == "true";
+        } else if (name == "revoke") {
+            bounds.withdrawal = parseDuration(value).value_or(bounds.withdrawal);
+        } else if (name == "quota_window") {
+            bounds.quotaWindow = parseDuration(value).value_or(bounds.quotaWindow);
+        } else if (name == "quota_overage") {
+            bounds.quotaOverage = internal::parseNumber(value).value_or(bounds.quotaOverage);
+        } else if (name == "quota_slack") {
+            bounds.quotaSlack = internal::parseNumber(value).value_or(bounds.quotaSlack);
         }
     }
     return bounds;
--- a/src/egretlatch/platform/caller_wire.cpp
+++ b/src/egretlatch/platform/caller_wire.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include <egretlatch/core/secret.hpp>
+
 #include <egretlatch/platform/names.hpp>
 
 namespace egretlatch::platform
@@ -46,6 +48,9 @@
     return std::chrono::milliseconds{value};
 }
 
+// Longer texts are no keys, and would cost time to hash.
+constexpr std::size_t maxKeyBytes = 1024;
+
 [[nodiscard]] static int statusOf(const decision::CallerAnswer &answer)
 {
     if (!answer.refusal.has_value()) {
@@ -74,11 +79,28 @@
     return caller;
 }
 
-Headers headersForServer(const Headers &headers, const std::string &ownService)
+ApiKeyClaim readApiKey(const Headers &headers)
+{
+    const auto isKey = [](const Header &header) {
+        return http::isSameName(header.name, apiKeyHeader);
+    };
+    const auto key = std::find_if(headers.begin(), headers.end(), isKey);
+    if (key == headers.end()) {
+        return {};
+    }
+    const bool hasSeveral = std::count_if(headers.begin(), headers.end(), isKey) > 1;
+    if (hasSeveral || key->value.size() > internal::maxKeyBytes) {
+        return {.digest = {}, .isInvalid = true};
+    }
+    return {.digest = Secret{key->value}.digest(), .isInvalid = false};
+}
+
+Headers headersForServer(const Headers &headers, const std::string &ownService, const bool hasAccounts)
 {
     Headers kept = http::forwardable(headers);
-    std::erase_if(kept, [](const Header &header) {
-        return http::isSameName(header.name, deadlineHeader) || http::isSameName(header.name, callerServiceHeader)
+    std::erase_if(kept, [hasAccounts](const Header &header) {
+        const bool isOfAccount = http::isSameName(header.name, apiKeyHeader) || http::isSameName(header.name, accountHeader);
+        return (hasAccounts && isOfAccount) || http::isSameName(header.name, deadlineHeader) || http::isSameName(header.name, callerServiceHeader)
             || http::isSameName(header.name, expectedInstanceHeader);
     });
     kept.push_back({.name = callerServiceHeader, .value = ownService});
--- a/src/egretlatch/platform/caller_wire.hpp
+++ b/src/egretlatch/platform/caller_wire.hpp
@@ -27,19 +27,37 @@
     friend bool operator==(const CallerRequest &, const CallerRequest &) = default;
 };
 
+/*! @brief API key of a caller's request. */
+struct ApiKeyClaim
+{
+    /*! @brief Digest of the key; empty without one. */
+    std::string digest;
+    /*! @brief Set if there are several keys, or one that is too long to be a key. */
+    bool isInvalid{};
+
+    friend bool operator==(const ApiKeyClaim &, const ApiKeyClaim &) = default;
+};
+
 /**
  * @brief Reads the routing fields, names and timeout of a caller's request.
  * @param request The request.
  */
 [[nodiscard]] CallerRequest readCaller(const http::Request &request);
 
+/**
+ * @brief Reads the API key of a caller's request; the key itself is not kept.
+ * @param headers Fields of the request.
+ */
+[[nodiscard]] ApiKeyClaim readApiKey(const Headers &headers);
+
 /**
  * @brief Returns the header fields to send to a backend server.
  * @param headers Fields of the caller's request.
  * @param ownService Service of the backend server on this daemon's VM.
+ * @param hasAccounts True if there are client accounts: then neither a key nor an account that the caller names is forwarded.
  * @return The forwarded fields, and the one that names the calling service.
  */
-[[nodiscard]] Headers headersForServer(const Headers &headers, const std::string &ownService);
+[[nodiscard]] Headers headersForServer(const Headers &headers, const std::string &ownService, bool hasAccounts);
 
 /**
  * @brief Converts an answer to the platform's HTTP for callers.
--- a/src/egretlatch/platform/configuration_document.cpp
+++ b/src/egretlatch/platform/configuration_document.cpp
@@ -12,6 +12,7 @@
 
 #include <fmt/format.h>
 
+#include <egretlatch/core/secret.hpp>
 #include <egretlatch/platform/duration_text.hpp>
 
 namespace egretlatch::platform
@@ -63,6 +64,12 @@
     return targets;
 }
 
+// The platform's priorities count down from 0, the highest.
+[[nodiscard]] static int priorityOf(const QJsonValue &rank)
+{
+    return lowestRank - std::clamp(rank.toInt(lowestRank), 0, lowestRank);
+}
+
 [[nodiscard]] static QJsonObject kindOf(const QString &name, const QJsonObject &spec)
 {
     const QString kind = field(spec, "kind").toString();
@@ -72,12 +79,13 @@
     const std::chrono::milliseconds target = durationOf(field(spec, "target_latency"), timeout);
     return {
         {QLatin1String{"name"}, name},
-        {QLatin1String{"priority"}, lowestRank - std::clamp(field(spec, "priority").toInt(lowestRank), 0, lowestRank)},
+        {QLatin1String{"priority"}, priorityOf(field(spec, "priority"))},
         // The platform gives routes a priority but no worth, so all routes of one priority have equal worth.
         {QLatin1String{"worth"}, 1.0},
         {QLatin1String{"idempotent"}, isIdempotent},
         {QLatin1String{"deadlineMs"}, static_cast<qint64>(timeout.count())},
         {QLatin1String{"answerTargetMs"}, static_cast<qint64>(target.count())},
+        {QLatin1String{"public"}, field(spec, "public").toBool()},
         {QLatin1String{"retryBudget"}, std::clamp(field(spec, "max_attempts").toInt(1) - 1, 0, maxRetries)},
     };
 }
@@ -106,6 +114,28 @@
     };
 }
 
+// Keys that stand in several accounts count for the first one: one account in doubt must not keep a configuration out of force.
+[[nodiscard]] static QJsonObject accountOf(const QString &name, const QJsonObject &spec, std::set<std::string> &digests)
+{
+    QJsonArray keys;
+    for (const QJsonValue value : field(spec, "api_keys").toArray()) {
+        const std::string digest = Secret{value.toString().toStdString()}.digest();
+        if (!digest.empty() && digests.insert(digest).second) {
+            keys.append(QString::fromStdString(digest));
+        }
+    }
+    QJsonObject account{
+        {QLatin1String{"name"}, name},
+        {QLatin1String{"ratePerSecond"}, std::max(field(spec, "rate_per_s").toDouble(), 0.0)},
+        {QLatin1String{"burst"}, std::max(field(spec, "burst").toDouble(), 0.0)},
+        {QLatin1String{"keyDigests"}, keys},
+    };
+    if (field(spec, "priority").isDouble()) {
+        account.insert(QLatin1String{"priority"}, priorityOf(field(spec, "priority")));
+    }
+    return account;
+}
+
 [[nodiscard]] static QJsonObject limitsOf(const QJsonObject &spec)
 {
     QJsonObject limits;
@@ -139,6 +169,9 @@
     internal::Services services;
     QJsonArray routes;
     QJsonObject limits;
+    QJsonArray accounts;
+    std::set<QString> accountNames;
+    std::set<std::string> digests;
     const QJsonArray resources = internal::field(root, "resources").toArray();
     for (const QJsonValue value : resources) {
         const QString type = internal::field(value.toObject(), "resource_type").toString();
@@ -146,6 +179,8 @@
         const QJsonObject spec = internal::field(value.toObject(), "spec").toObject();
         if (type == QLatin1String{"services"}) {
             internal::addService(services, name, spec, retryRatio);
+        } else if (type == QLatin1String{"tenants"} && !name.isEmpty() && accountNames.insert(name).second) {
+            accounts.append(internal::accountOf(name, spec, digests));
         } else if (type == QLatin1String{"limits"}) {
             limits = internal::limitsOf(spec);
         } else if (type == QLatin1String{"routes"}) {
@@ -166,7 +201,8 @@
         service.insert(QLatin1String{"kinds"}, services.kinds[name]);
         list.append(service);
     }
-    const QJsonObject manifest{{QLatin1String{"services"}, list}, {QLatin1String{"routes"}, routes}, {QLatin1String{"callerLimits"}, limits}};
+    const QJsonObject manifest{
+        {QLatin1String{"services"}, list}, {QLatin1String{"routes"}, routes}, {QLatin1String{"accounts"}, accounts}, {QLatin1String{"callerLimits"}, limits}};
     return AcceptedConfiguration{.version = version, .manifest = QJsonDocument{manifest}.toJson(QJsonDocument::Compact)};
 }
 
--- a/src/egretlatch/platform/duration_text.cpp
+++ b/src/egretlatch/platform/duration_text.cpp
@@ -13,9 +13,10 @@
 // One day; longer durations are rejected as errors.
 constexpr double maxMilliseconds = 86'400'000.0;
 
-} // namespace internal
+// About ten thousand years; a larger number is no time.
+constexpr double maxClockMilliseconds = 3.15e14;
 
-std::optional<std::chrono::milliseconds> parseDuration(const std::string_view text)
+[[nodiscard]] static std::optional<double> parseMilliseconds(const std::string_view text)
 {
     double number = 0.0;
     const char *const end = text.data() + text.size();
@@ -27,11 +28,28 @@
     if (unit != "ms" && unit != "s") {
         return std::nullopt;
     }
-    const double milliseconds = unit == "s" ? number * internal::millisecondsInSecond : number;
-    if (!(milliseconds >= 0.0) || milliseconds > internal::maxMilliseconds) {
+    const double milliseconds = unit == "s" ? number * millisecondsInSecond : number;
+    return milliseconds >= 0.0 ? std::optional{milliseconds} : std::nullopt;
+}
+
+} // namespace internal
+
+std::optional<std::chrono::milliseconds> parseDuration(const std::string_view text)
+{
+    const std::optional<double> milliseconds = internal::parseMilliseconds(text);
+    if (!milliseconds.has_value() || *milliseconds > internal::maxMilliseconds) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds{std::llround(*milliseconds)};
+}
+
+std::optional<std::chrono::milliseconds> parseStoreClock(const std::string_view text)
+{
+    const std::optional<double> milliseconds = internal::parseMilliseconds(text);
+    if (!milliseconds.has_value() || *milliseconds > internal::maxClockMilliseconds) {
         return std::nullopt;
     }
-    return std::chrono::milliseconds{std::llround(milliseconds)};
+    return std::chrono::milliseconds{static_cast<std::int64_t>(std::floor(*milliseconds))};
 }
 
 } // namespace egretlatch::platform
--- a/src/egretlatch/platform/duration_text.hpp
+++ b/src/egretlatch/platform/duration_text.hpp
@@ -15,6 +15,13 @@
  */
 [[nodiscard]] std::optional<std::chrono::milliseconds> parseDuration(std::string_view text);
 
+/**
+ * @brief Parses a time of the store's clock, written like a duration.
+ * @param text The text.
+ * @return The time since the clock's origin, rounded down to milliseconds; nothing if the text has another form or is negative.
+ */
+[[nodiscard]] std::optional<std::chrono::milliseconds> parseStoreClock(std::string_view text);
+
 } // namespace egretlatch::platform
 
 #endif
--- a/src/egretlatch/platform/names.hpp
+++ b/src/egretlatch/platform/names.hpp
@@ -12,6 +12,10 @@
 inline constexpr const char *callerServiceHeader = "X-Caller-Service";
 /*! @brief Only incarnation of a backend server that may execute the request. */
 inline constexpr const char *expectedInstanceHeader = "X-Expected-Instance";
+/*! @brief API key of a client account; never forwarded. */
+inline constexpr const char *apiKeyHeader = "X-Key";
+/*! @brief Client account of a request, as told to backend servers. */
+inline constexpr const char *accountHeader = "X-Tenant-Id";
 /*! @brief Incarnation of a backend server, in its answers to health checks and in 421. */
 inline constexpr const char *instanceHeader = "X-Instance-Id";
 /*! @brief Signature of a backend server on its answer. */
--- a/src/egretlatch/platform/server_wire.cpp
+++ b/src/egretlatch/platform/server_wire.cpp
@@ -32,6 +32,9 @@
     request.body = run.body;
     const auto remaining = std::max(std::chrono::duration_cast<std::chrono::milliseconds>(run.remaining), std::chrono::milliseconds{1});
     request.headers.push_back({.name = deadlineHeader, .value = std::to_string(remaining.count())});
+    if (!run.account.empty()) {
+        request.headers.push_back({.name = accountHeader, .value = run.account});
+    }
     if (!instance.empty()) {
         request.headers.push_back({.name = expectedInstanceHeader, .value = instance});
     }
--- a/src/egretlatch/platform/store_wire.cpp
+++ b/src/egretlatch/platform/store_wire.cpp
@@ -7,6 +7,7 @@
 
 #include <fmt/format.h>
 
+#include <egretlatch/platform/duration_text.hpp>
 #include <egretlatch/platform/names.hpp>
 
 namespace egretlatch::platform
@@ -85,6 +86,12 @@
     return request;
 }
 
+[[nodiscard]] static std::optional<store::StoreTime> clockOf(const QJsonObject &body)
+{
+    const auto sinceStart = parseStoreClock(body[QLatin1String{"now"}].toString().toStdString());
+    return sinceStart.has_value() ? std::optional{store::StoreTime{*sinceStart}} : std::nullopt;
+}
+
 [[nodiscard]] static Error errorForStatus(const int status)
 {
     switch (status) {
@@ -141,14 +148,14 @@
     if (answer.status != internal::ok) {
         return tl::unexpected{internal::errorForStatus(answer.status)};
     }
+    const QJsonDocument document = QJsonDocument::fromJson(answer.body);
     if (std::holds_alternative<store::TableWrite>(request)) {
-        return store::WrittenReply{};
+        return store::WrittenReply{.now = internal::clockOf(document.object())};
     }
-    const QJsonDocument document = QJsonDocument::fromJson(answer.body);
     if (!document.isObject()) {
         return tl::unexpected{Error{ErrorCode::malformed, "the store's answer is not a JSON object"}};
     }
-    return store::RowsReply{.rows = internal::rowsOf(document.object(), request)};
+    return store::RowsReply{.rows = internal::rowsOf(document.object(), request), .now = internal::clockOf(document.object())};
 }
 
 http::Request writeConfigurationRead()
@@ -172,6 +179,7 @@
         return tl::unexpected{Error{ErrorCode::malformed, "the store's page has no version"}};
     }
     ConfigurationPage page;
+    page.now = internal::clockOf(document.object());
     page.position = static_cast<std::uint64_t>(position.toInteger());
     for (const QJsonValue value : document.object()[QLatin1String{"rows"}].toArray()) {
         const QJsonObject row = value.toObject();
--- a/src/egretlatch/platform/store_wire.hpp
+++ b/src/egretlatch/platform/store_wire.hpp
@@ -37,6 +37,8 @@
     std::vector<QByteArray> documents;
     /*! @brief Position that the next request continues from. */
     std::uint64_t position{};
+    /*! @brief Time of the store's clock at which the page was complete; nothing if it is missing. */
+    std::optional<store::StoreTime> now{};
 
     friend bool operator==(const ConfigurationPage &, const ConfigurationPage &) = default;
 };
--- a/src/egretlatch/protocol/call_codec.cpp
+++ b/src/egretlatch/protocol/call_codec.cpp
@@ -20,6 +20,7 @@
     writeHeaders(request.headers, wire);
     wire.set_body(toBytes(request.body));
     wire.set_key(request.key);
+    wire.set_account(request.account);
     wire.set_request_name(request.requestName);
     wire.set_remaining_ns(request.remaining.count());
     if (!request.trace.traceId.empty()) {
@@ -73,6 +74,7 @@
     request.headers = readHeaders(wire);
     request.body = toByteArray(wire.body());
     request.key = wire.key();
+    request.account = wire.account();
     request.requestName = wire.request_name();
     request.remaining = toDuration(wire.remaining_ns());
     request.trace = {.traceId = wire.trace().trace_id(), .spanId = wire.trace().span_id(), .sampled = wire.trace().sampled()};
--- a/src/egretlatch/protocol/codec.cpp
+++ b/src/egretlatch/protocol/codec.cpp
@@ -26,6 +26,9 @@
     if (advert.confirmedAge.has_value()) {
         wire.set_confirmed_age_ms(static_cast<std::uint64_t>(std::max<std::int64_t>(advert.confirmedAge->count(), 0)));
     }
+    if (advert.provenAt.has_value()) {
+        wire.set_proven_at_ms(advert.provenAt->time_since_epoch().count());
+    }
 }
 
 [[nodiscard]] static configuration::Advert read(const wire::ConfigurationAdvert &wire)
@@ -36,6 +39,11 @@
         constexpr std::uint64_t maxAgeMs = 3'600'000;
         advert.confirmedAge = std::chrono::milliseconds{static_cast<std::int64_t>(std::min(wire.confirmed_age_ms(), maxAgeMs))};
     }
+    if (wire.has_proven_at_ms()) {
+        // Bounded, so that it can be converted to nanoseconds.
+        constexpr std::int64_t maxClockMs = 9'000'000'000'000;
+        advert.provenAt = store::StoreTime{std::chrono::milliseconds{std::clamp<std::int64_t>(wire.proven_at_ms(), 0, maxClockMs)}};
+    }
     return advert;
 }
 
@@ -89,6 +97,16 @@
     {
         write(reply, *wire.mutable_configuration_body_reply());
     }
+
+    void operator()(const quota::UseReport &report) const
+    {
+        write(report, *wire.mutable_quota_report());
+    }
+
+    void operator()(const quota::GrantReply &reply) const
+    {
+        write(reply, *wire.mutable_quota_reply());
+    }
 };
 
 [[nodiscard]] static Result<Message> readBody(const wire::Envelope &wire)
@@ -112,6 +130,10 @@
         const wire::ConfigurationBodyReply &reply = wire.configuration_body_reply();
         return configuration::BodyReply{.hash = reply.hash(), .manifest = toByteArray(reply.manifest())};
     }
+    case wire::Envelope::kQuotaReport:
+        return read(wire.quota_report());
+    case wire::Envelope::kQuotaReply:
+        return read(wire.quota_reply());
     case wire::Envelope::BODY_NOT_SET:
         break;
     }
--- a/src/egretlatch/protocol/codec_parts.hpp
+++ b/src/egretlatch/protocol/codec_parts.hpp
@@ -61,6 +61,12 @@
 void write(const Gossip &gossip, wire::Gossip &wire);
 [[nodiscard]] Result<Message> read(const wire::Gossip &wire);
 
+/*! @brief Converts reports on quotas and their replies; defined in quota_codec.cpp. */
+void write(const quota::UseReport &report, wire::QuotaReport &wire);
+[[nodiscard]] quota::UseReport read(const wire::QuotaReport &wire);
+void write(const quota::GrantReply &reply, wire::QuotaReply &wire);
+[[nodiscard]] quota::GrantReply read(const wire::QuotaReply &wire);
+
 } // namespace egretlatch::protocol::internal
 
 #endif
--- a/src/egretlatch/protocol/messages.hpp
+++ b/src/egretlatch/protocol/messages.hpp
@@ -20,6 +20,7 @@
 #include <egretlatch/core/uuid.hpp>
 #include <egretlatch/core/verdict.hpp>
 #include <egretlatch/membership/gossip_message.hpp>
+#include <egretlatch/quota/messages.hpp>
 
 namespace egretlatch::protocol
 {
@@ -39,6 +40,8 @@
     QByteArray body;
     /*! @brief Idempotency key of the caller; empty if it gave none. */
     std::string key;
+    /*! @brief Client account of the request; empty for inner calls and without accounts. */
+    std::string account;
     /*! @brief Name that the caller gave to its request; may be empty. */
     std::string requestName;
     /*! @brief Time left until the deadline when the message was sent; the receiver counts it from the arrival. */
@@ -120,7 +123,15 @@
 /*! @brief Gossip about members, suspicions, rumours and the performance of backend servers. */
 using Gossip = membership::GossipMessage;
 
-using Message = std::variant<CallRequest, CallAnswer, CallCancel, Gossip, configuration::Advert, configuration::BodyRequest, configuration::BodyReply>;
+using Message = std::variant<CallRequest,
+                             CallAnswer,
+                             CallCancel,
+                             Gossip,
+                             configuration::Advert,
+                             configuration::BodyRequest,
+                             configuration::BodyReply,
+                             quota::UseReport,
+                             quota::GrantReply>;
 
 /*! @brief Message with its sender. */
 struct Envelope
--- a/src/egretlatch/sidecar/caller_frontend.cpp
+++ b/src/egretlatch/sidecar/caller_frontend.cpp
@@ -10,6 +10,7 @@
 namespace internal
 {
 
+constexpr int badRequest = 400;
 constexpr int notFound = 404;
 // An expired call keeps a minimal timeout, so that the decision core refuses it like any other late call.
 constexpr std::chrono::milliseconds minTimeout{1};
@@ -36,6 +37,14 @@
     return answer;
 }
 
+[[nodiscard]] static decision::CallerAnswer invalidKeyAnswer()
+{
+    decision::CallerAnswer answer;
+    answer.status = badRequest;
+    answer.requestError = "a request has one API key of usual length";
+    return answer;
+}
+
 } // namespace internal
 
 CallerFrontend::CallerFrontend(net::Poller &poller, const Clock &clock, RandomSource &random, std::string service, EventHandler onEvent)
@@ -109,12 +118,19 @@
         answer({.exchange = exchange, .answer = internal::noRouteAnswer()});
         return;
     }
+    const bool hasAccounts = !m_manifest->accounts().empty();
+    platform::ApiKeyClaim key = hasAccounts ? platform::readApiKey(request.headers) : platform::ApiKeyClaim{};
+    if (key.isInvalid) {
+        answer({.exchange = exchange, .answer = internal::invalidKeyAnswer()});
+        return;
+    }
     decision::CallerCall call;
     call.service = m_targets.choose(*route);
     call.kind = route->kind;
     call.method = std::move(request.method);
     call.path = std::move(request.target);
-    call.headers = platform::headersForServer(request.headers, m_service);
+    call.headers = platform::headersForServer(request.headers, m_service, hasAccounts);
+    call.apiKeyDigest = std::move(key.digest);
     call.body = std::move(request.body);
     call.requestName = std::move(caller.name);
     call.parentName = std::move(caller.parentName);
--- a/src/egretlatch/sidecar/configuration_feed.cpp
+++ b/src/egretlatch/sidecar/configuration_feed.cpp
@@ -1,6 +1,6 @@
 #include <egretlatch/sidecar/configuration_feed.hpp>
 
-#include <egretlatch/platform/store_wire.hpp>
+#include <algorithm>
 
 namespace egretlatch::sidecar
 {
@@ -11,7 +11,7 @@
 constexpr std::chrono::milliseconds readTimeout{2000};
 // Below the shortest history that the store keeps, 20 s, so that the next call still finds the position it continues from.
 constexpr std::chrono::milliseconds longPollWait{14'000};
-constexpr std::chrono::milliseconds longPollTimeout{16'000};
+constexpr std::chrono::milliseconds longPollMargin{2000};
 // Time since the last answer up to which the next call continues from its position.
 constexpr std::chrono::milliseconds maxReadingGap{1000};
 constexpr std::chrono::milliseconds minRetryDelay{200};
@@ -21,12 +21,12 @@
 
 } // namespace internal
 
-ConfigurationFeed::ConfigurationFeed(StoreClient &client, const Clock &clock, RandomSource &random, const Logger &logger, DocumentHandler onDocument)
+ConfigurationFeed::ConfigurationFeed(StoreClient &client, const Clock &clock, RandomSource &random, const Logger &logger, ConfigurationReceivers receivers)
     : m_client{client}
     , m_clock{clock}
     , m_random{random}
     , m_logger{logger}
-    , m_onDocument{std::move(onDocument)}
+    , m_receivers{std::move(receivers)}
     , m_backoff{internal::minRetryDelay, internal::maxRetryDelay}
 {
 }
@@ -54,14 +54,20 @@
     if (!isLongPoll) {
         m_answeredAt.reset();
     }
-    const http::Request request = isLongPoll ? platform::writeConfigurationLongPoll(*m_position, internal::longPollWait) : platform::writeConfigurationRead();
-    m_client.call(request, isLongPoll ? internal::longPollTimeout : internal::readTimeout, [this](const http::Outcome &result) {
+    const http::Request request = isLongPoll ? platform::writeConfigurationLongPoll(*m_position, pollTime()) : platform::writeConfigurationRead();
+    const BootTime sentAt = m_clock.bootNow();
+    m_client.call(request, isLongPoll ? pollTime() + internal::longPollMargin : internal::readTimeout, [this, sentAt](const http::Outcome &result) {
         m_isCallPending = false;
-        handleAnswer(result);
+        handleAnswer(result, sentAt);
     });
 }
 
-void ConfigurationFeed::handleAnswer(const http::Outcome &result)
+std::chrono::milliseconds ConfigurationFeed::pollTime() const
+{
+    return std::min(m_pollLimit.value_or(internal::longPollWait), internal::longPollWait);
+}
+
+void ConfigurationFeed::handleAnswer(const http::Outcome &result, const BootTime sentAt)
 {
     const auto *const answer = std::get_if<http::Response>(&result);
     if (answer == nullptr) {
@@ -79,14 +85,25 @@
     m_backoff.reset();
     m_position = page->position;
     m_answeredAt = m_clock.steadyNow();
-    for (const QByteArray &document : page->documents) {
-        m_onDocument(document);
-    }
+    passOn(*page, sentAt);
     // Prevents a busy loop when the store answers at once with an empty page.
     m_nextCall = page->documents.empty() ? m_clock.steadyNow() + internal::minRetryDelay : m_clock.steadyNow();
     tick();
 }
 
+void ConfigurationFeed::passOn(const platform::ConfigurationPage &page, const BootTime sentAt)
+{
+    if (page.now.has_value()) {
+        m_receivers.onClock({.sentAt = sentAt, .now = *page.now});
+    }
+    for (const QByteArray &document : page.documents) {
+        m_isNewestUnusable = !m_receivers.onDocument(document);
+    }
+    if (page.now.has_value() && !m_isNewestUnusable) {
+        m_receivers.onProof(*page.now);
+    }
+}
+
 std::optional<SteadyTime> ConfigurationFeed::confirmedAt() const
 {
     return m_isCallPending && m_answeredAt.has_value() ? std::optional{m_clock.steadyNow()} : m_answeredAt;
--- a/src/egretlatch/sidecar/configuration_feed.hpp
+++ b/src/egretlatch/sidecar/configuration_feed.hpp
@@ -8,12 +8,24 @@
 #include <egretlatch/configuration/read_duty.hpp>
 #include <egretlatch/core/logger.hpp>
 #include <egretlatch/core/random_source.hpp>
+#include <egretlatch/platform/store_wire.hpp>
 #include <egretlatch/sidecar/store_client.hpp>
 #include <egretlatch/store/backoff.hpp>
 
 namespace egretlatch::sidecar
 {
 
+/*! @brief Receivers of what a ConfigurationFeed reads. */
+struct ConfigurationReceivers
+{
+    /*! @brief Receives each document as the operators wrote it; returns false if it cannot be used. */
+    std::function<bool(const QByteArray &document)> onDocument;
+    /*! @brief Receives each reading of the store's clock. */
+    std::function<void(const store::ClockReading &reading)> onClock;
+    /*! @brief Receives each time of the store's clock up to which no newer document was accepted than those received. */
+    std::function<void(store::StoreTime at)> onProof;
+};
+
 /**
  * @brief Follows the operators' configuration by long polling of the store, while there is a reason to.
  *
@@ -23,17 +35,15 @@
 class ConfigurationFeed
 {
 public:
-    using DocumentHandler = std::function<void(const QByteArray &document)>;
-
     /**
      * @brief Builds a feed without a reason to read.
      * @param client Sends the calls; must outlive it.
      * @param clock Source of time; must outlive it.
      * @param random Source of jitter; must outlive it.
      * @param logger Receives a line when reading begins or ends; must outlive it.
-     * @param onDocument Receives each document as the operators wrote it.
+     * @param receivers Receivers of what it reads.
      */
-    ConfigurationFeed(StoreClient &client, const Clock &clock, RandomSource &random, const Logger &logger, DocumentHandler onDocument);
+    ConfigurationFeed(StoreClient &client, const Clock &clock, RandomSource &random, const Logger &logger, ConfigurationReceivers receivers);
 
     /**
      * @brief Starts or ends the sending of calls; one that is pending is left to end by itself.
@@ -42,6 +52,15 @@
      */
     void setReason(configuration::ReadReason reason, std::optional<Duration> confirmedAge);
 
+    /**
+     * @brief Limits the time of the next long polls.
+     * @param limit The limit; nothing for the longest time that the store's history allows.
+     */
+    void limitPollTime(std::optional<std::chrono::milliseconds> limit)
+    {
+        m_pollLimit = limit;
+    }
+
     /*! @brief Sends the next call if none is pending and one is due; to be called a few times a second. */
     void tick();
 
@@ -52,14 +71,16 @@
     [[nodiscard]] std::optional<SteadyTime> confirmedAt() const;
 
 private:
-    void handleAnswer(const http::Outcome &result);
+    void handleAnswer(const http::Outcome &result, BootTime sentAt);
+    void passOn(const platform::ConfigurationPage &page, BootTime sentAt);
+    [[nodiscard]] std::chrono::milliseconds pollTime() const;
     void retryLater();
 
     StoreClient &m_client;
     const Clock &m_clock;
     RandomSource &m_random;
     const Logger &m_logger;
-    DocumentHandler m_onDocument;
+    ConfigurationReceivers m_receivers;
     store::Backoff m_backoff;
     /*! @brief Position in the store's history; empty before the first page and after the store has dropped that part of its history. */
     std::optional<std::uint64_t> m_position;
@@ -67,6 +88,9 @@
     /*! @brief Time of the last answer; empty after a failed call. */
     std::optional<SteadyTime> m_answeredAt;
     configuration::ReadReason m_reason{configuration::ReadReason::none};
+    std::optional<std::chrono::milliseconds> m_pollLimit;
+    /*! @brief Set while the newest document that was read cannot be used, so that nothing is proven. */
+    bool m_isNewestUnusable{};
     bool m_isCallPending{};
 };
 
--- a/src/egretlatch/sidecar/gauges.cpp
+++ b/src/egretlatch/sidecar/gauges.cpp
@@ -55,6 +55,10 @@
     if (const std::optional<Duration> age = core.configurationConfirmedAge()) {
         metrics.set("configuration_confirmed_age_seconds", std::chrono::duration<double>(*age).count());
     }
+    if (const std::optional<Duration> age = core.configurationProofAge()) {
+        metrics.set("configuration_proven_age_seconds", std::chrono::duration<double>(*age).count());
+    }
+    metrics.set("quotas_short", static_cast<double>(core.countShortQuotas()));
     for (const auto &[service, retries] : core.retriesLeft()) {
         metrics.set(fmt::format("retries_left{{service=\"{}\"}}", service), retries);
     }
--- a/src/egretlatch/sidecar/request_log.cpp
+++ b/src/egretlatch/sidecar/request_log.cpp
@@ -11,6 +11,7 @@
                    {"depth", refused.depth},
                    {"service", record.service},
                    {"kind", record.kind},
+                   {"account", refused.account},
                    {"priority", record.priority},
                    {"worth", record.worth},
                    {"reason", account::toString(record.refusal.reason)},
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -30,6 +30,11 @@
 constexpr int hundredPercent = 100;
 constexpr int acceptPercent = 40;
 constexpr int lastStartPercent = 80;
+// Percentages of the time that the platform allows from the withdrawal of an API key to its last request: greatest age of the
+// configuration at which keys count, and longest time for which a reader of the store waits for a change. Dozens of readers end
+// their polls at different times.
+constexpr int keyAgePercent = 90;
+constexpr int proofPollPercent = 50;
 // Other daemons are discovered within half a second of a start; the platform probes readiness once a second.
 constexpr std::chrono::milliseconds maxDiscoveryWait{1500};
 constexpr const char *metricsPath = "/metrics";
@@ -62,9 +67,18 @@
              m_clock,
              m_random,
              m_logger,
-             [this](const QByteArray &document) {
-                 handleConfiguration(document);
-             }}
+             {.onDocument =
+                  [this](const QByteArray &document) {
+                      return handleConfiguration(document);
+                  },
+              .onClock =
+                  [this](const store::ClockReading &reading) {
+                      post(decision::StoreClockRead{.reading = reading});
+                  },
+              .onProof =
+                  [this](const store::StoreTime at) {
+                      post(decision::ConfigurationProven{.at = at});
+                  }}}
     , m_backend{m_poller,
                 m_clock,
                 m_settings.backend,
@@ -138,6 +152,7 @@
     builder.setDelivery(decision::Delivery::oneIncarnation);
     builder.allowIncarnationRaise();
     builder.setEntryRules({.countsOnlyArrivals = true, .retrySlack = m_bounds.retrySlack * usedShareOfRetries(), .traces = false});
+    builder.setAccountRules(accountRules());
     builder.setDrainTimes({
         .afterReport = internal::acceptPercent * m_bounds.drain / internal::hundredPercent,
         // The local backend server keeps running, so requests of daemons that know no other server are still accepted.
@@ -153,6 +168,17 @@
     return m_settings.disabledMechanisms.contains(settings::Mechanism::retries) ? 0.0 : internal::usedShareOfRetries;
 }
 
+decision::AccountRules Sidecar::accountRules() const
+{
+    decision::AccountRules rules;
+    if (m_bounds.isWithdrawalStrict) {
+        rules.maxAgeForKeys = m_bounds.withdrawal * internal::keyAgePercent / internal::hundredPercent;
+    }
+    rules.maxAgeForUnknownKeys = m_bounds.configurationApply;
+    rules.quota = {.window = m_bounds.quotaWindow, .overage = m_bounds.quotaOverage, .slack = m_bounds.quotaSlack};
+    return rules;
+}
+
 Result<void> Sidecar::start()
 {
     if (Result<void> listening = listen(); !listening.has_value()) {
@@ -238,10 +264,7 @@
     } else if (const auto *const abort = std::get_if<decision::AbortRun>(&action)) {
         m_backend.abort(abort->execution);
     } else if (const auto *const toPlatform = std::get_if<decision::SendToPlatform>(&action)) {
-        m_store.execute(toPlatform->request, [this, id = toPlatform->id](store::Outcome outcome) {
-            post(decision::PlatformAnswered{.id = id, .outcome = std::move(outcome)});
-            followConfiguration();
-        });
+        executeAtStore(*toPlatform);
     } else if (const auto *const refusal = std::get_if<decision::RecordRefusal>(&action)) {
         m_requestLog.write(*refusal);
     } else if (const auto *const entry = std::get_if<decision::LogRequest>(&action)) {
@@ -263,6 +286,18 @@
     }
 }
 
+void Sidecar::executeAtStore(const decision::SendToPlatform &action)
+{
+    const BootTime sentAt = m_clock.bootNow();
+    m_store.execute(action.request, [this, id = action.id, sentAt](store::Outcome outcome) {
+        if (const std::optional<store::StoreTime> now = store::clockOf(outcome)) {
+            post(decision::StoreClockRead{.reading = {.sentAt = sentAt, .now = *now}});
+        }
+        post(decision::PlatformAnswered{.id = id, .outcome = std::move(outcome)});
+        followConfiguration();
+    });
+}
+
 void Sidecar::rescheduleTick()
 {
     const SteadyTime next = m_core->nextTick();
@@ -423,19 +458,24 @@
     return response;
 }
 
-void Sidecar::handleConfiguration(const QByteArray &document)
+bool Sidecar::handleConfiguration(const QByteArray &document)
 {
     Result<platform::AcceptedConfiguration> accepted = platform::readConfiguration(document, m_bounds.retryRatio * usedShareOfRetries());
     if (!accepted.has_value()) {
         m_logger.warning("configuration not taken", {{"reason", accepted.error().message}});
-        return;
+        return false;
     }
-    post(decision::ManifestAccepted{.version = accepted->version, .document = std::move(accepted->manifest)});
+    const std::uint64_t version = accepted->version;
+    post(decision::ManifestAccepted{.version = version, .document = std::move(accepted->manifest)});
+    return m_core->manifestVersion() >= version;
 }
 
 void Sidecar::applyConfiguration()
 {
     m_inForceSince = m_clock.steadyNow();
+    // A long poll proves the age of the configuration only when it ends.
+    const bool needsProof = m_bounds.isWithdrawalStrict && !m_core->manifest()->accounts().empty();
+    m_feed.limitPollTime(needsProof ? std::optional{m_bounds.withdrawal * internal::proofPollPercent / internal::hundredPercent} : std::nullopt);
     m_frontend.setManifest(m_core->manifest());
     // A report that came before the configuration waits for the health check that this declares.
     checkHealth();
--- a/src/egretlatch/sidecar/sidecar.hpp
+++ b/src/egretlatch/sidecar/sidecar.hpp
@@ -67,6 +67,8 @@
     [[nodiscard]] std::unique_ptr<decision::Core> makeCore();
     [[nodiscard]] Result<void> listen();
     [[nodiscard]] double usedShareOfRetries() const;
+    [[nodiscard]] decision::AccountRules accountRules() const;
+    void executeAtStore(const decision::SendToPlatform &action);
     void post(decision::Event event);
     void handle(const decision::Event &event);
     void execute(decision::Action action);
@@ -83,7 +85,7 @@
     void answerProbe(ExchangeId exchange, const http::Request &request);
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] http::Response metricsPage();
-    void handleConfiguration(const QByteArray &document);
+    [[nodiscard]] bool handleConfiguration(const QByteArray &document);
     void applyConfiguration();
     void beginStop(std::string_view reason);
     void tickShutdown();
--- a/src/egretlatch/store/fwd.hpp
+++ b/src/egretlatch/store/fwd.hpp
@@ -14,6 +14,8 @@
 struct ObjectGet;
 struct ObjectList;
 struct HttpRequest;
+struct StoreClock;
+struct ClockReading;
 class Backoff;
 class IdentifiedWrite;
 class RateLimiter;
--- a/src/egretlatch/store/requests.hpp
+++ b/src/egretlatch/store/requests.hpp
@@ -11,6 +11,7 @@
 #include <QByteArray>
 
 #include <egretlatch/core/error.hpp>
+#include <egretlatch/store/store_time.hpp>
 
 namespace egretlatch::store
 {
@@ -108,6 +109,8 @@
 struct RowsReply
 {
     std::vector<Row> rows;
+    /*! @brief Time of the store's clock; nothing from a store without one. */
+    std::optional<StoreTime> now{};
 
     friend bool operator==(const RowsReply &, const RowsReply &) = default;
 };
@@ -115,6 +118,9 @@
 /*! @brief Confirmation that a write took effect. */
 struct WrittenReply
 {
+    /*! @brief Time of the store's clock; nothing from a store without one. */
+    std::optional<StoreTime> now{};
+
     friend bool operator==(const WrittenReply &, const WrittenReply &) = default;
 };
 
@@ -144,6 +150,23 @@
  */
 using Outcome = Result<Reply>;
 
+/**
+ * @brief Returns the time of the store's clock that a reply carries.
+ * @param outcome The outcome of a request.
+ * @return The time; nothing for an error or a reply without it.
+ */
+[[nodiscard]] inline std::optional<StoreTime> clockOf(const Outcome &outcome)
+{
+    if (!outcome.has_value()) {
+        return std::nullopt;
+    }
+    if (const auto *const rows = std::get_if<RowsReply>(&*outcome)) {
+        return rows->now;
+    }
+    const auto *const written = std::get_if<WrittenReply>(&*outcome);
+    return written == nullptr ? std::nullopt : written->now;
+}
+
 /*! @brief Identifier of a request to the platform; unique within a daemon. */
 struct RequestId
 {
--- a/standin/fleet/fleet.py
+++ b/standin/fleet/fleet.py
@@ -14,19 +14,27 @@
 PORTS_PER_VM = 6
 
 
-def configuration(version, routes, services, limits=None):
-    """Returns a configuration document as operators write it; `routes` maps names to specs."""
+def account(keys, priority=1, rate=0, burst=0):
+    """Returns the spec of a client account."""
+    return {"api_keys": list(keys), "priority": priority, "rate_per_s": rate, "burst": burst}
+
+
+def configuration(version, routes, services, limits=None, accounts=None):
+    """Returns a configuration document as operators write it; `routes` and `accounts` map names to specs."""
     resources = [{"resource_type": "routes", "metadata": {"name": name}, "spec": spec} for name, spec in routes.items()]
     resources += [{"resource_type": "services", "metadata": {"name": name},
                    "spec": {"health_path": "/health", "max_connections": 300, "protocol": "h1", "tls": False}} for name in services]
+    resources += [{"resource_type": "tenants", "metadata": {"name": name}, "spec": spec} for name, spec in (accounts or {}).items()]
     resources.append({"resource_type": "limits", "metadata": {}, "spec": limits or {
         "max_header_bytes": 16384, "max_body_bytes": 1048576, "header_timeout": "3000ms", "idle_timeout": "15000ms"}})
     return {"version": f"{version:08x}", "resources": resources}
 
 
-def route(host, service, kind="idempotent", priority=1, timeout=1200, target=800, attempts=2, weighted=None):
+def route(host, service, kind="idempotent", priority=1, timeout=1200, target=800, attempts=2, weighted=None, public=False):
     """Returns the spec of a route without its prefix, which the caller adds."""
     spec = {"host": host, "kind": kind, "timeout": f"{timeout}ms", "target_latency": f"{target}ms", "priority": priority, "max_attempts": attempts}
+    if public:
+        spec["public"] = True
     spec.update({"weighted_services": weighted} if weighted else {"service": service})
     return spec
 
--- a/test/egretlatch/configuration/shared_reading.cpp
+++ b/test/egretlatch/configuration/shared_reading.cpp
@@ -233,7 +233,7 @@
 void FleetDaemon::tick(const SteadyTime now)
 {
     follower.tick(now);
-    const bool isNeeded = follower.reasonToRead(now) != ReadReason::none;
+    const bool isNeeded = follower.reasonToRead(now, BootTime{now.time_since_epoch()}) != ReadReason::none;
     m_isPolling = m_isPolling && isNeeded;
     if (isNeeded) {
         readStore(now);
--- a/test/egretlatch/core/secret.cpp
+++ b/test/egretlatch/core/secret.cpp
@@ -16,3 +16,11 @@
     CHECK_FALSE(Secret{}.matches(""));
     CHECK_FALSE(Secret{}.matchesBearer("Bearer "));
 }
+
+TEST_CASE("the digest of a secret depends on its token alone, and an empty secret has none")
+{
+    CHECK(Secret{"token"}.digest() == Secret{"token"}.digest());
+    CHECK(Secret{"token"}.digest() != Secret{"Token"}.digest());
+    CHECK(Secret{"token"}.digest().size() == 64);
+    CHECK(Secret{}.digest().empty());
+}
--- a/test/egretlatch/manifest/parse_manifest.cpp
+++ b/test/egretlatch/manifest/parse_manifest.cpp
@@ -1,7 +1,9 @@
 #include <doctest/doctest.h>
-#include <rapidcheck.h>
 
 #include <algorithm>
+#include <set>
+
+#include <rapidcheck.h>
 
 #include <egretlatch/manifest/manifest.hpp>
 
@@ -81,3 +83,23 @@
         RC_ASSERT(hasResultOrError);
     }));
 }
+
+TEST_CASE("accounts without a name, with a negative rate, a key in plain text or a key of another account are reported with their place")
+{
+    const std::string digest(64, 'a');
+    const QByteArray document = QByteArray::fromStdString(R"({"services":[],"accounts":[
+        {"name":"","ratePerSecond":-1},
+        {"name":"club","keyDigests":["plain-key",")" + digest
+                                                          + R"("]},
+        {"name":"club","keyDigests":[")" + digest + R"("]}]})");
+    const auto parsed = manifest::parseManifest(document);
+    REQUIRE_FALSE(parsed.has_value());
+    std::set<std::string> places;
+    for (const settings::Problem &problem : parsed.error()) {
+        places.insert(problem.pointer);
+        CHECK(problem.found.find("plain-key") == std::string::npos);
+    }
+    CHECK(
+        places
+        == std::set<std::string>{"/accounts/0/name", "/accounts/0/ratePerSecond", "/accounts/1/keyDigests/0", "/accounts/2/keyDigests/0", "/accounts/2/name"});
+}
--- a/test/egretlatch/platform/wire.cpp
+++ b/test/egretlatch/platform/wire.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <egretlatch/core/secret.hpp>
 #include <egretlatch/manifest/manifest.hpp>
 #include <egretlatch/platform/bounds.hpp>
 #include <egretlatch/platform/caller_wire.hpp>
@@ -194,7 +195,7 @@
     CHECK(caller.path == "/a/b");
     CHECK(caller.parentName == "9c41d07be2a35f68");
     CHECK(caller.timeout == 5000ms);
-    const Headers forwarded = platform::headersForServer(request.headers, "own");
+    const Headers forwarded = platform::headersForServer(request.headers, "own", false);
     CHECK(*http::findHeader(forwarded, "X-Caller-Service") == "own");
     CHECK(http::findHeader(forwarded, "X-Expected-Instance") == nullptr);
     CHECK(http::findHeader(forwarded, "X-Deadline-Ms") == nullptr);
@@ -203,6 +204,88 @@
     CHECK_FALSE(platform::readCaller(request).timeout.has_value());
 }
 
+TEST_CASE("an API key leaves as a digest at most, and an account that the caller names is dropped")
+{
+    const std::string key = "maj3nr26tta828m82thh";
+    const Headers headers{{.name = "Host", .value = "h"},
+                          {.name = "x-KEY", .value = key},
+                          {.name = "X-Tenant-Id", .value = "forged"},
+                          {.name = "x-tenant-id", .value = "forged too"},
+                          {.name = "X-Other", .value = "kept"}};
+    const platform::ApiKeyClaim claim = platform::readApiKey(headers);
+    CHECK(claim.digest == Secret{key}.digest());
+    CHECK(claim.digest.find(key) == std::string::npos);
+    const Headers forwarded = platform::headersForServer(headers, "own", true);
+    CHECK(http::findHeader(forwarded, "X-Key") == nullptr);
+    CHECK(http::findHeader(forwarded, "X-Tenant-Id") == nullptr);
+    CHECK(*http::findHeader(forwarded, "X-Other") == "kept");
+    // Without accounts, these are headers like any others.
+    CHECK(*http::findHeader(platform::headersForServer(headers, "own", false), "X-Tenant-Id") == "forged");
+}
+
+TEST_CASE("several keys, a key of 60 KB and none are told apart")
+{
+    CHECK(platform::readApiKey({{.name = "X-Key", .value = "a"}, {.name = "x-key", .value = "a"}}).isInvalid);
+    CHECK(platform::readApiKey({{.name = "X-Key", .value = std::string(60'000, 'k')}}).isInvalid);
+    CHECK(platform::readApiKey({{.name = "X-Keys", .value = "a"}}) == platform::ApiKeyClaim{});
+    CHECK(platform::readApiKey({{.name = "X-Key", .value = ""}}) == platform::ApiKeyClaim{});
+}
+
+TEST_CASE("the account of a run is named to its server")
+{
+    decision::RunRequest run;
+    run.account = std::string{"club"};
+    run.remaining = 1s;
+    CHECK(*http::findHeader(platform::writeRun(run, "i-1").headers, "X-Tenant-Id") == "club");
+    run.account.clear();
+    CHECK(http::findHeader(platform::writeRun(run, "i-1").headers, "X-Tenant-Id") == nullptr);
+}
+
+TEST_CASE("client accounts of an operators' document keep their quotas and priorities, and their keys as digests")
+{
+    const QByteArray withAccounts{R"({"version":"00000002","resources":[
+ {"resource_type":"routes","metadata":{"name":"r-1"},"spec":{"host":"h","prefix":"/a/","kind":"idempotent","priority":2,"service":"one","public":true}},
+ {"resource_type":"routes","metadata":{"name":"r-2"},"spec":{"host":"h","prefix":"/b/","kind":"idempotent","priority":2,"service":"one","public":false}},
+ {"resource_type":"tenants","metadata":{"name":"club"},"spec":{"api_keys":["k-1","k-2"],"priority":1,"rate_per_s":356,"burst":300}},
+ {"resource_type":"tenants","metadata":{"name":"school"},"spec":{"api_keys":["k-3","k-2"],"rate_per_s":-3}}]})"};
+    const auto accepted = platform::readConfiguration(withAccounts, 0.1);
+    REQUIRE(accepted.has_value());
+    CHECK_FALSE(accepted->manifest.contains("k-1"));
+    const auto parsed = manifest::parseManifest(accepted->manifest);
+    REQUIRE(parsed.has_value());
+    const manifest::Manifest &manifest = *parsed->manifest;
+    CHECK(manifest.findKind("one", "r-1")->isPublic);
+    CHECK_FALSE(manifest.findKind("one", "r-2")->isPublic);
+    const manifest::AccountSpec *const club = manifest.findAccountByKey(Secret{"k-2"}.digest());
+    REQUIRE(club != nullptr);
+    CHECK(club->name == "club");
+    CHECK(club->ratePerSecond == 356.0);
+    CHECK(club->burst == 300.0);
+    CHECK(club->priority == 8);
+    const manifest::AccountSpec *const school = manifest.findAccountByKey(Secret{"k-3"}.digest());
+    REQUIRE(school != nullptr);
+    CHECK(school->ratePerSecond == 0.0);
+    CHECK_FALSE(school->priority.has_value());
+    CHECK(manifest.findAccountByKey(Secret{"k-4"}.digest()) == nullptr);
+    CHECK(manifest.findAccountByKey("") == nullptr);
+}
+
+TEST_CASE("a health check is read with the incarnation that answered")
+{
+    CHECK(platform::readHealth(answer(200, {{.name = "X-Instance-Id", .value = "i-1"}})) == platform::ServerHealth{.instance = "i-1", .isServing = true});
+    CHECK(platform::readHealth(answer(503, {{.name = "X-Instance-Id", .value = "i-1"}})) == platform::ServerHealth{.instance = "i-1", .isServing = false});
+    CHECK(platform::readHealth(answer(200, {})).instance.empty());
+}
+
+TEST_CASE("the time of the store's clock is read beyond a day")
+{
+    CHECK(platform::parseStoreClock("51230ms") == 51230ms);
+    CHECK(platform::parseStoreClock("1000000.5s") == 1000000500ms);
+    CHECK_FALSE(platform::parseStoreClock("51230").has_value());
+    CHECK_FALSE(platform::parseStoreClock("-1ms").has_value());
+    CHECK_FALSE(platform::parseStoreClock("").has_value());
+}
+
 TEST_CASE("store requests are encoded, and the store's answers decoded")
 {
     const store::Request scan = store::TableScan{.prefix = "contact/", .after = {}, .limit = 16};
--- a/test/egretlatch/protocol/codec.cpp
+++ b/test/egretlatch/protocol/codec.cpp
@@ -22,6 +22,7 @@
     request.headers = {{.name = "Accept", .value = "text/plain"}, {.name = "X", .value = std::string{"\xff\x00z", 3}}};
     request.body = QByteArray{"\x00\x01 body", 7};
     request.key = "key";
+    request.account = "club";
     request.remaining = std::chrono::milliseconds{750};
     request.trace = account::startTrace(random);
     request.rank = {.priority = 9, .worth = 12.5, .invested = std::chrono::microseconds{3}};
@@ -88,10 +89,31 @@
     return gossip;
 }
 
+[[nodiscard]] configuration::Advert someAdvert()
+{
+    return {.version = 3,
+            .hash = "h",
+            .endpoint = "tcp://127.0.0.1:3",
+            .confirmedAge = std::chrono::milliseconds{4},
+            .provenAt = store::StoreTime{std::chrono::milliseconds{51230}}};
+}
+
+[[nodiscard]] quota::UseReport someReport()
+{
+    return {.sequence = 4, .uses = {{.account = "club", .used = -2, .asked = 7, .returned = 1}, {.account = "school", .used = 3, .asked = 3, .returned = 0}}};
+}
+
+[[nodiscard]] quota::GrantReply someGrants()
+{
+    return {.sequence = 4,
+            .grants = {{.account = "club", .credit = 3, .allowance = 0, .isShort = true, .roomIn = std::chrono::milliseconds{150}},
+                       {.account = "school", .credit = 0, .allowance = 40, .isShort = false, .roomIn = {}}}};
+}
+
 [[nodiscard]] std::vector<Envelope> allMessages()
 {
     std::vector<Envelope> messages;
-    const std::vector<Message> bodies{someRequest(), someAnswer(), CallCancel{.call = {3}}, someGossip()};
+    const std::vector<Message> bodies{someRequest(), someAnswer(), CallCancel{.call = {3}}, someGossip(), someAdvert(), someReport(), someGrants()};
     messages.reserve(bodies.size());
     for (const Message &body : bodies) {
         messages.push_back({.sender = {"duty-roster-0"}, .incarnation = {11}, .message = body});
