In an overload, calls of a daemon that has lost the store rank last

Ways: as before (all alike); all such calls refused (callers lose an answer that there may be room for); last in rank, while the fleet refuses for lack of room and others do reach the store. Built: the last. A daemon asks the store every 1.5 s whether it answers, in an overload only. Tests: rank in an overload with and without contact, reading only in an overload, order kept where no daemon reaches the store.

--- a/src/egretlatch/configuration/read_duty.hpp
+++ b/src/egretlatch/configuration/read_duty.hpp
@@ -28,6 +28,8 @@
     deputy,
     /*! @brief Nobody has confirmed the configuration for long. */
     stale,
+    /*! @brief It has to know whether it reaches the store itself. */
+    contact,
 };
 
 /**
@@ -48,6 +50,8 @@
         return "deputy";
     case ReadReason::stale:
         return "stale";
+    case ReadReason::contact:
+        return "contact";
     }
     return "none";
 }
--- a/src/egretlatch/core/clock.hpp
+++ b/src/egretlatch/core/clock.hpp
@@ -22,7 +22,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<BootClock>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): the name that the standard requires of a clock
 };
 
 /*! @brief Time point of the boot clock; meaningless on another machine. */
--- a/src/egretlatch/decision/account_gate.cpp
+++ b/src/egretlatch/decision/account_gate.cpp
@@ -14,6 +14,9 @@
 constexpr std::chrono::seconds maxRunAfterEnd{2};
 // Runs that a server began before this daemon started end by their deadlines.
 constexpr std::chrono::seconds maxRunFromBefore{10};
+// Time for which an overload counts as present after a refusal.
+constexpr std::chrono::milliseconds overloadTime{1500};
+constexpr std::chrono::milliseconds contactInterval{1500};
 // Spreads the callers that are refused at the same time.
 constexpr std::chrono::milliseconds quotaRetrySpread{500};
 
@@ -88,6 +91,40 @@
                             admission.roomIn + spread);
 }
 
+void AccountGate::noteStoreContact()
+{
+    m_storeContactAt = m_context.clock.bootNow();
+}
+
+void AccountGate::noteOverload()
+{
+    m_overloadAt = m_context.clock.bootNow();
+}
+
+bool AccountGate::needsStoreContact() const
+{
+    const bool hasAccounts = m_context.manifest != nullptr && !m_context.manifest->accounts().empty();
+    if (!hasAccounts || !m_rules.maxTimeWithoutStore.has_value() || !m_overloadAt.has_value()) {
+        return false;
+    }
+    const BootTime now = m_context.clock.bootNow();
+    const bool isOverloaded = now - *m_overloadAt <= internal::overloadTime;
+    return isOverloaded && (!m_storeContactAt.has_value() || now - *m_storeContactAt > internal::contactInterval);
+}
+
+bool AccountGate::ranksLast() const
+{
+    if (!m_rules.maxTimeWithoutStore.has_value() || !m_overloadAt.has_value()) {
+        return false;
+    }
+    const BootTime now = m_context.clock.bootNow();
+    const bool isOverloaded = now - *m_overloadAt <= internal::overloadTime;
+    const bool hasContact = m_storeContactAt.has_value() && now - *m_storeContactAt <= *m_rules.maxTimeWithoutStore;
+    // Without any daemon that reaches the store, proofs age everywhere, and no call goes before another for that.
+    const std::optional<Duration> age = m_configuration.proofAge(now);
+    return isOverloaded && !hasContact && age.has_value() && *age <= *m_rules.maxTimeWithoutStore;
+}
+
 account::Refusal AccountGate::refuseUnproven(const std::string &rule, const std::optional<Duration> age)
 {
     const double ageMs = age.has_value() ? std::chrono::duration<double, std::milli>(*age).count() : -1.0;
--- a/src/egretlatch/decision/account_gate.hpp
+++ b/src/egretlatch/decision/account_gate.hpp
@@ -62,6 +62,27 @@
      */
     [[nodiscard]] std::optional<account::Refusal> checkQuota(const manifest::AccountSpec &account, const Uuid &root, SteadyTime now);
 
+    /*! @brief Records an answer of the store. */
+    void noteStoreContact();
+
+    /*! @brief Records that a root was refused for lack of room. */
+    void noteOverload();
+
+    /**
+     * @brief Checks whether this daemon should find out if it reaches the store.
+     *
+     * Only in an overload, as only then it matters: a read a second by each daemon is a load on the store.
+     */
+    [[nodiscard]] bool needsStoreContact() const;
+
+    /**
+     * @brief Checks whether calls with keys that enter here rank last.
+     *
+     * A daemon that has lost the store knows at second hand that keys are current, and only for a while. In an overload, calls whose
+     * keys are known at first hand go before.
+     */
+    [[nodiscard]] bool ranksLast() const;
+
     [[nodiscard]] QuotaHandler &quotas() noexcept
     {
         return m_quotas;
@@ -82,6 +103,8 @@
     const configuration::Follower &m_configuration;
     AccountRules m_rules;
     QuotaHandler m_quotas;
+    std::optional<BootTime> m_storeContactAt;
+    std::optional<BootTime> m_overloadAt;
     /*! @brief Set once a call of the backend server has named the run that makes it; all its calls do then. */
     bool m_areRunsNamed{};
 };
--- a/src/egretlatch/decision/account_rules.hpp
+++ b/src/egretlatch/decision/account_rules.hpp
@@ -16,6 +16,8 @@
     std::optional<Duration> maxAgeForKeys;
     /*! @brief Greatest age of the configuration at which an unknown key is refused for good. */
     Duration maxAgeForUnknownKeys{std::chrono::seconds{2}};
+    /*! @brief Time without contact to the store after which a daemon's calls with keys rank last in an overload; empty for never. */
+    std::optional<Duration> maxTimeWithoutStore{};
     quota::Rules quota;
 
     friend bool operator==(const AccountRules &, const AccountRules &) = default;
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -70,7 +70,9 @@
 
 configuration::ReadReason Core::reasonToReadConfiguration()
 {
-    return m_configuration->reasonToRead(m_context->clock.steadyNow(), m_context->clock.bootNow());
+    const configuration::ReadReason reason = m_configuration->reasonToRead(m_context->clock.steadyNow(), m_context->clock.bootNow());
+    const bool isContactNeeded = reason == configuration::ReadReason::none && m_accounts->needsStoreContact();
+    return isContactNeeded ? configuration::ReadReason::contact : reason;
 }
 
 std::optional<Duration> Core::configurationProofAge() const
@@ -144,6 +146,7 @@
                    },
                    [&](const StoreClockRead &read) {
                        m_configuration->noteStoreClock(read.reading);
+                       m_accounts->noteStoreContact();
                    },
                    [&](const ConfigurationProven &proven) {
                        m_configuration->noteProven(proven.at, now);
--- a/src/egretlatch/decision/entry_handler.cpp
+++ b/src/egretlatch/decision/entry_handler.cpp
@@ -13,6 +13,7 @@
 
 constexpr int badRequest = 400;
 constexpr int unauthorized = 401;
+constexpr int lastPriority = 0;
 constexpr int notFound = 404;
 constexpr int firstServerError = 500;
 constexpr std::chrono::minutes retryAfterQuarantine{1};
@@ -127,7 +128,7 @@
         return decision.refusal;
     }
     pending.call.account = decision.account->name;
-    pending.rank.priority = decision.account->priority.value_or(pending.rank.priority);
+    pending.rank.priority = m_accounts->ranksLast() ? internal::lastPriority : decision.account->priority.value_or(pending.rank.priority);
     std::optional<account::Refusal> refusal = m_accounts->checkQuota(*decision.account, pending.root, now);
     pending.usesQuota = !refusal.has_value();
     return refusal;
@@ -161,6 +162,9 @@
     if (pending.depth == 0) {
         const admission::EntryRequest request{.service = pending.call.service, .kind = pending.call.kind, .root = pending.root, .rank = pending.rank};
         if (auto refusal = m_context.entryControl->check(request, now)) {
+            if (m_accounts != nullptr) {
+                m_accounts->noteOverload();
+            }
             finishRefused(std::move(pending), m_context.refuse(refusal->reason, refusal->rule, refusal->figures, refusal->retryAfter), now);
             return;
         }
--- a/src/egretlatch/sidecar/configuration_feed.cpp
+++ b/src/egretlatch/sidecar/configuration_feed.cpp
@@ -50,7 +50,9 @@
     m_isCallPending = true;
     // After a failed call, or a time without reads, a plain read shows at once whether the store answers and which configuration it
     // holds; a long poll would show neither until it ends.
-    const bool isLongPoll = m_position.has_value() && m_answeredAt.has_value() && now - *m_answeredAt < internal::maxReadingGap;
+    const bool isContact = m_reason == configuration::ReadReason::contact;
+    const bool isRecent = m_answeredAt.has_value() && now - *m_answeredAt < internal::maxReadingGap;
+    const bool isLongPoll = m_position.has_value() && (isRecent || isContact);
     if (!isLongPoll) {
         m_answeredAt.reset();
     }
@@ -64,6 +66,9 @@
 
 std::chrono::milliseconds ConfigurationFeed::pollTime() const
 {
+    if (m_reason == configuration::ReadReason::contact) {
+        return std::chrono::milliseconds{0};
+    }
     return std::min(m_pollLimit.value_or(internal::longPollWait), internal::longPollWait);
 }
 
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -31,9 +31,10 @@
 constexpr int acceptPercent = 40;
 constexpr int lastStartPercent = 80;
 // Percentages of the time that the platform allows from the withdrawal of an API key to its last request: greatest age of the
-// configuration at which keys count, and longest time for which a reader of the store waits for a change. Dozens of readers end
+// configuration at which keys count, longest time without contact to the store, and longest time for which a reader of the store waits for a change. Dozens of readers end
 // their polls at different times.
 constexpr int keyAgePercent = 90;
+constexpr int storeContactPercent = 60;
 constexpr int proofPollPercent = 50;
 // Other daemons are discovered within half a second of a start; the platform probes readiness once a second.
 constexpr std::chrono::milliseconds maxDiscoveryWait{1500};
@@ -173,6 +174,7 @@
     decision::AccountRules rules;
     if (m_bounds.isWithdrawalStrict) {
         rules.maxAgeForKeys = m_bounds.withdrawal * internal::keyAgePercent / internal::hundredPercent;
+        rules.maxTimeWithoutStore = m_bounds.withdrawal * internal::storeContactPercent / internal::hundredPercent;
     }
     rules.maxAgeForUnknownKeys = m_bounds.configurationApply;
     rules.quota = {.window = m_bounds.quotaWindow, .overage = m_bounds.quotaOverage, .slack = m_bounds.quotaSlack};
--- a/src/egretlatch/store/store_time.hpp
+++ b/src/egretlatch/store/store_time.hpp
@@ -15,7 +15,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<StoreClock>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): the name that the standard requires of a clock
 };
 
 /*! @brief Time point of the store's clock; the same for all daemons. */
--- a/test/egretlatch/decision/accounts.cpp
+++ b/test/egretlatch/decision/accounts.cpp
@@ -8,6 +8,7 @@
 #include <fakes/manual_clock.hpp>
 #include <fakes/roster_fleet.hpp>
 
+#include <egretlatch/admission/open_entry.hpp>
 #include <egretlatch/core/secret.hpp>
 #include <egretlatch/decision/core.hpp>
 
@@ -36,6 +37,57 @@
         digest));
 }
 
+// Refuses every root while the switch is on.
+class SwitchedEntry final : public admission::EntryControl
+{
+public:
+    explicit SwitchedEntry(const bool &isOverloaded)
+        : m_isOverloaded{isOverloaded}
+    {
+    }
+
+    void setManifest(std::shared_ptr<const manifest::Manifest> manifest) override
+    {
+        m_open.setManifest(std::move(manifest));
+    }
+
+    [[nodiscard]] admission::Rank rankOf(const std::string &service, const std::string &kind) const override
+    {
+        return m_open.rankOf(service, kind);
+    }
+
+    [[nodiscard]] admission::RankClass
+    classAt(const std::string &service, const std::string &kind, const admission::Rank &rank, const admission::RootCosts &costs) const override
+    {
+        return m_open.classAt(service, kind, rank, costs);
+    }
+
+    void noteLoad(const admission::ServerLoadReport &report, const SteadyTime now) override
+    {
+        m_open.noteLoad(report, now);
+    }
+
+    void noteLevel(const admission::ServiceLevelReport &report) override
+    {
+        m_open.noteLevel(report);
+    }
+
+    [[nodiscard]] std::vector<admission::ServiceLevelReport> downstreamLevels(const std::string &service, const SteadyTime now) override
+    {
+        return m_open.downstreamLevels(service, now);
+    }
+
+    [[nodiscard]] std::optional<admission::EntryRefusal> check(const admission::EntryRequest & /*request*/, SteadyTime /*now*/) override
+    {
+        return m_isOverloaded ? std::optional{admission::EntryRefusal{.reason = account::RefusalReason::overloadAtEntry, .rule = "no room", .figures = {}, .retryAfter = 1s}}
+                              : std::nullopt;
+    }
+
+private:
+    const bool &m_isOverloaded;
+    admission::OpenEntry m_open;
+};
+
 // Entry daemon with one serving daemon beside it, a backend server of its own, and a store that can prove the configuration.
 struct Fixture
 {
@@ -51,7 +103,8 @@
                    .setConfigurationFeed()
                    .setUnownedKeys(retry::UnownedKeys::notNeeded)
                    .setEntryRules({.countsOnlyArrivals = true, .retrySlack = 40.0, .traces = false})
-                   .setAccountRules({.maxAgeForKeys = maxAgeForKeys, .maxAgeForUnknownKeys = 2500ms, .quota = {}})
+                   .setAccountRules({.maxAgeForKeys = maxAgeForKeys, .maxAgeForUnknownKeys = 2500ms, .maxTimeWithoutStore = 3s, .quota = {}})
+                   .setEntryControl(std::make_unique<SwitchedEntry>(isOverloaded))
                    .build();
         accept(1, documentWith(keyDigest, ratePerSecond));
         static_cast<void>(handleFrom({"peer"}, fakes::rosterGossip({"peer"}, peerIncarnation)));
@@ -109,9 +162,24 @@
         static_cast<void>(handleFrom({"peer"}, request));
     }
 
+    // A proof from another daemon, without an exchange with the store of this one's own.
+    void proveAtSecondHand()
+    {
+        const configuration::Advert advert{.version = 1, .hash = "h", .endpoint = "tcp://peer", .provenAt = storeNow()};
+        static_cast<void>(handleFrom({"peer"}, advert));
+    }
+
+    void refuseOne()
+    {
+        isOverloaded = true;
+        static_cast<void>(arrive(keyDigest));
+        isOverloaded = false;
+    }
+
     fakes::ManualClock clock;
     SeededRandom random{1};
     fakes::CountingMetrics metrics;
+    bool isOverloaded{};
     std::unique_ptr<Core> core;
     std::uint64_t lastExchange{};
 };
@@ -316,3 +384,40 @@
     }
     CHECK(hasRunHere);
 }
+
+TEST_CASE("in an overload, calls of a daemon that has lost the store rank last, as their keys are known at second hand")
+{
+    // Guards against room that goes to calls of daemons on the wrong side of a partition while others refuse theirs.
+    Fixture fixture;
+    fixture.prove();
+    fixture.clock.advance(4s);
+    fixture.proveAtSecondHand();
+    CHECK(attemptIn(fixture.arrive(keyDigest))->rank.priority == 8);
+    fixture.refuseOne();
+    CHECK(attemptIn(fixture.arrive(keyDigest))->rank.priority == 0);
+    // The answer of the store shows that it is reached.
+    fixture.prove();
+    CHECK(attemptIn(fixture.arrive(keyDigest))->rank.priority == 8);
+}
+
+TEST_CASE("a daemon finds out whether it reaches the store only in an overload")
+{
+    Fixture fixture;
+    fixture.prove();
+    fixture.clock.advance(2s);
+    fixture.proveAtSecondHand();
+    CHECK((fixture.core->reasonToReadConfiguration() != configuration::ReadReason::contact));
+    fixture.refuseOne();
+    CHECK((fixture.core->reasonToReadConfiguration() == configuration::ReadReason::contact));
+    fixture.prove();
+    CHECK((fixture.core->reasonToReadConfiguration() != configuration::ReadReason::contact));
+}
+
+TEST_CASE("where no daemon reaches the store, calls keep their order")
+{
+    Fixture fixture;
+    fixture.prove();
+    fixture.clock.advance(4s);
+    fixture.refuseOne();
+    CHECK(attemptIn(fixture.arrive(keyDigest))->rank.priority == 8);
+}
