An account's priority goes before that of the kind, and a part of each account's calls is assured

Cause: the rank had one priority, and the platform names no worth that could tell the kinds apart. Now the account's priority is the first figure and the kind's the second; 35 in 100 of the roots of each account rank with the highest, so that none is served less than a quarter as often as all when room is short for long. Ways: kinds before accounts (no account shut out, but the accounts' order means little); accounts before kinds with an assured part (built).

--- a/src/egretlatch/decision/account_gate.cpp
+++ b/src/egretlatch/decision/account_gate.cpp
@@ -17,6 +17,10 @@
 // Time for which an overload counts as present after a refusal.
 constexpr std::chrono::milliseconds overloadTime{1500};
 constexpr std::chrono::milliseconds contactInterval{1500};
+constexpr int highestPriority = 9;
+constexpr int prioritySteps = 10;
+// Part of the roots of each account that ranks like those of the most important accounts.
+constexpr double assuredShare = 0.35;
 // Spreads the callers that are refused at the same time.
 constexpr std::chrono::milliseconds quotaRetrySpread{500};
 
@@ -91,6 +95,22 @@
                             admission.roomIn + spread);
 }
 
+int AccountGate::priorityOf(const manifest::AccountSpec *const account, const int kindPriority, const Uuid &root) const
+{
+    if (m_context.manifest->accounts().empty()) {
+        return kindPriority;
+    }
+    const bool isAssured = admission::hashFraction(root) >= 1.0 - internal::assuredShare;
+    int first = account == nullptr ? kindPriority : account->priority.value_or(kindPriority);
+    if (account != nullptr && isAssured) {
+        first = internal::highestPriority;
+    }
+    if (account != nullptr && ranksLast()) {
+        first = 0;
+    }
+    return first * internal::prioritySteps + kindPriority;
+}
+
 void AccountGate::noteStoreContact()
 {
     m_storeContactAt = m_context.clock.bootNow();
--- a/src/egretlatch/decision/account_gate.hpp
+++ b/src/egretlatch/decision/account_gate.hpp
@@ -62,6 +62,18 @@
      */
     [[nodiscard]] std::optional<account::Refusal> checkQuota(const manifest::AccountSpec &account, const Uuid &root, SteadyTime now);
 
+    /**
+     * @brief Returns the priority of a root.
+     *
+     * The priority of the account goes before that of the kind, which orders the calls of accounts of one priority. A part of the roots of
+     * each account ranks like those of the most important accounts, so that no account is shut out in a long overload.
+     * @param account Its account; null for none.
+     * @param kindPriority Priority of its kind, 0 to 9.
+     * @param root The root, which decides whether it belongs to that part.
+     * @return The priority, 0 to 99; that of the kind if there are no accounts.
+     */
+    [[nodiscard]] int priorityOf(const manifest::AccountSpec *account, int kindPriority, const Uuid &root) const;
+
     /*! @brief Records an answer of the store. */
     void noteStoreContact();
 
--- a/src/egretlatch/decision/entry_handler.cpp
+++ b/src/egretlatch/decision/entry_handler.cpp
@@ -13,7 +13,6 @@
 
 constexpr int badRequest = 400;
 constexpr int unauthorized = 401;
-constexpr int lastPriority = 0;
 constexpr int notFound = 404;
 constexpr int firstServerError = 500;
 constexpr std::chrono::minutes retryAfterQuarantine{1};
@@ -111,7 +110,8 @@
         m_serving.noteInnerBegan(inner->execution, {call.service, call.kind});
     }
     Pending pending = begin(arrived, *kind, inner, now);
-    if (std::optional<account::Refusal> refusal = applyAccount(pending, decision, now)) {
+    std::optional<account::Refusal> refusal = inner.has_value() ? std::nullopt : applyAccount(pending, decision, now);
+    if (refusal.has_value()) {
         finishRefused(std::move(pending), std::move(*refusal), now);
         return;
     }
@@ -124,11 +124,14 @@
 
 std::optional<account::Refusal> EntryHandler::applyAccount(Pending &pending, const AccountDecision &decision, const SteadyTime now)
 {
-    if (decision.refusal.has_value() || decision.account == nullptr) {
+    if (m_accounts == nullptr || decision.refusal.has_value()) {
         return decision.refusal;
     }
+    pending.rank.priority = m_accounts->priorityOf(decision.account, pending.rank.priority, pending.root);
+    if (decision.account == nullptr) {
+        return std::nullopt;
+    }
     pending.call.account = decision.account->name;
-    pending.rank.priority = m_accounts->ranksLast() ? internal::lastPriority : decision.account->priority.value_or(pending.rank.priority);
     std::optional<account::Refusal> refusal = m_accounts->checkQuota(*decision.account, pending.root, now);
     pending.usesQuota = !refusal.has_value();
     return refusal;
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -31,8 +31,8 @@
 constexpr int acceptPercent = 40;
 constexpr int lastStartPercent = 80;
 // Percentages of the time that the platform allows from the withdrawal of an API key to its last request: greatest age of the
-// configuration at which keys count, longest time without contact to the store, and longest time for which a reader of the store waits for a change. Dozens of readers end
-// their polls at different times.
+// configuration at which keys count, longest time without contact to the store, and longest time for which a reader of the store waits for a change. Dozens of
+// readers end their polls at different times.
 constexpr int keyAgePercent = 90;
 constexpr int storeContactPercent = 60;
 constexpr int proofPollPercent = 50;
