--- a/src/egretlatch/quota/fleet_view.cpp
+++ b/src/egretlatch/quota/fleet_view.cpp
@@ -62,7 +62,7 @@
     const auto chosen = std::max_element(m_members.begin(), m_members.end(), [&weightOf](const DaemonId &left, const DaemonId &right) {
         return weightOf(left) < weightOf(right);
     });
-    const DaemonId coordinator = chosen == m_members.end() ? DaemonId{} : *chosen;
+    DaemonId coordinator = chosen == m_members.end() ? DaemonId{} : *chosen;
     m_coordinators.emplace(account, coordinator);
     return coordinator;
 }
--- a/test/egretlatch/http/connections.cpp
+++ b/test/egretlatch/http/connections.cpp
@@ -255,7 +255,7 @@
 /*! @brief Server that answers each request with a large body, and one caller that reads only when told to. */
 struct SlowReaderFixture
 {
-    static constexpr qsizetype answerBytes = 16 * 1024 * 1024;
+    static constexpr qsizetype answerBytes = qsizetype{16} * 1024 * 1024;
 
     SlowReaderFixture()
     {
--- a/test/egretlatch/net/tcp_stream.cpp
+++ b/test/egretlatch/net/tcp_stream.cpp
@@ -115,7 +115,7 @@
 TEST_CASE("a peer that reads late keeps the connection of a patient stream, and one that is gone does not")
 {
     // Guards against a failure in place of the answer of a server that is at work while it has not read a long body.
-    constexpr qsizetype manyBytes = 16 * 1024 * 1024;
+    constexpr qsizetype manyBytes = qsizetype{16} * 1024 * 1024;
     constexpr std::chrono::milliseconds lateReading{4000};
     fakes::ensureApplication();
     net::Poller poller;
