--- a/src/egretlatch/quota/ledger.hpp
+++ b/src/egretlatch/quota/ledger.hpp
@@ -119,7 +119,7 @@
         /*! @brief Shortest interval of its reports that suits the size of the fleet. */
         Duration interval{};
         SteadyTime askedAt;
-        /*! @brief Requests admitted per second before the coordinator stopped to reply. */
+        /*! @brief Requests admitted per second, as last measured while the coordinator replied. */
         double rate{};
         SteadyTime rateSince;
         std::uint64_t admittedSince{};
