Departures are kept in the store before they are acknowledged, and read before a report counts

Cause: after a loss of all daemons a server confirmed itself by its health check or by a second report 200 ms after the first.

Change: membership::DepartureRecord gives each departure a row in the store.

--- a/src/egretlatch/decision/action.hpp
+++ b/src/egretlatch/decision/action.hpp
@@ -162,6 +162,38 @@
     std::string instance;
 };
 
+/*! @brief Reports that the departure of a backend server incarnation is in the store, so that it may be acknowledged. */
+struct DepartureSaved
+{
+    std::string instance;
+};
+
+/*! @brief Source from which a daemon knows the departures of before its start. */
+enum class DepartureSource {
+    store,
+    peers,
+};
+
+/**
+ * @brief Returns a source as text.
+ * @param source The source.
+ * @return Its name in logs.
+ */
+[[nodiscard]] constexpr std::string_view toString(const DepartureSource source) noexcept
+{
+    return source == DepartureSource::store ? "store" : "peers";
+}
+
+/*! @brief Logs that the departures of before this daemon's start are known, so that reports of the backend server count. */
+struct DeparturesKnown
+{
+    DepartureSource source{};
+    /*! @brief Time since the start of this daemon. */
+    Duration sinceStart{};
+    /*! @brief Departures that the store names. */
+    std::size_t count{};
+};
+
 /*! @brief Logs that no message of any other daemon arrives, or that messages arrive again. */
 struct IsolationChanged
 {
@@ -195,6 +227,8 @@
                             ManifestInForce,
                             MemberChanged,
                             DepartureReported,
+                            DepartureSaved,
+                            DeparturesKnown,
                             IsolationChanged,
                             IncarnationRaised,
                             Drained>;
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -214,7 +214,7 @@
         CrashReport{.rumour = rumour}.apply(m_context->suspects, now);
     }
     if (const std::optional<std::string> instance = departedInstance(rumour, m_context->self)) {
-        handleDepartureRumour(*instance, now);
+        handleEarlierDeparture(*instance, now);
     }
 }
 
@@ -244,6 +244,11 @@
         tickContacts(now);
         return;
     }
+    if (m_departureRequest == answered.id) {
+        m_departureRequest.reset();
+        handleDepartureReply(answered.outcome, now);
+        return;
+    }
     if (!m_configuration->handleOutcome(answered.id, answered.outcome, now) && !m_entry->handlePlatform(answered, now)) {
         m_context->metrics.count("messages_dropped", "late-platform-answer");
     }
@@ -278,6 +283,7 @@
     m_gossip->setPerformance(m_serving->performance(now));
     m_gossip->tick(now);
     tickContacts(now);
+    tickDepartures(now);
     tickShutdown(now);
     applyGossip(now);
 }
@@ -343,6 +349,9 @@
     for (const membership::Rumour &rumour : effects.rumours) {
         handleRumour(rumour, now);
     }
+    if (effects.isKnownFromBefore) {
+        handleToldDepartures(now);
+    }
 }
 
 void Core::adoptRaisedIncarnation()
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -15,6 +15,7 @@
 #include <egretlatch/decision/event.hpp>
 #include <egretlatch/decision/serving_handler.hpp>
 #include <egretlatch/membership/contact_book.hpp>
+#include <egretlatch/membership/departure_record.hpp>
 #include <egretlatch/membership/departures.hpp>
 #include <egretlatch/membership/gossip.hpp>
 
@@ -117,6 +118,22 @@
         return m_departures.contains(instance);
     }
 
+    /**
+     * @brief Checks whether a departure binds later incarnations of this daemon too.
+     * @param instance Instance name of the server.
+     * @return True if it is in the store; always, if departures are not kept there.
+     */
+    [[nodiscard]] bool isDepartureSaved(const std::string &instance) const
+    {
+        return m_departureRecord == nullptr || m_departureRecord->isSaved(instance);
+    }
+
+    /*! @brief Checks whether the departures of before this daemon's start are known; until then no backend server is announced. */
+    [[nodiscard]] bool knowsEarlierDepartures() const noexcept
+    {
+        return m_departureRecord == nullptr || m_departureRecord->knowsEarlier();
+    }
+
 private:
     friend class CoreBuilder;
     Core() = default;
@@ -124,9 +141,14 @@
     void dispatch(const Event &event, SteadyTime now);
     void handleMessage(const protocol::Envelope &envelope, SteadyTime now);
     void handleAnnounced(const ServerAnnounced &announced, SteadyTime now);
+    void acceptAnnouncement(const ServerAnnounced &announced, SteadyTime now);
+    void releaseAnnouncement(SteadyTime now);
     void handleDraining(const ServerDraining &draining, SteadyTime now);
     [[nodiscard]] bool recordDeparture(const std::string &instance, SteadyTime now);
-    void handleDepartureRumour(const std::string &instance, SteadyTime now);
+    void handleEarlierDeparture(const std::string &instance, SteadyTime now);
+    void handleDepartureReply(const store::Outcome &outcome, SteadyTime now);
+    void handleToldDepartures(SteadyTime now);
+    void tickDepartures(SteadyTime now);
     [[nodiscard]] bool isServerUnnamed() const;
     void publishDraining(SteadyTime now);
     void handleLeft(SteadyTime now);
@@ -161,6 +183,11 @@
     /*! @brief Null without a platform. */
     std::unique_ptr<membership::ContactBook> m_contactBook;
     std::optional<store::RequestId> m_contactRequest;
+    /*! @brief Null if departures are not kept in the store. */
+    std::unique_ptr<membership::DepartureRecord> m_departureRecord;
+    std::optional<store::RequestId> m_departureRequest;
+    /*! @brief Latest announcement received while departures of before this daemon's start are not known. */
+    std::optional<ServerAnnounced> m_heldAnnouncement;
     /*! @brief Last announcement of the backend server; empty if there is no server. */
     std::optional<ServerAnnounced> m_server;
     membership::Departures m_departures;
@@ -240,6 +267,13 @@
      */
     CoreBuilder &setConfigurationFeed();
 
+    /**
+     * @brief Keeps departures of the backend server in the store, and trusts its announcements only once those of before are known.
+     * @param isFirstStart True if the fleet starts for the first time, so that there are none.
+     * @return This builder.
+     */
+    CoreBuilder &keepDepartures(bool isFirstStart);
+
     /**
      * @brief Sets the rules for calls of client accounts.
      * @param rules The rules.
@@ -313,6 +347,8 @@
     std::unique_ptr<admission::Gate> m_gate;
     bool m_followsPlatform{};
     bool m_receivesManifests{};
+    /*! @brief Nothing if departures are not kept in the store. */
+    std::optional<bool> m_isFirstStart;
     AccountRules m_accountRules;
     EntryRules m_entryRules;
     DrainTimes m_drainTimes;
--- a/src/egretlatch/decision/core_builder.cpp
+++ b/src/egretlatch/decision/core_builder.cpp
@@ -75,6 +75,12 @@
     return *this;
 }
 
+CoreBuilder &CoreBuilder::keepDepartures(const bool isFirstStart)
+{
+    m_isFirstStart = isFirstStart;
+    return *this;
+}
+
 CoreBuilder &CoreBuilder::setAccountRules(const AccountRules &rules)
 {
     m_accountRules = rules;
@@ -191,6 +197,9 @@
         core->m_contactBook =
             std::make_unique<membership::ContactBook>(membership::Contact{.id = m_self.id, .endpoint = m_self.endpoint}, *core->m_gossipRandom);
     }
+    if (m_isFirstStart.has_value()) {
+        core->m_departureRecord = std::make_unique<membership::DepartureRecord>(m_self.id, *m_isFirstStart, *core->m_gossipRandom);
+    }
     core->m_gossip = std::make_unique<membership::Gossip>(core->m_context->roster, *core->m_gossipRandom, m_metrics, std::move(m_contacts));
     return core;
 }
--- a/src/egretlatch/decision/core_server.cpp
+++ b/src/egretlatch/decision/core_server.cpp
@@ -1,8 +1,7 @@
 #include <egretlatch/decision/core.hpp>
 
 #include <algorithm>
-
-#include <egretlatch/decision/departure_rumour.hpp>
+#include <utility>
 
 namespace egretlatch::decision
 {
@@ -18,6 +17,24 @@
 {
     m_lastAnnounced = now;
     m_context->metrics.count("announcements", announced.service);
+    if (!knowsEarlierDepartures()) {
+        m_heldAnnouncement = announced;
+        return;
+    }
+    acceptAnnouncement(announced, now);
+}
+
+void Core::releaseAnnouncement(const SteadyTime now)
+{
+    const std::optional<ServerAnnounced> held = std::exchange(m_heldAnnouncement, std::nullopt);
+    const bool isFresh = now - m_lastAnnounced < internal::announcementTimeout;
+    if (held.has_value() && isFresh) {
+        acceptAnnouncement(*held, now);
+    }
+}
+
+void Core::acceptAnnouncement(const ServerAnnounced &announced, const SteadyTime now)
+{
     // A draining server keeps announcing itself, which must not return it to service, not even after a pause in its
     // announcements. A replacement process is a new server: it has another instance name or, without names, follows such
     // a pause.
@@ -77,38 +94,6 @@
     publishDraining(now);
 }
 
-bool Core::recordDeparture(const std::string &instance, const SteadyTime now)
-{
-    const bool isCurrentServer = instance.empty() || (m_server.has_value() && m_server->instance == instance);
-    const std::string &name = instance.empty() && m_server.has_value() ? m_server->instance : instance;
-    if (!name.empty() && m_departures.note(name)) {
-        // Sent immediately, before the server gets its acknowledgement, so that it also binds an incarnation of this daemon that
-        // starts right after.
-        m_gossip->spread(makeDepartureRumour(m_context->self, name), now);
-        m_gossip->announceSelf(now);
-        applyGossip(now);
-    }
-    return isCurrentServer;
-}
-
-void Core::handleDepartureRumour(const std::string &instance, const SteadyTime now)
-{
-    if (!m_departures.note(instance)) {
-        return;
-    }
-    m_context->actions.emplace_back(DepartureReported{.instance = instance});
-    if (!m_server.has_value() || m_server->instance != instance) {
-        return;
-    }
-    // A previous incarnation of this daemon acknowledged the departure at an unknown time, so this one stops accepting
-    // requests immediately.
-    m_isDraining = true;
-    m_stopAcceptingAt = now;
-    m_lastStartAt = now;
-    tickDrain(now);
-    publishDraining(now);
-}
-
 void Core::publishDraining(const SteadyTime now)
 {
     const membership::Member &self = m_context->roster.self();
@@ -118,6 +103,7 @@
 void Core::handleLeft(const SteadyTime now)
 {
     m_server.reset();
+    m_heldAnnouncement.reset();
     m_isDraining = m_isSignalled;
     m_serving->setServer(0);
     updateSelf(membership::MemberState::idle, {}, 0, 0, now);
--- a/src/egretlatch/membership/fwd.hpp
+++ b/src/egretlatch/membership/fwd.hpp
@@ -21,6 +21,7 @@
 struct Suspicion;
 
 class ContactBook;
+class DepartureRecord;
 class Departures;
 class Gossip;
 class IsolationMonitor;
--- a/src/egretlatch/membership/gossip.cpp
+++ b/src/egretlatch/membership/gossip.cpp
@@ -58,6 +58,7 @@
         break;
     case GossipPurpose::ack:
         m_prober.handleAck(message.sequence);
+        m_effects.isKnownFromBefore = m_effects.isKnownFromBefore || message.knewPredecessor;
         relayAck(message.sequence, now);
         break;
     case GossipPurpose::pingRequest:
--- a/src/egretlatch/membership/gossip_answers.cpp
+++ b/src/egretlatch/membership/gossip_answers.cpp
@@ -28,6 +28,7 @@
         answer.members.push_back(*known);
     }
     addDepartures(answer, sender, now);
+    answer.knewPredecessor = m_roster.knewServingPredecessor(sender, incarnation);
     sendTo(sender, std::move(answer));
 }
 
--- a/src/egretlatch/membership/roster.cpp
+++ b/src/egretlatch/membership/roster.cpp
@@ -27,6 +27,11 @@
     return state == MemberState::suspect || state == MemberState::gone;
 }
 
+[[nodiscard]] static bool hasServer(const MemberState state)
+{
+    return state == MemberState::serving || state == MemberState::draining;
+}
+
 [[nodiscard]] static std::uint64_t digestOf(const Member &member)
 {
     const std::string text = fmt::format(
@@ -46,7 +51,8 @@
     if (member.id == m_self.id) {
         return mergeSelf(member);
     }
-    const auto [found, isNew] = m_others.try_emplace(member.id, Entry{.announced = member, .shown = member, .since = now});
+    const auto [found, isNew] =
+        m_others.try_emplace(member.id, Entry{.announced = member, .shown = member, .since = now, .hasServed = internal::hasServer(member.state)});
     if (isNew) {
         noteChanged(member.id);
         return MergeOutcome::changed;
@@ -124,6 +130,11 @@
 MergeOutcome Roster::replace(Entry &entry, const Member &member, const SteadyTime now)
 {
     const std::uint64_t latestBeat = std::max(member.beat, member.incarnation == entry.announced.incarnation ? entry.announced.beat : 0);
+    if (member.incarnation != entry.announced.incarnation) {
+        entry.hasServedBefore = entry.hasServedBefore || entry.hasServed;
+        entry.hasServed = false;
+    }
+    entry.hasServed = entry.hasServed || internal::hasServer(member.state);
     entry.announced = member;
     entry.announced.beat = latestBeat;
     entry.shown = entry.announced;
@@ -189,6 +200,12 @@
     return isAnnounced ? &entry.announced : nullptr;
 }
 
+bool Roster::knewServingPredecessor(const DaemonId &id, const Incarnation incarnation) const noexcept
+{
+    const auto found = m_others.find(id);
+    return found != m_others.end() && found->second.announced.incarnation == incarnation && found->second.hasServedBefore;
+}
+
 std::vector<Member> Roster::members() const
 {
     std::vector<Member> all{m_self};
--- a/src/egretlatch/membership/roster.hpp
+++ b/src/egretlatch/membership/roster.hpp
@@ -110,6 +110,14 @@
      */
     [[nodiscard]] const Member *findAnnounced(const DaemonId &id) const noexcept;
 
+    /**
+     * @brief Checks whether an earlier incarnation of a daemon was known here while it served.
+     * @param id The daemon.
+     * @param incarnation Its current incarnation.
+     * @return True if it was, so that its departures were told here.
+     */
+    [[nodiscard]] bool knewServingPredecessor(const DaemonId &id, Incarnation incarnation) const noexcept;
+
     /**
      * @brief Lists all members.
      * @return This daemon first, then the others by id.
@@ -176,6 +184,10 @@
         Member shown;
         /*! @brief Time of the last change of the shown entry. */
         SteadyTime since;
+        /*! @brief The current incarnation has announced a backend server. */
+        bool hasServed{};
+        /*! @brief An earlier incarnation had announced a backend server. */
+        bool hasServedBefore{};
     };
 
     [[nodiscard]] MergeOutcome mergeSelf(const Member &member);
--- a/src/egretlatch/platform/names.hpp
+++ b/src/egretlatch/platform/names.hpp
@@ -17,7 +17,6 @@
 /*! @brief Client account of a request, as told to backend servers. */
 inline constexpr const char *accountHeader = "X-Tenant-Id";
 /*! @brief Incarnation of a backend server, in its answers to health checks and in 421. */
-inline constexpr const char *instanceHeader = "X-Instance-Id";
 /*! @brief Signature of a backend server on its answer. */
 inline constexpr const char *serverStampHeader = "X-Server-Stamp";
 /*! @brief Present if the backend server did not execute the request. */
--- a/src/egretlatch/platform/server_wire.cpp
+++ b/src/egretlatch/platform/server_wire.cpp
@@ -53,21 +53,6 @@
     return name == nullptr || *name == requestName;
 }
 
-http::Request writeHealthCheck(const std::string &path, const std::string &host)
-{
-    http::Request request;
-    request.method = "GET";
-    request.target = path;
-    request.headers.push_back({.name = "Host", .value = host});
-    return request;
-}
-
-ServerHealth readHealth(const http::Response &answer)
-{
-    const std::string *const instance = http::findHeader(answer.headers, instanceHeader);
-    return {.instance = instance == nullptr ? std::string{} : *instance, .isServing = answer.status == internal::firstSuccess};
-}
-
 std::variant<decision::RunAnswer, decision::RunFailure> readRun(const http::Response &answer)
 {
     if (http::findHeader(answer.headers, notExecutedHeader) != nullptr) {
--- a/src/egretlatch/platform/server_wire.hpp
+++ b/src/egretlatch/platform/server_wire.hpp
@@ -33,30 +33,6 @@
  */
 [[nodiscard]] bool isAnswerTo(const http::Response &answer, const std::string &requestName);
 
-/*! @brief State that a backend server reports when its health is checked; may be wrong in either direction. */
-struct ServerHealth
-{
-    /*! @brief Incarnation that answered; empty if it did not name itself. */
-    std::string instance;
-    /*! @brief True if it is healthy and not leaving. */
-    bool isServing{};
-
-    friend bool operator==(const ServerHealth &, const ServerHealth &) = default;
-};
-
-/**
- * @brief Returns the request that checks the health of a backend server.
- * @param path Path of the health check, as configured for the service.
- * @param host Address of the server.
- */
-[[nodiscard]] http::Request writeHealthCheck(const std::string &path, const std::string &host);
-
-/**
- * @brief Reads a backend server's answer to a health check.
- * @param answer The complete answer.
- */
-[[nodiscard]] ServerHealth readHealth(const http::Response &answer);
-
 /**
  * @brief Reads a backend server's answer.
  * @param answer The complete answer.
--- a/src/egretlatch/protocol/fleet_codec.cpp
+++ b/src/egretlatch/protocol/fleet_codec.cpp
@@ -118,6 +118,7 @@
     for (const admission::KindPerformance &performance : gossip.performance) {
         write(performance, *wire.add_paces());
     }
+    wire.set_knew_predecessor(gossip.knewPredecessor);
 }
 
 Result<Message> read(const wire::Gossip &wire)
@@ -151,6 +152,7 @@
     for (const auto &performance : wire.paces()) {
         gossip.performance.push_back(read(performance));
     }
+    gossip.knewPredecessor = wire.knew_predecessor();
     return gossip;
 }
 
--- a/src/egretlatch/settings/sidecar_settings.cpp
+++ b/src/egretlatch/settings/sidecar_settings.cpp
@@ -96,6 +96,7 @@
     }
     settings.backend = internal::readEndpoint(reader, "backend");
     settings.store = internal::readEndpoint(reader, "store");
+    settings.isFirstStart = reader.flag("firstStart", false);
     settings.peerPort = internal::readFirstPort(reader);
     if (reader.member("announcedPeer").has_value()) {
         settings.announcedPeer = internal::readEndpoint(reader, "announcedPeer");
--- a/src/egretlatch/settings/sidecar_settings.hpp
+++ b/src/egretlatch/settings/sidecar_settings.hpp
@@ -42,6 +42,8 @@
     net::Endpoint backend;
     /*! @brief Endpoint on which the platform's store listens. */
     net::Endpoint store;
+    /*! @brief True while the fleet starts for the first time, so that the store holds nothing of earlier daemons. */
+    bool isFirstStart{};
     /*! @brief Port for connections between daemons. */
     std::uint16_t peerPort{};
     /*! @brief Endpoint on which other daemons reach this one, if its address is translated or relayed. */
--- a/src/egretlatch/sidecar/backend_runner.cpp
+++ b/src/egretlatch/sidecar/backend_runner.cpp
@@ -10,8 +10,6 @@
 
 // The decision core aborts a run at its deadline. This later deadline only frees the connection if it fails to.
 constexpr std::chrono::milliseconds deadlineMargin{500};
-// A server answers within milliseconds, or once a slot is free; the next report of the server leads to another check.
-constexpr std::chrono::milliseconds healthTimeout{1000};
 constexpr http::ReadLimits answerLimits{.headerBytes = 64U * 1024U, .bodyBytes = 64ULL * 1024U * 1024U};
 
 [[nodiscard]] static std::variant<decision::RunAnswer, decision::RunFailure> runResultOf(const http::Outcome &result)
@@ -60,20 +58,4 @@
     }
 }
 
-void BackendRunner::checkHealth(const std::string &path, HealthHandler onHealth)
-{
-    http::OutgoingRequest outgoing;
-    outgoing.bytes = http::encode(platform::writeHealthCheck(path, m_host));
-    outgoing.isMatchingResponse = [](const http::Response & /*answer*/) {
-        return true;
-    };
-    outgoing.deadline = m_clock.steadyNow() + internal::healthTimeout;
-    outgoing.onResult = [onHealth = std::move(onHealth)](const http::Outcome &result) {
-        if (const auto *const answer = std::get_if<http::Response>(&result)) {
-            onHealth(platform::readHealth(*answer));
-        }
-    };
-    static_cast<void>(m_pool.send(std::move(outgoing)));
-}
-
 } // namespace egretlatch::sidecar
--- a/src/egretlatch/sidecar/backend_runner.hpp
+++ b/src/egretlatch/sidecar/backend_runner.hpp
@@ -18,7 +18,6 @@
 {
 public:
     using EndedHandler = std::function<void(decision::RunEnded ended)>;
-    using HealthHandler = std::function<void(const platform::ServerHealth &health)>;
 
     /**
      * @brief Builds a runner.
@@ -42,13 +41,6 @@
      */
     void abort(ExecutionId execution);
 
-    /**
-     * @brief Checks the health of the backend server.
-     * @param path Path of the health check.
-     * @param onHealth Receives the answer; not called without one.
-     */
-    void checkHealth(const std::string &path, HealthHandler onHealth);
-
     /*! @brief Closes connections without a request in flight, as they lead to an ended incarnation of the server. */
     void closeIdleConnections()
     {
--- a/src/egretlatch/sidecar/gauges.cpp
+++ b/src/egretlatch/sidecar/gauges.cpp
@@ -58,6 +58,7 @@
     if (const std::optional<Duration> age = core.configurationProofAge()) {
         metrics.set("configuration_proven_age_seconds", std::chrono::duration<double>(*age).count());
     }
+    metrics.set("departures_known", core.knowsEarlierDepartures() ? 1.0 : 0.0);
     metrics.set("quotas_short", static_cast<double>(core.countShortQuotas()));
     for (const auto &[service, retries] : core.retriesLeft()) {
         metrics.set(fmt::format("retries_left{{service=\"{}\"}}", service), retries);
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -105,19 +105,17 @@
                           m_metricsServer.answer(exchange, request.target == internal::metricsPath ? metricsPage() : http::bareResponse(internal::notFound));
                       },
                       [](ExchangeId /*exchange*/) {}}
-    , m_reportServer{m_poller,
-                     m_clock,
-                     [this](const ExchangeId exchange, const http::Request &request, SteadyTime /*readAt*/) {
-                         handleReport(exchange, request);
-                     },
-                     [](ExchangeId /*exchange*/) {}}
-    , m_reportHandler{m_settings.service,
-                      m_settings.backend.text(),
-                      m_logger,
-                      m_metrics,
-                      [this](const std::string &incarnation) {
-                          return m_core->hasLeft(incarnation);
-                      }}
+    , m_reports{m_poller,
+                m_clock,
+                ReportHandler{m_settings.service,
+                              m_settings.backend.text(),
+                              m_logger,
+                              m_metrics,
+                              [this](const std::string &incarnation) {
+                                  return m_core->hasLeft(incarnation);
+                              }},
+                *this,
+                m_logger}
     , m_core{makeCore()}
 {
     m_logSink.setOmissionLine([this](const std::string &event, const std::uint64_t count) {
@@ -149,6 +147,7 @@
     builder.setSelf(self);
     builder.followPlatform();
     builder.setConfigurationFeed();
+    builder.keepDepartures(m_settings.isFirstStart);
     builder.setUnownedKeys(retry::UnownedKeys::notNeeded);
     builder.setDelivery(decision::Delivery::oneIncarnation);
     builder.allowIncarnationRaise();
@@ -189,7 +188,11 @@
     m_frontend.setOverlap(!m_settings.disabledMechanisms.contains(settings::Mechanism::overlap));
     m_startedAt = m_clock.steadyNow();
     m_maintenanceTimer.start();
-    m_logger.info("started", {{"callers", m_settings.callers.text()}, {"backend", m_settings.backend.text()}, {"service", m_settings.service}});
+    m_logger.info("started",
+                  {{"callers", m_settings.callers.text()},
+                   {"backend", m_settings.backend.text()},
+                   {"service", m_settings.service},
+                   {"firstStart", m_settings.isFirstStart}});
     post(decision::Tick{});
     return {};
 }
@@ -202,7 +205,7 @@
     if (Result<void> listening = m_frontend.listen(m_settings.callers); !listening.has_value()) {
         return listening;
     }
-    if (Result<void> listening = m_reportServer.listen(m_settings.serverReports); !listening.has_value()) {
+    if (Result<void> listening = m_reports.listen(m_settings.serverReports); !listening.has_value()) {
         return listening;
     }
     if (m_settings.metrics.has_value()) {
@@ -262,7 +265,7 @@
     } else if (auto *const send = std::get_if<decision::SendToPeer>(&action)) {
         m_peers.send(*send);
     } else if (const auto *const start = std::get_if<decision::StartRun>(&action)) {
-        m_backend.start(*start, m_reportHandler.server().instance());
+        m_backend.start(*start, m_reports.backend().instance());
     } else if (const auto *const abort = std::get_if<decision::AbortRun>(&action)) {
         m_backend.abort(abort->execution);
     } else if (const auto *const toPlatform = std::get_if<decision::SendToPlatform>(&action)) {
@@ -278,6 +281,11 @@
         m_logger.info("member changed", {{"member", changed->id.value}, {"state", membership::toString(changed->state)}});
     } else if (const auto *const departure = std::get_if<decision::DepartureReported>(&action)) {
         m_logger.info("departure reported", {{"instance", departure->instance}});
+    } else if (const auto *const saved = std::get_if<decision::DepartureSaved>(&action)) {
+        m_logger.info("departure saved", {{"instance", saved->instance}});
+        m_reports.handleSaved(saved->instance);
+    } else if (const auto *const known = std::get_if<decision::DeparturesKnown>(&action)) {
+        logDeparturesKnown(*known);
     } else if (const auto *const isolation = std::get_if<decision::IsolationChanged>(&action)) {
         daemon::logIsolation(m_logger, *isolation);
     } else if (const auto *const raised = std::get_if<decision::IncarnationRaised>(&action)) {
@@ -288,6 +296,12 @@
     }
 }
 
+void Sidecar::logDeparturesKnown(const decision::DeparturesKnown &known)
+{
+    const auto sinceStart = std::chrono::duration_cast<std::chrono::milliseconds>(known.sinceStart);
+    m_logger.info("earlier departures known", {{"learnedFrom", decision::toString(known.source)}, {"count", known.count}, {"sinceStartMs", sinceStart.count()}});
+}
+
 void Sidecar::executeAtStore(const decision::SendToPlatform &action)
 {
     const BootTime sentAt = m_clock.bootNow();
@@ -323,7 +337,7 @@
     m_frontend.server().tick();
     m_readiness.tick();
     m_metricsServer.tick();
-    m_reportServer.tick();
+    m_reports.tick();
     m_backend.tick();
     m_store.tick();
     followConfiguration();
@@ -383,54 +397,19 @@
     return maximum;
 }
 
-void Sidecar::handleReport(const ExchangeId exchange, const http::Request &request)
-{
-    HandledReport handled = m_reportHandler.handle(request);
-    if (handled.isNewIncarnation) {
-        m_backend.closeIdleConnections();
-    }
-    // Posted before the acknowledgement, after which no new request may reach a leaving server.
-    if (handled.event.has_value()) {
-        handleServerEvent(std::move(*handled.event));
-    }
-    m_reportServer.answer(exchange, handled.answer);
-}
-
-void Sidecar::handleServerEvent(decision::Event event)
+void Sidecar::onServerEvent(decision::Event event)
 {
-    const auto *const announced = std::get_if<decision::ServerAnnounced>(&event);
-    if (announced == nullptr) {
-        m_confirmation.handleLeaving();
-        post(std::move(event));
-        return;
-    }
-    const bool wasHolding = m_confirmation.isHolding();
-    if (const auto confirmed = m_confirmation.handleAnnounced(*announced, m_reportHandler.server().instance(), m_clock.steadyNow())) {
-        announce(*confirmed, wasHolding ? "a later report" : "");
-        return;
-    }
-    checkHealth();
+    post(std::move(event));
 }
 
-void Sidecar::announce(const decision::ServerAnnounced &announced, const std::string_view confirmedBy)
+void Sidecar::onNewServer()
 {
-    if (!confirmedBy.empty()) {
-        m_logger.info("backend server confirmed", {{"instance", announced.instance}, {"by", confirmedBy}});
-    }
-    post(announced);
+    m_backend.closeIdleConnections();
 }
 
-void Sidecar::checkHealth()
+bool Sidecar::isDepartureSaved(const std::string &incarnation) const
 {
-    const manifest::ServiceSpec *const service = m_core->manifest() == nullptr ? nullptr : m_core->manifest()->findService(m_settings.service);
-    if (!m_confirmation.isHolding() || service == nullptr || service->healthPath.empty()) {
-        return;
-    }
-    m_backend.checkHealth(service->healthPath, [this](const platform::ServerHealth &health) {
-        if (const auto confirmed = m_confirmation.handleHealth(health)) {
-            announce(*confirmed, "its health check");
-        }
-    });
+    return m_core->isDepartureSaved(incarnation);
 }
 
 void Sidecar::answerProbe(const ExchangeId exchange, const http::Request &request)
@@ -453,7 +432,7 @@
 http::Response Sidecar::metricsPage()
 {
     const SteadyTime now = m_clock.steadyNow();
-    setGauges(*m_core, {.slots = m_reportHandler.server().slots(), .inForceSince = m_inForceSince, .logLinesOmitted = m_logSink.omitted()}, now, m_metrics);
+    setGauges(*m_core, {.slots = m_reports.backend().slots(), .inForceSince = m_inForceSince, .logLinesOmitted = m_logSink.omitted()}, now, m_metrics);
     http::Response response = http::bareResponse(internal::ok);
     response.headers.push_back({.name = "Content-Type", .value = "text/plain; version=0.0.4"});
     response.body = QByteArray::fromStdString(m_metrics.toPrometheus());
@@ -479,8 +458,6 @@
     const bool needsProof = m_bounds.isWithdrawalStrict && !m_core->manifest()->accounts().empty();
     m_feed.limitPollTime(needsProof ? std::optional{m_bounds.withdrawal * internal::proofPollPercent / internal::hundredPercent} : std::nullopt);
     m_frontend.setManifest(m_core->manifest());
-    // A report that came before the configuration waits for the health check that this declares.
-    checkHealth();
 }
 
 void Sidecar::beginStop(const std::string_view reason)
--- a/src/egretlatch/sidecar/sidecar.hpp
+++ b/src/egretlatch/sidecar/sidecar.hpp
@@ -20,9 +20,8 @@
 #include <egretlatch/sidecar/caller_frontend.hpp>
 #include <egretlatch/sidecar/configuration_feed.hpp>
 #include <egretlatch/sidecar/level_log.hpp>
-#include <egretlatch/sidecar/report_handler.hpp>
+#include <egretlatch/sidecar/report_server.hpp>
 #include <egretlatch/sidecar/request_log.hpp>
-#include <egretlatch/sidecar/server_confirmation.hpp>
 #include <egretlatch/sidecar/store_client.hpp>
 
 namespace egretlatch::sidecar
@@ -35,7 +34,7 @@
  * only part of a processor core available, handing work to another thread costs a wake-up and a system call and gains no
  * parallelism.
  */
-class Sidecar
+class Sidecar final : private ReportListener
 {
 public:
     /**
@@ -46,7 +45,7 @@
     Sidecar(settings::SidecarSettings settings, std::function<void()> onEnded);
     Sidecar(const Sidecar &) = delete;
     Sidecar &operator=(const Sidecar &) = delete;
-    ~Sidecar();
+    ~Sidecar() override;
 
     /**
      * @brief Starts listening and discovering the fleet.
@@ -78,10 +77,10 @@
     void followConfiguration();
     void logLevelChange();
     [[nodiscard]] std::chrono::milliseconds maxTimeout() const;
-    void handleReport(ExchangeId exchange, const http::Request &request);
-    void handleServerEvent(decision::Event event);
-    void announce(const decision::ServerAnnounced &announced, std::string_view confirmedBy);
-    void checkHealth();
+    void onServerEvent(decision::Event event) override;
+    void onNewServer() override;
+    [[nodiscard]] bool isDepartureSaved(const std::string &incarnation) const override;
+    void logDeparturesKnown(const decision::DeparturesKnown &known);
     void answerProbe(ExchangeId exchange, const http::Request &request);
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] http::Response metricsPage();
@@ -110,9 +109,7 @@
     CallerFrontend m_frontend;
     http::Server m_readiness;
     http::Server m_metricsServer;
-    http::Server m_reportServer;
-    ReportHandler m_reportHandler;
-    ServerConfirmation m_confirmation;
+    ReportServer m_reports;
     std::unique_ptr<decision::Core> m_core;
     std::deque<decision::Event> m_events;
     QTimer m_tickTimer;
