A caller that pauses in an answer is owed the rest as long as its machine is alive

Cause: a caller that took nothing of its last answer for two seconds was closed (http/server_connection.cpp), and one that paused in an earlier answer was ended by the kernel's limit of 15 s on unacknowledged bytes, which a closed window counts towards too. No page of the users knows such a limit: within the grace period an answer is owed.

Change: the connection waits for undelivered bytes while the peer's kernel answers probes (net/peer_silence.hpp, used for servers so far), up to the longest deadline of a route or the idle timeout. Where an answer does not fit into the kernel's buffer its limit is off. All callers together may hold 64 MB; beyond it those that paused longest are closed. Each such end has a log line and a counter.

--- a/src/egretlatch/http/server.cpp
+++ b/src/egretlatch/http/server.cpp
@@ -76,9 +76,35 @@
     for (ServerConnection *const connection : all) {
         connection->checkTimeouts();
     }
+    limitHeldBytes();
     m_closed.clear();
 }
 
+void Server::limitHeldBytes()
+{
+    qsizetype held = 0;
+    std::vector<ServerConnection *> holding;
+    for (const auto &[key, connection] : m_connections) {
+        if (connection->heldBytes() > 0) {
+            held += connection->heldBytes();
+            holding.push_back(key);
+        }
+    }
+    if (held <= m_heldLimit) {
+        return;
+    }
+    std::sort(holding.begin(), holding.end(), [](const ServerConnection *const left, const ServerConnection *const right) {
+        return left->lastProgress() < right->lastProgress();
+    });
+    for (ServerConnection *const connection : holding) {
+        if (held <= m_heldLimit) {
+            break;
+        }
+        held -= connection->heldBytes();
+        connection->drop(DropReason::memory);
+    }
+}
+
 void Server::accept(const int descriptor)
 {
     auto connection = std::make_unique<ServerConnection>(m_poller, *this, descriptor, m_limits, m_clock);
@@ -112,6 +138,13 @@
     m_onAbandoned(exchange);
 }
 
+void Server::onDropped(const DropReason reason, const qsizetype undelivered)
+{
+    if (m_onDropped) {
+        m_onDropped(reason, undelivered);
+    }
+}
+
 void Server::onClosed(ServerConnection &connection)
 {
     const auto found = m_connections.find(&connection);
--- a/src/egretlatch/http/server.hpp
+++ b/src/egretlatch/http/server.hpp
@@ -20,6 +20,7 @@
     using RequestHandler = std::function<void(ExchangeId exchange, Request request, SteadyTime readAt)>;
     using AbandonedHandler = std::function<void(ExchangeId exchange)>;
     using OverlapRule = std::function<bool(const Request &request)>;
+    using DropHandler = std::function<void(DropReason reason, qsizetype undelivered)>;
 
     /**
      * @brief Constructs a server that does not listen yet.
@@ -52,6 +53,24 @@
         m_overlapRule = std::move(rule);
     }
 
+    /**
+     * @brief Sets who learns of connections that are closed while their callers are owed bytes.
+     * @param handler Receives the reason and the bytes that are lost.
+     */
+    void setDropHandler(DropHandler handler)
+    {
+        m_onDropped = std::move(handler);
+    }
+
+    /**
+     * @brief Sets how many bytes of answers are held for callers that do not take them.
+     * @param bytes The limit, over all connections; beyond it, those that have paused longest are closed.
+     */
+    void setHeldLimit(const qsizetype bytes) noexcept
+    {
+        m_heldLimit = bytes;
+    }
+
     /**
      * @brief Sends an answer; ignored if the caller has disconnected.
      * @param exchange The request.
@@ -81,7 +100,9 @@
     [[nodiscard]] ExchangeId begin(ServerConnection &connection) override;
     void onRequest(ExchangeId exchange, Request request, SteadyTime readAt) override;
     void onAbandoned(ExchangeId exchange) override;
+    void onDropped(DropReason reason, qsizetype undelivered) override;
     void onClosed(ServerConnection &connection) override;
+    void limitHeldBytes();
     void accept(int descriptor);
 
     net::Poller &m_poller;
@@ -89,6 +110,7 @@
     RequestHandler m_onRequest;
     AbandonedHandler m_onAbandoned;
     OverlapRule m_overlapRule;
+    DropHandler m_onDropped;
     net::TcpAcceptor m_acceptor;
     ServerLimits m_limits;
     std::unordered_map<ServerConnection *, std::unique_ptr<ServerConnection>> m_connections;
@@ -96,6 +118,8 @@
     /*! @brief Closed connections; destroyed in tick(), since one of their functions may still be on the call stack. */
     std::vector<std::unique_ptr<ServerConnection>> m_closed;
     ExchangeId m_lastExchange;
+    /*! @brief Maximum bytes of answers held for callers that do not take them: a part of the memory of a small VM. */
+    qsizetype m_heldLimit{qsizetype{64} * 1024 * 1024};
     bool m_isRetiring{};
 };
 
--- a/src/egretlatch/http/server_connection.cpp
+++ b/src/egretlatch/http/server_connection.cpp
@@ -10,9 +10,11 @@
 constexpr int requestTimeout = 408;
 constexpr int payloadTooLarge = 413;
 constexpr int headerFieldsTooLarge = 431;
-// Time for a caller to take further bytes of the last answer, and to close after them. Closing immediately with unread bytes of the caller would reset the
-// connection and lose the answer.
+// Time for a caller to close after it has received the last answer. Closing immediately with unread bytes of the caller would reset
+// the connection and lose the answer.
 constexpr std::chrono::seconds lingerTime{2};
+// Time without progress from which a caller is checked for silence; a peer that is alive acknowledges within less.
+constexpr std::chrono::seconds silenceCheckTime{3};
 // Maximum bytes buffered of requests that cannot be parsed yet; flow control holds the rest back at the caller.
 constexpr qsizetype maxReadAhead = 65536;
 
@@ -31,6 +33,19 @@
 
 } // namespace internal
 
+std::string_view toString(const DropReason reason) noexcept
+{
+    switch (reason) {
+    case DropReason::silent:
+        return "silent";
+    case DropReason::paused:
+        return "paused";
+    case DropReason::memory:
+        return "memory";
+    }
+    return "unknown";
+}
+
 ServerConnection::ServerConnection(
     net::Poller &poller, ServerConnectionListener &listener, const int descriptor, const ServerLimits &limits, const Clock &clock)
     : m_listener{listener}
@@ -159,17 +174,26 @@
         sendFinal(std::move(*response));
         return false;
     }
-    m_stream.write(encode(*response));
+    write(*response);
     return true;
 }
 
+void ServerConnection::write(const Response &response)
+{
+    m_stream.write(encode(response));
+    if (m_stream.unsentBytes() > 0) {
+        // The caller may pause for longer than the kernel waits; checkDelivery() finds one that is gone.
+        m_stream.setPatience(true);
+    }
+}
+
 void ServerConnection::sendFinal(Response response)
 {
     response.keepsConnection = false;
     m_isLingering = true;
     ignoreFurtherRequests();
-    m_phaseStart = m_clock.steadyNow();
-    m_stream.write(encode(response));
+    m_lastProgress = m_clock.steadyNow();
+    write(response);
     if (m_isFinalRequest && m_queue.isEmpty() && m_stream.unsentBytes() == 0) {
         // The caller sends nothing more, so no unread byte can reset the connection before the answer is received.
         shutDown();
@@ -200,12 +224,12 @@
     if (m_isClosed) {
         return;
     }
-    if (m_isLingering) {
-        checkLinger();
+    if (m_isLingering || m_stream.unsentBytes() > 0) {
+        checkDelivery();
         return;
     }
     const Duration waited = m_clock.steadyNow() - m_phaseStart;
-    if (m_ignoresRequests || m_waiting.has_value() || m_stream.unsentBytes() > 0) {
+    if (m_ignoresRequests || m_waiting.has_value()) {
         return;
     }
     if (m_reader.state() == ReadState::waiting) {
@@ -220,18 +244,40 @@
     }
 }
 
-void ServerConnection::checkLinger()
+void ServerConnection::checkDelivery()
 {
     // The time counts from the last byte that the caller took: a long answer takes a slow reader longer than any fixed time.
     const qsizetype undelivered = m_stream.undeliveredBytes();
+    const SteadyTime now = m_clock.steadyNow();
     if (undelivered != m_undelivered) {
         m_undelivered = undelivered;
-        m_phaseStart = m_clock.steadyNow();
+        m_lastProgress = now;
         return;
     }
-    if (m_clock.steadyNow() - m_phaseStart > internal::lingerTime) {
-        shutDown();
+    const Duration paused = now - m_lastProgress;
+    if (undelivered == 0) {
+        if (paused > internal::lingerTime) {
+            shutDown();
+        }
+        return;
     }
+    if (paused > internal::silenceCheckTime && m_stream.isSilent()) {
+        drop(DropReason::silent);
+    } else if (paused > m_limits.pauseLimit) {
+        drop(DropReason::paused);
+    }
+}
+
+void ServerConnection::drop(const DropReason reason)
+{
+    m_listener.onDropped(reason, m_stream.undeliveredBytes());
+    shutDown();
+}
+
+void ServerConnection::onDrained()
+{
+    m_undelivered = 0;
+    proceed();
 }
 
 void ServerConnection::onEnd(net::StreamEnd /*end*/)
--- a/src/egretlatch/http/server_connection.hpp
+++ b/src/egretlatch/http/server_connection.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <optional>
+#include <string_view>
 
 #include <egretlatch/core/clock.hpp>
 #include <egretlatch/core/ids.hpp>
@@ -15,6 +16,23 @@
 
 class ServerConnection;
 
+/*! @brief Reason for closing a connection whose caller is still owed bytes. */
+enum class DropReason {
+    /*! @brief The caller's machine acknowledges nothing and answers no probe. */
+    silent,
+    /*! @brief The caller has taken nothing for longer than the limit. */
+    paused,
+    /*! @brief Callers that take nothing hold too much memory, and this one has paused longest. */
+    memory,
+};
+
+/**
+ * @brief Returns a reason as text.
+ * @param reason The reason.
+ * @return Its name in logs and metrics.
+ */
+[[nodiscard]] std::string_view toString(DropReason reason) noexcept;
+
 /*! @brief Size limits and timeouts of a caller's connection. */
 struct ServerLimits
 {
@@ -23,6 +41,8 @@
     std::chrono::milliseconds headerTimeout{5000};
     /*! @brief Maximum time without a request. */
     std::chrono::milliseconds idleTimeout{30'000};
+    /*! @brief Maximum time for which a caller that is alive may take nothing of an answer. */
+    std::chrono::milliseconds pauseLimit{30'000};
     PipelineLimits pipeline;
 
     friend bool operator==(const ServerLimits &, const ServerLimits &) = default;
@@ -57,6 +77,13 @@
     /*! @brief Called when the caller disconnected before a request was answered, or will not receive the answer. */
     virtual void onAbandoned(ExchangeId exchange) = 0;
 
+    /**
+     * @brief Called before a connection is closed whose caller is still owed bytes.
+     * @param reason The reason.
+     * @param undelivered Bytes that the caller does not get.
+     */
+    virtual void onDropped(DropReason reason, qsizetype undelivered) = 0;
+
     /*! @brief Called when the connection is closed; it may be destroyed once the call stack has unwound. */
     virtual void onClosed(ServerConnection &connection) = 0;
 };
@@ -97,6 +124,24 @@
     /*! @brief Closes the connection immediately; requests in progress are abandoned. */
     void close();
 
+    /**
+     * @brief Closes the connection though its caller is owed bytes.
+     * @param reason The reason, passed on to the listener.
+     */
+    void drop(DropReason reason);
+
+    /*! @brief Returns the bytes of answers that are held here because the caller does not take them. */
+    [[nodiscard]] qsizetype heldBytes() const noexcept
+    {
+        return m_stream.unsentBytes();
+    }
+
+    /*! @brief Returns the time at which the caller was last seen to take bytes; meaningful while bytes are held. */
+    [[nodiscard]] SteadyTime lastProgress() const noexcept
+    {
+        return m_lastProgress;
+    }
+
     /*! @brief Checks whether no request is in progress or partly received and no answer waits to be sent. */
     [[nodiscard]] bool isIdle() const noexcept
     {
@@ -114,10 +159,7 @@
     {
     }
     void onBytes(const QByteArray &bytes) override;
-    void onDrained() override
-    {
-        proceed();
-    }
+    void onDrained() override;
     void onEnd(net::StreamEnd end) override;
     void proceed();
     [[nodiscard]] bool startNext();
@@ -126,7 +168,8 @@
     void ignoreFurtherRequests();
     [[nodiscard]] bool sendNext();
     void sendFinal(Response response);
-    void checkLinger();
+    void write(const Response &response);
+    void checkDelivery();
     void updateReading();
     void shutDown();
 
@@ -143,7 +186,7 @@
     RequestReader m_reader;
     net::TcpStream m_stream;
     const Clock &m_clock;
-    /*! @brief Time at which the connection became idle, the first byte of a request was received, or the caller last took bytes of the last answer. */
+    /*! @brief Time at which the connection became idle, or the first byte of a request was received. */
     SteadyTime m_phaseStart;
     /*! @brief Time at which bytes were last received. */
     SteadyTime m_readAt;
@@ -157,8 +200,10 @@
     bool m_isProceeding{};
     /*! @brief The last answer has been written and the caller is expected to close. */
     bool m_isLingering{};
-    /*! @brief Bytes of the last answer that the caller had not received when this was last checked. */
+    /*! @brief Bytes of answers that the caller had not received when this was last checked. */
     qsizetype m_undelivered{};
+    /*! @brief Time at which that number last changed. */
+    SteadyTime m_lastProgress;
     bool m_isClosed{};
     bool m_hasSentContinue{};
 };
--- a/src/egretlatch/manifest/manifest.cpp
+++ b/src/egretlatch/manifest/manifest.cpp
@@ -42,6 +42,17 @@
     return found == m_services.end() ? nullptr : &*found;
 }
 
+std::chrono::milliseconds Manifest::maxDeadline() const
+{
+    std::chrono::milliseconds longest{};
+    for (const ServiceSpec &service : m_services) {
+        for (const KindSpec &kind : service.kinds) {
+            longest = std::max(longest, kind.deadline);
+        }
+    }
+    return longest;
+}
+
 const KindSpec *Manifest::findKind(const std::string_view service, const std::string_view kind) const noexcept
 {
     const auto found = m_kindIndices.find(internal::kindKey(service, kind));
--- a/src/egretlatch/manifest/manifest.hpp
+++ b/src/egretlatch/manifest/manifest.hpp
@@ -94,6 +94,9 @@
      */
     [[nodiscard]] const AccountSpec *findAccount(const std::string &name) const;
 
+    /*! @brief Returns the longest deadline of a kind; zero without kinds. */
+    [[nodiscard]] std::chrono::milliseconds maxDeadline() const;
+
     [[nodiscard]] const CallerLimits &callerLimits() const noexcept
     {
         return m_callerLimits;
--- a/src/egretlatch/net/tcp_stream.cpp
+++ b/src/egretlatch/net/tcp_stream.cpp
@@ -5,13 +5,12 @@
 #include <chrono>
 
 #include <arpa/inet.h>
-#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <sys/epoll.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <egretlatch/net/peer_silence.hpp>
 #include <egretlatch/net/tcp_options.hpp>
 
 namespace egretlatch::net
@@ -21,11 +20,6 @@
 {
 
 constexpr std::size_t readSize = 65536;
-// Unacknowledged bytes end the connection after this time: a VM that lost power or a network partition sends no reset, and
-// the connection would hang for minutes. Longer than one second of packet loss with its retransmissions.
-constexpr std::chrono::milliseconds unacknowledgedLimit{3000};
-// A peer that is alive answers each probe of its closed window, so at most the latest one is unanswered.
-constexpr int unansweredProbes = 2;
 
 } // namespace internal
 
@@ -46,7 +40,8 @@
     if (m_descriptor < 0) {
         return false;
     }
-    setTcpOptions(m_descriptor, internal::unacknowledgedLimit);
+    // A VM that lost power or a network partition sends no reset, and the connection would hang for minutes.
+    setTcpOptions(m_descriptor, unacknowledgedLimit);
     enableKeepalive(m_descriptor);
     sockaddr_in address{};
     address.sin_family = AF_INET;
@@ -104,12 +99,7 @@
 
 qsizetype TcpStream::undeliveredBytes() const
 {
-    int inKernel = 0;
-    // Without this figure, only the bytes that the kernel has not taken yet count.
-    if (m_descriptor < 0 || ::ioctl(m_descriptor, SIOCOUTQ, &inKernel) != 0) {
-        inKernel = 0;
-    }
-    return m_unsent.size() + inKernel;
+    return m_unsent.size() + (m_descriptor < 0 ? 0 : unacknowledgedBytes(m_descriptor));
 }
 
 void TcpStream::setPatience(const bool isPatient)
@@ -118,18 +108,12 @@
         return;
     }
     m_isPatient = isPatient;
-    setTcpOptions(m_descriptor, isPatient ? std::chrono::milliseconds{0} : internal::unacknowledgedLimit);
+    setTcpOptions(m_descriptor, isPatient ? std::chrono::milliseconds{0} : unacknowledgedLimit);
 }
 
 bool TcpStream::isSilent() const
 {
-    tcp_info info{};
-    socklen_t size = sizeof info;
-    if (m_descriptor < 0 || ::getsockopt(m_descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
-        return false;
-    }
-    const int unanswered = info.tcpi_retransmits + info.tcpi_probes;
-    return unanswered >= internal::unansweredProbes && std::chrono::milliseconds{info.tcpi_last_ack_recv} > internal::unacknowledgedLimit;
+    return m_descriptor >= 0 && isPeerSilent(m_descriptor);
 }
 
 void TcpStream::close()
--- a/src/egretlatch/sidecar/caller_frontend.cpp
+++ b/src/egretlatch/sidecar/caller_frontend.cpp
@@ -75,6 +75,8 @@
         .read = {.headerBytes = limits.headerBytes, .bodyBytes = limits.bodyBytes},
         .headerTimeout = limits.headerTimeout,
         .idleTimeout = limits.idleTimeout,
+        // A caller is owed its answer as long as it waits for one, and a connection may be idle for as long as it may.
+        .pauseLimit = std::max(limits.idleTimeout, m_manifest->maxDeadline()),
         .pipeline = {},
     });
 }
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -118,6 +118,10 @@
                 m_logger}
     , m_core{makeCore()}
 {
+    m_frontend.server().setDropHandler([this](const http::DropReason reason, const qsizetype undelivered) {
+        m_metrics.count("answers_undelivered", http::toString(reason));
+        m_logger.warning("answer not delivered", {{"reason", http::toString(reason)}, {"bytes", undelivered}});
+    });
     m_logSink.setOmissionLine([this](const std::string &event, const std::uint64_t count) {
         return m_logger.line(LogLevel::warning, "lines left out", {{"of", event}, {"count", count}});
     });
@@ -299,7 +303,8 @@
 void Sidecar::logDeparturesKnown(const decision::DeparturesKnown &known)
 {
     const auto sinceStart = std::chrono::duration_cast<std::chrono::milliseconds>(known.sinceStart);
-    m_logger.info("earlier departures known", {{"learnedFrom", decision::toString(known.source)}, {"count", known.count}, {"sinceStartMs", sinceStart.count()}});
+    m_logger.info("earlier departures known",
+                  {{"learnedFrom", decision::toString(known.source)}, {"count", known.count}, {"sinceStartMs", sinceStart.count()}});
 }
 
 void Sidecar::executeAtStore(const decision::SendToPlatform &action)
@@ -350,7 +355,7 @@
 void Sidecar::tickShutdown()
 {
     const Duration sinceDrain = m_clock.steadyNow() - *m_drainSince;
-    const ShutdownTimes times = shutdownTimes(m_bounds.grace, maxTimeout());
+    const ShutdownTimes times = shutdownTimes(m_bounds.grace, m_core->manifest() == nullptr ? std::chrono::milliseconds{} : m_core->manifest()->maxDeadline());
     if (!m_isShuttingDown && sinceDrain >= times.notice) {
         m_isShuttingDown = true;
         post(decision::ServerDraining{.isShutdown = true, .isSignal = true});
@@ -359,8 +364,8 @@
         beginStop("drain time limit reached");
     }
     if (sinceDrain >= times.delivery) {
-        stop("callers still read their answers");
-    } else if (m_isStopping && !m_frontend.server().owesAnswers()) {
+        stop("callers or daemons still read their answers");
+    } else if (m_isStopping && !m_frontend.server().owesAnswers() && !m_peers.owesAnswers()) {
         stop("all answers delivered");
     }
 }
@@ -383,20 +388,6 @@
     }
 }
 
-std::chrono::milliseconds Sidecar::maxTimeout() const
-{
-    std::chrono::milliseconds maximum{};
-    if (m_core->manifest() == nullptr) {
-        return maximum;
-    }
-    for (const manifest::ServiceSpec &service : m_core->manifest()->services()) {
-        for (const manifest::KindSpec &kind : service.kinds) {
-            maximum = std::max(maximum, kind.deadline);
-        }
-    }
-    return maximum;
-}
-
 void Sidecar::onServerEvent(decision::Event event)
 {
     post(std::move(event));
--- a/src/egretlatch/sidecar/sidecar.hpp
+++ b/src/egretlatch/sidecar/sidecar.hpp
@@ -76,7 +76,6 @@
     void runMaintenance();
     void followConfiguration();
     void logLevelChange();
-    [[nodiscard]] std::chrono::milliseconds maxTimeout() const;
     void onServerEvent(decision::Event event) override;
     void onNewServer() override;
     [[nodiscard]] bool isDepartureSaved(const std::string &incarnation) const override;
--- a/standin/fleet/server.py
+++ b/standin/fleet/server.py
@@ -184,7 +184,8 @@
                     return 500, b"call failed"
             if self.random.random() < self.fault.failed:
                 return 500, b"failed"
-            return 200, json.dumps({"name": name, "server": self.instance}).encode() + request.body
+            padding = b"a" * kind.get("answer_bytes", 0)
+            return 200, json.dumps({"name": name, "server": self.instance}).encode() + padding + request.body
         finally:
             self.free()
 
--- a/test/processes/fleet_case.py
+++ b/test/processes/fleet_case.py
@@ -30,8 +30,11 @@
 
 
 class FleetCase(unittest.IsolatedAsyncioTestCase):
+    kinds = KINDS
+    bounds = BOUNDS
+
     async def asyncSetUp(self):
-        self.fleet = await Fleet(str(BUILD / "egretlatch"), SERVICES, KINDS, bounds=BOUNDS).__aenter__()
+        self.fleet = await Fleet(str(BUILD / "egretlatch"), SERVICES, self.kinds, bounds=self.bounds).__aenter__()
         self.fleet.store.put_configuration(configuration(1, routes(), SERVICES))
         self.assertTrue(await self.fleet.ready(), "\n".join(self.fleet.log(vm) for vm in self.fleet.vms if vm.process.poll() is not None))
         await self.all_known()
