The end of a daemon waits for answers that paused daemons and callers of the daemon with keys have not taken

A serving daemon ended with answers that it had written to a daemon that was paused or slow (its connection's buffer, or ZeroMQ's with a linger of 0); the daemon with keys aborted a connection two seconds after its last write and ended after five. What callers saw: 502 for requests whose servers had answered, and answers cut off.

The router of PeerExchange lingers for five seconds at its end. GuardedTcpServer counts its two seconds from the acknowledgement of all bytes and gives up on a silent peer; the end waits up to 30 s for callers that are alive.

Reports under way at the end need nothing: one that is not acknowledged binds nobody, and an acknowledgement that was written is delivered by the kernel.

--- a/src/egretlatch/daemon/caller_server.cpp
+++ b/src/egretlatch/daemon/caller_server.cpp
@@ -21,8 +21,8 @@
 
 constexpr std::int64_t headerAllowance = 64LL * 1024LL;
 constexpr std::chrono::milliseconds finishCheckInterval{5};
-// Longest time for which callers that do not read their answers hold up the end of the process.
-constexpr std::chrono::seconds deliveryLimit{5};
+// Longest time for which callers that are alive and do not read their answers hold up the end of the process.
+constexpr std::chrono::seconds deliveryLimit{30};
 constexpr QLatin1String keysPrefix{"/keys/"};
 constexpr QLatin1String backendPrefix{"/backend/"};
 constexpr char nothingHere[] = "there is nothing at this path";
--- a/src/egretlatch/daemon/guarded_tcp_server.cpp
+++ b/src/egretlatch/daemon/guarded_tcp_server.cpp
@@ -3,7 +3,6 @@
 #include <array>
 
 #include <linux/filter.h>
-#include <linux/sockios.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -12,6 +11,7 @@
 #include <fmt/format.h>
 
 #include <egretlatch/daemon/problem_document.hpp>
+#include <egretlatch/net/peer_silence.hpp>
 
 namespace egretlatch::daemon
 {
@@ -21,8 +21,9 @@
 
 constexpr char receivedProperty[] = "egretlatchReceived";
 constexpr int payloadTooLarge = 413;
-// Time for a caller to read the last answer and close its connection.
-constexpr std::chrono::seconds lingerTime{2};
+// Time for a caller to close its connection once its system has acknowledged the last answer.
+constexpr std::chrono::milliseconds lingerTime{2000};
+constexpr std::chrono::milliseconds lingerCheckInterval{100};
 // Time from the opening of a connection to its first request.
 constexpr std::chrono::milliseconds firstRequestTime{200};
 // Time for the handshakes of connections that are being opened.
@@ -58,8 +59,7 @@
 // The caller's system has acknowledged all bytes, and the end of the connection if it was sent.
 [[nodiscard]] static bool isAcknowledged(const QTcpSocket &socket)
 {
-    int unacknowledged = 0;
-    return socket.bytesToWrite() == 0 && (::ioctl(descriptorOf(socket), SIOCOUTQ, &unacknowledged) != 0 || unacknowledged == 0);
+    return socket.bytesToWrite() == 0 && net::unacknowledgedBytes(descriptorOf(socket)) == 0;
 }
 
 [[nodiscard]] static QByteArray tooLargeAnswer(const std::int64_t maxRequestBytes)
@@ -205,9 +205,16 @@
 void GuardedTcpServer::finishWriting(QTcpSocket *const socket)
 {
     ::shutdown(internal::descriptorOf(*socket), SHUT_WR);
-    QTimer::singleShot(internal::lingerTime, socket, [socket] {
-        socket->abort();
+    auto *const timer = new QTimer{socket};
+    connect(timer, &QTimer::timeout, socket, [socket, lingered = std::chrono::milliseconds{}]() mutable {
+        // A caller that pauses is owed the rest of its answer as long as its system answers.
+        const bool isAcknowledged = internal::isAcknowledged(*socket);
+        lingered = isAcknowledged ? lingered + internal::lingerCheckInterval : std::chrono::milliseconds{};
+        if (lingered > internal::lingerTime || (!isAcknowledged && net::isPeerSilent(internal::descriptorOf(*socket)))) {
+            socket->abort();
+        }
     });
+    timer->start(internal::lingerCheckInterval);
 }
 
 void GuardedTcpServer::handleDisconnected(QTcpSocket *const socket)
--- a/src/egretlatch/peer/inbound_connection.cpp
+++ b/src/egretlatch/peer/inbound_connection.cpp
@@ -30,6 +30,18 @@
     return true;
 }
 
+bool InboundConnection::sendAnswer(const QByteArray &frame)
+{
+    m_hasSentAnswer = true;
+    return send(frame);
+}
+
+bool InboundConnection::owesAnswer()
+{
+    m_hasSentAnswer = m_hasSentAnswer && m_stream.undeliveredBytes() > 0;
+    return m_hasSentAnswer && !m_stream.isSilent();
+}
+
 bool InboundConnection::isExpired(const SteadyTime now) const noexcept
 {
     return m_frames.isMalformed() || now - m_lastUse >= internal::maxUnused;
--- a/src/egretlatch/peer/inbound_connection.hpp
+++ b/src/egretlatch/peer/inbound_connection.hpp
@@ -52,6 +52,19 @@
      */
     [[nodiscard]] bool send(const QByteArray &frame);
 
+    /**
+     * @brief Sends the answer to a call.
+     * @param frame Message encoded by encodeFrame().
+     * @return False if the remote end no longer reads or has closed the connection.
+     */
+    [[nodiscard]] bool sendAnswer(const QByteArray &frame);
+
+    /**
+     * @brief Checks whether the remote end has not received an answer that was sent, and its machine is alive.
+     * @return True while the end of this process would lose the answer.
+     */
+    [[nodiscard]] bool owesAnswer();
+
     [[nodiscard]] std::uint64_t number() const noexcept
     {
         return m_number;
@@ -83,6 +96,8 @@
     net::TcpStream m_stream;
     FrameReader m_frames;
     SteadyTime m_lastUse;
+    /*! @brief An answer was sent since all bytes were last known to be received. */
+    bool m_hasSentAnswer{};
 };
 
 } // namespace egretlatch::peer
--- a/src/egretlatch/peer/peer_exchange.cpp
+++ b/src/egretlatch/peer/peer_exchange.cpp
@@ -14,6 +14,8 @@
 {
 
 constexpr int receiveBatch = 64;
+// Longest time for which a daemon that does not read its answers, such as a paused one, holds up the end of this process.
+constexpr int answerLingerMs = 5000;
 constexpr std::chrono::milliseconds linkUpdateInterval{1000};
 constexpr const char *routerMonitorEndpoint = "inproc://router-monitor";
 constexpr int handshakeFailureEvents = ZMQ_EVENT_HANDSHAKE_FAILED_NO_DETAIL | ZMQ_EVENT_HANDSHAKE_FAILED_PROTOCOL;
@@ -51,6 +53,8 @@
 PeerExchange::~PeerExchange()
 {
     m_links.links().clear();
+    // Answers that ZeroMQ has not written yet are sent before the context ends.
+    m_router.set(zmq::sockopt::linger, internal::answerLingerMs);
     m_context.shutdown();
 }
 
--- a/src/egretlatch/peer/stream_exchange.cpp
+++ b/src/egretlatch/peer/stream_exchange.cpp
@@ -1,5 +1,6 @@
 #include <egretlatch/peer/stream_exchange.hpp>
 
+#include <algorithm>
 #include <vector>
 
 #include <egretlatch/peer/message_rules.hpp>
@@ -71,6 +72,13 @@
     }
 }
 
+bool StreamExchange::owesAnswers()
+{
+    return std::any_of(m_inboundConnections.begin(), m_inboundConnections.end(), [](const auto &entry) {
+        return entry.second->owesAnswer();
+    });
+}
+
 void StreamExchange::tick()
 {
     const SteadyTime now = m_clock.steadyNow();
@@ -215,7 +223,10 @@
         m_metrics.count("messages_dropped", "receiver-gone");
         return;
     }
-    if (!m_inboundConnections.at(number->second)->send(frame(action.message))) {
+    InboundConnection &connection = *m_inboundConnections.at(number->second);
+    const bool isAnswer = std::holds_alternative<protocol::CallAnswer>(action.message);
+    const QByteArray reply = frame(action.message);
+    if (!(isAnswer ? connection.sendAnswer(reply) : connection.send(reply))) {
         m_metrics.count("messages_dropped", "send-failed");
     }
 }
--- a/src/egretlatch/peer/stream_exchange.hpp
+++ b/src/egretlatch/peer/stream_exchange.hpp
@@ -65,6 +65,9 @@
      */
     void beginIncarnation(Incarnation incarnation);
 
+    /*! @brief Checks whether a live daemon has not received an answer that was sent to it; for a process that is about to end. */
+    [[nodiscard]] bool owesAnswers();
+
     /*! @brief Closes unused and unresponsive connections; to be called several times a second. */
     void tick();
 
--- a/test/processes/test_caller_connections.py
+++ b/test/processes/test_caller_connections.py
@@ -20,6 +20,8 @@
 # More than the buffers of both systems hold for a caller that does not read.
 LARGE_BODY_BYTES = 6 * 1024 * 1024
 SMALL_RECEIVE_BUFFER_BYTES = 16 * 1024
+# Longer than the daemons wait for anything else at their end.
+PAUSE_SECONDS = 7
 MANIFEST = {
     "services": [{
         "name": "echo", "slots": 35, "connections": 300,
@@ -40,7 +42,7 @@
         cls.folder = tempfile.TemporaryDirectory()
         manifest = pathlib.Path(cls.folder.name) / "echo.json"
         manifest.write_text(json.dumps(MANIFEST))
-        cls.arguments = ["echo", "--manifest", str(manifest), "--no-platform", "--servers", "3"]
+        cls.arguments = ["echo", "--manifest", str(manifest), "--no-platform", "--servers", "4"]
         super().setUpClass()
 
     @classmethod
@@ -98,6 +100,21 @@
     def test_a_caller_that_reads_slowly_gets_its_whole_answer_although_the_daemon_shuts_down(self):
         # Guards against the end of a process that discards the part of an answer that its system could not take yet.
         daemon = self.mesh["daemons"][2]
+        connection, body = self.begin_large_answer(daemon)
+        os.kill(daemon["pid"], signal.SIGTERM)
+        self.wait_until_refused(daemon)
+        self.assertEqual((200, body), self.read_answer(connection.makefile("rb")))
+
+    def test_a_caller_that_pauses_gets_its_whole_answer_although_the_daemon_shuts_down(self):
+        # Guards against an answer that is cut off because its caller took nothing for some seconds.
+        daemon = self.mesh["daemons"][3]
+        connection, body = self.begin_large_answer(daemon)
+        os.kill(daemon["pid"], signal.SIGTERM)
+        time.sleep(PAUSE_SECONDS)
+        self.assertEqual((200, body), self.read_answer(connection.makefile("rb")))
+
+    def begin_large_answer(self, daemon):
+        """Sends a request whose answer the caller's system takes in part only; returns the connection and the body to expect."""
         body = os.urandom(LARGE_BODY_BYTES)
         connection = socket.socket()
         self.addCleanup(connection.close)
@@ -106,9 +123,7 @@
         connection.connect(("127.0.0.1", daemon["caller"]))
         connection.sendall(request_text("/call/echo/read/", body))
         connection.recv(1, socket.MSG_PEEK)
-        os.kill(daemon["pid"], signal.SIGTERM)
-        self.wait_until_refused(daemon)
-        self.assertEqual((200, body), self.read_answer(connection.makefile("rb")))
+        return connection, body
 
     def wait_until_refused(self, daemon):
         limit = time.monotonic() + TIMEOUT
