An exception that leaves a handler ends the owner of the event, not the process

Change: the guard stands where the event loop hands an event to its owner (net/descriptor_set.cpp): the connection or link is ended as broken, with a log line ("exception in a handler"), a counter and at most 20 in a minute. Timers run their parts under the same guard, and so do configurations, whose reading must not end one connection to the store after the other. Events for the decision core pass through EventPump (taken out of sidecar.cpp): an exception there leaves the core in doubt, so it gets no more events, requests in flight are answered 502 (they may have run), later ones 503 (they are passed on to nobody), and the daemon ends once these are delivered.

Ruled out: ending the connection of the caller whose event it was, also for the core: its tables may be half changed.

--- a/src/egretlatch/http/server.cpp
+++ b/src/egretlatch/http/server.cpp
@@ -34,7 +34,13 @@
     }
     ServerConnection *const connection = found->second;
     m_unanswered.erase(found);
-    connection->answer(exchange, std::move(response));
+    try {
+        connection->answer(exchange, std::move(response));
+    } catch (...) {
+        // The exception may come from the next request of this caller; it must end no other connection.
+        connection->close();
+        throw;
+    }
 }
 
 void Server::retire()
--- a/src/egretlatch/http/server.hpp
+++ b/src/egretlatch/http/server.hpp
@@ -75,6 +75,7 @@
      * @brief Sends an answer; ignored if the caller has disconnected.
      * @param exchange The request.
      * @param response The answer.
+     * @throws Any exception of the request handler for a request behind this one; the connection is then closed.
      */
     void answer(ExchangeId exchange, Response response);
 
--- a/src/egretlatch/net/descriptor_set.cpp
+++ b/src/egretlatch/net/descriptor_set.cpp
@@ -1,6 +1,7 @@
 #include <egretlatch/net/descriptor_set.hpp>
 
 #include <array>
+#include <exception>
 
 #include <sys/epoll.h>
 #include <unistd.h>
@@ -40,9 +41,10 @@
     ::close(m_epoll);
 }
 
-void DescriptorSet::add(const int descriptor, const Interest interest, Handler handler)
+void DescriptorSet::add(const int descriptor, const Interest interest, Handler handler, FailureHandler onFailure)
 {
-    m_watched.insert_or_assign(descriptor, Watched{.generation = ++m_lastGeneration, .handler = std::move(handler)});
+    m_watched.insert_or_assign(descriptor,
+                               Watched{.generation = ++m_lastGeneration, .handler = std::move(handler), .onFailure = std::move(onFailure)});
     epoll_event event = internal::eventOf(descriptor, interest);
     epoll_ctl(m_epoll, EPOLL_CTL_ADD, descriptor, &event);
 }
@@ -77,9 +79,33 @@
             continue;
         }
         const Handler handler = found->second.handler;
-        handler(event.events);
+        call(event.data.fd, found->second.generation, handler, event.events);
     }
     return count > 0;
 }
 
+void DescriptorSet::call(const int descriptor, const std::uint64_t generation, const Handler &handler, const std::uint32_t events)
+{
+    try {
+        handler(events);
+    } catch (const std::exception &exception) {
+        endOwner(descriptor, generation, exception.what());
+    } catch (...) {
+        endOwner(descriptor, generation, "unknown exception");
+    }
+}
+
+void DescriptorSet::endOwner(const int descriptor, const std::uint64_t generation, const std::string_view reason)
+{
+    if (m_reporter) {
+        m_reporter(descriptor, reason);
+    }
+    const auto found = m_watched.find(descriptor);
+    const bool isSameOwner = found != m_watched.end() && found->second.generation == generation;
+    if (isSameOwner && found->second.onFailure) {
+        const FailureHandler onFailure = found->second.onFailure;
+        onFailure();
+    }
+}
+
 } // namespace egretlatch::net
--- a/src/egretlatch/net/descriptor_set.hpp
+++ b/src/egretlatch/net/descriptor_set.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <string_view>
 #include <unordered_map>
 
 namespace egretlatch::net
@@ -23,6 +24,10 @@
 public:
     /*! @brief Receives the epoll events of a descriptor; may remove any descriptor, including its own. */
     using Handler = std::function<void(std::uint32_t events)>;
+    /*! @brief Ends the owner of a descriptor whose handler has thrown. */
+    using FailureHandler = std::function<void()>;
+    /*! @brief Receives the descriptor and the text of an exception that left a handler. */
+    using ExceptionReporter = std::function<void(int descriptor, std::string_view reason)>;
 
     DescriptorSet();
     DescriptorSet(const DescriptorSet &) = delete;
@@ -34,8 +39,18 @@
      * @param descriptor The descriptor; must be removed before it is closed.
      * @param interest Events to watch for.
      * @param handler Called when an event occurs.
+     * @param onFailure Called if the handler throws and has not removed the descriptor; without it, watching goes on.
      */
-    void add(int descriptor, Interest interest, Handler handler);
+    void add(int descriptor, Interest interest, Handler handler, FailureHandler onFailure = {});
+
+    /**
+     * @brief Sets who learns of exceptions that leave handlers; they end the owner of the descriptor, not the process.
+     * @param reporter Receives each of them, before the owner is ended.
+     */
+    void setExceptionReporter(ExceptionReporter reporter)
+    {
+        m_reporter = std::move(reporter);
+    }
 
     /**
      * @brief Changes the events that a descriptor is watched for.
@@ -70,11 +85,16 @@
     {
         std::uint64_t generation{};
         Handler handler;
+        FailureHandler onFailure;
     };
 
+    void call(int descriptor, std::uint64_t generation, const Handler &handler, std::uint32_t events);
+    void endOwner(int descriptor, std::uint64_t generation, std::string_view reason);
+
     int m_epoll;
     std::unordered_map<int, Watched> m_watched;
     std::uint64_t m_lastGeneration{};
+    ExceptionReporter m_reporter;
 };
 
 } // namespace egretlatch::net
--- a/src/egretlatch/net/poller.hpp
+++ b/src/egretlatch/net/poller.hpp
@@ -33,10 +33,20 @@
      * @param descriptor The descriptor; must be removed before it is closed.
      * @param interest Events to watch for.
      * @param handler Called when an event occurs.
+     * @param onFailure Ends the owner of the descriptor; called if the handler throws.
      */
-    void add(int descriptor, Interest interest, Handler handler)
+    void add(int descriptor, Interest interest, Handler handler, DescriptorSet::FailureHandler onFailure = {})
     {
-        m_set->add(descriptor, interest, std::move(handler));
+        m_set->add(descriptor, interest, std::move(handler), std::move(onFailure));
+    }
+
+    /**
+     * @brief Sets who learns of exceptions that leave handlers.
+     * @param reporter Receives the descriptor and the reason.
+     */
+    void setExceptionReporter(DescriptorSet::ExceptionReporter reporter)
+    {
+        m_set->setExceptionReporter(std::move(reporter));
     }
 
     /**
--- a/src/egretlatch/net/tcp_stream.cpp
+++ b/src/egretlatch/net/tcp_stream.cpp
@@ -67,9 +67,15 @@
 void TcpStream::watch()
 {
     m_interest = {.read = !m_isConnecting, .write = m_isConnecting};
-    m_poller.add(m_descriptor, m_interest, [this](const std::uint32_t events) {
-        handleEvents(events);
-    });
+    m_poller.add(
+        m_descriptor,
+        m_interest,
+        [this](const std::uint32_t events) {
+            handleEvents(events);
+        },
+        [this] {
+            end(StreamEnd::broken);
+        });
 }
 
 void TcpStream::write(const QByteArray &bytes)
--- a/src/egretlatch/sidecar/caller_frontend.cpp
+++ b/src/egretlatch/sidecar/caller_frontend.cpp
@@ -12,6 +12,8 @@
 
 constexpr int badRequest = 400;
 constexpr int notFound = 404;
+constexpr int badGateway = 502;
+constexpr int serviceUnavailable = 503;
 // An expired call keeps a minimal timeout, so that the decision core refuses it like any other late call.
 constexpr std::chrono::milliseconds minTimeout{1};
 // A daemon receives its configuration within a second of reaching the store or another daemon.
@@ -29,6 +31,15 @@
     return answer;
 }
 
+[[nodiscard]] static decision::CallerAnswer failedAnswer(const int status, const Verdict verdict)
+{
+    decision::CallerAnswer answer;
+    answer.verdict = verdict;
+    answer.status = status;
+    answer.requestError = "the daemon ends after an internal error";
+    return answer;
+}
+
 [[nodiscard]] static decision::CallerAnswer noRouteAnswer()
 {
     decision::CallerAnswer answer;
@@ -92,6 +103,19 @@
     m_server.answer(action.exchange, platform::writeAnswer(action.answer, name));
 }
 
+void CallerFrontend::failAll()
+{
+    m_hasFailed = true;
+    m_server.retire();
+    std::vector<ExchangeId> open;
+    for (const auto &[exchange, name] : m_requestNames) {
+        open.push_back(exchange);
+    }
+    for (const ExchangeId exchange : open) {
+        answer({.exchange = exchange, .answer = internal::failedAnswer(internal::badGateway, Verdict::mayHaveRun)});
+    }
+}
+
 bool CallerFrontend::mayOverlap(const http::Request &request) const
 {
     if (!m_overlaps) {
@@ -111,6 +135,10 @@
 {
     platform::CallerRequest caller = platform::readCaller(request);
     m_requestNames.emplace(exchange, caller.name);
+    if (m_hasFailed) {
+        answer({.exchange = exchange, .answer = internal::failedAnswer(internal::serviceUnavailable, Verdict::notRun)});
+        return;
+    }
     if (m_manifest == nullptr) {
         answer({.exchange = exchange, .answer = internal::noConfigurationAnswer()});
         return;
--- a/src/egretlatch/sidecar/caller_frontend.hpp
+++ b/src/egretlatch/sidecar/caller_frontend.hpp
@@ -55,6 +55,9 @@
      */
     void answer(const decision::AnswerCaller &action);
 
+    /*! @brief Answers all requests in flight with 502, as they may have run, and all later ones with 503: nothing is passed on any more. */
+    void failAll();
+
     [[nodiscard]] http::Server &server() noexcept
     {
         return m_server;
@@ -70,6 +73,7 @@
     routing::WeightedTargets m_targets;
     std::shared_ptr<const manifest::Manifest> m_manifest;
     bool m_overlaps{true};
+    bool m_hasFailed{};
     /*! @brief Names of the requests in flight. */
     std::unordered_map<ExchangeId, std::string> m_requestNames;
     http::Server m_server;
--- a/src/egretlatch/sidecar/fwd.hpp
+++ b/src/egretlatch/sidecar/fwd.hpp
@@ -7,6 +7,7 @@
 class BackendRunner;
 class CallerFrontend;
 class ConfigurationFeed;
+class EventPump;
 class LevelLog;
 class ReportHandler;
 class ReportListener;
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -38,6 +38,9 @@
 constexpr int proofPollPercent = 50;
 // Other daemons are discovered within half a second of a start; the platform probes readiness once a second.
 constexpr std::chrono::milliseconds maxDiscoveryWait{1500};
+// Exceptions that may leave handlers within an interval before the daemon ends.
+constexpr int maxExceptions = 20;
+constexpr std::chrono::seconds exceptionInterval{60};
 constexpr const char *metricsPath = "/metrics";
 constexpr int ok = 200;
 constexpr int notFound = 404;
@@ -70,7 +73,12 @@
              m_logger,
              {.onDocument =
                   [this](const QByteArray &document) {
-                      return handleConfiguration(document);
+                      // A document that makes the parser throw must not end one connection to the store after the other.
+                      bool isInForce = false;
+                      runGuarded("configuration", [this, &document, &isInForce] {
+                          isInForce = handleConfiguration(document);
+                      });
+                      return isInForce;
                   },
               .onClock =
                   [this](const store::ClockReading &reading) {
@@ -117,7 +125,22 @@
                 *this,
                 m_logger}
     , m_core{makeCore()}
+    , m_pump{{.onEvent =
+                  [this](const decision::Event &event) {
+                      handle(event);
+                  },
+              .onSettled =
+                  [this] {
+                      rescheduleTick();
+                  },
+              .onFailed =
+                  [this](const std::string_view reason) {
+                      handleCoreFailure(reason);
+                  }}}
 {
+    m_poller.setExceptionReporter([this](const int descriptor, const std::string_view reason) {
+        reportException(fmt::format("descriptor {}", descriptor), reason);
+    });
     m_frontend.server().setDropHandler([this](const http::DropReason reason, const qsizetype undelivered) {
         m_metrics.count("answers_undelivered", http::toString(reason));
         m_logger.warning("answer not delivered", {{"reason", http::toString(reason)}, {"bytes", undelivered}});
@@ -241,18 +264,7 @@
 
 void Sidecar::post(decision::Event event)
 {
-    m_events.push_back(std::move(event));
-    if (m_isHandling) {
-        return;
-    }
-    m_isHandling = true;
-    while (!m_events.empty()) {
-        const decision::Event next = std::move(m_events.front());
-        m_events.pop_front();
-        handle(next);
-    }
-    m_isHandling = false;
-    rescheduleTick();
+    m_pump.post(std::move(event));
 }
 
 void Sidecar::handle(const decision::Event &event)
@@ -265,7 +277,9 @@
 void Sidecar::execute(decision::Action action)
 {
     if (const auto *const answer = std::get_if<decision::AnswerCaller>(&action)) {
-        m_frontend.answer(*answer);
+        runGuarded("connection of a caller", [this, answer] {
+            m_frontend.answer(*answer);
+        });
     } else if (auto *const send = std::get_if<decision::SendToPeer>(&action)) {
         m_peers.send(*send);
     } else if (const auto *const start = std::get_if<decision::StartRun>(&action)) {
@@ -338,20 +352,69 @@
 void Sidecar::runMaintenance()
 {
     m_logSink.flush();
-    m_peers.tick();
-    m_frontend.server().tick();
-    m_readiness.tick();
-    m_metricsServer.tick();
-    m_reports.tick();
-    m_backend.tick();
-    m_store.tick();
-    followConfiguration();
-    logLevelChange();
+    runGuarded("links to daemons", [this] {
+        m_peers.tick();
+    });
+    runGuarded("connections of callers", [this] {
+        m_frontend.server().tick();
+    });
+    runGuarded("connections of the platform", [this] {
+        m_readiness.tick();
+        m_metricsServer.tick();
+        m_reports.tick();
+    });
+    runGuarded("connections to the backend server", [this] {
+        m_backend.tick();
+    });
+    runGuarded("store client", [this] {
+        m_store.tick();
+        followConfiguration();
+    });
+    runGuarded("level log", [this] {
+        logLevelChange();
+    });
     if (m_drainSince.has_value()) {
         tickShutdown();
     }
 }
 
+void Sidecar::runGuarded(const std::string_view owner, const std::function<void()> &step)
+{
+    try {
+        step();
+    } catch (const std::exception &exception) {
+        reportException(owner, exception.what());
+    } catch (...) {
+        reportException(owner, "unknown exception");
+    }
+}
+
+void Sidecar::reportException(const std::string_view owner, const std::string_view reason)
+{
+    m_logger.error("exception in a handler", {{"owner", owner}, {"reason", reason}});
+    m_metrics.count("exceptions", "handler");
+    const SteadyTime now = m_clock.steadyNow();
+    if (now - m_exceptionsSince > internal::exceptionInterval) {
+        m_exceptionsSince = now;
+        m_exceptions = 0;
+    }
+    // One that returns with each event is no fault of a single connection.
+    if (++m_exceptions > internal::maxExceptions) {
+        handleCoreFailure("too many exceptions in handlers");
+    }
+}
+
+void Sidecar::handleCoreFailure(const std::string_view reason)
+{
+    m_logger.error("decision core failed", {{"reason", reason}});
+    m_metrics.count("exceptions", "core");
+    m_frontend.failAll();
+    if (!m_drainSince.has_value()) {
+        m_drainSince = m_clock.steadyNow();
+    }
+    beginStop("decision core failed");
+}
+
 void Sidecar::tickShutdown()
 {
     const Duration sinceDrain = m_clock.steadyNow() - *m_drainSince;
--- a/src/egretlatch/sidecar/sidecar.hpp
+++ b/src/egretlatch/sidecar/sidecar.hpp
@@ -1,7 +1,6 @@
 #ifndef EGRETLATCH_SIDECAR_SIDECAR_HPP
 #define EGRETLATCH_SIDECAR_SIDECAR_HPP
 
-#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -19,6 +18,7 @@
 #include <egretlatch/sidecar/backend_runner.hpp>
 #include <egretlatch/sidecar/caller_frontend.hpp>
 #include <egretlatch/sidecar/configuration_feed.hpp>
+#include <egretlatch/sidecar/event_pump.hpp>
 #include <egretlatch/sidecar/level_log.hpp>
 #include <egretlatch/sidecar/report_server.hpp>
 #include <egretlatch/sidecar/request_log.hpp>
@@ -70,6 +70,9 @@
     void executeAtStore(const decision::SendToPlatform &action);
     void post(decision::Event event);
     void handle(const decision::Event &event);
+    void handleCoreFailure(std::string_view reason);
+    void reportException(std::string_view owner, std::string_view reason);
+    void runGuarded(std::string_view owner, const std::function<void()> &step);
     void execute(decision::Action action);
     void rescheduleTick();
     void tick();
@@ -110,13 +113,15 @@
     http::Server m_metricsServer;
     ReportServer m_reports;
     std::unique_ptr<decision::Core> m_core;
-    std::deque<decision::Event> m_events;
+    EventPump m_pump;
+    /*! @brief Exceptions that left handlers since the start of the current interval, and that start. */
+    int m_exceptions{};
+    SteadyTime m_exceptionsSince;
     QTimer m_tickTimer;
     QTimer m_maintenanceTimer;
     SteadyTime m_nextTick;
     SteadyTime m_startedAt;
     std::optional<SteadyTime> m_drainSince;
-    bool m_isHandling{};
     /*! @brief Time at which the current configuration came into force; empty without one. */
     std::optional<SteadyTime> m_inForceSince;
     bool m_isShuttingDown{};
