The reader serves header fields of any length within the configured limit

Change: the reader derives from Beast's basic_parser and keeps the message in the project's own types. The special handling of std::length_error goes with its cause; the guard of the event loop stands behind it. A trailer field longer than the limit still fails.

--- a/src/egretlatch/http/reader.cpp
+++ b/src/egretlatch/http/reader.cpp
@@ -1,9 +1,7 @@
 #include <egretlatch/http/reader.hpp>
 
-#include <stdexcept>
-
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
 
 namespace egretlatch::http
 {
@@ -13,59 +11,103 @@
 namespace internal
 {
 
+/*!
+ * @brief Parser that keeps a message in the project's own types.
+ *
+ * The message type of the library stores no field of more than 64 KB and throws for one, though a configuration may allow it.
+ */
 template<bool isRequest>
-class ParserState
+class ParserState final : public beast::basic_parser<isRequest>
 {
 public:
     explicit ParserState(const ReadLimits &limits)
+        : m_maxTrailerBytes{limits.headerBytes}
     {
         // The parser's own count admits one byte more than the limit, so it gets the limit unchanged.
-        parser.header_limit(limits.headerBytes);
-        parser.body_limit(limits.bodyBytes);
+        this->header_limit(limits.headerBytes);
+        this->body_limit(limits.bodyBytes);
     }
 
-    beast::parser<isRequest, beast::string_body> parser;
+    std::string method;
+    std::string target;
+    int status{};
     /*! @brief Fields of the header; trailers are not among them, so that none passes for a header field. */
     Headers headers;
-    bool hasHeaders{};
-};
+    QByteArray body;
 
-// The parser throws for a field that is longer than it can store, which a limit of a larger size or a trailer lets through. An
-// exception that leaves the event loop would end the process and all of its connections.
-template<typename Parser>
-[[nodiscard]] static std::size_t parse(Parser &parser, const QByteArray &bytes, boost::beast::error_code &code)
-{
-    try {
-        return parser.put(boost::asio::buffer(bytes.constData(), static_cast<std::size_t>(bytes.size())), code);
-    } catch (const std::length_error &) {
-        code = beast::error::header_limit;
-        return 0;
+private:
+    using Text = boost::beast::string_view;
+    using Code = boost::beast::error_code;
+
+    void on_request_impl(beast::verb /*verb*/, const Text methodText, const Text targetText, int /*version*/, Code &code) override
+    {
+        method.assign(methodText.data(), methodText.size());
+        target.assign(targetText.data(), targetText.size());
+        code = {};
     }
-}
 
-[[nodiscard]] static ReadError readErrorOf(const boost::beast::error_code &code)
-{
-    if (code == beast::error::header_limit) {
-        return ReadError::headerTooLarge;
+    void on_response_impl(const int statusCode, const Text /*reason*/, int /*version*/, Code &code) override
+    {
+        status = statusCode;
+        code = {};
     }
-    return code == beast::error::body_limit ? ReadError::bodyTooLarge : ReadError::malformed;
-}
 
-template<typename Fields>
-[[nodiscard]] static Headers headersOf(const Fields &fields)
-{
-    Headers headers;
-    for (const auto &field : fields) {
-        const auto name = field.name_string();
-        const auto value = field.value();
+    void on_field_impl(beast::field /*field*/, const Text name, const Text value, Code &code) override
+    {
+        code = {};
+        if (m_hasHeader) {
+            // Trailers are dropped, but the limit on header bytes holds for each.
+            if (name.size() + value.size() > m_maxTrailerBytes) {
+                code = beast::error::header_limit;
+            }
+            return;
+        }
         headers.push_back({.name = {name.data(), name.size()}, .value = {value.data(), value.size()}});
     }
-    return headers;
-}
 
-[[nodiscard]] static QByteArray bytesOf(const std::string &body)
+    void on_header_impl(Code &code) override
+    {
+        m_hasHeader = true;
+        code = {};
+    }
+
+    void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/, Code &code) override
+    {
+        code = {};
+    }
+
+    std::size_t on_body_impl(const Text bytes, Code &code) override
+    {
+        body.append(bytes.data(), static_cast<qsizetype>(bytes.size()));
+        code = {};
+        return bytes.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t /*size*/, Text /*extensions*/, Code &code) override
+    {
+        code = {};
+    }
+
+    std::size_t on_chunk_body_impl(std::uint64_t /*remaining*/, const Text bytes, Code &code) override
+    {
+        return on_body_impl(bytes, code);
+    }
+
+    void on_finish_impl(Code &code) override
+    {
+        code = {};
+    }
+
+    std::size_t m_maxTrailerBytes;
+    bool m_hasHeader{};
+};
+
+[[nodiscard]] static ReadError readErrorOf(const boost::beast::error_code &code)
 {
-    return {body.data(), static_cast<qsizetype>(body.size())};
+    if (code == beast::error::header_limit) {
+        return ReadError::headerTooLarge;
+    }
+    return code == beast::error::body_limit ? ReadError::bodyTooLarge : ReadError::malformed;
 }
 
 } // namespace internal
@@ -92,18 +134,17 @@
 {
     while (m_state != ReadState::complete && m_state != ReadState::failed && !m_unparsed.isEmpty()) {
         boost::beast::error_code code;
-        const std::size_t consumed = internal::parse(m_parser->parser, m_unparsed, code);
+        const std::size_t consumed = m_parser->put(boost::asio::buffer(m_unparsed.constData(), static_cast<std::size_t>(m_unparsed.size())), code);
         m_unparsed.remove(0, static_cast<qsizetype>(consumed));
         if (code && code != beast::error::need_more) {
             fail(internal::readErrorOf(code));
             return;
         }
-        keepHeaders();
-        if (m_parser->parser.is_done()) {
+        if (m_parser->is_done()) {
             m_state = ReadState::complete;
             return;
         }
-        m_state = m_parser->parser.is_header_done() ? ReadState::readingBody : ReadState::readingHeader;
+        m_state = m_parser->is_header_done() ? ReadState::readingBody : ReadState::readingHeader;
         if (consumed == 0) {
             // Of a body, the parser leaves only an incomplete chunk header or trailer, which counts as header bytes.
             if (m_unparsed.size() > static_cast<qsizetype>(m_limits.headerBytes)) {
@@ -114,15 +155,6 @@
     }
 }
 
-template<typename Message>
-void Reader<Message>::keepHeaders()
-{
-    if (!m_parser->hasHeaders && m_parser->parser.is_header_done()) {
-        m_parser->hasHeaders = true;
-        m_parser->headers = internal::headersOf(m_parser->parser.get());
-    }
-}
-
 template<typename Message>
 void Reader<Message>::fail(const ReadError error)
 {
@@ -138,8 +170,8 @@
         return;
     }
     boost::beast::error_code code;
-    m_parser->parser.put_eof(code);
-    const bool isComplete = !code && m_parser->parser.is_done() && m_unparsed.isEmpty();
+    m_parser->put_eof(code);
+    const bool isComplete = !code && m_parser->is_done() && m_unparsed.isEmpty();
     m_state = isComplete ? ReadState::complete : ReadState::failed;
 }
 
@@ -147,7 +179,8 @@
 bool Reader<Message>::expectsContinue() const
 {
     if constexpr (isRequest) {
-        return m_state == ReadState::readingBody && isSameName(std::string{m_parser->parser.get()[beast::field::expect]}, "100-continue");
+        const std::string *const expectation = m_state == ReadState::readingBody ? findHeader(m_parser->headers, "Expect") : nullptr;
+        return expectation != nullptr && isSameName(*expectation, "100-continue");
     }
     return false;
 }
@@ -155,17 +188,16 @@
 template<typename Message>
 Message Reader<Message>::take()
 {
-    auto parsed = m_parser->parser.release();
     Message message;
-    message.keepsConnection = parsed.keep_alive();
+    message.keepsConnection = m_parser->keep_alive();
     message.headers = std::move(m_parser->headers);
-    message.body = internal::bytesOf(parsed.body());
+    message.body = std::move(m_parser->body);
     if constexpr (isRequest) {
-        message.method = std::string{parsed.method_string()};
-        message.target = std::string{parsed.target()};
+        message.method = std::move(m_parser->method);
+        message.target = std::move(m_parser->target);
     } else {
-        message.status = static_cast<int>(parsed.result_int());
-        message.keepsConnection = message.keepsConnection && !parsed.need_eof();
+        message.status = m_parser->status;
+        message.keepsConnection = message.keepsConnection && !m_parser->need_eof();
     }
     startNext();
     return message;
--- a/src/egretlatch/http/reader.hpp
+++ b/src/egretlatch/http/reader.hpp
@@ -116,7 +116,6 @@
     static constexpr bool isRequest = std::is_same_v<Message, Request>;
 
     void advance();
-    void keepHeaders();
     void fail(ReadError error);
     void startNext();
 
--- a/src/egretlatch/net/descriptor_set.cpp
+++ b/src/egretlatch/net/descriptor_set.cpp
@@ -43,8 +43,7 @@
 
 void DescriptorSet::add(const int descriptor, const Interest interest, Handler handler, FailureHandler onFailure)
 {
-    m_watched.insert_or_assign(descriptor,
-                               Watched{.generation = ++m_lastGeneration, .handler = std::move(handler), .onFailure = std::move(onFailure)});
+    m_watched.insert_or_assign(descriptor, Watched{.generation = ++m_lastGeneration, .handler = std::move(handler), .onFailure = std::move(onFailure)});
     epoll_event event = internal::eventOf(descriptor, interest);
     epoll_ctl(m_epoll, EPOLL_CTL_ADD, descriptor, &event);
 }
