The soak loses all daemons after departures, and has callers that pause

Change: standin/fleet/review_faults.py adds them, drawn from a generator of its own, so the seeds of before play as they did (their cases say `pausing` 0).

--- a/standin/fleet/server.py
+++ b/standin/fleet/server.py
@@ -10,6 +10,7 @@
 
 STAMP = "x-server-stamp"
 HEALTH_PATH = "/health"
+SPOILT_TRAILER_BYTES = 70_000
 
 
 class Fault:
@@ -21,6 +22,8 @@
         self.cut = shares.get("cut", 0.0)
         self.unsigned = shares.get("unsigned", 0.0)
         self.failed = shares.get("failed", 0.0)
+        # Answers in chunks with a trailer field that is longer than any header may be.
+        self.spoilt_trailer = shares.get("spoilt_trailer", 0.0)
         self.slowness = shares.get("slowness", 1.0)
         # Path substring of requests that crash the server when they start; it returns after `down` seconds.
         self.crash_on = shares.get("crash_on", "")
@@ -220,6 +223,9 @@
         if self.random.random() < self.fault.cut:
             writer.write(answer[:-3])
             return False
+        if self.fault.spoilt_trailer > 0 and self.random.random() < self.fault.spoilt_trailer:
+            writer.write(wire.chunked_response(status, fields, body, {"rot": "r" * SPOILT_TRAILER_BYTES}))
+            return True
         writer.write(answer)
         if self.random.random() < self.fault.extra:
             writer.write(answer)
--- a/standin/fleet/soak.py
+++ b/standin/fleet/soak.py
@@ -18,6 +18,7 @@
 from .link import Link
 from .ports import free_ports
 from .record import Attempt, Record
+from .review_faults import EXPORT, EXPORT_BYTES, ReviewFaults
 from .server import Fault
 
 HOST = "soak.example"
@@ -78,10 +79,10 @@
         return f"{method}, daemon killed: {self.restart or 'no'}, late heartbeat at step {self.late_at}"
 
 
-class Soak(FaultySoak):
+class Soak(ReviewFaults, FaultySoak):
     """Runs one soak: `daemons` per service, `seconds` of faults, every choice drawn from the seed."""
 
-    def __init__(self, binary, seed, seconds=20.0, daemons=3, clients=24, pipelining=4, leaves_around_restarts=True):
+    def __init__(self, binary, seed, seconds=20.0, daemons=3, clients=24, pipelining=4, leaves_around_restarts=True, pausing=4):
         record = Record(float(BOUNDS["retry_budget_ratio"]), float(BOUNDS["budget_slack"]), DRAIN)
         super().__init__(seed, seconds, record, GRACE)
         self.clients = clients
@@ -90,7 +91,13 @@
         self.leaving = random.Random(f"{seed}/leaving") if leaves_around_restarts else None
         services = {"history": (daemons, 12, 24), "log": (daemons, 12, 24), "roster": (daemons, 12, 24)}
         self.services = services
-        self.fleet = FaultyFleet(binary, services, KINDS, heartbeat=0.3, bounds=BOUNDS, seed=seed)
+        # Clients that pause; with them come the faults of ReviewFaults. A generator of their own, as above.
+        self.pausing = pausing
+        self.review = random.Random(f"{seed}/review")
+        self.is_all_lost = False
+        self.host = HOST
+        kinds = {**KINDS, EXPORT: {"work": 0.02, "answer_bytes": EXPORT_BYTES}}
+        self.fleet = FaultyFleet(binary, services, kinds, heartbeat=0.3, bounds=BOUNDS, seed=seed)
         self.version = 0
         self.added = []
         self.request_count = 0
@@ -117,6 +124,7 @@
                 return self.result()
             clients = [asyncio.ensure_future(self.client(number)) for number in range(self.clients)]
             clients += [asyncio.ensure_future(self.pipelining_client(number)) for number in range(self.pipelining)]
+            clients += [asyncio.ensure_future(self.pausing_client(random.Random(f"{self.seed}/pausing/{number}"))) for number in range(self.pausing)]
             watcher = asyncio.ensure_future(self.watch_exits())
             await self.inject_faults(self.faults())
             self.heal()
@@ -137,6 +145,8 @@
     def routes(self):
         made = {name: {**route(HOST, service, **more), "prefix": f"/{name}/"} for name, (service, more) in ROUTES.items()}
         made.update({name: {**route(HOST, "roster", timeout=600), "prefix": f"/{name}/"} for name in self.added})
+        if self.pausing:
+            made[EXPORT] = {**route(HOST, "log", kind="download", timeout=1200), "prefix": f"/{EXPORT}/"}
         return made
 
     def change_configuration(self):
@@ -200,6 +210,13 @@
         self.record.note_sent(request, sent)
         return request, sent
 
+    def next_export(self, vm):
+        self.request_count += 1
+        request = f"s{self.seed}-{self.request_count}"
+        sent = Attempt(vm, EXPORT, f"/{EXPORT}/{request}", "GET", b"")
+        self.record.note_sent(request, sent)
+        return request, sent
+
     async def request(self, vm, client, rng):
         request, sent = self.next_request(vm, rng)
         timeout = LONGEST_TIMEOUT + ANSWER_MARGIN
@@ -234,12 +251,13 @@
     def faults(self):
         return [self.kill, self.kill, self.pause, self.end_and_start, self.end_and_start, self.reload, self.server_fails, self.server_fails,
                 self.server_crashes, self.server_leaves, self.server_leaves, self.link_fails, self.link_fails, self.link_fails,
-                self.store_fails, self.configure, self.configure]
+                self.store_fails, self.configure, self.configure] + (self.review_faults() if self.pausing else [])
 
     def heal(self):
         self.fleet.store.fault = None
         for vm in self.fleet.vms:
             vm.server.fault = Fault()
+            vm.server.lies_about_health = False
             for link in vm.links.values():
                 link.heal()
 
--- a/standin/fleet/wire.py
+++ b/standin/fleet/wire.py
@@ -57,3 +57,10 @@
 def response(status, fields, body=b"", has_length=True):
     """Returns the bytes of a response."""
     return encode(f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}", fields, body, has_length)
+
+
+def chunked_response(status, fields, body, trailers):
+    """Returns the bytes of a response whose body is one chunk, followed by trailers."""
+    head = encode(f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}", {**fields, "Transfer-Encoding": "chunked"}, has_length=False)
+    chunk = f"{len(body):x}\r\n".encode() + body + b"\r\n" if body else b""
+    return head + chunk + b"0\r\n" + "".join(f"{name}: {value}\r\n" for name, value in trailers.items()).encode() + b"\r\n"
