--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -8,7 +8,6 @@
 #include <egretlatch/core/new_incarnation.hpp>
 #include <egretlatch/daemon/isolation_log.hpp>
 #include <egretlatch/platform/bounds.hpp>
-#include <egretlatch/platform/configuration_document.hpp>
 #include <egretlatch/platform/names.hpp>
 #include <egretlatch/sidecar/adaptive_options.hpp>
 #include <egretlatch/sidecar/gauges.hpp>
@@ -31,16 +30,11 @@
 constexpr int acceptPercent = 40;
 constexpr int lastStartPercent = 80;
 // Percentages of the time that the platform allows from the withdrawal of an API key to its last request: greatest age of the
-// configuration at which keys count, longest time without contact to the store, and longest time for which a reader of the store waits for a change. Dozens of
-// readers end their polls at different times.
+// configuration at which keys count, and longest time without contact to the store.
 constexpr int keyAgePercent = 90;
 constexpr int storeContactPercent = 60;
-constexpr int proofPollPercent = 50;
 // Other daemons are discovered within half a second of a start; the platform probes readiness once a second.
 constexpr std::chrono::milliseconds maxDiscoveryWait{1500};
-// Exceptions that may leave handlers within an interval before the daemon ends.
-constexpr int maxExceptions = 20;
-constexpr std::chrono::seconds exceptionInterval{60};
 constexpr const char *metricsPath = "/metrics";
 constexpr int ok = 200;
 constexpr int notFound = 404;
@@ -244,17 +238,6 @@
     return m_readiness.listen(m_settings.readiness);
 }
 
-void Sidecar::drain()
-{
-    if (m_drainSince.has_value()) {
-        return;
-    }
-    m_logger.info("draining");
-    m_drainSince = m_clock.steadyNow();
-    m_frontend.server().retire();
-    post(decision::ServerDraining{.isShutdown = false, .isSignal = true});
-}
-
 void Sidecar::reload(const settings::SidecarSettings &settings)
 {
     m_settings.boundEntries = settings.boundEntries;
@@ -378,70 +361,6 @@
     }
 }
 
-void Sidecar::runGuarded(const std::string_view owner, const std::function<void()> &step)
-{
-    try {
-        step();
-    } catch (const std::exception &exception) {
-        reportException(owner, exception.what());
-    } catch (...) {
-        reportException(owner, "unknown exception");
-    }
-}
-
-void Sidecar::reportException(const std::string_view owner, const std::string_view reason)
-{
-    m_logger.error("exception in a handler", {{"owner", owner}, {"reason", reason}});
-    m_metrics.count("exceptions", "handler");
-    const SteadyTime now = m_clock.steadyNow();
-    if (now - m_exceptionsSince > internal::exceptionInterval) {
-        m_exceptionsSince = now;
-        m_exceptions = 0;
-    }
-    // One that returns with each event is no fault of a single connection.
-    if (++m_exceptions > internal::maxExceptions) {
-        handleCoreFailure("too many exceptions in handlers");
-    }
-}
-
-void Sidecar::handleCoreFailure(const std::string_view reason)
-{
-    m_logger.error("decision core failed", {{"reason", reason}});
-    m_metrics.count("exceptions", "core");
-    m_frontend.failAll();
-    if (!m_drainSince.has_value()) {
-        m_drainSince = m_clock.steadyNow();
-    }
-    beginStop("decision core failed");
-}
-
-void Sidecar::tickShutdown()
-{
-    const Duration sinceDrain = m_clock.steadyNow() - *m_drainSince;
-    const ShutdownTimes times = shutdownTimes(m_bounds.grace, m_core->manifest() == nullptr ? std::chrono::milliseconds{} : m_core->manifest()->maxDeadline());
-    if (!m_isShuttingDown && sinceDrain >= times.notice) {
-        m_isShuttingDown = true;
-        post(decision::ServerDraining{.isShutdown = true, .isSignal = true});
-    }
-    if (sinceDrain >= times.end) {
-        beginStop("drain time limit reached");
-    }
-    if (sinceDrain >= times.delivery) {
-        stop("callers or daemons still read their answers");
-    } else if (m_isStopping && !m_frontend.server().owesAnswers() && !m_peers.owesAnswers()) {
-        stop("all answers delivered");
-    }
-}
-
-void Sidecar::followConfiguration()
-{
-    m_feed.setReason(m_core->reasonToReadConfiguration(), m_core->configurationConfirmedAge());
-    m_feed.tick();
-    if (const std::optional<SteadyTime> confirmedAt = m_feed.confirmedAt()) {
-        post(decision::ConfigurationConfirmed{.at = *confirmedAt});
-    }
-}
-
 void Sidecar::logLevelChange()
 {
     const SteadyTime now = m_clock.steadyNow();
@@ -493,46 +412,4 @@
     return response;
 }
 
-bool Sidecar::handleConfiguration(const QByteArray &document)
-{
-    Result<platform::AcceptedConfiguration> accepted = platform::readConfiguration(document, m_bounds.retryRatio * usedShareOfRetries());
-    if (!accepted.has_value()) {
-        m_logger.warning("configuration not taken", {{"reason", accepted.error().message}});
-        return false;
-    }
-    const std::uint64_t version = accepted->version;
-    post(decision::ManifestAccepted{.version = version, .document = std::move(accepted->manifest)});
-    return m_core->manifestVersion() >= version;
-}
-
-void Sidecar::applyConfiguration()
-{
-    m_inForceSince = m_clock.steadyNow();
-    // A long poll proves the age of the configuration only when it ends.
-    const bool needsProof = m_bounds.isWithdrawalStrict && !m_core->manifest()->accounts().empty();
-    m_feed.limitPollTime(needsProof ? std::optional{m_bounds.withdrawal * internal::proofPollPercent / internal::hundredPercent} : std::nullopt);
-    m_frontend.setManifest(m_core->manifest());
-}
-
-void Sidecar::beginStop(const std::string_view reason)
-{
-    if (m_isStopping) {
-        return;
-    }
-    m_isStopping = true;
-    m_logger.info("nothing more to do", {{"reason", reason}, {"owesAnswers", m_frontend.server().owesAnswers()}});
-    m_frontend.server().closeIdle();
-}
-
-void Sidecar::stop(const std::string_view reason)
-{
-    if (m_hasEnded) {
-        return;
-    }
-    m_hasEnded = true;
-    m_logger.info("stopped", {{"reason", reason}});
-    m_frontend.server().closeIdle();
-    m_onEnded();
-}
-
 } // namespace egretlatch::sidecar
