A daemon that starts while the store is away takes another daemon's word on earlier departures at once

Each kept its server out for 1.5 s and until the next answer of another daemon, lest the rumour of a departure be on its way.

Change: the first answer counts. A rumour that is on its way reaches the new daemon within about a second, like any other, and a leaving server may get requests for `drain` (2 s and more) after its acknowledgement.

--- a/src/egretlatch/decision/core_departures.cpp
+++ b/src/egretlatch/decision/core_departures.cpp
@@ -7,15 +7,6 @@
 namespace egretlatch::decision
 {
 
-namespace internal
-{
-
-// Time after a start until another daemon's word on earlier departures counts: the rumour of one that was acknowledged right
-// before the end of the previous incarnation has then reached all daemons.
-constexpr std::chrono::milliseconds rumourSpreadTime{1500};
-
-} // namespace internal
-
 bool Core::recordDeparture(const std::string &instance, const SteadyTime now)
 {
     const bool isCurrentServer = instance.empty() || (m_server.has_value() && m_server->instance == instance);
@@ -78,10 +69,12 @@
 
 void Core::handleToldDepartures(const SteadyTime now)
 {
-    const Duration sinceStart = now - m_context->startedAt;
-    if (knowsEarlierDepartures() || sinceStart < internal::rumourSpreadTime) {
+    if (knowsEarlierDepartures()) {
         return;
     }
+    // The rumour of a departure that was acknowledged right before the end of the previous incarnation may still be on its way. It
+    // reaches this daemon like all others, well within the time for which a leaving server may get requests.
+    const Duration sinceStart = now - m_context->startedAt;
     m_departureRecord->noteToldByPeer();
     m_context->actions.emplace_back(DeparturesKnown{.source = DepartureSource::peers, .sinceStart = sinceStart, .count = 0});
     releaseAnnouncement(now);
