--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -350,7 +350,7 @@
         handleRumour(rumour, now);
     }
     if (effects.isKnownFromBefore) {
-        handleToldDepartures(now);
+        handlePeerKnowledge(now);
     }
 }
 
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -147,7 +147,7 @@
     [[nodiscard]] bool recordDeparture(const std::string &instance, SteadyTime now);
     void handleEarlierDeparture(const std::string &instance, SteadyTime now);
     void handleDepartureReply(const store::Outcome &outcome, SteadyTime now);
-    void handleToldDepartures(SteadyTime now);
+    void handlePeerKnowledge(SteadyTime now);
     void tickDepartures(SteadyTime now);
     [[nodiscard]] bool isServerUnnamed() const;
     void publishDraining(SteadyTime now);
--- a/src/egretlatch/decision/core_departures.cpp
+++ b/src/egretlatch/decision/core_departures.cpp
@@ -51,7 +51,7 @@
     const bool wasKnown = knowsEarlierDepartures();
     const membership::DepartureRecord::Effects effects = m_departureRecord->handleOutcome(outcome, now, m_context->clock.wallNow());
     for (const std::string &instance : effects.read) {
-        // Other daemons vouch for what an incarnation that served knew, so they get to know it again.
+        // Other daemons confirm the departures that a serving incarnation knew, so they get these again.
         m_gossip->spread(makeDepartureRumour(m_context->self, instance), now);
         handleEarlierDeparture(instance, now);
     }
@@ -67,7 +67,7 @@
     tickDepartures(now);
 }
 
-void Core::handleToldDepartures(const SteadyTime now)
+void Core::handlePeerKnowledge(const SteadyTime now)
 {
     if (knowsEarlierDepartures()) {
         return;
@@ -75,7 +75,7 @@
     // The rumour of a departure that was acknowledged right before the end of the previous incarnation may still be on its way. It
     // reaches this daemon like all others, well within the time for which a leaving server may get requests.
     const Duration sinceStart = now - m_context->startedAt;
-    m_departureRecord->noteToldByPeer();
+    m_departureRecord->noteLearnedFromPeer();
     m_context->actions.emplace_back(DeparturesKnown{.source = DepartureSource::peers, .sinceStart = sinceStart, .count = 0});
     releaseAnnouncement(now);
 }
--- a/src/egretlatch/membership/departure_record.cpp
+++ b/src/egretlatch/membership/departure_record.cpp
@@ -20,6 +20,8 @@
 constexpr std::chrono::hours rowLifetime{1};
 // More than a server and its restarts leave behind on one VM within the lifetime of a row.
 constexpr int maxRowsOfDaemon = 64;
+// Departures that wait while the store is away; one beyond it is reported again by its server.
+constexpr std::size_t maxUnsaved = 64;
 // Each departure adds a row, and every eighth looks for this many expired ones: fewer rows are added than can be removed.
 constexpr int expiredRowsPerScan = 32;
 constexpr std::uint64_t savesPerCleanUp = 8;
@@ -107,7 +109,8 @@
 
 void DepartureRecord::add(const std::string &incarnation)
 {
-    if (!isSaved(incarnation) && std::find(m_unsaved.begin(), m_unsaved.end(), incarnation) == m_unsaved.end()) {
+    const bool isWaiting = std::find(m_unsaved.begin(), m_unsaved.end(), incarnation) != m_unsaved.end();
+    if (!isSaved(incarnation) && !isWaiting && m_unsaved.size() < internal::maxUnsaved) {
         m_unsaved.push_back(incarnation);
     }
 }
--- a/src/egretlatch/membership/departure_record.hpp
+++ b/src/egretlatch/membership/departure_record.hpp
@@ -27,7 +27,7 @@
 class DepartureRecord
 {
 public:
-    /*! @brief What a reply of the store brought. */
+    /*! @brief Effects of a reply of the store. */
     struct Effects
     {
         /*! @brief Incarnations that left before this daemon started. */
@@ -64,7 +64,7 @@
     [[nodiscard]] Effects handleOutcome(const store::Outcome &outcome, SteadyTime now, WallTime wallNow);
 
     /**
-     * @brief Has a departure saved; ignored if it is saved or waits already.
+     * @brief Has a departure saved; ignored if it is saved or waits already, or if too many wait.
      * @param incarnation Name of the incarnation that leaves.
      */
     void add(const std::string &incarnation);
@@ -78,16 +78,16 @@
         return m_saved.contains(incarnation);
     }
 
-    /*! @brief Takes the departures of before this daemon's start for known, as another daemon has told them; they are still read. */
-    void noteToldByPeer() noexcept
+    /*! @brief Takes the departures of before this daemon's start for known, as another daemon has sent them; they are still read. */
+    void noteLearnedFromPeer() noexcept
     {
-        m_isToldByPeer = true;
+        m_isLearnedFromPeer = true;
     }
 
     /*! @brief Checks whether the departures of before this daemon's start are known. */
     [[nodiscard]] bool knowsEarlier() const noexcept
     {
-        return m_isRead || m_isToldByPeer;
+        return m_isRead || m_isLearnedFromPeer;
     }
 
 private:
@@ -113,7 +113,7 @@
     SteadyTime m_nextAttempt;
     Step m_step{Step::none};
     bool m_isRead;
-    bool m_isToldByPeer{};
+    bool m_isLearnedFromPeer{};
     /*! @brief Departures that are not saved yet, oldest first. */
     std::deque<std::string> m_unsaved;
     Departures m_saved;
--- a/src/egretlatch/membership/gossip.hpp
+++ b/src/egretlatch/membership/gossip.hpp
@@ -29,7 +29,7 @@
     /*! @brief Performance that other daemons reported for their backend servers. */
     std::vector<std::pair<DaemonId, std::vector<admission::KindPerformance>>> performance;
     bool haveMembersChanged{};
-    /*! @brief Set if a daemon answered that knew an earlier, serving incarnation of this one, and told the departures of that time. */
+    /*! @brief Set if a daemon answered that knew an earlier, serving incarnation of this one, and sent the departures of that time. */
     bool isKnownFromBefore{};
     /*! @brief Set if the isolation of this daemon began or ended. */
     std::optional<IsolationChange> isolation;
--- a/src/egretlatch/membership/gossip_message.hpp
+++ b/src/egretlatch/membership/gossip_message.hpp
@@ -50,7 +50,7 @@
     std::vector<Rumour> rumours;
     /*! @brief Performance of the sender's backend server, by kind. */
     std::vector<admission::KindPerformance> performance;
-    /*! @brief Set in an ack whose sender knew an earlier incarnation of the receiver that served; it tells the departures of that time. */
+    /*! @brief Set in an ack whose sender knew an earlier incarnation of the receiver that served; it sends the departures of that time. */
     bool knewPredecessor{};
 
     friend bool operator==(const GossipMessage &, const GossipMessage &) = default;
--- a/src/egretlatch/membership/roster.hpp
+++ b/src/egretlatch/membership/roster.hpp
@@ -114,7 +114,7 @@
      * @brief Checks whether an earlier incarnation of a daemon was known here while it served.
      * @param id The daemon.
      * @param incarnation Its current incarnation.
-     * @return True if it was, so that its departures were told here.
+     * @return True if it was, so that its departures were sent here.
      */
     [[nodiscard]] bool knewServingPredecessor(const DaemonId &id, Incarnation incarnation) const noexcept;
 
--- a/test/egretlatch/membership/departure_record.cpp
+++ b/test/egretlatch/membership/departure_record.cpp
@@ -74,6 +74,23 @@
     CHECK(record.tick(fixture.clock.steadyNow(), fixture.clock.wallNow()).has_value());
 }
 
+TEST_CASE("departures that wait for the store are bounded, and those beyond are saved once they are reported again")
+{
+    // Guards against memory that fills while the store is away.
+    Fixture fixture;
+    DepartureRecord record{{"a"}, true, fixture.random};
+    constexpr int reported = 100;
+    for (int departure = 0; departure < reported; ++departure) {
+        record.add("i-" + std::to_string(departure));
+    }
+    fixture.settle(record);
+    CHECK(fixture.rows() == 64);
+    CHECK_FALSE(record.isSaved("i-99"));
+    record.add("i-99");
+    fixture.settle(record);
+    CHECK(record.isSaved("i-99"));
+}
+
 TEST_CASE("a first start that stays calm asks nothing of the store")
 {
     Fixture fixture;
