The test of a daemon that starts while the store is away reads the log once it is written

The daemon writes its log every 100 ms, and the test read it at the first arrival. It now waits half a second, as other tests do, and before the kill until another daemon knew the server, which others have to if they are to confirm. Its checks are unchanged.

--- a/test/processes/test_departures.py
+++ b/test/processes/test_departures.py
@@ -95,19 +95,26 @@
     async def test_a_server_gets_requests_again_though_its_daemon_starts_while_the_store_is_away(self):
         # Guards against a server that is well and kept out for as long as the store is away.
         vm = next(vm for vm in self.fleet.vms if vm.server.service == "log")
+        # Others confirm only a daemon that they knew while it served.
+        await self.wait_for_arrivals(vm, 0)
         self.fleet.store.fault = "refuse"
         self.fleet.signal(vm, signal.SIGKILL)
         await asyncio.to_thread(vm.process.wait)
         self.fleet.start_daemon(vm)
         self.assertTrue(await self.fleet.ready(15))
-        before = vm.server.arrivals
+        await self.wait_for_arrivals(vm, vm.server.arrivals)
+        # The daemon writes its log every 100 ms.
+        await asyncio.sleep(0.5)
+        self.assertIn('"learnedFrom":"peers"', self.fleet.log(vm))
+
+    async def wait_for_arrivals(self, vm, before):
+        """Sends entries until more than the given number have reached the server of a VM."""
         for _ in range(100):
             await self.send_entries(4, "n")
             if vm.server.arrivals > before:
                 break
             await asyncio.sleep(0.1)
         self.assertGreater(vm.server.arrivals, before)
-        self.assertIn('"learnedFrom":"peers"', self.fleet.log(vm))
 
     async def test_a_departure_is_told_to_a_daemon_that_starts_while_the_store_is_away(self):
         vm = self.leaving_vm()
