--- a/src/egretlatch/admission/crash_suspects.cpp
+++ b/src/egretlatch/admission/crash_suspects.cpp
@@ -1,10 +1,6 @@
 #include <egretlatch/admission/crash_suspects.hpp>
 
 #include <algorithm>
-#include <cstring>
-
-#include <fmt/format.h>
-#include <xxhash.h>
 
 namespace egretlatch::admission
 {
@@ -14,89 +10,164 @@
 
 // Required limit: a request may reach servers until it has crashed the third one.
 constexpr int crashesToQuarantine = 3;
-// Holds the requests of 136 crashes, at 30 lost requests for each crash.
+// Holds the requests of 68 crashes, at 60 lost requests for each crash.
 constexpr std::size_t maxSuspects = 4096;
-// 64 fingerprints of 8 bytes fill the 512 bytes of a rumour.
-constexpr std::size_t maxPerMessage = 64;
+// A caller is a service and a client account; content that more of them send is judged by these.
+constexpr std::size_t maxCallers = 64;
 
 } // namespace internal
 
-RequestFingerprint fingerprintOf(const std::string_view method, const std::string_view path, const std::string_view caller, const std::string_view body)
-{
-    const std::string head = fmt::format("{}\n{}\n{}\n{:x}", method, path, caller, XXH3_64bits(body.data(), body.size()));
-    return XXH3_64bits(head.data(), head.size());
-}
-
-void CrashSuspects::noteCrash(const std::string &crash, const std::vector<RequestFingerprint> &running, const SteadyTime now)
+void CrashSuspects::noteCrash(const std::string &crash, const std::vector<RequestIdentity> &running, const SteadyTime now)
 {
-    eraseExpired(now);
-    for (const RequestFingerprint request : running) {
-        if (m_remoteSuccesses.contains(request)) {
+    expire(now);
+    // A crash under a request that crashes every server says nothing about the others that ran there.
+    const bool isExplained = isAnyQuarantined(running, now);
+    for (const RequestIdentity &request : running) {
+        if (isExplained && suspicionOf(request, now) != Suspicion::quarantined) {
             continue;
         }
-        if (m_suspects.size() >= internal::maxSuspects && !m_suspects.contains(request)) {
-            return;
+        if (!m_suspects.contains(request.content) && m_suspects.size() >= internal::maxSuspects) {
+            evictLeastSuspect();
+        }
+        Suspect &suspect = m_suspects[request.content];
+        if (suspect.callers.size() >= internal::maxCallers && !suspect.callers.contains(request.caller)) {
+            continue;
+        }
+        Caller &caller = suspect.callers[request.caller];
+        if (caller.clearedUntil > now) {
+            continue;
         }
-        Suspect &suspect = m_suspects[request];
-        suspect.crashes.insert(crash);
+        caller.crashes.insert(crash);
+        caller.hasRunWell = false;
         suspect.last = now;
     }
 }
 
-bool CrashSuspects::noteSuccess(const RequestFingerprint request)
+bool CrashSuspects::noteSuccess(const RequestIdentity &request, const SteadyTime now)
 {
-    return m_suspects.erase(request) > 0;
+    const auto found = m_suspects.find(request.content);
+    if (found == m_suspects.end() || find(request.content, now) == nullptr) {
+        return false;
+    }
+    Suspect &suspect = found->second;
+    const bool isKnownCaller = suspect.callers.contains(request.caller);
+    if (!isKnownCaller && suspect.callers.size() >= internal::maxCallers) {
+        return false;
+    }
+    Caller &caller = suspect.callers[request.caller];
+    const bool isNews = !caller.hasRunWell;
+    caller.crashes.clear();
+    caller.hasRunWell = true;
+    return isNews;
 }
 
-void CrashSuspects::noteRemoteSuccess(const RequestFingerprint request, const SteadyTime now)
+void CrashSuspects::noteRemoteSuccess(const RequestIdentity &request, const SteadyTime now)
 {
-    static_cast<void>(noteSuccess(request));
-    eraseExpired(now);
-    if (m_remoteSuccesses.size() < internal::maxSuspects) {
-        m_remoteSuccesses.insert_or_assign(request, now);
+    expire(now);
+    if (!m_suspects.contains(request.content)) {
+        if (m_suspects.size() >= internal::maxSuspects) {
+            return;
+        }
+        m_suspects[request.content].last = now;
+    }
+    static_cast<void>(noteSuccess(request, now));
+    Suspect &suspect = m_suspects[request.content];
+    const auto caller = suspect.callers.find(request.caller);
+    if (caller != suspect.callers.end()) {
+        caller->second.clearedUntil = now + successLifetime;
     }
 }
 
-int CrashSuspects::crashes(const RequestFingerprint request, const SteadyTime now) const
+Suspicion CrashSuspects::suspicionOf(const RequestIdentity &request, const SteadyTime now) const
 {
-    const auto found = m_suspects.find(request);
-    const bool isOld = found != m_suspects.end() && now - found->second.last >= crashLifetime;
-    return found == m_suspects.end() || isOld ? 0 : static_cast<int>(found->second.crashes.size());
+    const CrashEvidence evidence = evidenceAgainst(request, now);
+    if (evidence.crashes < internal::crashesToQuarantine) {
+        return evidence.crashes > 0 ? Suspicion::suspect : Suspicion::none;
+    }
+    const bool isDecisive = evidence.ownCrashes >= internal::crashesToQuarantine || evidence.callers > 1;
+    return isDecisive ? Suspicion::quarantined : Suspicion::onTrial;
 }
 
-bool CrashSuspects::isQuarantined(const RequestFingerprint request, const SteadyTime now) const
+CrashEvidence CrashSuspects::evidenceAgainst(const RequestIdentity &request, const SteadyTime now) const
 {
-    return crashes(request, now) >= internal::crashesToQuarantine;
+    const Suspect *const suspect = find(request.content, now);
+    if (suspect == nullptr) {
+        return {};
+    }
+    const auto own = suspect->callers.find(request.caller);
+    const bool isKnown = own != suspect->callers.end();
+    if (isKnown && own->second.hasRunWell) {
+        return {};
+    }
+    const bool runsWellForAny = std::any_of(suspect->callers.begin(), suspect->callers.end(), [](const auto &item) {
+        return item.second.hasRunWell;
+    });
+    std::map<std::string, int> callersByCrash;
+    for (const auto &[hash, caller] : suspect->callers) {
+        for (const std::string &crash : caller.crashes) {
+            callersByCrash[crash] += hash == request.caller || !runsWellForAny ? 1 : 0;
+        }
+    }
+    std::erase_if(callersByCrash, [](const auto &item) {
+        return item.second == 0;
+    });
+    // A caller that was only running beside another one with the same content shows nothing about its own requests.
+    const auto isAlone = [&callersByCrash](const std::string &crash) {
+        const auto found = callersByCrash.find(crash);
+        return found != callersByCrash.end() && found->second == 1;
+    };
+    const auto callers = std::count_if(suspect->callers.begin(), suspect->callers.end(), [&isAlone](const auto &item) {
+        return std::any_of(item.second.crashes.begin(), item.second.crashes.end(), isAlone);
+    });
+    return {
+        .crashes = static_cast<int>(callersByCrash.size()),
+        .ownCrashes = isKnown ? static_cast<int>(own->second.crashes.size()) : 0,
+        .callers = static_cast<int>(callers),
+        .sinceLast = now - suspect->last,
+    };
 }
 
-void CrashSuspects::eraseExpired(const SteadyTime now)
+void CrashSuspects::expire(const SteadyTime now)
 {
-    std::erase_if(m_suspects, [now](const auto &item) {
-        return now - item.second.last >= crashLifetime;
-    });
-    std::erase_if(m_remoteSuccesses, [now](const auto &item) {
-        return now - item.second >= successLifetime;
+    std::erase_if(m_suspects, [this, now](const auto &item) {
+        return find(item.first, now) == nullptr;
     });
 }
 
-std::string toBytes(const std::vector<RequestFingerprint> &requests)
+const CrashSuspects::Suspect *CrashSuspects::find(const RequestFingerprint content, const SteadyTime now) const
 {
-    const std::size_t count = std::min(requests.size(), internal::maxPerMessage);
-    std::string bytes(count * sizeof(RequestFingerprint), '\0');
-    if (count > 0) {
-        std::memcpy(bytes.data(), requests.data(), bytes.size());
+    const auto found = m_suspects.find(content);
+    if (found == m_suspects.end()) {
+        return nullptr;
     }
-    return bytes;
+    const bool hasCrashes = std::any_of(found->second.callers.begin(), found->second.callers.end(), [](const auto &item) {
+        return !item.second.crashes.empty();
+    });
+    const Duration lifetime = hasCrashes ? Duration{crashLifetime} : Duration{successLifetime};
+    return now - found->second.last >= lifetime ? nullptr : &found->second;
 }
 
-std::vector<RequestFingerprint> fingerprintsFrom(const std::string_view bytes)
+bool CrashSuspects::isAnyQuarantined(const std::vector<RequestIdentity> &requests, const SteadyTime now) const
 {
-    std::vector<RequestFingerprint> requests(bytes.size() / sizeof(RequestFingerprint));
-    // The data pointer of an empty view may be null, which memcpy() does not allow.
-    if (!requests.empty()) {
-        std::memcpy(requests.data(), bytes.data(), requests.size() * sizeof(RequestFingerprint));
-    }
-    return requests;
+    return std::any_of(requests.begin(), requests.end(), [this, now](const RequestIdentity &request) {
+        return suspicionOf(request, now) == Suspicion::quarantined;
+    });
+}
+
+void CrashSuspects::evictLeastSuspect()
+{
+    const auto weight = [](const Suspect &suspect) {
+        std::size_t crashes = 0;
+        for (const auto &[hash, caller] : suspect.callers) {
+            crashes += caller.crashes.size();
+        }
+        return std::pair{crashes, suspect.last};
+    };
+    const auto least = std::min_element(m_suspects.begin(), m_suspects.end(), [&weight](const auto &left, const auto &right) {
+        return weight(left.second) < weight(right.second);
+    });
+    m_suspects.erase(least);
+    ++m_evicted;
 }
 
 } // namespace egretlatch::admission
--- a/src/egretlatch/admission/crash_suspects.hpp
+++ b/src/egretlatch/admission/crash_suspects.hpp
@@ -3,36 +3,52 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
-#include <string_view>
 #include <vector>
 
+#include <egretlatch/admission/request_identity.hpp>
 #include <egretlatch/core/clock.hpp>
 
 namespace egretlatch::admission
 {
 
-/*! @brief Hash that identifies equal requests: the same method, path, body and calling service. */
-using RequestFingerprint = std::uint64_t;
+/*! @brief Degree to which a request is held responsible for crashes of backend servers. */
+enum class Suspicion {
+    none,
+    /*! @brief It was running at a crash; it is served, but not resent to another server after it was lost at one. */
+    suspect,
+    /*! @brief Equal requests of another caller are refused; one run shows if the caller makes a difference. */
+    onTrial,
+    /*! @brief It is refused. */
+    quarantined,
+};
 
-/**
- * @brief Computes the fingerprint of a request.
- * @param method Its method.
- * @param path Its path with the query.
- * @param caller Service of the daemon at which it entered the system.
- * @param body Its body.
- * @return The fingerprint.
- */
-[[nodiscard]] RequestFingerprint fingerprintOf(std::string_view method, std::string_view path, std::string_view caller, std::string_view body);
+/*! @brief Evidence against a request. */
+struct CrashEvidence
+{
+    /*! @brief Crashes at which the content was running. */
+    int crashes{};
+    /*! @brief Those at which this caller's request was running. */
+    int ownCrashes{};
+    /*! @brief Callers that were the only one to run the content at a crash. */
+    int callers{};
+    /*! @brief Time since the last of these crashes was reported. */
+    Duration sinceLast{};
+
+    friend bool operator==(const CrashEvidence &, const CrashEvidence &) = default;
+};
 
 /**
  * @brief Detects requests that crash every backend server that runs them.
  *
- * Such a request is resent and crashes one server after another, along with every other request that runs there. Requests
- * that run at a server when it crashes become suspect; a request that was running at three crashes is refused. A request
- * that succeeds is cleared, so a request that only ran at the same time as the culprit is normally not refused: that takes
- * three crashes without a single success anywhere.
+ * Such a request is resent through any daemon and crashes one server after another, along with every other request that
+ * runs there. Requests that run at a server when it crashes become suspect; a request that was running at three crashes is
+ * refused. Crashes count over all callers that send the same content, as the culprit may come from any of them. Once the
+ * content has run well for one caller, each other caller is judged by its own crashes: the content alone is then not the
+ * cause. A request that succeeds is cleared, so a request that only ran at the same time as the culprit is normally not
+ * refused.
  */
 class CrashSuspects
 {
@@ -43,14 +59,15 @@
      * @param running Requests that were running at the server.
      * @param now Current time.
      */
-    void noteCrash(const std::string &crash, const std::vector<RequestFingerprint> &running, SteadyTime now);
+    void noteCrash(const std::string &crash, const std::vector<RequestIdentity> &running, SteadyTime now);
 
     /**
      * @brief Clears a request that succeeded.
      * @param request The request.
-     * @return True if it was suspect; other daemons should then be notified.
+     * @param now Current time.
+     * @return True if other daemons should be notified: its content is suspect, and this is the caller's first success since.
      */
-    bool noteSuccess(RequestFingerprint request);
+    bool noteSuccess(const RequestIdentity &request, SteadyTime now);
 
     /**
      * @brief Records another daemon's report that a suspect request succeeded.
@@ -61,62 +78,75 @@
      * @param request The request.
      * @param now Current time.
      */
-    void noteRemoteSuccess(RequestFingerprint request, SteadyTime now);
+    void noteRemoteSuccess(const RequestIdentity &request, SteadyTime now);
 
     /**
-     * @brief Counts the recent crashes at which a request was running.
+     * @brief Determines to what degree a request is held responsible for crashes.
      * @param request The request.
      * @param now Current time.
-     * @return Number of crashes; zero once `crashLifetime` has passed since the last one.
+     * @return `quarantined`, or `onTrial`, from the third crash until `crashLifetime` after the last one.
      */
-    [[nodiscard]] int crashes(RequestFingerprint request, SteadyTime now) const;
+    [[nodiscard]] Suspicion suspicionOf(const RequestIdentity &request, SteadyTime now) const;
 
     /**
-     * @brief Checks if a request is refused.
+     * @brief Collects the evidence against a request.
      * @param request The request.
      * @param now Current time.
-     * @return True from the third crash until `crashLifetime` after the last one.
+     * @return The evidence; zero crashes once `crashLifetime` has passed since the last one.
+     */
+    [[nodiscard]] CrashEvidence evidenceAgainst(const RequestIdentity &request, SteadyTime now) const;
+
+    /**
+     * @brief Removes evidence that no longer counts.
+     * @param now Current time.
      */
-    [[nodiscard]] bool isQuarantined(RequestFingerprint request, SteadyTime now) const;
+    void expire(SteadyTime now);
 
     [[nodiscard]] bool isEmpty() const noexcept
     {
         return m_suspects.empty();
     }
 
+    [[nodiscard]] std::size_t size() const noexcept
+    {
+        return m_suspects.size();
+    }
+
+    /*! @brief Returns the number of suspects that were forgotten because there were too many. */
+    [[nodiscard]] std::uint64_t evicted() const noexcept
+    {
+        return m_evicted;
+    }
+
     /*! @brief Time for which a crash counts; after it, a request whose cause has been fixed can run again. */
     static constexpr std::chrono::minutes crashLifetime{5};
     /*! @brief Time for which a reported success also clears the request of crashes that are reported after it. */
     static constexpr std::chrono::seconds successLifetime{10};
 
 private:
-    struct Suspect
+    struct Caller
     {
         std::set<std::string> crashes;
+        /*! @brief Set while the caller's last known run of the content was a success. */
+        bool hasRunWell{};
+        /*! @brief Crashes reported before this time are older than a success that another daemon reported. */
+        SteadyTime clearedUntil;
+    };
+
+    struct Suspect
+    {
+        std::map<std::uint64_t, Caller> callers;
         SteadyTime last;
     };
 
-    void eraseExpired(SteadyTime now);
+    [[nodiscard]] const Suspect *find(RequestFingerprint content, SteadyTime now) const;
+    [[nodiscard]] bool isAnyQuarantined(const std::vector<RequestIdentity> &requests, SteadyTime now) const;
+    void evictLeastSuspect();
 
     std::map<RequestFingerprint, Suspect> m_suspects;
-    /*! @brief Times at which other daemons reported a success of a request. */
-    std::map<RequestFingerprint, SteadyTime> m_remoteSuccesses;
+    std::uint64_t m_evicted{};
 };
 
-/**
- * @brief Serializes fingerprints for a message to other daemons.
- * @param requests The fingerprints; those that exceed the message's capacity are omitted.
- * @return Eight bytes for each fingerprint.
- */
-[[nodiscard]] std::string toBytes(const std::vector<RequestFingerprint> &requests);
-
-/**
- * @brief Parses the output of toBytes().
- * @param bytes The bytes; a remainder of fewer than eight is ignored.
- * @return The fingerprints.
- */
-[[nodiscard]] std::vector<RequestFingerprint> fingerprintsFrom(std::string_view bytes);
-
 } // namespace egretlatch::admission
 
 #endif
--- a/src/egretlatch/admission/fwd.hpp
+++ b/src/egretlatch/admission/fwd.hpp
@@ -5,6 +5,7 @@
 {
 
 enum class RunOutcome;
+enum class Suspicion;
 
 struct Rank;
 struct RankClass;
@@ -23,6 +24,9 @@
 struct QueuedRequest;
 struct QueueState;
 struct LimitSample;
+struct RequestIdentity;
+struct RequestParts;
+struct CrashEvidence;
 
 class Gate;
 class EntryControl;
--- /dev/null
+++ b/src/egretlatch/daemon/crash_log.cpp
@@ -0,0 +1,29 @@
+#include <egretlatch/daemon/crash_log.hpp>
+
+#include <fmt/format.h>
+
+namespace egretlatch::daemon
+{
+
+bool logCrashAction(const Logger &logger, const decision::Action &action)
+{
+    if (const auto *const crashed = std::get_if<decision::ServerCrashed>(&action)) {
+        logger.warning("backend server crashed", {{"service", crashed->service}, {"running", crashed->running}});
+        return true;
+    }
+    if (const auto *const quarantined = std::get_if<decision::RequestQuarantined>(&action)) {
+        logger.warning("request quarantined",
+                       {{"content", fmt::format("{:016x}", quarantined->request.content)},
+                        {"caller", fmt::format("{:016x}", quarantined->request.caller)},
+                        {"crashes", quarantined->evidence.crashes},
+                        {"callers", quarantined->evidence.callers}});
+        return true;
+    }
+    if (const auto *const dropped = std::get_if<decision::CrashReportDropped>(&action)) {
+        logger.warning("crash report not shared: too many are valid", {{"report", dropped->report}});
+        return true;
+    }
+    return false;
+}
+
+} // namespace egretlatch::daemon
--- a/src/egretlatch/decision/action.hpp
+++ b/src/egretlatch/decision/action.hpp
@@ -11,6 +11,7 @@
 #include <egretlatch/account/refusal.hpp>
 #include <egretlatch/account/refusal_record.hpp>
 #include <egretlatch/account/span.hpp>
+#include <egretlatch/admission/crash_suspects.hpp>
 #include <egretlatch/core/clock.hpp>
 #include <egretlatch/core/header.hpp>
 #include <egretlatch/core/ids.hpp>
@@ -133,6 +134,27 @@
     account::Span span;
 };
 
+/*! @brief Reports that the local backend server has crashed while it ran requests. */
+struct ServerCrashed
+{
+    std::string service;
+    /*! @brief Number of requests that were running. */
+    std::size_t running{};
+};
+
+/*! @brief Reports that a request is refused from now on, as it crashes backend servers. */
+struct RequestQuarantined
+{
+    admission::RequestIdentity request;
+    admission::CrashEvidence evidence;
+};
+
+/*! @brief Reports that a report on crashes cannot be shared with the other daemons: too many are valid. */
+struct CrashReportDropped
+{
+    std::string report;
+};
+
 /*! @brief Sends a request to the platform; a PlatformAnswered with the same id follows. */
 struct SendToPlatform
 {
@@ -226,6 +248,9 @@
                             SendToPlatform,
                             ManifestInForce,
                             MemberChanged,
+                            ServerCrashed,
+                            RequestQuarantined,
+                            CrashReportDropped,
                             DepartureReported,
                             DepartureSaved,
                             DeparturesKnown,
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -126,6 +126,10 @@
                        m_serving->handleRunEnded(ended, now);
                        spreadCrashReports(now);
                    },
+                   [&](const ServerUnreachable &) {
+                       m_serving->noteServerUnreachable(now);
+                       spreadCrashReports(now);
+                   },
                    [&](const ServerAnnounced &announced) {
                        handleAnnounced(announced, now);
                    },
@@ -211,21 +215,13 @@
 {
     m_context->metrics.count("rumours", membership::toString(rumour.key.kind));
     if (rumour.key.kind == membership::RumourKind::quarantine) {
-        CrashReport{.rumour = rumour}.apply(m_context->suspects, now);
+        applyCrashReport({.rumour = rumour}, now);
     }
     if (const std::optional<std::string> instance = departedInstance(rumour, m_context->self)) {
         handleEarlierDeparture(*instance, now);
     }
 }
 
-void Core::spreadCrashReports(const SteadyTime now)
-{
-    for (const CrashReport &report : m_serving->takeCrashReports()) {
-        report.apply(m_context->suspects, now);
-        m_gossip->spread(report.rumour, now);
-    }
-}
-
 void Core::handleManifest(const ManifestChanged &changed)
 {
     m_context->putInForce(changed.version, changed.manifest);
@@ -280,6 +276,7 @@
     m_configuration->tick(now);
     m_accounts->quotas().tick(now);
     tickServer(now);
+    tickSuspects(now);
     m_gossip->setPerformance(m_serving->performance(now));
     m_gossip->tick(now);
     tickContacts(now);
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -158,7 +158,11 @@
     void handleTick(SteadyTime now);
     void handlePeerLost(const PeerLost &lost, SteadyTime now);
     void handleRumour(const membership::Rumour &rumour, SteadyTime now);
+    void noteReplacement(const ServerAnnounced &announced, SteadyTime now);
     void spreadCrashReports(SteadyTime now);
+    void spreadCrashReport(const CrashReport &report, SteadyTime now);
+    void applyCrashReport(const CrashReport &report, SteadyTime now);
+    void tickSuspects(SteadyTime now);
     void tickFleet(SteadyTime now);
     void tickContacts(SteadyTime now);
     void tickServer(SteadyTime now);
--- a/src/egretlatch/decision/core_context.cpp
+++ b/src/egretlatch/decision/core_context.cpp
@@ -20,6 +20,19 @@
     };
 }
 
+admission::RequestIdentity CoreContext::identityOf(const DaemonId &from, const protocol::CallRequest &request) const
+{
+    const membership::Member *const member = from == self ? &roster.self() : roster.find(from);
+    return admission::identityOf({
+        .kind = request.kind,
+        .method = request.method,
+        .path = request.path,
+        .body = {request.body.constData(), static_cast<std::size_t>(request.body.size())},
+        .service = member == nullptr ? std::string_view{} : std::string_view{member->service},
+        .account = request.account,
+    });
+}
+
 const manifest::KindSpec *CoreContext::findKind(const std::string &service, const std::string &kind) const
 {
     return manifest == nullptr ? nullptr : manifest->findKind(service, kind);
--- a/src/egretlatch/decision/core_context.hpp
+++ b/src/egretlatch/decision/core_context.hpp
@@ -20,6 +20,13 @@
 namespace egretlatch::decision
 {
 
+/*! @brief Rule by which requests that crash backend servers are refused. */
+inline constexpr const char *quarantineRule = "requests like this one have crashed three backend servers";
+/*! @brief Delay after which such a request may be sent again: they are admitted once the crashes have expired. */
+inline constexpr std::chrono::minutes retryAfterQuarantine{1};
+/*! @brief Delay for a request refused because an equal one is on trial: the result of one run is known fleet-wide by then. */
+inline constexpr std::chrono::seconds retryAfterTrial{1};
+
 /*! @brief State shared by the entry and serving handlers; owned by the core. */
 struct CoreContext
 {
@@ -54,6 +61,14 @@
     [[nodiscard]] account::Refusal
     refuse(account::RefusalReason reason, const std::string &rule, std::vector<account::Figure> figures = {}, std::chrono::milliseconds retryAfter = {});
 
+    /**
+     * @brief Identifies a request with respect to crashes of backend servers.
+     * @param from Daemon at which the request entered the system.
+     * @param request The request.
+     * @return Its identity.
+     */
+    [[nodiscard]] admission::RequestIdentity identityOf(const DaemonId &from, const protocol::CallRequest &request) const;
+
     /**
      * @brief Finds the declaration of a kind in the configuration in force.
      * @param service Service of the kind.
--- a/src/egretlatch/decision/core_server.cpp
+++ b/src/egretlatch/decision/core_server.cpp
@@ -39,20 +39,32 @@
     // announcements. A replacement process is a new server: it has another instance name or, without names, follows such
     // a pause.
     const bool isDrained = announced.instance.empty() ? m_isDraining && isServerUnnamed() : hasLeft(announced.instance);
+    if (m_server == announced) {
+        m_serving->noteServerAnnounced(now);
+    }
     if (m_isSignalled || isDrained || m_server == announced) {
         return;
     }
+    noteReplacement(announced, now);
     m_server = announced;
     m_isDraining = false;
     m_stopAcceptingAt.reset();
     m_lastStartAt.reset();
     m_serving->setServer(announced.slots);
-    m_serving->noteServerReplaced(now);
-    spreadCrashReports(now);
     updateSelf(membership::MemberState::serving, announced.service, announced.slots, announced.connections, now);
     declareService();
 }
 
+void Core::noteReplacement(const ServerAnnounced &announced, const SteadyTime now)
+{
+    m_serving->noteServerReplaced();
+    const bool isSameInstance = m_server.has_value() && !announced.instance.empty() && announced.instance == m_server->instance;
+    if (!isSameInstance) {
+        m_serving->noteServerEnded(m_isDraining);
+        spreadCrashReports(now);
+    }
+}
+
 bool Core::isServerUnnamed() const
 {
     return !m_server.has_value() || m_server->instance.empty();
@@ -102,6 +114,7 @@
 
 void Core::handleLeft(const SteadyTime now)
 {
+    m_serving->noteServerEnded(true);
     m_server.reset();
     m_heldAnnouncement.reset();
     m_isDraining = m_isSignalled;
@@ -116,6 +129,8 @@
     const bool isServerExpected = m_server.has_value() || (m_isDraining && !m_isSignalled);
     if (isServerExpected && now - m_lastAnnounced >= internal::announcementTimeout) {
         m_context->metrics.count("membership", "server-silent");
+        m_serving->noteServerEnded(m_isDraining);
+        spreadCrashReports(now);
         handleLeft(now);
     }
 }
--- a/src/egretlatch/decision/crash_detector.cpp
+++ b/src/egretlatch/decision/crash_detector.cpp
@@ -1,46 +1,75 @@
 #include <egretlatch/decision/crash_detector.hpp>
 
+#include <algorithm>
+
 namespace egretlatch::decision
 {
 
 namespace internal
 {
 
-// After a crash the next request arrives within this time, except at an idle server, where a crash matters least.
+// After a crash the next request arrives within this time, except at an idle server, whose announcements then end.
 constexpr std::chrono::seconds maxConnectFailureDelay{2};
-// A crashed server is back within a few seconds.
-constexpr std::chrono::seconds maxRestartTime{10};
+// Announcements may arrive some seconds late: one that was sent before a crash does not show that the server runs.
+constexpr std::chrono::seconds maxAnnouncementDelay{10};
+// More runs than any server has slots; the oldest are forgotten first.
+constexpr std::size_t maxUnansweredRuns = 1024;
 
 } // namespace internal
 
-void CrashDetector::noteLostRun(const admission::RequestFingerprint request, const SteadyTime now)
+void CrashDetector::noteLostRun(const admission::RequestIdentity &request, const SteadyTime now)
+{
+    add({.endedAt = now, .request = request, .isLost = true});
+}
+
+void CrashDetector::noteAbandonedRun(const admission::RequestIdentity &request, const SteadyTime now)
+{
+    add({.endedAt = now, .request = request, .isLost = false});
+}
+
+void CrashDetector::noteAnswer(const SteadyTime startedAt)
 {
-    while (!m_lostRuns.empty() && now - m_lostRuns.front().first > internal::maxRestartTime) {
-        m_lostRuns.pop_front();
+    while (!m_runs.empty() && m_runs.front().endedAt < startedAt) {
+        m_runs.pop_front();
     }
-    m_lostRuns.emplace_back(now, request);
 }
 
-std::vector<admission::RequestFingerprint> CrashDetector::noteConnectFailure(const SteadyTime now)
+void CrashDetector::noteAnnouncement(const SteadyTime now)
 {
-    return takeLostRuns(internal::maxConnectFailureDelay, now);
+    noteAnswer(now - internal::maxAnnouncementDelay);
 }
 
-std::vector<admission::RequestFingerprint> CrashDetector::noteReplacement(const SteadyTime now)
+std::vector<admission::RequestIdentity> CrashDetector::noteConnectFailure(const SteadyTime now)
 {
-    return takeLostRuns(internal::maxRestartTime, now);
+    // A server also refuses connections while it has too many, so only connections that broke just before make it a crash.
+    const bool hasJustLost = std::any_of(m_runs.begin(), m_runs.end(), [now](const UnansweredRun &run) {
+        return run.isLost && now - run.endedAt <= internal::maxConnectFailureDelay;
+    });
+    return hasJustLost ? noteEnd() : std::vector<admission::RequestIdentity>{};
 }
 
-std::vector<admission::RequestFingerprint> CrashDetector::takeLostRuns(const Duration maxAge, const SteadyTime now)
+std::vector<admission::RequestIdentity> CrashDetector::noteEnd()
 {
-    std::vector<admission::RequestFingerprint> running;
-    for (const auto &[lostAt, request] : m_lostRuns) {
-        if (now - lostAt <= maxAge) {
-            running.push_back(request);
-        }
+    std::vector<admission::RequestIdentity> running;
+    running.reserve(m_runs.size());
+    for (const UnansweredRun &run : m_runs) {
+        running.push_back(run.request);
     }
-    m_lostRuns.clear();
+    noteDeparture();
     return running;
 }
 
+void CrashDetector::noteDeparture()
+{
+    m_runs.clear();
+}
+
+void CrashDetector::add(const UnansweredRun &run)
+{
+    if (m_runs.size() >= internal::maxUnansweredRuns) {
+        m_runs.pop_front();
+    }
+    m_runs.push_back(run);
+}
+
 } // namespace egretlatch::decision
--- a/src/egretlatch/decision/crash_report.cpp
+++ b/src/egretlatch/decision/crash_report.cpp
@@ -1,5 +1,6 @@
 #include <egretlatch/decision/crash_report.hpp>
 
+#include <algorithm>
 #include <string_view>
 
 #include <fmt/format.h>
@@ -10,17 +11,14 @@
 namespace internal
 {
 
-constexpr std::string_view crashPrefix = "crash";
-constexpr std::string_view successPrefix = "well";
+// Daemons of a release before these identities read other prefixes, and ignore what they cannot match.
+constexpr std::string_view crashPrefix = "ended";
+constexpr std::string_view successPrefix = "ran";
 
-[[nodiscard]] static CrashReport makeReport(const std::string_view prefix,
-                                            const DaemonId &daemon,
-                                            const Incarnation incarnation,
-                                            const std::uint64_t number,
-                                            const std::vector<admission::RequestFingerprint> &requests)
+[[nodiscard]] static CrashReport makeReport(std::string key, const std::vector<admission::RequestIdentity> &requests)
 {
     return {.rumour = {
-                .key = {.kind = membership::RumourKind::quarantine, .key = fmt::format("{}/{}/{:x}/{}", prefix, daemon.value, incarnation.value, number)},
+                .key = {.kind = membership::RumourKind::quarantine, .key = std::move(key)},
                 .version = 1,
                 .payload = admission::toBytes(requests),
                 .remaining = admission::CrashSuspects::crashLifetime,
@@ -29,28 +27,42 @@
 
 } // namespace internal
 
-CrashReport CrashReport::forCrash(const DaemonId &daemon,
-                                  const Incarnation incarnation,
-                                  const std::uint64_t number,
-                                  const std::vector<admission::RequestFingerprint> &running)
+std::vector<CrashReport> CrashReport::forCrash(const DaemonId &daemon,
+                                               const Incarnation incarnation,
+                                               const std::uint64_t number,
+                                               const std::size_t reported,
+                                               const std::vector<admission::RequestIdentity> &running)
 {
-    return internal::makeReport(internal::crashPrefix, daemon, incarnation, number, running);
+    std::vector<CrashReport> reports;
+    for (std::size_t first = 0; first < running.size(); first += admission::maxIdentitiesPerMessage) {
+        const std::size_t last = std::min(first + admission::maxIdentitiesPerMessage, running.size());
+        const std::vector<admission::RequestIdentity> part{running.begin() + static_cast<std::ptrdiff_t>(first),
+                                                           running.begin() + static_cast<std::ptrdiff_t>(last)};
+        const std::string key = fmt::format("{}/{}/{:x}/{}/{}", internal::crashPrefix, daemon.value, incarnation.value, number, reported + reports.size());
+        reports.push_back(internal::makeReport(key, part));
+    }
+    return reports;
 }
 
-CrashReport
-CrashReport::forSuccess(const DaemonId &daemon, const Incarnation incarnation, const std::uint64_t number, const admission::RequestFingerprint request)
+CrashReport CrashReport::forSuccess(const DaemonId &daemon,
+                                    const Incarnation incarnation,
+                                    const std::uint64_t number,
+                                    const std::vector<admission::RequestIdentity> &requests)
 {
-    return internal::makeReport(internal::successPrefix, daemon, incarnation, number, {request});
+    return internal::makeReport(fmt::format("{}/{}/{:x}/{}", internal::successPrefix, daemon.value, incarnation.value, number), requests);
 }
 
 void CrashReport::apply(admission::CrashSuspects &suspects, const SteadyTime now) const
 {
-    const std::vector<admission::RequestFingerprint> requests = admission::fingerprintsFrom(rumour.payload);
-    if (rumour.key.key.starts_with(internal::crashPrefix)) {
-        suspects.noteCrash(rumour.key.key, requests, now);
+    const std::string &key = rumour.key.key;
+    if (key.starts_with(internal::crashPrefix)) {
+        suspects.noteCrash(key.substr(0, key.rfind('/')), requests(), now);
+        return;
+    }
+    if (!key.starts_with(internal::successPrefix)) {
         return;
     }
-    for (const admission::RequestFingerprint request : requests) {
+    for (const admission::RequestIdentity &request : requests()) {
         suspects.noteRemoteSuccess(request, now);
     }
 }
--- a/src/egretlatch/decision/crash_report.hpp
+++ b/src/egretlatch/decision/crash_report.hpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include <egretlatch/admission/crash_suspects.hpp>
+#include <egretlatch/admission/request_identity.hpp>
 #include <egretlatch/core/ids.hpp>
 #include <egretlatch/membership/rumour.hpp>
 
@@ -17,25 +18,33 @@
     membership::Rumour rumour;
 
     /**
-     * @brief Builds the report of a crash.
+     * @brief Builds the reports of a crash; a report holds a limited number of requests.
      * @param daemon The daemon on the server's VM.
      * @param incarnation Its incarnation.
-     * @param number Sequence number of the report within that incarnation.
+     * @param number Sequence number of the crash within that incarnation.
+     * @param reported Number of earlier reports of the same crash.
      * @param running Requests that were running at the server.
-     * @return The report.
+     * @return The reports, which count as one crash.
      */
-    [[nodiscard]] static CrashReport
-    forCrash(const DaemonId &daemon, Incarnation incarnation, std::uint64_t number, const std::vector<admission::RequestFingerprint> &running);
+    [[nodiscard]] static std::vector<CrashReport> forCrash(
+        const DaemonId &daemon, Incarnation incarnation, std::uint64_t number, std::size_t reported, const std::vector<admission::RequestIdentity> &running);
 
     /**
-     * @brief Builds the report of a suspect request that ran without a crash.
+     * @brief Builds the report of suspect requests that ran without a crash.
      * @param daemon The daemon on the server's VM.
      * @param incarnation Its incarnation.
      * @param number Sequence number of the report within that incarnation.
-     * @param request The request.
+     * @param requests The requests, at most `maxIdentitiesPerMessage`.
      * @return The report.
      */
-    [[nodiscard]] static CrashReport forSuccess(const DaemonId &daemon, Incarnation incarnation, std::uint64_t number, admission::RequestFingerprint request);
+    [[nodiscard]] static CrashReport
+    forSuccess(const DaemonId &daemon, Incarnation incarnation, std::uint64_t number, const std::vector<admission::RequestIdentity> &requests);
+
+    /*! @brief Returns the requests that the report is about. */
+    [[nodiscard]] std::vector<admission::RequestIdentity> requests() const
+    {
+        return admission::identitiesFrom(rumour.payload);
+    }
 
     /**
      * @brief Applies the report to the known suspects.
--- a/src/egretlatch/decision/entry_answers.cpp
+++ b/src/egretlatch/decision/entry_answers.cpp
@@ -23,6 +23,9 @@
 {
     answer.service = pending.call.service;
     answer.kind = pending.call.kind;
+    if (pending.isTrial) {
+        m_trials.erase(identityOf(pending).content);
+    }
     if (pending.holdsKey) {
         releaseKey(pending, answer);
     }
--- a/src/egretlatch/decision/entry_handler.cpp
+++ b/src/egretlatch/decision/entry_handler.cpp
@@ -15,7 +15,6 @@
 constexpr int unauthorized = 401;
 constexpr int notFound = 404;
 constexpr int firstServerError = 500;
-constexpr std::chrono::minutes retryAfterQuarantine{1};
 
 [[nodiscard]] static CallerAnswer callerAnswerOf(const protocol::CallAnswer &answer)
 {
@@ -154,12 +153,9 @@
         finishRefused(std::move(pending), m_context.refuse(account::RefusalReason::draining, "the entry daemon is leaving"), now);
         return;
     }
-    if (isQuarantined(pending, now)) {
-        // Refused with a long retry delay: such requests are admitted again once the crashes have expired.
-        finishRefused(std::move(pending),
-                      m_context.refuse(
-                          account::RefusalReason::quarantined, "requests like this one have crashed three backend servers", {}, internal::retryAfterQuarantine),
-                      now);
+    const admission::Suspicion suspicion = suspicionOf(pending, now);
+    if (suspicion == admission::Suspicion::quarantined) {
+        finishQuarantined(std::move(pending), retryAfterQuarantine, now);
         return;
     }
     if (pending.depth == 0) {
@@ -172,6 +168,11 @@
             return;
         }
     }
+    // Runs of the same content side by side could crash a server each before the first crash is known.
+    if (suspicion == admission::Suspicion::onTrial && !beginTrial(pending)) {
+        finishQuarantined(std::move(pending), retryAfterTrial, now);
+        return;
+    }
     if (const manifest::ServiceSpec *const service = m_context.manifest->findService(pending.call.service)) {
         if (pending.isCallerRepeat) {
             m_retryBudget.charge(service->name);
@@ -182,14 +183,40 @@
     makeAttempt(std::move(pending), now);
 }
 
-bool EntryHandler::isQuarantined(const Pending &pending, const SteadyTime now) const
+admission::Suspicion EntryHandler::suspicionOf(const Pending &pending, const SteadyTime now) const
+{
+    return m_context.suspects.isEmpty() ? admission::Suspicion::none : m_context.suspects.suspicionOf(identityOf(pending), now);
+}
+
+admission::RequestIdentity EntryHandler::identityOf(const Pending &pending) const
 {
-    if (m_context.suspects.isEmpty()) {
-        return false;
-    }
     const CallerCall &call = pending.call;
-    const std::string_view body{call.body.constData(), static_cast<std::size_t>(call.body.size())};
-    return m_context.suspects.isQuarantined(admission::fingerprintOf(call.method, call.path, m_context.roster.self().service, body), now);
+    return admission::identityOf({
+        .kind = call.kind,
+        .method = call.method,
+        .path = call.path,
+        .body = {call.body.constData(), static_cast<std::size_t>(call.body.size())},
+        .service = m_context.roster.self().service,
+        .account = call.account,
+    });
+}
+
+bool EntryHandler::beginTrial(Pending &pending)
+{
+    pending.isTrial = m_trials.insert(identityOf(pending).content).second;
+    return pending.isTrial;
+}
+
+void EntryHandler::finishQuarantined(Pending pending, const std::chrono::milliseconds retryAfter, const SteadyTime now)
+{
+    const admission::CrashEvidence evidence = m_context.suspects.evidenceAgainst(identityOf(pending), now);
+    const auto sinceLast = std::chrono::duration_cast<std::chrono::milliseconds>(evidence.sinceLast);
+    std::vector<account::Figure> figures{
+        {"crashes", static_cast<double>(evidence.crashes)},
+        {"callers", static_cast<double>(evidence.callers)},
+        {"sinceLastMs", static_cast<double>(sinceLast.count())},
+    };
+    finishRefused(std::move(pending), m_context.refuse(account::RefusalReason::quarantined, quarantineRule, std::move(figures), retryAfter), now);
 }
 
 EntryHandler::Pending
@@ -320,6 +347,12 @@
         return;
     }
     pending.verdict = retry::combine(pending.verdict, answer.verdict);
+    const bool isLostAtServer = answer.hasReachedServer && answer.verdict == Verdict::mayHaveRun;
+    pending.lostRuns += isLostAtServer ? 1 : 0;
+    if (suspicionOf(pending, now) == admission::Suspicion::quarantined) {
+        finishQuarantined(std::move(pending), retryAfterQuarantine, now);
+        return;
+    }
     if (mayMoveOn(pending, answer, now)) {
         m_context.metrics.count("moves", pending.call.service);
         logEvent("moved on", pending, answer, now);
@@ -383,7 +416,7 @@
     while (!m_wakes.empty() && m_wakes.begin()->first <= now) {
         const auto found = m_pending.find(m_wakes.begin()->second);
         if (found->second.deadline > now) {
-            makeAttempt(removePending(found), now);
+            resend(removePending(found), now);
             continue;
         }
         giveUp(found, account::RefusalReason::deadlinePassed, "no answer came before the deadline", now);
--- a/src/egretlatch/decision/entry_handler.hpp
+++ b/src/egretlatch/decision/entry_handler.hpp
@@ -203,18 +203,28 @@
         account::TraceContext attemptTrace;
         SteadyTime sentAt;
         int attemptsOut{};
+        /*! @brief Backend servers at which the request was lost without an answer. */
+        int lostRuns{};
+        /*! @brief Set if the call is the trial of its content at this daemon. */
+        bool isTrial{};
     };
 
     using PendingMap = std::map<CallId, Pending>;
 
     /*! @brief Maximum number of daemons tried by one call while no backend server has received it. */
     static constexpr std::size_t maxMoves = 4;
+    /*! @brief Maximum number of backend servers at which one call may be lost; it may be what ends them. */
+    static constexpr int maxLostRuns = 2;
 
     [[nodiscard]] std::optional<std::string> findRequestError(const CallerCall &call, bool isInner) const;
     [[nodiscard]] std::optional<account::Refusal> applyAccount(Pending &pending, const AccountDecision &decision, SteadyTime now);
     void refuseKey(const CallArrived &arrived);
     void answerRequestError(ExchangeId exchange, const CallerCall &call, int status, std::string requestError);
-    [[nodiscard]] bool isQuarantined(const Pending &pending, SteadyTime now) const;
+    [[nodiscard]] admission::Suspicion suspicionOf(const Pending &pending, SteadyTime now) const;
+    [[nodiscard]] admission::RequestIdentity identityOf(const Pending &pending) const;
+    void finishQuarantined(Pending pending, std::chrono::milliseconds retryAfter, SteadyTime now);
+    [[nodiscard]] bool beginTrial(Pending &pending);
+    [[nodiscard]] std::optional<DaemonId> findTrialServer(const Pending &pending) const;
     void admit(Pending pending, SteadyTime now);
     void findOwner(Pending pending, const std::optional<InnerContext> &inner, SteadyTime now);
     [[nodiscard]] std::optional<retry::RequestKey> keyOf(const Pending &pending, const std::optional<InnerContext> &inner) const;
@@ -234,6 +244,8 @@
     [[nodiscard]] protocol::CallRequest requestOf(const Pending &pending, CallId call, SteadyTime now) const;
     void addPending(CallId call, Pending pending, SteadyTime wakeAt);
     void retryLater(Pending pending, SteadyTime now);
+    void resend(Pending pending, SteadyTime now);
+    [[nodiscard]] bool mayEndAnotherServer(const Pending &pending, const protocol::CallAnswer &answer, SteadyTime now) const;
     void deliver(const Pending &pending, CallerAnswer answer);
     void recordRefusal(const Pending &pending, const CallerAnswer &answer);
     void recordSpan(const Pending &pending, const CallerAnswer &answer, SteadyTime now);
@@ -271,6 +283,8 @@
     std::size_t m_fleetSize{};
     /*! @brief Time at which each pending call needs handling: its next attempt or its deadline. */
     std::set<std::pair<SteadyTime, CallId>> m_wakes;
+    /*! @brief Contents that are on trial in a pending call. */
+    std::set<admission::RequestFingerprint> m_trials;
     std::uint64_t m_lastCall{};
     bool m_isDraining{};
 };
--- a/src/egretlatch/decision/event.hpp
+++ b/src/egretlatch/decision/event.hpp
@@ -142,6 +142,11 @@
     bool isSignal{};
 };
 
+/*! @brief The backend server accepted no connection right after a run was lost. */
+struct ServerUnreachable
+{
+};
+
 /*! @brief The backend server has stopped. */
 struct ServerLeft
 {
@@ -198,6 +203,7 @@
                            SendFailed,
                            PeerLost,
                            RunEnded,
+                           ServerUnreachable,
                            ServerAnnounced,
                            ServerDraining,
                            ServerLeft,
--- a/src/egretlatch/decision/serving_handler.cpp
+++ b/src/egretlatch/decision/serving_handler.cpp
@@ -20,6 +20,14 @@
     return std::get<RunFailure>(result) == RunFailure::rejected ? admission::RunOutcome::rejected : admission::RunOutcome::lost;
 }
 
+[[nodiscard]] static std::string ruleOf(const account::RefusalReason reason)
+{
+    if (reason == account::RefusalReason::quarantined) {
+        return std::string{quarantineRule};
+    }
+    return reason == account::RefusalReason::draining ? "the backend server is leaving" : "nobody waits for the answer any more";
+}
+
 [[nodiscard]] static protocol::CallAnswer answerOf(const std::variant<RunAnswer, RunFailure> &result, CoreContext &context)
 {
     protocol::CallAnswer answer;
@@ -90,6 +98,14 @@
             now);
         return;
     }
+    const admission::Suspicion suspicion = suspicionOf(from, request, now);
+    if (const std::optional<std::chrono::milliseconds> retryAfter = checkQuarantine(from, request, suspicion)) {
+        refuseImmediately(origin,
+                          request,
+                          {.execution = {}, .reason = account::RefusalReason::quarantined, .rule = quarantineRule, .figures = {}, .retryAfter = *retryAfter},
+                          now);
+        return;
+    }
     if (const std::optional<admission::EntryRefusal> refusal = checkForEntry(request, now)) {
         refuseImmediately(origin,
                           request,
@@ -107,6 +123,7 @@
     attempt.arrived = now;
     attempt.deadline = now + request.remaining;
     attempt.attemptsLeft = request.attemptsLent;
+    attempt.isTrial = suspicion == admission::Suspicion::onTrial;
     const admission::Ticket ticket = ticketOf(execution, attempt);
     m_byOrigin.emplace(origin, execution);
     if (!attempt.request.requestName.empty()) {
@@ -161,7 +178,7 @@
         m_context.metrics.count("messages_dropped", "late-run-end");
         return;
     }
-    const Attempt &attempt = found->second;
+    Attempt &attempt = found->second;
     const admission::Observation observation{
         .outcome = internal::outcomeOf(ended.result),
         .latency = now - *attempt.started,
@@ -296,8 +313,8 @@
 {
     const Attempt &attempt = m_attempts.at(execution);
     protocol::CallAnswer abandoned;
-    const bool isLeaving = reason == account::RefusalReason::draining;
-    abandoned.refusal = m_context.refuse(reason, isLeaving ? "the backend server is leaving" : "nobody waits for the answer any more");
+    const bool isQuarantined = reason == account::RefusalReason::quarantined;
+    abandoned.refusal = m_context.refuse(reason, internal::ruleOf(reason), {}, isQuarantined ? retryAfterQuarantine : std::chrono::milliseconds{});
     abandoned.status = account::httpStatus(abandoned.refusal->reason);
     if (!attempt.started.has_value()) {
         abandoned.verdict = retry::verdictOf(m_gate->withdraw(execution) ? retry::AttemptEnd::removedFromQueue : retry::AttemptEnd::aborted);
@@ -305,6 +322,7 @@
         return;
     }
     abandoned.verdict = retry::verdictOf(retry::AttemptEnd::aborted);
+    noteUnanswered(attempt, now);
     m_lastRunEnd = now;
     m_performanceMeter.noteAbandoned(attempt.request.kind, now - *attempt.started - attempt.innerWait, now);
     m_context.actions.emplace_back(AbortRun{.execution = execution});
--- a/src/egretlatch/decision/serving_handler.hpp
+++ b/src/egretlatch/decision/serving_handler.hpp
@@ -149,7 +149,7 @@
     }
 
     /**
-     * @brief Removes and returns the pending crash reports for other daemons.
+     * @brief Removes and returns the pending crash reports for all daemons.
      * @return Reports added since the last call.
      */
     [[nodiscard]] std::vector<CrashReport> takeCrashReports()
@@ -158,10 +158,43 @@
     }
 
     /**
-     * @brief Records that another instance has replaced the backend server.
+     * @brief Removes and returns the pending report of suspect requests that ran without a crash.
+     * @return The report; empty if there were none since the last call.
+     */
+    [[nodiscard]] std::optional<CrashReport> takeSuccessReport();
+
+    /**
+     * @brief Records that the backend server has ended: another instance replaced it, or it stopped announcing itself.
+     * @param hasLeft Set if it had announced its departure; else it crashed.
+     */
+    void noteServerEnded(bool hasLeft);
+
+    /**
+     * @brief Records that the backend server accepted no connection right after a run was lost.
+     * @param now Current time.
+     */
+    void noteServerUnreachable(SteadyTime now);
+
+    /**
+     * @brief Records another announcement of the same instance of the backend server.
+     * @param now Current time.
+     */
+    void noteServerAnnounced(SteadyTime now)
+    {
+        m_crashDetector.noteAnnouncement(now);
+    }
+
+    /*! @brief Resets what was measured of the previous backend server. */
+    void noteServerReplaced()
+    {
+        m_performanceMeter.clear();
+    }
+
+    /**
+     * @brief Refuses the waiting requests that have become quarantined.
      * @param now Current time.
      */
-    void noteServerReplaced(SteadyTime now);
+    void refuseQuarantined(SteadyTime now);
 
     /**
      * @brief Records that a run makes an inner call.
@@ -224,11 +257,23 @@
         Duration innerWait{};
         Duration innerSlotTime{};
         bool hasFailedBelow{};
+        /*! @brief Set if the request was on trial when it arrived. */
+        bool isTrial{};
+        /*! @brief Set once the run has been reported as running at a crash. */
+        bool isInCrashReport{};
         std::map<admission::KindName, int> innerCalls;
         /*! @brief Number of inner calls that the run has made, by hash of their content. */
         std::map<std::uint64_t, int> ordinals;
     };
 
+    /*! @brief Crash whose runs are still ending. */
+    struct CrashInProgress
+    {
+        std::uint64_t number{};
+        /*! @brief Reports made of it. */
+        std::size_t reports{};
+    };
+
     void apply(const admission::GateRelease &release, SteadyTime now);
     void start(ExecutionId execution, SteadyTime now);
     void answer(ExecutionId execution, protocol::CallAnswer answer, SteadyTime now);
@@ -242,10 +287,16 @@
     void abandonExpired(SteadyTime now);
     void abandon(ExecutionId execution, account::RefusalReason reason, SteadyTime now);
     void recordOutcome(const Attempt &attempt, const RunEnded &ended, SteadyTime now);
-    void recordCrash(const std::vector<admission::RequestFingerprint> &running);
-    void clearIfSuspect(const Attempt &attempt);
-    void detectCrash(const Attempt &attempt, const RunEnded &ended, SteadyTime now);
-    [[nodiscard]] admission::RequestFingerprint fingerprint(const Attempt &attempt) const;
+    void recordCrash(const std::vector<admission::RequestIdentity> &running);
+    void reportRunning(CrashInProgress &crash, const std::vector<admission::RequestIdentity> &running);
+    void clearIfSuspect(const Attempt &attempt, SteadyTime now);
+    void detectCrash(Attempt &attempt, const RunEnded &ended, SteadyTime now);
+    void noteUnanswered(const Attempt &attempt, SteadyTime now);
+    [[nodiscard]] std::vector<admission::RequestIdentity> takeRunsUnderWay();
+    [[nodiscard]] admission::Suspicion suspicionOf(const DaemonId &from, const protocol::CallRequest &request, SteadyTime now) const;
+    [[nodiscard]] std::optional<std::chrono::milliseconds>
+    checkQuarantine(const DaemonId &from, const protocol::CallRequest &request, admission::Suspicion suspicion) const;
+    [[nodiscard]] admission::RequestIdentity identityOf(const Attempt &attempt) const;
     [[nodiscard]] std::string tokenOf(ExecutionId execution) const;
 
     CoreContext &m_context;
@@ -256,7 +307,10 @@
     retry::ReplayWindow m_window;
     admission::PerformanceMeter m_performanceMeter;
     CrashDetector m_crashDetector;
+    std::optional<CrashInProgress> m_crash;
     std::vector<CrashReport> m_crashReports;
+    /*! @brief Suspect requests that ran without a crash and have not been reported. */
+    std::vector<admission::RequestIdentity> m_ranWell;
     std::uint64_t m_lastCrashReport{};
     std::uint64_t m_lastExecution{};
     std::uint64_t m_answers{};
--- a/src/egretlatch/decision/serving_runs.cpp
+++ b/src/egretlatch/decision/serving_runs.cpp
@@ -2,6 +2,7 @@
 
 #include <egretlatch/decision/serving_handler.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 #include <fmt/format.h>
@@ -9,6 +10,13 @@
 namespace egretlatch::decision
 {
 
+namespace internal
+{
+
+constexpr int firstServerError = 500;
+
+} // namespace internal
+
 std::optional<InnerContext> ServingHandler::findRunNamed(const std::string &name) const
 {
     const auto found = m_byName.find(name);
@@ -100,57 +108,178 @@
     return fmt::format("{:016x}-{:x}", m_context.incarnation.value, execution.value);
 }
 
-void ServingHandler::detectCrash(const Attempt &attempt, const RunEnded &ended, const SteadyTime now)
+void ServingHandler::detectCrash(Attempt &attempt, const RunEnded &ended, const SteadyTime now)
 {
-    if (std::holds_alternative<RunAnswer>(ended.result)) {
-        clearIfSuspect(attempt);
+    if (const auto *const answer = std::get_if<RunAnswer>(&ended.result)) {
+        m_crashDetector.noteAnswer(*attempt.started);
+        m_crash.reset();
+        // A server may fail a request before it runs it, which does not show that it survives it.
+        if (answer->status < internal::firstServerError) {
+            clearIfSuspect(attempt, now);
+        }
         return;
     }
     switch (std::get<RunFailure>(ended.result)) {
     case RunFailure::lost:
-        m_crashDetector.noteLostRun(fingerprint(attempt), now);
+        if (!attempt.isInCrashReport) {
+            m_crashDetector.noteLostRun(identityOf(attempt), now);
+        }
         return;
     case RunFailure::notConnected:
-        recordCrash(m_crashDetector.noteConnectFailure(now));
+        noteServerUnreachable(now);
         return;
     case RunFailure::rejected:
         return;
     }
 }
 
-void ServingHandler::clearIfSuspect(const Attempt &attempt)
+void ServingHandler::noteUnanswered(const Attempt &attempt, const SteadyTime now)
+{
+    if (attempt.isInCrashReport) {
+        return;
+    }
+    const admission::RequestIdentity request = identityOf(attempt);
+    // The end of a silent server is known seconds later, and each trial until then could end another one.
+    if (attempt.isTrial) {
+        m_context.actions.emplace_back(LogRequest{
+            .event = "request on trial not answered",
+            .requestName = attempt.request.requestName,
+            .service = attempt.request.service,
+            .kind = attempt.request.kind,
+            .server = m_context.self,
+            .reason = quarantineRule,
+            .elapsed = now - attempt.arrived,
+        });
+        CrashInProgress crash{.number = ++m_lastCrashReport};
+        reportRunning(crash, {request});
+        return;
+    }
+    m_crashDetector.noteAbandonedRun(request, now);
+}
+
+void ServingHandler::clearIfSuspect(const Attempt &attempt, const SteadyTime now)
 {
-    // Fingerprints are computed only while there are suspects, which is rare.
+    // Identities are computed only while there are suspects, which is rare.
     if (m_context.suspects.isEmpty()) {
         return;
     }
-    const admission::RequestFingerprint request = fingerprint(attempt);
-    if (m_context.suspects.noteSuccess(request)) {
-        m_crashReports.push_back(CrashReport::forSuccess(m_context.self, m_context.incarnation, ++m_lastCrashReport, request));
+    const admission::RequestIdentity request = identityOf(attempt);
+    if (m_context.suspects.noteSuccess(request, now)) {
+        m_ranWell.push_back(request);
     }
 }
 
-void ServingHandler::noteServerReplaced(const SteadyTime now)
+std::optional<CrashReport> ServingHandler::takeSuccessReport()
 {
-    m_performanceMeter.clear();
-    recordCrash(m_crashDetector.noteReplacement(now));
+    if (m_ranWell.empty()) {
+        return std::nullopt;
+    }
+    const std::size_t count = std::min(m_ranWell.size(), admission::maxIdentitiesPerMessage);
+    const auto end = m_ranWell.begin() + static_cast<std::ptrdiff_t>(count);
+    const std::vector<admission::RequestIdentity> requests{m_ranWell.begin(), end};
+    m_ranWell.erase(m_ranWell.begin(), end);
+    return CrashReport::forSuccess(m_context.self, m_context.incarnation, ++m_lastCrashReport, requests);
+}
+
+void ServingHandler::noteServerUnreachable(const SteadyTime now)
+{
+    recordCrash(m_crashDetector.noteConnectFailure(now));
 }
 
-void ServingHandler::recordCrash(const std::vector<admission::RequestFingerprint> &running)
+void ServingHandler::noteServerEnded(const bool hasLeft)
 {
-    if (!running.empty()) {
-        m_context.metrics.count("server_crashes", m_context.roster.self().service);
-        m_crashReports.push_back(CrashReport::forCrash(m_context.self, m_context.incarnation, ++m_lastCrashReport, running));
+    if (hasLeft) {
+        m_crashDetector.noteDeparture();
+        m_crash.reset();
+        return;
+    }
+    std::vector<admission::RequestIdentity> running = m_crashDetector.noteEnd();
+    const std::vector<admission::RequestIdentity> underWay = takeRunsUnderWay();
+    running.insert(running.end(), underWay.begin(), underWay.end());
+    recordCrash(running);
+    m_crash.reset();
+}
+
+std::vector<admission::RequestIdentity> ServingHandler::takeRunsUnderWay()
+{
+    // A server that falls silent breaks no connection, so its runs end at their deadlines, after its replacement.
+    std::vector<admission::RequestIdentity> running;
+    for (auto &[execution, attempt] : m_attempts) {
+        if (attempt.started.has_value() && !attempt.isInCrashReport) {
+            attempt.isInCrashReport = true;
+            running.push_back(identityOf(attempt));
+        }
+    }
+    return running;
+}
+
+void ServingHandler::recordCrash(const std::vector<admission::RequestIdentity> &running)
+{
+    if (running.empty()) {
+        return;
+    }
+    // The runs of one crash end one after another. Reported as crashes of their own, they would count several times, and hide
+    // which requests were running beside which.
+    if (!m_crash.has_value()) {
+        m_crash = CrashInProgress{.number = ++m_lastCrashReport};
+        const std::string &service = m_context.roster.self().service;
+        m_context.metrics.count("server_crashes", service);
+        m_context.actions.emplace_back(ServerCrashed{.service = service, .running = running.size()});
+    }
+    reportRunning(*m_crash, running);
+}
+
+void ServingHandler::reportRunning(CrashInProgress &crash, const std::vector<admission::RequestIdentity> &running)
+{
+    for (CrashReport &report : CrashReport::forCrash(m_context.self, m_context.incarnation, crash.number, crash.reports, running)) {
+        m_crashReports.push_back(std::move(report));
+        ++crash.reports;
+    }
+}
+
+void ServingHandler::refuseQuarantined(const SteadyTime now)
+{
+    std::vector<ExecutionId> waiting;
+    for (const auto &[execution, attempt] : m_attempts) {
+        const bool isWaiting = !attempt.started.has_value();
+        if (isWaiting && m_context.suspects.suspicionOf(identityOf(attempt), now) == admission::Suspicion::quarantined) {
+            waiting.push_back(execution);
+        }
+    }
+    for (const ExecutionId execution : waiting) {
+        // Removing one may cause the gate to start or refuse another one of the list.
+        const auto found = m_attempts.find(execution);
+        if (found != m_attempts.end() && !found->second.started.has_value()) {
+            abandon(execution, account::RefusalReason::quarantined, now);
+        }
+    }
+}
+
+admission::Suspicion ServingHandler::suspicionOf(const DaemonId &from, const protocol::CallRequest &request, const SteadyTime now) const
+{
+    return m_context.suspects.isEmpty() ? admission::Suspicion::none : m_context.suspects.suspicionOf(m_context.identityOf(from, request), now);
+}
+
+std::optional<std::chrono::milliseconds>
+ServingHandler::checkQuarantine(const DaemonId &from, const protocol::CallRequest &request, const admission::Suspicion suspicion) const
+{
+    // The entry daemon may not know yet: it may have started, or been cut off, when the crashes were reported.
+    if (suspicion == admission::Suspicion::quarantined) {
+        return retryAfterQuarantine;
+    }
+    if (suspicion != admission::Suspicion::onTrial) {
+        return std::nullopt;
     }
+    const admission::RequestFingerprint content = m_context.identityOf(from, request).content;
+    const bool isUnderWay = std::any_of(m_attempts.begin(), m_attempts.end(), [this, content](const auto &item) {
+        return identityOf(item.second).content == content;
+    });
+    return isUnderWay ? std::optional<std::chrono::milliseconds>{retryAfterTrial} : std::nullopt;
 }
 
-admission::RequestFingerprint ServingHandler::fingerprint(const Attempt &attempt) const
+admission::RequestIdentity ServingHandler::identityOf(const Attempt &attempt) const
 {
-    const protocol::CallRequest &request = attempt.request;
-    const DaemonId &from = std::get<DaemonId>(attempt.origin);
-    const membership::Member *const member = from == m_context.self ? &m_context.roster.self() : m_context.roster.find(from);
-    const std::string caller = member == nullptr ? std::string{} : member->service;
-    return admission::fingerprintOf(request.method, request.path, caller, {request.body.constData(), static_cast<std::size_t>(request.body.size())});
+    return m_context.identityOf(std::get<DaemonId>(attempt.origin), attempt.request);
 }
 
 } // namespace egretlatch::decision
--- a/src/egretlatch/http/client_connection.cpp
+++ b/src/egretlatch/http/client_connection.cpp
@@ -56,6 +56,14 @@
     }
 }
 
+void ClientConnection::openIdle(const net::Endpoint &endpoint)
+{
+    m_idleUntil = m_clock.steadyNow() + internal::connectTimeout;
+    if (!m_stream.open(endpoint)) {
+        shutDown();
+    }
+}
+
 void ClientConnection::send(OutgoingRequest outgoing)
 {
     m_isBusy = true;
@@ -103,7 +111,12 @@
 void ClientConnection::onOpen()
 {
     m_isOpen = true;
-    write();
+    if (m_isBusy) {
+        write();
+        return;
+    }
+    m_idleUntil = m_clock.steadyNow() + internal::maxIdleTime;
+    m_listener.onIdle(*this);
 }
 
 void ClientConnection::write()
--- a/src/egretlatch/http/client_connection.hpp
+++ b/src/egretlatch/http/client_connection.hpp
@@ -61,6 +61,12 @@
      */
     void open(const net::Endpoint &endpoint, OutgoingRequest outgoing);
 
+    /**
+     * @brief Opens the connection without a request; the listener is notified when it is idle, or closed.
+     * @param endpoint Remote endpoint.
+     */
+    void openIdle(const net::Endpoint &endpoint);
+
     /**
      * @brief Sends a request on an idle connection.
      * @param outgoing The request.
--- a/src/egretlatch/http/client_pool.cpp
+++ b/src/egretlatch/http/client_pool.cpp
@@ -1,6 +1,7 @@
 #include <egretlatch/http/client_pool.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace egretlatch::http
 {
@@ -33,6 +34,29 @@
     return id;
 }
 
+void ClientPool::probe(std::function<void(bool)> onResult)
+{
+    if (m_probe != nullptr) {
+        return;
+    }
+    auto connection = std::make_unique<ClientConnection>(m_poller, *this, m_clock, m_limits);
+    ClientConnection *const key = connection.get();
+    m_connections.emplace(key, std::move(connection));
+    m_probe = key;
+    m_onProbed = std::move(onResult);
+    key->openIdle(m_endpoint);
+}
+
+void ClientPool::endProbe(const ClientConnection &connection, const bool isConnected)
+{
+    if (m_probe != &connection) {
+        return;
+    }
+    m_probe = nullptr;
+    const std::function<void(bool)> onProbed = std::exchange(m_onProbed, {});
+    onProbed(isConnected);
+}
+
 void ClientPool::cancel(const ClientRequestId id)
 {
     const auto found = m_inFlight.find(id.value);
@@ -82,11 +106,13 @@
 void ClientPool::onIdle(ClientConnection &connection)
 {
     m_idle.push_back(&connection);
+    endProbe(connection, true);
 }
 
 void ClientPool::onClosed(ClientConnection &connection)
 {
     std::erase(m_idle, &connection);
+    endProbe(connection, false);
     const auto found = m_connections.find(&connection);
     if (found != m_connections.end()) {
         m_closed.push_back(std::move(found->second));
--- a/src/egretlatch/http/client_pool.hpp
+++ b/src/egretlatch/http/client_pool.hpp
@@ -2,6 +2,7 @@
 #define EGRETLATCH_HTTP_CLIENT_POOL_HPP
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -43,6 +44,12 @@
      */
     ClientRequestId send(OutgoingRequest outgoing);
 
+    /**
+     * @brief Opens a connection without a request, to learn if the server accepts any; the next request uses it.
+     * @param onResult Called with true once it is open, and with false if it cannot be opened; not called if a probe is in progress.
+     */
+    void probe(std::function<void(bool)> onResult);
+
     /**
      * @brief Closes the connection of a request in progress; no result follows.
      * @param id The request; ignored if it has ended.
@@ -58,6 +65,7 @@
 private:
     void onIdle(ClientConnection &connection) override;
     void onClosed(ClientConnection &connection) override;
+    void endProbe(const ClientConnection &connection, bool isConnected);
     [[nodiscard]] ClientConnection *takeIdle();
 
     net::Poller &m_poller;
@@ -70,6 +78,9 @@
     std::unordered_map<std::uint64_t, ClientConnection *> m_inFlight;
     std::vector<std::unique_ptr<ClientConnection>> m_closed;
     std::uint64_t m_lastRequest{};
+    /*! @brief Connection of the probe in progress; null if there is none. */
+    const ClientConnection *m_probe{};
+    std::function<void(bool)> m_onProbed;
 };
 
 } // namespace egretlatch::http
--- a/src/egretlatch/membership/gossip.cpp
+++ b/src/egretlatch/membership/gossip.cpp
@@ -119,11 +119,13 @@
     sendUpdates(internal::announceTargets, now);
 }
 
-void Gossip::spread(const Rumour &rumour, const SteadyTime now)
+bool Gossip::spread(const Rumour &rumour, const SteadyTime now)
 {
-    if (m_rumours.add(rumour, now)) {
+    const bool isAdded = m_rumours.add(rumour, now);
+    if (isAdded) {
         queue(rumour.key);
     }
+    return isAdded;
 }
 
 void Gossip::addContacts(const std::vector<Contact> &contacts)
--- a/src/egretlatch/membership/gossip.hpp
+++ b/src/egretlatch/membership/gossip.hpp
@@ -104,8 +104,9 @@
      * @brief Disseminates a rumour.
      * @param rumour The rumour; ignored if it is already known.
      * @param now Current time.
+     * @return True if it was added; false if it is known, or too many are valid.
      */
-    void spread(const Rumour &rumour, SteadyTime now);
+    bool spread(const Rumour &rumour, SteadyTime now);
 
     /**
      * @brief Adds contacts.
--- a/src/egretlatch/membership/rumour_store.cpp
+++ b/src/egretlatch/membership/rumour_store.cpp
@@ -1,5 +1,7 @@
 #include <egretlatch/membership/rumour_store.hpp>
 
+#include <algorithm>
+
 #include <fmt/format.h>
 #include <xxhash.h>
 
@@ -10,6 +12,8 @@
 {
 
 constexpr std::size_t maxRumours = 512;
+// Reports on crashes come in series; departures must keep their room beside them.
+constexpr std::size_t maxQuarantineRumours = 256;
 
 } // namespace internal
 
@@ -22,7 +26,7 @@
     if (found != m_rumours.end() && found->second.rumour.version >= rumour.version) {
         return false;
     }
-    if (found == m_rumours.end() && m_rumours.size() >= internal::maxRumours) {
+    if (found == m_rumours.end() && !hasRoomFor(rumour.key.kind)) {
         return false;
     }
     std::optional<SteadyTime> expires;
@@ -33,6 +37,18 @@
     return true;
 }
 
+bool RumourStore::hasRoomFor(const RumourKind kind) const
+{
+    if (m_rumours.size() >= internal::maxRumours) {
+        return false;
+    }
+    const auto isQuarantine = [](const auto &item) {
+        return item.first.kind == RumourKind::quarantine;
+    };
+    return kind != RumourKind::quarantine
+        || static_cast<std::size_t>(std::count_if(m_rumours.begin(), m_rumours.end(), isQuarantine)) < internal::maxQuarantineRumours;
+}
+
 std::optional<Rumour> RumourStore::find(const RumourKey &key, const SteadyTime now) const
 {
     const auto found = m_rumours.find(key);
--- a/src/egretlatch/membership/rumour_store.hpp
+++ b/src/egretlatch/membership/rumour_store.hpp
@@ -72,6 +72,7 @@
         std::optional<SteadyTime> expires;
     };
 
+    [[nodiscard]] bool hasRoomFor(RumourKind kind) const;
     [[nodiscard]] static Rumour withRemainingTime(const Entry &entry, SteadyTime now);
 
     std::map<RumourKey, Entry> m_rumours;
--- a/src/egretlatch/sidecar/backend_runner.cpp
+++ b/src/egretlatch/sidecar/backend_runner.cpp
@@ -21,12 +21,19 @@
     return isNotConnected ? decision::RunFailure::notConnected : decision::RunFailure::lost;
 }
 
+[[nodiscard]] static bool isConnectionLost(const http::Outcome &result)
+{
+    const auto *const failure = std::get_if<http::Failure>(&result);
+    return failure != nullptr && *failure == http::Failure::lost;
+}
+
 } // namespace internal
 
-BackendRunner::BackendRunner(net::Poller &poller, const Clock &clock, const net::Endpoint &endpoint, EndedHandler onEnded)
+BackendRunner::BackendRunner(net::Poller &poller, const Clock &clock, const net::Endpoint &endpoint, EndedHandler onEnded, UnreachableHandler onUnreachable)
     : m_clock{clock}
     , m_host{endpoint.text()}
     , m_onEnded{std::move(onEnded)}
+    , m_onUnreachable{std::move(onUnreachable)}
     , m_pool{poller, clock, endpoint, internal::answerLimits}
 {
 }
@@ -43,11 +50,24 @@
     outgoing.onResult = [this, execution](const http::Outcome &result) {
         m_requestIds.erase(execution.value);
         m_onEnded({.execution = execution, .result = internal::runResultOf(result)});
+        if (internal::isConnectionLost(result)) {
+            probe();
+        }
     };
     const http::ClientRequestId id = m_pool.send(std::move(outgoing));
     m_requestIds.emplace(execution.value, id);
 }
 
+void BackendRunner::probe()
+{
+    // The next request might find out seconds later that the server has crashed, and others crash meanwhile.
+    m_pool.probe([this](const bool isConnected) {
+        if (!isConnected) {
+            m_onUnreachable();
+        }
+    });
+}
+
 void BackendRunner::abort(const ExecutionId execution)
 {
     const auto found = m_requestIds.find(execution.value);
--- a/src/egretlatch/sidecar/backend_runner.hpp
+++ b/src/egretlatch/sidecar/backend_runner.hpp
@@ -18,6 +18,7 @@
 {
 public:
     using EndedHandler = std::function<void(decision::RunEnded ended)>;
+    using UnreachableHandler = std::function<void()>;
 
     /**
      * @brief Builds a runner.
@@ -25,8 +26,9 @@
      * @param clock Source of time; must outlive it.
      * @param endpoint The backend server.
      * @param onEnded Called at the end of each run that is not aborted.
+     * @param onUnreachable Called if the server accepts no connection right after a run was lost.
      */
-    BackendRunner(net::Poller &poller, const Clock &clock, const net::Endpoint &endpoint, EndedHandler onEnded);
+    BackendRunner(net::Poller &poller, const Clock &clock, const net::Endpoint &endpoint, EndedHandler onEnded, UnreachableHandler onUnreachable);
 
     /**
      * @brief Starts a run.
@@ -53,9 +55,12 @@
     }
 
 private:
+    void probe();
+
     const Clock &m_clock;
     std::string m_host;
     EndedHandler m_onEnded;
+    UnreachableHandler m_onUnreachable;
     http::ClientPool m_pool;
     std::unordered_map<std::uint64_t, http::ClientRequestId> m_requestIds;
 };
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <egretlatch/core/new_incarnation.hpp>
+#include <egretlatch/daemon/crash_log.hpp>
 #include <egretlatch/daemon/isolation_log.hpp>
 #include <egretlatch/platform/bounds.hpp>
 #include <egretlatch/platform/names.hpp>
@@ -87,6 +88,9 @@
                 m_settings.backend,
                 [this](decision::RunEnded ended) {
                     post(std::move(ended));
+                },
+                [this] {
+                    post(decision::ServerUnreachable{});
                 }}
     , m_frontend{m_poller,
                  m_clock,
@@ -280,6 +284,8 @@
         applyConfiguration();
     } else if (const auto *const changed = std::get_if<decision::MemberChanged>(&action)) {
         m_logger.info("member changed", {{"member", changed->id.value}, {"state", membership::toString(changed->state)}});
+    } else if (daemon::logCrashAction(m_logger, action)) {
+        return;
     } else if (const auto *const departure = std::get_if<decision::DepartureReported>(&action)) {
         m_logger.info("departure reported", {{"instance", departure->instance}});
     } else if (const auto *const saved = std::get_if<decision::DepartureSaved>(&action)) {
--- a/standin/fleet/server.py
+++ b/standin/fleet/server.py
@@ -27,8 +27,16 @@
         self.slowness = shares.get("slowness", 1.0)
         # Path substring of requests that crash the server when they start; it returns after `down` seconds.
         self.crash_on = shares.get("crash_on", "")
+        # Service whose requests crash the server; those of any service if empty.
+        self.crash_caller = shares.get("crash_caller", "")
+        # A server that falls silent at its end keeps its connections and accepts new ones, but answers nothing.
+        self.ends_silent = shares.get("ends_silent", False)
         self.down = shares.get("down", 1.0)
 
+    def crashes_on(self, request):
+        is_caller = self.crash_caller in ("", request.fields.get("x-caller-service"))
+        return bool(self.crash_on) and self.crash_on in request.target and is_caller
+
 
 class Observer:
     """Receives the events of a server; this base class ignores them."""
@@ -76,6 +84,8 @@
         self.started_ms = int(time.time() * 1000)
         self.accepts_after_drain = None
         self.crashes = 0
+        self.crashed_at = []
+        self.is_down = False
         self.writers = set()
 
     async def start(self):
@@ -86,15 +96,25 @@
         self.server.close()
 
     async def crash(self):
-        """Simulates a crash: aborts all connections and accepts none until it returns as a new instance."""
+        """Simulates a crash: reports and answers nothing until it returns as a new instance, and accepts no connection unless it falls silent."""
+        if self.is_down:
+            return
+        self.is_down = True
         self.crashes += 1
-        self.server.close()
-        for writer in list(self.writers):
-            writer.transport.abort()
+        self.crashed_at.append(time.monotonic())
+        ends_silent = self.fault.ends_silent
+        if not ends_silent:
+            self.server.close()
+            for writer in list(self.writers):
+                writer.transport.abort()
         await asyncio.sleep(self.fault.down)
         self.instance = f"{self.instance.split('+')[0]}+{self.crashes}"
         self.started_ms = int(time.time() * 1000)
-        await self.start()
+        self.running = 0
+        self.waiting.clear()
+        self.is_down = False
+        if not ends_silent:
+            await self.start()
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
@@ -114,6 +134,10 @@
         writer.write(wire.response(status, {"X-Instance-Id": self.instance, "X-Server-Load": self.load()}))
 
     async def take(self, request, reader, writer):
+        if self.is_down:
+            await self.stay_silent(reader)
+            return False
+        incarnation = self.crashes
         if request.method == "GET" and request.target == HEALTH_PATH:
             self.answer_health(writer)
             return True
@@ -143,8 +167,17 @@
             await disconnected
         except asyncio.CancelledError:
             pass
+        if incarnation != self.crashes:
+            await self.stay_silent(reader)
+            return False
         return await self.send(run.result(), name, writer)
 
+    @staticmethod
+    async def stay_silent(reader):
+        """Leaves a connection open without an answer until its other end closes it."""
+        while await reader.read(65536):
+            pass
+
     def load(self):
         return f"{self.running},{len(self.waiting)},{self.slots}"
 
@@ -173,10 +206,11 @@
 
     async def run(self, request, name):
         await self.slot()
+        incarnation = self.crashes
         try:
             self.runs[name] += 1
             self.observer.began(self, name, request)
-            if self.fault.crash_on and self.fault.crash_on in request.target:
+            if self.fault.crashes_on(request):
                 self.crashing = asyncio.ensure_future(self.crash())
             self.callers.add(request.fields.get("x-caller-service"))
             kind = self.kinds.get(request.target.strip("/").split("/")[0], {})
@@ -190,7 +224,9 @@
             padding = b"a" * kind.get("answer_bytes", 0)
             return 200, json.dumps({"name": name, "server": self.instance}).encode() + padding + request.body
         finally:
-            self.free()
+            # The slots of an earlier incarnation ended with it.
+            if incarnation == self.crashes:
+                self.free()
 
     async def call(self, target, parent, deadline):
         """Makes an inner call through the daemon on the same VM; returns whether it was answered 200."""
@@ -233,7 +269,9 @@
         return True
 
     async def report(self, control, state=None):
-        """Sends one heartbeat; returns the status of the acknowledgement, or None."""
+        """Sends one heartbeat; returns the status of the acknowledgement, or None; a server that is down sends nothing."""
+        if self.is_down:
+            return None
         self.state = state or self.state
         self.sequence += 1
         return await self.send_heartbeat(control, self.state, self.sequence)
--- a/test/egretlatch/admission/crash_suspects.cpp
+++ b/test/egretlatch/admission/crash_suspects.cpp
@@ -1,5 +1,4 @@
 #include <doctest/doctest.h>
-#include <rapidcheck.h>
 
 #include <egretlatch/admission/crash_suspects.hpp>
 
@@ -11,8 +10,26 @@
 {
 
 constexpr SteadyTime start{std::chrono::hours{1}};
-constexpr RequestFingerprint culprit = 1;
-constexpr RequestFingerprint bystander = 2;
+constexpr std::uint64_t history = 101;
+constexpr std::uint64_t log = 102;
+constexpr std::uint64_t roster = 103;
+constexpr RequestIdentity culprit{.content = 1, .caller = history};
+constexpr RequestIdentity bystander{.content = 2, .caller = history};
+
+RequestIdentity culpritOf(const std::uint64_t caller)
+{
+    return {.content = culprit.content, .caller = caller};
+}
+
+void crash(CrashSuspects &suspects, const std::string &name, const std::vector<RequestIdentity> &running)
+{
+    suspects.noteCrash("crash/" + name, running, start);
+}
+
+bool isQuarantined(const CrashSuspects &suspects, const RequestIdentity &request, const SteadyTime now = start)
+{
+    return suspects.suspicionOf(request, now) == Suspicion::quarantined;
+}
 
 } // namespace
 
@@ -21,49 +38,106 @@
     // A request that crashes each server that runs it is resent through any daemon, so each crash counts wherever it was
     // observed, but only once.
     CrashSuspects suspects;
-    suspects.noteCrash("crash/a", {culprit}, start);
-    suspects.noteCrash("crash/a", {culprit}, start);
-    suspects.noteCrash("crash/b", {culprit}, start);
-    CHECK(suspects.crashes(culprit, start) == 2);
-    CHECK_FALSE(suspects.isQuarantined(culprit, start));
+    crash(suspects, "a", {culprit});
+    crash(suspects, "a", {culprit});
+    crash(suspects, "b", {culprit});
+    CHECK(suspects.evidenceAgainst(culprit, start).crashes == 2);
+    CHECK(suspects.suspicionOf(culprit, start) == Suspicion::suspect);
 
-    suspects.noteCrash("crash/c", {culprit}, start);
+    crash(suspects, "c", {culprit});
 
-    CHECK(suspects.isQuarantined(culprit, start));
-    CHECK_FALSE(suspects.isQuarantined(culprit, start + CrashSuspects::crashLifetime));
+    CHECK(isQuarantined(suspects, culprit));
+    CHECK_FALSE(isQuarantined(suspects, culprit, start + CrashSuspects::crashLifetime));
+    suspects.expire(start + CrashSuspects::crashLifetime);
+    CHECK(suspects.isEmpty());
 }
 
 TEST_CASE("a request that ran along with the culprit is not refused once it has succeeded")
 {
     CrashSuspects suspects;
-    suspects.noteCrash("crash/a", {culprit, bystander}, start);
-    suspects.noteCrash("crash/b", {culprit, bystander}, start);
-    CHECK(suspects.noteSuccess(bystander));
-    suspects.noteCrash("crash/c", {culprit, bystander}, start);
-
-    CHECK(suspects.isQuarantined(culprit, start));
-    CHECK_FALSE(suspects.isQuarantined(bystander, start));
-    CHECK_FALSE(suspects.noteSuccess(3));
+    crash(suspects, "a", {culprit, bystander});
+    crash(suspects, "b", {culprit, bystander});
+    CHECK(suspects.noteSuccess(bystander, start));
+    crash(suspects, "c", {culprit, bystander});
+
+    CHECK(isQuarantined(suspects, culprit));
+    CHECK_FALSE(isQuarantined(suspects, bystander));
+    CHECK_FALSE(suspects.noteSuccess({.content = 3, .caller = history}, start));
 }
 
-TEST_CASE("requests that differ in method, path, body or calling service have different fingerprints")
+TEST_CASE("crashes by equal requests from several services add up")
 {
-    const RequestFingerprint one = fingerprintOf("GET", "/a/1", "history", "body");
-    CHECK(one == fingerprintOf("GET", "/a/1", "history", "body"));
-    CHECK(one != fingerprintOf("POST", "/a/1", "history", "body"));
-    CHECK(one != fingerprintOf("GET", "/a/2", "history", "body"));
-    CHECK(one != fingerprintOf("GET", "/a/1", "log", "body"));
-    CHECK(one != fingerprintOf("GET", "/a/1", "history", "other"));
+    // Guards against a bound for each calling service: the request then crashes that many times as many servers.
+    CrashSuspects suspects;
+    crash(suspects, "a", {culpritOf(history)});
+    crash(suspects, "b", {culpritOf(log)});
+    CHECK_FALSE(isQuarantined(suspects, culpritOf(roster)));
+    crash(suspects, "c", {culpritOf(roster)});
+
+    CHECK(isQuarantined(suspects, culpritOf(history)));
+    CHECK(isQuarantined(suspects, culpritOf(log)));
+    CHECK(isQuarantined(suspects, culpritOf(104)));
 }
 
-TEST_CASE("fingerprints survive serialization, and arbitrary bytes are parsed without errors")
+TEST_CASE("crashes by requests of one service do not refuse equal bytes of another until these crash a server, too")
 {
-    CHECK(rc::check([](const std::vector<RequestFingerprint> &requests) {
-        const std::vector<RequestFingerprint> read = fingerprintsFrom(toBytes(requests));
-        RC_ASSERT(read.size() <= 64U);
-        RC_ASSERT(std::equal(read.begin(), read.end(), requests.begin()));
-    }));
-    CHECK(rc::check([](const std::string &bytes) {
-        RC_ASSERT(fingerprintsFrom(bytes).size() == bytes.size() / 8);
-    }));
+    CrashSuspects suspects;
+    for (const char *const name : {"a", "b", "c", "d"}) {
+        crash(suspects, name, {culpritOf(history)});
+    }
+    CHECK(isQuarantined(suspects, culpritOf(history)));
+    CHECK(suspects.suspicionOf(culpritOf(log), start) == Suspicion::onTrial);
+
+    SUBCASE("they run well")
+    {
+        CHECK(suspects.noteSuccess(culpritOf(log), start));
+        CHECK_FALSE(suspects.noteSuccess(culpritOf(log), start));
+        CHECK(suspects.suspicionOf(culpritOf(log), start) == Suspicion::none);
+        CHECK(isQuarantined(suspects, culpritOf(history)));
+    }
+    SUBCASE("they crash a server")
+    {
+        crash(suspects, "e", {culpritOf(log)});
+        CHECK(isQuarantined(suspects, culpritOf(log)));
+        CHECK(isQuarantined(suspects, culpritOf(roster)));
+    }
+}
+
+TEST_CASE("equal bytes of another service that only ran beside the culprit are not refused")
+{
+    // Guards against a sound request that is refused because it was running at one of the culprit's crashes.
+    CrashSuspects suspects;
+    crash(suspects, "a", {culpritOf(history), culpritOf(log)});
+    crash(suspects, "b", {culpritOf(history)});
+    crash(suspects, "c", {culpritOf(history)});
+
+    CHECK(isQuarantined(suspects, culpritOf(history)));
+    CHECK(suspects.suspicionOf(culpritOf(log), start) == Suspicion::onTrial);
+}
+
+TEST_CASE("a crash under a quarantined request does not count against the requests beside it")
+{
+    CrashSuspects suspects;
+    for (const char *const name : {"a", "b", "c"}) {
+        crash(suspects, name, {culprit});
+    }
+    for (const char *const name : {"d", "e", "f"}) {
+        crash(suspects, name, {culprit, bystander});
+    }
+
+    CHECK(suspects.evidenceAgainst(bystander, start).crashes == 0);
+    CHECK(suspects.evidenceAgainst(culprit, start).crashes == 6);
+}
+
+TEST_CASE("when there are too many suspects, those with the fewest crashes are forgotten first")
+{
+    CrashSuspects suspects;
+    crash(suspects, "a", {culprit});
+    crash(suspects, "b", {culprit});
+    for (std::uint64_t number = 0; suspects.evicted() == 0; ++number) {
+        crash(suspects, "c", {{.content = 1000 + number, .caller = history}});
+    }
+    crash(suspects, "d", {culprit});
+
+    CHECK(isQuarantined(suspects, culprit));
 }
--- a/test/egretlatch/decision/crash_report.cpp
+++ b/test/egretlatch/decision/crash_report.cpp
@@ -12,61 +12,145 @@
 
 constexpr SteadyTime start{std::chrono::hours{1}};
 
+using Identities = std::vector<admission::RequestIdentity>;
+
+admission::RequestIdentity request(const std::uint64_t content)
+{
+    return {.content = content, .caller = 1};
+}
+
+void applyCrash(admission::CrashSuspects &suspects, const char *const daemon, const std::uint64_t number, const Identities &running, const SteadyTime now)
+{
+    for (const CrashReport &report : CrashReport::forCrash({daemon}, {1}, number, 0, running)) {
+        report.apply(suspects, now);
+    }
+}
+
+bool isQuarantined(const admission::CrashSuspects &suspects, const std::uint64_t content, const SteadyTime now)
+{
+    return suspects.suspicionOf(request(content), now) == admission::Suspicion::quarantined;
+}
+
 } // namespace
 
 TEST_CASE("lost answers count as a crash only if the server then refuses connections or is replaced")
 {
     CrashDetector detector;
-    detector.noteLostRun(1, start);
-    detector.noteLostRun(2, start);
-    CHECK(detector.noteConnectFailure(start + 100ms) == std::vector<admission::RequestFingerprint>{1, 2});
+    detector.noteLostRun(request(1), start);
+    detector.noteLostRun(request(2), start);
+    CHECK(detector.noteConnectFailure(start + 100ms) == Identities{request(1), request(2)});
     // Reported once: a server that stays down does not crash again with each refused connection.
     CHECK(detector.noteConnectFailure(start + 200ms).empty());
 
-    detector.noteLostRun(3, start + 10s);
+    detector.noteLostRun(request(3), start + 10s);
     CHECK(detector.noteConnectFailure(start + 20s).empty());
+    // The server still announces itself, so it did not crash then.
+    detector.noteAnnouncement(start + 21s);
+
+    detector.noteLostRun(request(4), start + 30s);
+    CHECK(detector.noteEnd() == Identities{request(4)});
+    CHECK(detector.noteEnd().empty());
+}
+
+TEST_CASE("a lost run counts when the server is replaced long after, if nothing has shown that it still ran")
+{
+    // Guards against a crash of a server that nobody calls until it is back.
+    CrashDetector detector;
+    detector.noteLostRun(request(1), start);
+    detector.noteAnnouncement(start + 9s);
+    CHECK(detector.noteEnd() == Identities{request(1)});
+}
+
+TEST_CASE("runs that were given up count when the server then ends, unless a later run was answered")
+{
+    // Guards against a server that falls silent: its runs end at their deadlines, not as lost.
+    CrashDetector detector;
+    detector.noteAbandonedRun(request(1), start);
+    detector.noteAnswer(start + 1ms);
+    detector.noteAbandonedRun(request(2), start + 2ms);
+    detector.noteAnswer(start + 2ms);
+    CHECK(detector.noteEnd() == Identities{request(2)});
+
+    detector.noteAbandonedRun(request(3), start + 1s);
+    CHECK(detector.noteConnectFailure(start + 1s).empty());
+    detector.noteDeparture();
+    CHECK(detector.noteEnd().empty());
+}
+
+TEST_CASE("the number of unanswered runs that are kept is bounded")
+{
+    CrashDetector detector;
+    constexpr std::uint64_t runs = 5000;
+    for (std::uint64_t number = 0; number < runs; ++number) {
+        detector.noteAbandonedRun(request(number), start);
+    }
+    CHECK(detector.size() < runs);
+    CHECK(detector.noteEnd().back() == request(runs - 1));
+}
 
-    detector.noteLostRun(4, start + 30s);
-    CHECK(detector.noteReplacement(start + 35s) == std::vector<admission::RequestFingerprint>{4});
-    CHECK(detector.noteReplacement(start + 36s).empty());
+TEST_CASE("a crash with more running requests than a message holds is reported whole, as one crash")
+{
+    // Guards against a culprit among many runs that no report names.
+    Identities running;
+    constexpr std::uint64_t runs = 100;
+    for (std::uint64_t number = 1; number <= runs; ++number) {
+        running.push_back(request(number));
+    }
+    running.push_back({.content = 1, .caller = 2});
+    admission::CrashSuspects suspects;
+    applyCrash(suspects, "a", 1, running, start);
+
+    CHECK(suspects.evidenceAgainst(request(runs), start).crashes == 1);
+    CHECK(suspects.evidenceAgainst(request(1), start).crashes == 1);
+}
+
+TEST_CASE("reports of one crash that follow one another count as one crash")
+{
+    admission::CrashSuspects suspects;
+    for (const std::size_t reported : {0, 1, 2}) {
+        for (const CrashReport &report : CrashReport::forCrash({"a"}, {1}, 1, reported, {request(7)})) {
+            report.apply(suspects, start);
+        }
+    }
+    CHECK(suspects.evidenceAgainst(request(7), start).crashes == 1);
 }
 
 TEST_CASE("crashes reported by several daemons add up to a quarantine, and a successful run ends it")
 {
     admission::CrashSuspects suspects;
     for (const char *const daemon : {"a", "b"}) {
-        CrashReport::forCrash({daemon}, {1}, 1, {7, 8}).apply(suspects, start);
+        applyCrash(suspects, daemon, 1, {request(7), request(8)}, start);
     }
-    CrashReport::forCrash({"b"}, {1}, 2, {7, 8}).apply(suspects, start);
-    CHECK(suspects.isQuarantined(7, start));
+    applyCrash(suspects, "b", 2, {request(7), request(8)}, start);
+    CHECK(isQuarantined(suspects, 7, start));
 
-    CrashReport::forSuccess({"a"}, {1}, 2, 8).apply(suspects, start);
+    CrashReport::forSuccess({"a"}, {1}, 2, {request(8)}).apply(suspects, start);
 
-    CHECK(suspects.isQuarantined(7, start));
-    CHECK_FALSE(suspects.isQuarantined(8, start));
+    CHECK(isQuarantined(suspects, 7, start));
+    CHECK_FALSE(isQuarantined(suspects, 8, start));
 }
 
 TEST_CASE("a harmless request is not quarantined if reports of its successful runs arrive before the crash reports")
 {
     admission::CrashSuspects suspects;
     for (const std::uint64_t number : {1, 2, 3}) {
-        CrashReport::forSuccess({"a"}, {1}, number, 8).apply(suspects, start);
+        CrashReport::forSuccess({"a"}, {1}, number, {request(8)}).apply(suspects, start);
     }
     for (const std::uint64_t number : {1, 2, 3}) {
-        CrashReport::forCrash({"b"}, {1}, number, {7, 8}).apply(suspects, start + 1s);
+        applyCrash(suspects, "b", number, {request(7), request(8)}, start + 1s);
     }
 
-    CHECK(suspects.isQuarantined(7, start + 1s));
-    CHECK_FALSE(suspects.isQuarantined(8, start + 1s));
+    CHECK(isQuarantined(suspects, 7, start + 1s));
+    CHECK_FALSE(isQuarantined(suspects, 8, start + 1s));
 }
 
 TEST_CASE("an expired successful run does not clear a request that crashes servers now")
 {
     admission::CrashSuspects suspects;
-    CrashReport::forSuccess({"a"}, {1}, 1, 7).apply(suspects, start);
+    CrashReport::forSuccess({"a"}, {1}, 1, {request(7)}).apply(suspects, start);
     for (const std::uint64_t number : {1, 2, 3}) {
-        CrashReport::forCrash({"b"}, {1}, number, {7}).apply(suspects, start + admission::CrashSuspects::successLifetime);
+        applyCrash(suspects, "b", number, {request(7)}, start + admission::CrashSuspects::successLifetime);
     }
 
-    CHECK(suspects.isQuarantined(7, start + admission::CrashSuspects::successLifetime));
+    CHECK(isQuarantined(suspects, 7, start + admission::CrashSuspects::successLifetime));
 }
--- a/test/egretlatch/decision/serving_handler.cpp
+++ b/test/egretlatch/decision/serving_handler.cpp
@@ -219,3 +219,86 @@
     CHECK(offer(2, false, 0) == 0);
     CHECK(offer(3, true, 1) == 0);
 }
+
+namespace
+{
+
+// A daemon whose backend server ends under each run of one request.
+struct CrashingServer
+{
+    fakes::ManualClock clock;
+    SeededRandom random{seed};
+    fakes::CountingMetrics metrics;
+    std::unique_ptr<Core> core = servingDaemon(clock, random, metrics).setGate(std::make_unique<admission::StaticGate>(1, 10)).build();
+    std::uint64_t calls{};
+
+    CrashingServer()
+    {
+        static_cast<void>(core->handle(ManifestChanged{.version = 1, .manifest = rosterManifest()}));
+    }
+
+    void announce(const std::string &instance)
+    {
+        static_cast<void>(core->handle(ServerAnnounced{.service = "roster", .slots = 1, .connections = 10, .instance = instance}));
+    }
+
+    Actions call()
+    {
+        return core->handle(PeerMessage{{.sender = {"entry"}, .incarnation = peerIncarnation, .message = callOf(++calls, std::chrono::seconds{1})}});
+    }
+
+    void crash()
+    {
+        static_cast<void>(call());
+        static_cast<void>(core->handle(RunEnded{.execution = {calls}, .result = RunFailure::lost}));
+        static_cast<void>(core->handle(ServerUnreachable{}));
+        clock.advance(std::chrono::seconds{3});
+    }
+};
+
+[[nodiscard]] const protocol::CallAnswer *answerIn(const Actions &actions)
+{
+    for (const Action &action : actions) {
+        const auto *const send = std::get_if<SendToPeer>(&action);
+        const auto *const answer = send == nullptr ? nullptr : std::get_if<protocol::CallAnswer>(&send->message);
+        if (answer != nullptr) {
+            return answer;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace
+
+TEST_CASE("a request that has crashed three servers is refused beside the server, too, as not run")
+{
+    // Guards against an entry daemon that has not learned of the crashes: it would send the request on.
+    CrashingServer daemon;
+    for (const char *const instance : {"a", "b", "c"}) {
+        daemon.announce(instance);
+        daemon.crash();
+    }
+    daemon.announce("d");
+
+    const Actions actions = daemon.call();
+    const protocol::CallAnswer *const answer = answerIn(actions);
+    REQUIRE(answer != nullptr);
+    CHECK((answer->verdict == Verdict::notRun));
+    REQUIRE(answer->refusal.has_value());
+    CHECK((answer->refusal->reason == account::RefusalReason::quarantined));
+}
+
+TEST_CASE("a server that leaves as announced while a run is lost has not crashed")
+{
+    CrashingServer daemon;
+    for (const char *const instance : {"a", "b", "c"}) {
+        daemon.announce(instance);
+        static_cast<void>(daemon.call());
+        static_cast<void>(daemon.core->handle(RunEnded{.execution = {daemon.calls}, .result = RunFailure::lost}));
+        static_cast<void>(daemon.core->handle(ServerDraining{.instance = instance}));
+        daemon.clock.advance(std::chrono::seconds{1});
+    }
+    daemon.announce("d");
+
+    CHECK(answerIn(daemon.call()) == nullptr);
+}
