--- a/standin/fleet/server.py
+++ b/standin/fleet/server.py
@@ -32,6 +32,15 @@
         # A server that falls silent at its end keeps its connections and accepts new ones, but answers nothing.
         self.ends_silent = shares.get("ends_silent", False)
         self.down = shares.get("down", 1.0)
+        # Requests a second that the server names as its limit in each answer; none if None.
+        self.limit = shares.get("limit")
+        # Says in each answer that the server is leaving.
+        self.leaving = shares.get("leaving", False)
+
+    def answer_fields(self):
+        """Returns the header fields by which the server describes itself in its answers."""
+        limit = {} if self.limit is None else {"Server-Limit": str(self.limit)}
+        return {**limit, "Server-Leaving": "1"} if self.leaving else limit
 
     def crashes_on(self, request):
         is_caller = self.crash_caller in ("", request.fields.get("x-caller-service"))
@@ -75,6 +84,7 @@
         self.runs = collections.Counter()
         self.callers = set()
         self.arrivals = 0
+        self.arrived_at = []
         self.rejected = 0
         self.cancelled = 0
         self.state = "ready"
@@ -147,12 +157,13 @@
             writer.write(wire.response(421, {"X-Instance-Id": self.instance, "X-Request-Id": name, "X-Not-Executed": "1"}))
             return True
         self.arrivals += 1
+        self.arrived_at.append(time.monotonic())
         self.observer.arrived(self, name, request)
         if self.state != "ready" and self.accepts_after_drain is None:
             self.accepts_after_drain = time.monotonic()
         if self.running >= self.slots and len(self.waiting) >= self.queue:
             self.rejected += 1
-            writer.write(wire.response(503, {"X-Not-Executed": "1", "X-Request-Id": name, "X-Server-Load": self.load()}))
+            writer.write(wire.response(503, {"X-Not-Executed": "1", "X-Request-Id": name, "X-Server-Load": self.load(), **self.fault.answer_fields()}))
             return True
         run = asyncio.ensure_future(self.run(request, name))
         disconnected = asyncio.ensure_future(reader.read(1))
@@ -249,7 +260,7 @@
     async def send(self, result, name, writer):
         status, body = result
         self.observer.answered(self, name, status, body)
-        fields = {"X-Request-Id": name, "X-Server-Stamp": f"{self.instance}.{name}", "X-Server-Load": self.load()}
+        fields = {"X-Request-Id": name, "X-Server-Stamp": f"{self.instance}.{name}", "X-Server-Load": self.load(), **self.fault.answer_fields()}
         if self.random.random() < self.fault.lost:
             writer.transport.abort()
             return False
