The limit that a server names in its answers is held beside it

Cause: nothing read the header. Ruled out by the source: a header on unread answers, a limit known at the wrong daemon. Change: the daemon beside the server reads it from every answer and starts runs by a token bucket; its queue, load and level follow, and what finds the rate used up moves on to another server.

--- a/src/egretlatch/admission/adaptive_gate.cpp
+++ b/src/egretlatch/admission/adaptive_gate.cpp
@@ -18,6 +18,8 @@
 constexpr int maxWaitFactor = 4;
 // The queue must cover at least half a run; otherwise slots stay idle until upstream daemons learn that there is capacity.
 constexpr int minDrainTargetDivisor = 2;
+// A limit far below one run at a time must not divide by zero.
+constexpr double minUsableSlots = 0.01;
 constexpr std::chrono::milliseconds minRetryAfter{200};
 constexpr std::chrono::milliseconds retryAfterBelowLevel{1000};
 
@@ -93,11 +95,16 @@
     m_queueTarget = target;
 }
 
+void AdaptiveGate::setRateLimit(const std::optional<double> perSecond, const SteadyTime now)
+{
+    m_rateLimit.set(perSecond, now);
+}
+
 LoadReport AdaptiveGate::load(const SteadyTime now) const
 {
     LoadReport report;
     report.inFlight = static_cast<int>(m_running.size());
-    report.limit = m_limit.value();
+    report.limit = wholeUsableSlots();
     report.queued = static_cast<int>(m_queue.size());
     report.level = m_level.level();
     report.queueDelay = now - m_queue.oldestArrival(now);
@@ -145,7 +152,7 @@
 
 void AdaptiveGate::startWaiting(const SteadyTime now, GateRelease &release)
 {
-    while (!m_queue.empty() && static_cast<int>(m_running.size()) < m_limit.value()) {
+    while (!m_queue.empty() && static_cast<int>(m_running.size()) < m_limit.value() && m_rateLimit.mayStart(now)) {
         // Under overload the oldest requests are the likeliest to be abandoned by their callers before they complete. Where
         // inner calls are kept, the oldest request has the most invested slot time to lose.
         const bool isUnderPressure = !m_rules.keepsInnerCalls && drainTime() > targetDrainTime();
@@ -155,6 +162,7 @@
             release.refused.push_back(std::move(*refusal));
             continue;
         }
+        m_rateLimit.noteStart();
         m_running.emplace(ticket.execution, Running{.kind = ticket.kind, .cost = ticket.cost});
         release.started.push_back(ticket.execution);
     }
@@ -182,7 +190,7 @@
     }
     // Requests queued behind a root do not delay it, so only the work up to it counts.
     const QueuedRequest *const root = m_queue.leastValuableRoot();
-    const bool isTooLong = root != nullptr && m_queue.workUpTo(root->ticket) / std::max(1, m_limit.value()) > maxDrainTime(root->ticket);
+    const bool isTooLong = root != nullptr && drainTimeOf(m_queue.workUpTo(root->ticket)) > maxDrainTime(root->ticket);
     return isTooLong ? root : nullptr;
 }
 
@@ -200,10 +208,13 @@
 GateRefusal AdaptiveGate::refusalOf(const QueuedRequest &waiting, const bool hasJustArrived, const SteadyTime now) const
 {
     const Ticket &ticket = waiting.ticket;
+    // A limit of one server says nothing about the others, so a request that waited here moves on to another one, too.
+    const bool isLimited = m_rateLimit.perSecond().has_value();
+    const char *const rule = hasJustArrived ? "the queue is full of requests that go first" : "gave way in the queue to requests that go first";
     return {
         .execution = ticket.execution,
-        .reason = hasJustArrived ? account::RefusalReason::overloadAtServer : account::RefusalReason::overloadInQueue,
-        .rule = hasJustArrived ? "the queue is full of requests that go first" : "gave way in the queue to requests that go first",
+        .reason = hasJustArrived || isLimited ? account::RefusalReason::overloadAtServer : account::RefusalReason::overloadInQueue,
+        .rule = isLimited ? "the rate that the backend server named is used up" : rule,
         .figures = {{.name = "priority", .value = static_cast<double>(ticket.rankClass.priority)},
                     {.name = "densityClass", .value = static_cast<double>(ticket.rankClass.density)},
                     {.name = "waitedMs", .value = internal::millisecondsOf(now - ticket.arrived)},
@@ -223,9 +234,30 @@
     return std::max(isBelow ? internal::retryAfterBelowLevel : internal::minRetryAfter, drain);
 }
 
+double AdaptiveGate::usableSlots() const
+{
+    const double slots = std::max(1, m_limit.value());
+    if (!m_rateLimit.perSecond().has_value() || m_meanHeld <= Duration{}) {
+        return slots;
+    }
+    // Runs that start at the limit and last as long as usual occupy this many slots.
+    const double occupied = *m_rateLimit.perSecond() * std::chrono::duration<double>(m_meanHeld).count();
+    return std::min(slots, std::max(occupied, internal::minUsableSlots));
+}
+
+int AdaptiveGate::wholeUsableSlots() const
+{
+    return m_rateLimit.perSecond().has_value() ? std::max(1, static_cast<int>(usableSlots())) : m_limit.value();
+}
+
+Duration AdaptiveGate::drainTimeOf(const Duration work) const
+{
+    return std::chrono::duration_cast<Duration>(work / usableSlots());
+}
+
 Duration AdaptiveGate::drainTime() const
 {
-    return m_queue.work() / std::max(1, m_limit.value());
+    return drainTimeOf(m_queue.work());
 }
 
 Duration AdaptiveGate::targetDrainTime() const
@@ -258,7 +290,7 @@
 
 void AdaptiveGate::updateLevel(const SteadyTime now)
 {
-    m_level.update({.queue = m_queue, .target = targetDrainTime(), .limit = m_limit.value()}, now);
+    m_level.update({.queue = m_queue, .target = targetDrainTime(), .limit = wholeUsableSlots()}, now);
 }
 
 } // namespace egretlatch::admission
--- a/src/egretlatch/admission/adaptive_gate.hpp
+++ b/src/egretlatch/admission/adaptive_gate.hpp
@@ -9,6 +9,7 @@
 #include <egretlatch/admission/gate_rules.hpp>
 #include <egretlatch/admission/level_control.hpp>
 #include <egretlatch/admission/run_estimator.hpp>
+#include <egretlatch/admission/server_rate_limit.hpp>
 
 namespace egretlatch::admission
 {
@@ -35,6 +36,7 @@
     [[nodiscard]] GateRelease tick(SteadyTime now) override;
     void setSlots(int slots) override;
     void setQueueTarget(Duration target) override;
+    void setRateLimit(std::optional<double> perSecond, SteadyTime now) override;
     [[nodiscard]] LoadReport load(SteadyTime now) const override;
     [[nodiscard]] std::vector<account::Figure> levelFigures(SteadyTime now) const override;
 
@@ -52,6 +54,9 @@
     void shedOverdue(SteadyTime now, GateRelease &release);
     [[nodiscard]] GateRefusal refusalOf(const QueuedRequest &waiting, bool hasJustArrived, SteadyTime now) const;
     [[nodiscard]] std::chrono::milliseconds retryAfter(const Ticket &ticket) const;
+    [[nodiscard]] double usableSlots() const;
+    [[nodiscard]] int wholeUsableSlots() const;
+    [[nodiscard]] Duration drainTimeOf(Duration work) const;
     [[nodiscard]] Duration drainTime() const;
     [[nodiscard]] Duration targetDrainTime() const;
     [[nodiscard]] const QueuedRequest *nextToShed() const;
@@ -63,6 +68,7 @@
     Duration m_queueTarget{std::chrono::milliseconds{20}};
     Duration m_meanHeld{};
     ConcurrencyLimit m_limit;
+    ServerRateLimit m_rateLimit;
     LevelControl m_level;
     RunEstimator m_estimator;
     AdmissionQueue m_queue;
--- a/src/egretlatch/admission/fwd.hpp
+++ b/src/egretlatch/admission/fwd.hpp
@@ -45,6 +45,7 @@
 class ChainCosts;
 class CrashSuspects;
 class PerformanceMeter;
+class ServerRateLimit;
 
 } // namespace egretlatch::admission
 
--- a/src/egretlatch/admission/gate.hpp
+++ b/src/egretlatch/admission/gate.hpp
@@ -130,6 +130,15 @@
      */
     virtual void setQueueTarget(Duration target) = 0;
 
+    /**
+     * @brief Sets the rate limit that the backend server named; a gate without queueing by rate ignores it.
+     * @param perSecond Runs that may start per second; empty for no limit.
+     * @param now Current time.
+     */
+    virtual void setRateLimit(std::optional<double> /*perSecond*/, SteadyTime /*now*/)
+    {
+    }
+
     /**
      * @brief Returns the load to be reported to other daemons.
      * @param now Current time.
--- a/src/egretlatch/daemon/decide_thread.cpp
+++ b/src/egretlatch/daemon/decide_thread.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
-#include <egretlatch/daemon/crash_log.hpp>
 #include <egretlatch/daemon/isolation_log.hpp>
+#include <egretlatch/daemon/server_log.hpp>
 #include <egretlatch/daemon/status_document.hpp>
 
 namespace egretlatch::daemon
@@ -150,7 +150,7 @@
         isQueued = m_actionRings.toCallers.tryPush(ReadyChanged{.isReady = true});
     } else if (const auto *const changed = std::get_if<decision::MemberChanged>(&action)) {
         m_logger.debug("member changed", {{"member", changed->id.value}, {"state", membership::toString(changed->state)}});
-    } else if (logCrashAction(m_logger, action)) {
+    } else if (logServerAction(m_logger, action)) {
         isQueued = true;
     } else if (const auto *const departure = std::get_if<decision::DepartureReported>(&action)) {
         m_logger.info("departure reported", {{"instance", departure->instance}});
--- a/src/egretlatch/daemon/crash_log.cpp
+++ b/src/egretlatch/daemon/server_log.cpp
@@ -1,11 +1,11 @@
-#include <egretlatch/daemon/crash_log.hpp>
+#include <egretlatch/daemon/server_log.hpp>
 
 #include <fmt/format.h>
 
 namespace egretlatch::daemon
 {
 
-bool logCrashAction(const Logger &logger, const decision::Action &action)
+bool logServerAction(const Logger &logger, const decision::Action &action)
 {
     if (const auto *const crashed = std::get_if<decision::ServerCrashed>(&action)) {
         logger.warning("backend server crashed", {{"service", crashed->service}, {"running", crashed->running}});
@@ -19,6 +19,14 @@
                         {"callers", quarantined->evidence.callers}});
         return true;
     }
+    if (const auto *const limit = std::get_if<decision::ServerLimitChanged>(&action)) {
+        logger.info("server limit", {{"perSecond", limit->perSecond.has_value() ? fmt::format("{}", *limit->perSecond) : std::string{"none"}}});
+        return true;
+    }
+    if (const auto *const leaving = std::get_if<decision::ServerLeavingNoticed>(&action)) {
+        logger.info("server says in an answer that it leaves", {{"instance", leaving->instance}});
+        return true;
+    }
     if (const auto *const dropped = std::get_if<decision::CrashReportDropped>(&action)) {
         logger.warning("crash report not shared: too many are valid", {{"report", dropped->report}});
         return true;
--- a/src/egretlatch/daemon/crash_log.hpp
+++ b/src/egretlatch/daemon/server_log.hpp
@@ -1,5 +1,5 @@
-#ifndef EGRETLATCH_DAEMON_CRASH_LOG_HPP
-#define EGRETLATCH_DAEMON_CRASH_LOG_HPP
+#ifndef EGRETLATCH_DAEMON_SERVER_LOG_HPP
+#define EGRETLATCH_DAEMON_SERVER_LOG_HPP
 
 #include <egretlatch/core/logger.hpp>
 #include <egretlatch/decision/action.hpp>
@@ -8,12 +8,12 @@
 {
 
 /**
- * @brief Logs an action that reports on crashes of backend servers.
+ * @brief Logs an action that reports on the local backend server.
  * @param logger Logger of the daemon.
  * @param action The action.
  * @return False if the action is another one.
  */
-bool logCrashAction(const Logger &logger, const decision::Action &action);
+bool logServerAction(const Logger &logger, const decision::Action &action);
 
 } // namespace egretlatch::daemon
 
--- a/src/egretlatch/decision/action.hpp
+++ b/src/egretlatch/decision/action.hpp
@@ -149,6 +149,19 @@
     admission::CrashEvidence evidence;
 };
 
+/*! @brief Reports that the local backend server has begun, or ceased, to name a rate limit. */
+struct ServerLimitChanged
+{
+    /*! @brief Requests per second; empty if the limit has ended. */
+    std::optional<double> perSecond;
+};
+
+/*! @brief Reports that the local backend server has said in an answer that it leaves. */
+struct ServerLeavingNoticed
+{
+    std::string instance;
+};
+
 /*! @brief Reports that a report on crashes cannot be shared with the other daemons: too many are valid. */
 struct CrashReportDropped
 {
@@ -251,6 +264,8 @@
                             ServerCrashed,
                             RequestQuarantined,
                             CrashReportDropped,
+                            ServerLimitChanged,
+                            ServerLeavingNoticed,
                             DepartureReported,
                             DepartureSaved,
                             DeparturesKnown,
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -158,6 +158,7 @@
     void handleTick(SteadyTime now);
     void handlePeerLost(const PeerLost &lost, SteadyTime now);
     void handleRumour(const membership::Rumour &rumour, SteadyTime now);
+    void handleNotice(const RunEnded &ended, SteadyTime now);
     void noteReplacement(const ServerAnnounced &announced, SteadyTime now);
     void spreadCrashReports(SteadyTime now);
     void spreadCrashReport(const CrashReport &report, SteadyTime now);
--- a/src/egretlatch/decision/core_server.cpp
+++ b/src/egretlatch/decision/core_server.cpp
@@ -55,9 +55,20 @@
     declareService();
 }
 
+void Core::handleNotice(const RunEnded &ended, const SteadyTime now)
+{
+    const bool isLeaving = ended.notice.has_value() && ended.notice->isLeaving;
+    if (!isLeaving || !m_server.has_value() || hasLeft(m_server->instance) || !m_serving->isAtPresentServer(ended.execution)) {
+        return;
+    }
+    m_context->metrics.count("server_notices", "leaving");
+    m_context->actions.emplace_back(ServerLeavingNoticed{.instance = m_server->instance});
+    handleDraining({.instance = m_server->instance}, now);
+}
+
 void Core::noteReplacement(const ServerAnnounced &announced, const SteadyTime now)
 {
-    m_serving->noteServerReplaced();
+    m_serving->noteServerReplaced(now);
     const bool isSameInstance = m_server.has_value() && !announced.instance.empty() && announced.instance == m_server->instance;
     if (!isSameInstance) {
         m_serving->noteServerEnded(m_isDraining);
--- a/src/egretlatch/decision/event.hpp
+++ b/src/egretlatch/decision/event.hpp
@@ -13,6 +13,7 @@
 #include <egretlatch/core/clock.hpp>
 #include <egretlatch/core/header.hpp>
 #include <egretlatch/core/ids.hpp>
+#include <egretlatch/decision/server_notice.hpp>
 #include <egretlatch/manifest/manifest.hpp>
 #include <egretlatch/protocol/messages.hpp>
 #include <egretlatch/store/requests.hpp>
@@ -117,6 +118,8 @@
 {
     ExecutionId execution;
     std::variant<RunAnswer, RunFailure> result;
+    /*! @brief What the server says of itself; empty if no answer of it was read. */
+    std::optional<ServerNotice> notice{};
 };
 
 /*! @brief The local backend server announced itself. */
--- a/src/egretlatch/decision/fwd.hpp
+++ b/src/egretlatch/decision/fwd.hpp
@@ -13,6 +13,7 @@
 struct RefusalRecord;
 struct PeerCall;
 struct CoreContext;
+struct ServerNotice;
 
 enum class Delivery;
 enum class RunFailure;
@@ -20,6 +21,7 @@
 class AccountGate;
 class EntryHandler;
 class QuotaHandler;
+class NamedLimit;
 class ServingHandler;
 class ConfigurationRoles;
 class Core;
--- a/src/egretlatch/decision/serving_handler.cpp
+++ b/src/egretlatch/decision/serving_handler.cpp
@@ -187,6 +187,9 @@
     m_lastRunEnd = now;
     m_context.metrics.observe("run_duration", attempt.request.service, observation.latency);
     recordOutcome(attempt, ended, now);
+    if (ended.notice.has_value()) {
+        noteNotice(attempt, *ended.notice, now);
+    }
     detectCrash(attempt, ended, now);
     const admission::GateRelease release = m_gate->finish(ended.execution, observation, now);
     answer(ended.execution, internal::answerOf(ended.result, m_context), now);
--- a/src/egretlatch/decision/serving_handler.hpp
+++ b/src/egretlatch/decision/serving_handler.hpp
@@ -13,6 +13,7 @@
 #include <egretlatch/decision/crash_detector.hpp>
 #include <egretlatch/decision/crash_report.hpp>
 #include <egretlatch/decision/event.hpp>
+#include <egretlatch/decision/named_limit.hpp>
 #include <egretlatch/protocol/messages.hpp>
 #include <egretlatch/retry/replay_window.hpp>
 
@@ -184,11 +185,18 @@
         m_crashDetector.noteAnnouncement(now);
     }
 
-    /*! @brief Resets what was measured of the previous backend server. */
-    void noteServerReplaced()
-    {
-        m_performanceMeter.clear();
-    }
+    /**
+     * @brief Resets what was measured and learned of the previous backend server.
+     * @param now Current time.
+     */
+    void noteServerReplaced(SteadyTime now);
+
+    /**
+     * @brief Checks if a run was started at the present instance of the backend server.
+     * @param execution The run.
+     * @return False if it has ended, or another instance has replaced that server.
+     */
+    [[nodiscard]] bool isAtPresentServer(ExecutionId execution) const;
 
     /**
      * @brief Refuses the waiting requests that have become quarantined.
@@ -291,6 +299,7 @@
     void reportRunning(CrashInProgress &crash, const std::vector<admission::RequestIdentity> &running);
     void clearIfSuspect(const Attempt &attempt, SteadyTime now);
     void detectCrash(Attempt &attempt, const RunEnded &ended, SteadyTime now);
+    void noteNotice(const Attempt &attempt, const ServerNotice &notice, SteadyTime now);
     void noteUnanswered(const Attempt &attempt, SteadyTime now);
     [[nodiscard]] std::vector<admission::RequestIdentity> takeRunsUnderWay();
     [[nodiscard]] admission::Suspicion suspicionOf(const DaemonId &from, const protocol::CallRequest &request, SteadyTime now) const;
@@ -307,6 +316,9 @@
     retry::ReplayWindow m_window;
     admission::PerformanceMeter m_performanceMeter;
     CrashDetector m_crashDetector;
+    NamedLimit m_namedLimit;
+    /*! @brief Time from which runs are started at the present instance of the backend server. */
+    SteadyTime m_serverSince;
     std::optional<CrashInProgress> m_crash;
     std::vector<CrashReport> m_crashReports;
     /*! @brief Suspect requests that ran without a crash and have not been reported. */
--- a/src/egretlatch/decision/serving_runs.cpp
+++ b/src/egretlatch/decision/serving_runs.cpp
@@ -133,6 +133,39 @@
     }
 }
 
+void ServingHandler::noteServerReplaced(const SteadyTime now)
+{
+    m_performanceMeter.clear();
+    m_serverSince = now;
+    m_namedLimit.reset();
+    m_gate->setRateLimit(std::nullopt, now);
+}
+
+bool ServingHandler::isAtPresentServer(const ExecutionId execution) const
+{
+    const auto found = m_attempts.find(execution);
+    return found != m_attempts.end() && found->second.started.has_value() && *found->second.started >= m_serverSince;
+}
+
+void ServingHandler::noteNotice(const Attempt &attempt, const ServerNotice &notice, const SteadyTime now)
+{
+    if (notice.hasUnreadableLimit) {
+        m_context.metrics.count("server_notices", "unreadable-limit");
+    }
+    // An answer of an earlier instance says nothing about the present one.
+    const bool isOfPresent = *attempt.started >= m_serverSince;
+    const bool hadLimit = m_namedLimit.perSecond().has_value();
+    if (!isOfPresent || !m_namedLimit.noteAnswer(notice, *attempt.started, now)) {
+        return;
+    }
+    const std::optional<double> limit = m_namedLimit.perSecond();
+    m_gate->setRateLimit(limit, now);
+    m_context.metrics.count("server_notices", limit.has_value() ? "limit" : "limit-ended");
+    if (hadLimit != limit.has_value()) {
+        m_context.actions.emplace_back(ServerLimitChanged{.perSecond = limit});
+    }
+}
+
 void ServingHandler::noteUnanswered(const Attempt &attempt, const SteadyTime now)
 {
     if (attempt.isInCrashReport) {
--- a/src/egretlatch/platform/names.hpp
+++ b/src/egretlatch/platform/names.hpp
@@ -21,6 +21,10 @@
 inline constexpr const char *serverStampHeader = "X-Server-Stamp";
 /*! @brief Present if the backend server did not execute the request. */
 inline constexpr const char *notExecutedHeader = "X-Not-Executed";
+/*! @brief Requests per second that the backend server takes from all daemons together, in its answers. */
+inline constexpr const char *serverLimitHeader = "Server-Limit";
+/*! @brief `1` in the answers of a backend server that is about to leave. */
+inline constexpr const char *serverLeavingHeader = "Server-Leaving";
 inline constexpr const char *contentEncodingHeader = "Content-Encoding";
 inline constexpr const char *retryAfterHeader = "Retry-After";
 
--- a/src/egretlatch/sidecar/backend_runner.cpp
+++ b/src/egretlatch/sidecar/backend_runner.cpp
@@ -1,5 +1,6 @@
 #include <egretlatch/sidecar/backend_runner.hpp>
 
+#include <egretlatch/platform/server_notice.hpp>
 #include <egretlatch/platform/server_wire.hpp>
 
 namespace egretlatch::sidecar
@@ -21,6 +22,12 @@
     return isNotConnected ? decision::RunFailure::notConnected : decision::RunFailure::lost;
 }
 
+[[nodiscard]] static std::optional<decision::ServerNotice> noticeOf(const http::Outcome &result)
+{
+    const auto *const answer = std::get_if<http::Response>(&result);
+    return answer == nullptr ? std::nullopt : std::optional{platform::readServerNotice(answer->headers)};
+}
+
 [[nodiscard]] static bool isConnectionLost(const http::Outcome &result)
 {
     const auto *const failure = std::get_if<http::Failure>(&result);
@@ -49,7 +56,7 @@
     const ExecutionId execution = start.execution;
     outgoing.onResult = [this, execution](const http::Outcome &result) {
         m_requestIds.erase(execution.value);
-        m_onEnded({.execution = execution, .result = internal::runResultOf(result)});
+        m_onEnded({.execution = execution, .result = internal::runResultOf(result), .notice = internal::noticeOf(result)});
         if (internal::isConnectionLost(result)) {
             probe();
         }
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -6,8 +6,8 @@
 #include <fmt/format.h>
 
 #include <egretlatch/core/new_incarnation.hpp>
-#include <egretlatch/daemon/crash_log.hpp>
 #include <egretlatch/daemon/isolation_log.hpp>
+#include <egretlatch/daemon/server_log.hpp>
 #include <egretlatch/platform/bounds.hpp>
 #include <egretlatch/platform/names.hpp>
 #include <egretlatch/sidecar/adaptive_options.hpp>
@@ -284,7 +284,7 @@
         applyConfiguration();
     } else if (const auto *const changed = std::get_if<decision::MemberChanged>(&action)) {
         m_logger.info("member changed", {{"member", changed->id.value}, {"state", membership::toString(changed->state)}});
-    } else if (daemon::logCrashAction(m_logger, action)) {
+    } else if (daemon::logServerAction(m_logger, action)) {
         return;
     } else if (const auto *const departure = std::get_if<decision::DepartureReported>(&action)) {
         m_logger.info("departure reported", {{"instance", departure->instance}});
