A server that says in an answer that it leaves gets no new requests

What servers saw: requests went on arriving after they had said in all their answers that they leave, while their reports said ready (DRAIN). Cause: only reports were read. Change: such an answer is a departure like a report of one: recorded before anything else, saved, spread, bounded in time; only of the instance that gave the answer.

--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -123,6 +123,7 @@
                        handlePeerLost(lost, now);
                    },
                    [&](const RunEnded &ended) {
+                       handleNotice(ended, now);
                        m_serving->handleRunEnded(ended, now);
                        spreadCrashReports(now);
                    },
