--- a/src/egretlatch/daemon/server_log.cpp
+++ b/src/egretlatch/daemon/server_log.cpp
@@ -27,6 +27,10 @@
         logger.info("server says in an answer that it leaves", {{"instance", leaving->instance}});
         return true;
     }
+    if (const auto *const forgotten = std::get_if<decision::SuspectsForgotten>(&action)) {
+        logger.warning("suspect requests forgotten: too many", {{"total", forgotten->total}});
+        return true;
+    }
     if (const auto *const dropped = std::get_if<decision::CrashReportDropped>(&action)) {
         logger.warning("crash report not shared: too many are valid", {{"report", dropped->report}});
         return true;
--- a/src/egretlatch/decision/action.hpp
+++ b/src/egretlatch/decision/action.hpp
@@ -168,6 +168,13 @@
     std::string report;
 };
 
+/*! @brief Reports that suspect requests were forgotten because there were too many, those with the fewest crashes first. */
+struct SuspectsForgotten
+{
+    /*! @brief Number of them since the start of this daemon. */
+    std::uint64_t total{};
+};
+
 /*! @brief Sends a request to the platform; a PlatformAnswered with the same id follows. */
 struct SendToPlatform
 {
@@ -264,6 +271,7 @@
                             ServerCrashed,
                             RequestQuarantined,
                             CrashReportDropped,
+                            SuspectsForgotten,
                             ServerLimitChanged,
                             ServerLeavingNoticed,
                             DepartureReported,
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -198,6 +198,7 @@
     membership::Departures m_departures;
     SteadyTime m_lastAnnounced;
     SteadyTime m_lastFleetTick;
+    SteadyTime m_lastSuspectsExpiry;
     bool m_isDraining{};
     /*! @brief Set once the daemon has received the signal to end. */
     bool m_isSignalled{};
--- a/src/egretlatch/decision/core_crashes.cpp
+++ b/src/egretlatch/decision/core_crashes.cpp
@@ -5,6 +5,13 @@
 namespace egretlatch::decision
 {
 
+namespace internal
+{
+
+constexpr std::chrono::seconds suspectsExpiryInterval{1};
+
+} // namespace internal
+
 void Core::spreadCrashReports(const SteadyTime now)
 {
     for (const CrashReport &report : m_serving->takeCrashReports()) {
@@ -30,7 +37,12 @@
             open.push_back(request);
         }
     }
+    const std::uint64_t evicted = suspects.evicted();
     report.apply(suspects, now);
+    if (suspects.evicted() != evicted) {
+        m_context->metrics.count("messages_dropped", "crash-suspect");
+        m_context->actions.emplace_back(SuspectsForgotten{.total = suspects.evicted()});
+    }
     bool isAnyNew = false;
     for (const admission::RequestIdentity &request : open) {
         if (suspects.suspicionOf(request, now) == admission::Suspicion::quarantined) {
@@ -47,10 +59,11 @@
 void Core::tickSuspects(const SteadyTime now)
 {
     spreadCrashReports(now);
-    if (const std::optional<CrashReport> report = m_serving->takeSuccessReport()) {
+    if (const std::optional<CrashReport> report = m_serving->takeSuccessReport(now)) {
         spreadCrashReport(*report, now);
     }
-    if (!m_context->suspects.isEmpty()) {
+    if (now - m_lastSuspectsExpiry >= internal::suspectsExpiryInterval) {
+        m_lastSuspectsExpiry = now;
         m_context->suspects.expire(now);
     }
 }
--- a/src/egretlatch/decision/crash_report.cpp
+++ b/src/egretlatch/decision/crash_report.cpp
@@ -14,14 +14,16 @@
 // Daemons of a release before these identities read other prefixes, and ignore what they cannot match.
 constexpr std::string_view crashPrefix = "ended";
 constexpr std::string_view successPrefix = "ran";
+// Every daemon has the report within seconds. One that starts later takes a bystander for a suspect, which does no harm alone.
+constexpr std::chrono::seconds successReportLifetime{30};
 
-[[nodiscard]] static CrashReport makeReport(std::string key, const std::vector<admission::RequestIdentity> &requests)
+[[nodiscard]] static CrashReport makeReport(std::string key, const std::vector<admission::RequestIdentity> &requests, const Duration lifetime)
 {
     return {.rumour = {
                 .key = {.kind = membership::RumourKind::quarantine, .key = std::move(key)},
                 .version = 1,
                 .payload = admission::toBytes(requests),
-                .remaining = admission::CrashSuspects::crashLifetime,
+                .remaining = lifetime,
             }};
 }
 
@@ -39,7 +41,7 @@
         const std::vector<admission::RequestIdentity> part{running.begin() + static_cast<std::ptrdiff_t>(first),
                                                            running.begin() + static_cast<std::ptrdiff_t>(last)};
         const std::string key = fmt::format("{}/{}/{:x}/{}/{}", internal::crashPrefix, daemon.value, incarnation.value, number, reported + reports.size());
-        reports.push_back(internal::makeReport(key, part));
+        reports.push_back(internal::makeReport(key, part, admission::CrashSuspects::crashLifetime));
     }
     return reports;
 }
@@ -49,7 +51,8 @@
                                     const std::uint64_t number,
                                     const std::vector<admission::RequestIdentity> &requests)
 {
-    return internal::makeReport(fmt::format("{}/{}/{:x}/{}", internal::successPrefix, daemon.value, incarnation.value, number), requests);
+    return internal::makeReport(
+        fmt::format("{}/{}/{:x}/{}", internal::successPrefix, daemon.value, incarnation.value, number), requests, internal::successReportLifetime);
 }
 
 void CrashReport::apply(admission::CrashSuspects &suspects, const SteadyTime now) const
--- a/src/egretlatch/decision/entry_attempts.cpp
+++ b/src/egretlatch/decision/entry_attempts.cpp
@@ -54,19 +54,6 @@
     m_context.actions.emplace_back(SendToPeer{.to = *server, .endpoint = endpoint, .message = std::move(request)});
 }
 
-std::optional<DaemonId> EntryHandler::findTrialServer(const Pending &pending) const
-{
-    // Every entry daemon names the same server, so trials of several daemons end one server at most.
-    std::optional<DaemonId> first;
-    for (const membership::Member &member : m_context.roster.members()) {
-        const bool isServing = member.state == membership::MemberState::serving && member.service == pending.call.service;
-        if (isServing && !pending.tried.contains(member.id) && (!first.has_value() || member.id < *first)) {
-            first = member.id;
-        }
-    }
-    return first;
-}
-
 protocol::CallRequest EntryHandler::requestOf(const Pending &pending, const CallId call, const SteadyTime now) const
 {
     protocol::CallRequest request;
@@ -167,21 +154,6 @@
     return isRetryable && takeRetry(pending, answer, now);
 }
 
-bool EntryHandler::mayEndAnotherServer(const Pending &pending, const protocol::CallAnswer &answer, const SteadyTime now) const
-{
-    return answer.hasReachedServer && (pending.lostRuns >= maxLostRuns || suspicionOf(pending, now) != admission::Suspicion::none);
-}
-
-void EntryHandler::resend(Pending pending, const SteadyTime now)
-{
-    // The third crash may have been reported while the call waited.
-    if (suspicionOf(pending, now) == admission::Suspicion::quarantined) {
-        finishQuarantined(std::move(pending), retryAfterQuarantine, now);
-        return;
-    }
-    makeAttempt(std::move(pending), now);
-}
-
 void EntryHandler::retryLater(Pending pending, const SteadyTime now)
 {
     const Duration wait = retry::backoff(pending.retries, m_context.random);
--- a/src/egretlatch/decision/entry_handler.cpp
+++ b/src/egretlatch/decision/entry_handler.cpp
@@ -183,42 +183,6 @@
     makeAttempt(std::move(pending), now);
 }
 
-admission::Suspicion EntryHandler::suspicionOf(const Pending &pending, const SteadyTime now) const
-{
-    return m_context.suspects.isEmpty() ? admission::Suspicion::none : m_context.suspects.suspicionOf(identityOf(pending), now);
-}
-
-admission::RequestIdentity EntryHandler::identityOf(const Pending &pending) const
-{
-    const CallerCall &call = pending.call;
-    return admission::identityOf({
-        .kind = call.kind,
-        .method = call.method,
-        .path = call.path,
-        .body = {call.body.constData(), static_cast<std::size_t>(call.body.size())},
-        .service = m_context.roster.self().service,
-        .account = call.account,
-    });
-}
-
-bool EntryHandler::beginTrial(Pending &pending)
-{
-    pending.isTrial = m_trials.insert(identityOf(pending).content).second;
-    return pending.isTrial;
-}
-
-void EntryHandler::finishQuarantined(Pending pending, const std::chrono::milliseconds retryAfter, const SteadyTime now)
-{
-    const admission::CrashEvidence evidence = m_context.suspects.evidenceAgainst(identityOf(pending), now);
-    const auto sinceLast = std::chrono::duration_cast<std::chrono::milliseconds>(evidence.sinceLast);
-    std::vector<account::Figure> figures{
-        {"crashes", static_cast<double>(evidence.crashes)},
-        {"callers", static_cast<double>(evidence.callers)},
-        {"sinceLastMs", static_cast<double>(sinceLast.count())},
-    };
-    finishRefused(std::move(pending), m_context.refuse(account::RefusalReason::quarantined, quarantineRule, std::move(figures), retryAfter), now);
-}
-
 EntryHandler::Pending
 EntryHandler::begin(const CallArrived &arrived, const manifest::KindSpec &kind, const std::optional<InnerContext> &inner, const SteadyTime now)
 {
--- a/src/egretlatch/decision/event.hpp
+++ b/src/egretlatch/decision/event.hpp
@@ -118,7 +118,7 @@
 {
     ExecutionId execution;
     std::variant<RunAnswer, RunFailure> result;
-    /*! @brief What the server says of itself; empty if no answer of it was read. */
+    /*! @brief Statements of the server about itself; empty if no answer of it was read. */
     std::optional<ServerNotice> notice{};
 };
 
--- a/src/egretlatch/decision/server_notice.hpp
+++ b/src/egretlatch/decision/server_notice.hpp
@@ -6,7 +6,7 @@
 namespace egretlatch::decision
 {
 
-/*! @brief What a backend server says of itself in an answer. */
+/*! @brief Statements of a backend server about itself in an answer. */
 struct ServerNotice
 {
     /*! @brief Requests per second that it takes from all daemons together; empty if it names no limit. */
--- a/src/egretlatch/decision/serving_handler.hpp
+++ b/src/egretlatch/decision/serving_handler.hpp
@@ -160,9 +160,10 @@
 
     /**
      * @brief Removes and returns the pending report of suspect requests that ran without a crash.
-     * @return The report; empty if there were none since the last call.
+     * @param now Current time.
+     * @return The report; empty if none is due.
      */
-    [[nodiscard]] std::optional<CrashReport> takeSuccessReport();
+    [[nodiscard]] std::optional<CrashReport> takeSuccessReport(SteadyTime now);
 
     /**
      * @brief Records that the backend server has ended: another instance replaced it, or it stopped announcing itself.
@@ -323,6 +324,7 @@
     std::vector<CrashReport> m_crashReports;
     /*! @brief Suspect requests that ran without a crash and have not been reported. */
     std::vector<admission::RequestIdentity> m_ranWell;
+    SteadyTime m_lastSuccessReport;
     std::uint64_t m_lastCrashReport{};
     std::uint64_t m_lastExecution{};
     std::uint64_t m_answers{};
--- a/src/egretlatch/decision/serving_runs.cpp
+++ b/src/egretlatch/decision/serving_runs.cpp
@@ -14,6 +14,8 @@
 {
 
 constexpr int firstServerError = 500;
+// All that ran beside a culprit runs well soon after; a report for each would crowd out the reports of crashes.
+constexpr std::chrono::milliseconds successReportInterval{500};
 
 } // namespace internal
 
@@ -202,11 +204,14 @@
     }
 }
 
-std::optional<CrashReport> ServingHandler::takeSuccessReport()
+std::optional<CrashReport> ServingHandler::takeSuccessReport(const SteadyTime now)
 {
-    if (m_ranWell.empty()) {
+    const bool isFull = m_ranWell.size() >= admission::maxIdentitiesPerMessage;
+    const bool isDue = isFull || now - m_lastSuccessReport >= internal::successReportInterval;
+    if (m_ranWell.empty() || !isDue) {
         return std::nullopt;
     }
+    m_lastSuccessReport = now;
     const std::size_t count = std::min(m_ranWell.size(), admission::maxIdentitiesPerMessage);
     const auto end = m_ranWell.begin() + static_cast<std::ptrdiff_t>(count);
     const std::vector<admission::RequestIdentity> requests{m_ranWell.begin(), end};
--- a/src/egretlatch/platform/server_notice.hpp
+++ b/src/egretlatch/platform/server_notice.hpp
@@ -8,7 +8,7 @@
 {
 
 /**
- * @brief Reads what a backend server says of itself in an answer.
+ * @brief Reads the statements of a backend server about itself in an answer.
  *
  * A limit is a decimal number of at least zero; of several, the lowest counts. Any other text is unreadable.
  * @param headers Header fields of the answer.
