--- a/test/egretlatch/admission/request_identity.cpp
+++ b/test/egretlatch/admission/request_identity.cpp
@@ -55,6 +55,7 @@
 {
     rc::check("round trip", [](const std::vector<std::pair<std::uint64_t, std::uint64_t>> &numbers) {
         std::vector<RequestIdentity> requests;
+        requests.reserve(numbers.size());
         for (const auto &[content, caller] : numbers) {
             requests.push_back({.content = content, .caller = caller});
         }
