The identities' property tests decide again

Found in the last reading: the tests that replaced the fingerprint's called rc::check() without CHECK, so a failing property would have been printed and passed. They are wrapped as before; both pass (2 assertions).

--- a/test/egretlatch/admission/request_identity.cpp
+++ b/test/egretlatch/admission/request_identity.cpp
@@ -53,7 +53,7 @@
 
 TEST_CASE("identities survive serialization, and arbitrary bytes are parsed without errors")
 {
-    rc::check("round trip", [](const std::vector<std::pair<std::uint64_t, std::uint64_t>> &numbers) {
+    CHECK(rc::check("round trip", [](const std::vector<std::pair<std::uint64_t, std::uint64_t>> &numbers) {
         std::vector<RequestIdentity> requests;
         requests.reserve(numbers.size());
         for (const auto &[content, caller] : numbers) {
@@ -62,8 +62,8 @@
         const std::vector<RequestIdentity> read = identitiesFrom(toBytes(requests));
         requests.resize(std::min(requests.size(), maxIdentitiesPerMessage));
         RC_ASSERT(read == requests);
-    });
-    rc::check("arbitrary bytes", [](const std::string &bytes) {
+    }));
+    CHECK(rc::check("arbitrary bytes", [](const std::string &bytes) {
         RC_ASSERT(identitiesFrom(bytes).size() == bytes.size() / sizeof(RequestIdentity));
-    });
+    }));
 }
