--- a/review/small_server.py
+++ b/review/small_server.py
@@ -206,7 +206,7 @@
                 self.leaving = asyncio.ensure_future(self.leave(float(seconds)))
 
     async def run(self):
-        host, port = self.options.address.split(":")
+        host, port = (self.options.listen or self.options.address).split(":")
         listener = await asyncio.start_server(self.serve, host, int(port), backlog=256)
         tell("starts", instance=self.options.instance, born=self.born)
         async with listener:
@@ -220,6 +220,7 @@
     parser.add_argument("--slots", type=int, default=36)
     parser.add_argument("--work", type=float, default=0.29)
     parser.add_argument("--heartbeat", type=float, default=1.5)
+    parser.add_argument("--listen", help="address to listen at, if a relay forwards from --address")
     parser.add_argument("--sheds", type=float, default=0.0, help="share of the requests that are rejected")
     parser.add_argument("--seconds", type=float, default=0.0, help="share of the rejections that are sent a second time")
     parser.add_argument("--bare", action="store_true", help="rejections name no request")
