--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,6 +6,6 @@
 python3 - <<'CHECK'
 import pathlib
 
-for path in [*pathlib.Path("review").glob("small_*.py"), *pathlib.Path("review").glob("[4-6]/*.py"), *pathlib.Path("standin/fleet").glob("*.py")]:
+for path in [*pathlib.Path("review").glob("*.py"), *pathlib.Path("review").glob("[4-6]/*.py"), *pathlib.Path("standin/fleet").glob("*.py")]:
     compile(path.read_text(), str(path), "exec")
 CHECK
--- a/review/small_server.py
+++ b/review/small_server.py
@@ -6,6 +6,8 @@
 
     drain SECONDS   report that it leaves, serve for SECONDS after the acknowledgement, deregister and exit
 
+A request with /crash in its path ends the process as soon as it begins to run.
+
 A POST below /import/ is answered before its long body has been read, without a length: the answer ends with its connection, after
 the rest of the body has been read.
 """
@@ -14,10 +16,15 @@
 import asyncio
 import json
 import os
+import random
 import sys
 import time
 
 QUEUE = 72
+CRASH_MARK = "/crash"
+CRASHED = 3
+# As `fleetbench wire` shows the answer of a server that sheds: without X-Request-Id.
+SHED = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 IMPORT_PARTS = 20
 IMPORT_PART_SECONDS = 0.05
 READ_SIZE = 65536
@@ -59,6 +66,7 @@
         self.born = int(time.time() * 1000)
         self.running = 0
         self.waiting = []
+        self.random = random.Random(options.instance)
 
     def report(self):
         self.sequence += 1
@@ -115,6 +123,7 @@
         return [f"X-Server-Stamp: {self.options.instance}.{name}", f"X-Server-Load: {self.running},{len(self.waiting)},{self.options.slots}"]
 
     async def serve(self, reader, writer):
+        writer.second = b""
         try:
             while await self.serve_one(reader, writer):
                 pass
@@ -145,12 +154,23 @@
             return False
         body = await reader.readexactly(length)
         tell("arrives", name=name, path=path)
+        # A second answer that arrives late, at the point where the next one is expected.
+        writer.write(writer.second)
+        writer.second = b""
+        if self.random.random() < self.options.sheds:
+            shed = SHED if self.options.bare else self.whole(503, name, fields=["X-Not-Executed: 1"])
+            writer.write(shed)
+            writer.second = shed if self.random.random() < self.options.seconds else b""
+            return True
         if self.running >= self.options.slots and len(self.waiting) >= QUEUE:
             writer.write(self.whole(503, name, fields=["X-Not-Executed: 1"]))
             return True
         await self.slot()
         try:
             tell("runs", name=name, method=method, path=path, bytes=len(body))
+            if CRASH_MARK in path:
+                tell("crashes", name=name, path=path)
+                os._exit(CRASHED)
             await asyncio.sleep(self.options.work)
         finally:
             self.free()
@@ -200,6 +220,9 @@
     parser.add_argument("--slots", type=int, default=36)
     parser.add_argument("--work", type=float, default=0.29)
     parser.add_argument("--heartbeat", type=float, default=1.5)
+    parser.add_argument("--sheds", type=float, default=0.0, help="share of the requests that are rejected")
+    parser.add_argument("--seconds", type=float, default=0.0, help="share of the rejections that are sent a second time")
+    parser.add_argument("--bare", action="store_true", help="rejections name no request")
     asyncio.run(Server(parser.parse_args()).run())
 
 
--- a/review/small_site.py
+++ b/review/small_site.py
@@ -39,12 +39,12 @@
             "service": service, "max_attempts": 2}
 
 
-def configuration(version, routes, services):
+def configuration(version, routes, services, limits=None):
     """Returns a configuration as the operator writes it."""
     resources = [{"resource_type": "routes", "metadata": {"name": name}, "spec": spec} for name, spec in routes.items()]
     resources += [{"resource_type": "services", "metadata": {"name": name},
                    "spec": {"health_path": "/health", "max_connections": 316, "protocol": "h1", "tls": False}} for name in services]
-    resources.append({"resource_type": "limits", "metadata": {}, "spec": LIMITS})
+    resources.append({"resource_type": "limits", "metadata": {}, "spec": {**LIMITS, **(limits or {})}})
     return {"version": f"{version:08x}", "resources": resources}
 
 
@@ -88,6 +88,7 @@
         self.server = None
         self.starts = 0
         self.reader = None
+        self.server_options = ()
 
     def at(self, name):
         return f"{self.ip}:{self.site.ports[name]}"
@@ -112,7 +113,7 @@
         self.starts += 1
         self.instance = f"i-{self.name}-{self.starts}"
         command = [sys.executable, str(ROOT / "review/small_server.py"), "--instance", self.instance, "--service", self.service, "--zone", self.zone,
-                   "--address", self.at("app"), "--control", self.at("control")]
+                   "--address", self.at("app"), "--control", self.at("control"), *self.server_options]
         self.server = await asyncio.create_subprocess_exec(*command, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
         self.site.servers.append(self.server)
         self.reader = asyncio.ensure_future(self.read_events(self.server, self.instance))
