The daemon with keys tells a reset of its server's answer from its end

What callers saw: part of an answer without a length as a whole one, whatever of the request was unsent. Cause: Qt's network access reports a reset as an orderly close, and there is no way to ask it.

Change: BackendClient sends its runs through http::ClientPool, as the sidecar does; a host name in backendUrl is resolved once. The limit on answers (64 MiB) holds here too; there was none. The answer to a HEAD request ends with its header. A run is sent at most once: Qt repeated idempotent ones by itself, outside of any retry budget, so that flag went. The raw servers of two test files are one fake now.

--- a/src/egretlatch/daemon/backend_client.cpp
+++ b/src/egretlatch/daemon/backend_client.cpp
@@ -1,5 +1,8 @@
 #include <egretlatch/daemon/backend_client.hpp>
 
+#include <QAbstractSocket>
+#include <QHostAddress>
+#include <QHostInfo>
 #include <QUrl>
 
 #include <egretlatch/account/trace_context.hpp>
@@ -13,83 +16,116 @@
 {
 
 constexpr int serviceUnavailable = 503;
+constexpr int defaultPort = 80;
+constexpr std::chrono::milliseconds tickInterval{100};
+// The decision core aborts a run at its deadline. This later deadline only frees the connection if it fails to.
+constexpr std::chrono::milliseconds deadlineMargin{500};
+constexpr http::ReadLimits answerLimits{.headerBytes = 64U * 1024U, .bodyBytes = 64ULL * 1024U * 1024U};
 
-[[nodiscard]] static QByteArray toQt(const std::string &text)
+[[nodiscard]] static QUrl parse(const std::string &url)
 {
-    return QByteArray::fromStdString(text);
+    return QUrl::fromEncoded(QByteArray::fromStdString(url), QUrl::TolerantMode);
 }
 
-[[nodiscard]] static QNetworkRequest toQt(const std::string &baseUrl, const decision::RunRequest &run)
+/*! @brief Returns the first IPv4 address of a host; the host as written if it has none, so that connections to it fail. */
+[[nodiscard]] static std::string addressOf(const QString &host)
 {
-    QNetworkRequest request{QUrl::fromEncoded(toQt(baseUrl + run.path), QUrl::TolerantMode)};
-    // Responses are forwarded unchanged: redirects are not followed, content is not decoded and cookies are not stored.
-    request.setAttribute(QNetworkRequest::RedirectPolicyAttribute, QNetworkRequest::ManualRedirectPolicy);
-    request.setAttribute(QNetworkRequest::CookieLoadControlAttribute, QNetworkRequest::Manual);
-    request.setAttribute(QNetworkRequest::CookieSaveControlAttribute, QNetworkRequest::Manual);
-    request.setAttribute(QNetworkRequest::CacheLoadControlAttribute, QNetworkRequest::AlwaysNetwork);
-    request.setRawHeader("Accept-Encoding", "identity");
-    request.setRawHeader("User-Agent", "egretlatch");
-    for (const Header &header : run.headers) {
-        request.setRawHeader(toQt(header.name), toQt(header.value));
+    const QList<QHostAddress> addresses = QHostInfo::fromName(host).addresses();
+    for (const QHostAddress &address : addresses) {
+        if (address.protocol() == QAbstractSocket::IPv4Protocol) {
+            return address.toString().toStdString();
+        }
     }
+    return host.toStdString();
+}
+
+[[nodiscard]] static net::Endpoint endpointOf(const QUrl &url)
+{
+    return {.address = addressOf(url.host()), .port = static_cast<std::uint16_t>(url.port(defaultPort))};
+}
+
+[[nodiscard]] static http::Request toHttp(const decision::RunRequest &run, const std::string &host, const std::string &pathPrefix)
+{
+    http::Request request{.method = run.method, .target = pathPrefix + run.path, .headers = run.headers, .body = run.body};
+    const auto add = [&request](const char *const name, std::string value) {
+        request.headers.push_back({.name = name, .value = std::move(value)});
+    };
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(run.remaining).count();
-    request.setRawHeader(timeoutHeader, QByteArray::number(static_cast<qlonglong>(milliseconds)));
-    request.setRawHeader(kindHeader, toQt(run.kind));
-    request.setRawHeader(callHeader, toQt(run.runToken));
-    request.setRawHeader(traceHeader, toQt(account::toTraceParent(run.trace)));
+    add("Host", host);
+    add("Accept-Encoding", "identity");
+    add(timeoutHeader, std::to_string(milliseconds));
+    add(kindHeader, run.kind);
+    add(callHeader, run.runToken);
+    add(traceHeader, account::toTraceParent(run.trace));
     if (!run.account.empty()) {
-        request.setRawHeader(accountHeader, toQt(run.account));
+        add(accountHeader, run.account);
     }
     if (!run.key.empty()) {
-        request.setRawHeader(keyHeader, toQt(run.key));
+        add(keyHeader, run.key);
     }
     return request;
 }
 
-[[nodiscard]] static decision::RunFailure toRunFailure(const QNetworkReply::NetworkError error)
+[[nodiscard]] static decision::RunFailure toRunFailure(const http::Failure failure)
+{
+    return failure == http::Failure::notConnected ? decision::RunFailure::notConnected : decision::RunFailure::lost;
+}
+
+[[nodiscard]] static bool isRejected(const http::Response &response)
 {
-    return error == QNetworkReply::ConnectionRefusedError ? decision::RunFailure::notConnected : decision::RunFailure::lost;
+    const std::string *const verdict = http::findHeader(response.headers, verdictHeader);
+    return response.status == serviceUnavailable && verdict != nullptr && *verdict == toString(Verdict::notRun);
 }
 
-[[nodiscard]] static decision::RunAnswer toRunAnswer(QNetworkReply &reply, const int status)
+[[nodiscard]] static decision::RunAnswer toRunAnswer(const http::Response &response)
 {
     decision::RunAnswer answer;
-    answer.status = status;
-    for (const auto &[name, value] : reply.rawHeaderPairs()) {
-        if (isEndToEnd(name)) {
-            answer.headers.push_back({.name = name.toStdString(), .value = value.toStdString()});
+    answer.status = response.status;
+    answer.body = response.body;
+    for (const Header &header : response.headers) {
+        if (isEndToEnd(QByteArray::fromStdString(header.name))) {
+            answer.headers.push_back(header);
         }
     }
-    answer.body = reply.readAll();
     return answer;
 }
 
-[[nodiscard]] static bool isConnectionError(const QNetworkReply::NetworkError error)
-{
-    // Qt also reports a status of 400 and above as an error, but then the response is complete. After a connection error it is
-    // not.
-    return error == QNetworkReply::RemoteHostClosedError || error == QNetworkReply::ContentReSendError || error == QNetworkReply::TimeoutError
-        || error == QNetworkReply::OperationCanceledError || error == QNetworkReply::UnknownNetworkError || error == QNetworkReply::ProtocolFailure
-        || error == QNetworkReply::TemporaryNetworkFailureError;
-}
-
 } // namespace internal
 
-BackendClient::BackendClient(std::string baseUrl, EndHandler onEnd)
-    : m_baseUrl{std::move(baseUrl)}
+BackendClient::BackendClient(const std::string &baseUrl, const Clock &clock, EndHandler onEnd)
+    : m_clock{clock}
     , m_onEnd{std::move(onEnd)}
+    , m_host{internal::parse(baseUrl).authority().toStdString()}
+    , m_pathPrefix{internal::parse(baseUrl).path(QUrl::FullyEncoded).toStdString()}
+    , m_pool{m_poller, clock, internal::endpointOf(internal::parse(baseUrl)), internal::answerLimits}
 {
+    m_tickTimer.setInterval(internal::tickInterval);
+    QObject::connect(&m_tickTimer, &QTimer::timeout, &m_tickTimer, [this] {
+        m_pool.tick();
+    });
+    m_tickTimer.start();
 }
 
 void BackendClient::start(const decision::StartRun &run)
 {
-    const QNetworkRequest request = internal::toQt(m_baseUrl, run.request);
-    const Resend resend = run.request.mayRepeat ? Resend::allowed : Resend::never;
-    QNetworkReply *const reply = m_pool.send(internal::toQt(run.request.method), request, run.request.body, resend);
-    m_running.emplace(run.execution, reply);
-    connect(reply, &QNetworkReply::finished, this, [this, execution = run.execution, reply] {
-        handleFinished(execution, reply);
-    });
+    const ExecutionId execution = run.execution;
+    http::OutgoingRequest outgoing;
+    outgoing.bytes = http::encode(internal::toHttp(run.request, m_host, m_pathPrefix));
+    outgoing.hasAnswerBody = run.request.method != "HEAD";
+    outgoing.isMatchingResponse = [](const http::Response & /*response*/) {
+        return true;
+    };
+    outgoing.deadline = m_clock.steadyNow() + run.request.remaining + internal::deadlineMargin;
+    outgoing.onResult = [this, execution](const http::Outcome &outcome) {
+        handleOutcome(execution, outcome);
+    };
+    // The result may be delivered before send() returns.
+    m_running.emplace(execution, http::ClientRequestId{});
+    const http::ClientRequestId id = m_pool.send(std::move(outgoing));
+    const auto found = m_running.find(execution);
+    if (found != m_running.end()) {
+        found->second = id;
+    }
 }
 
 void BackendClient::abort(const ExecutionId execution)
@@ -98,28 +134,24 @@
     if (found == m_running.end()) {
         return;
     }
-    QNetworkReply *const reply = found->second;
+    const http::ClientRequestId id = found->second;
     m_running.erase(found);
-    reply->abort();
+    m_pool.cancel(id);
 }
 
-void BackendClient::handleFinished(const ExecutionId execution, QNetworkReply *const reply)
+void BackendClient::handleOutcome(const ExecutionId execution, const http::Outcome &outcome)
 {
-    reply->deleteLater();
-    if (m_running.erase(execution) == 0) {
-        return;
-    }
-    const int status = reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
-    if (status == 0 || internal::isConnectionError(reply->error())) {
-        m_onEnd({.execution = execution, .result = internal::toRunFailure(reply->error())});
+    m_running.erase(execution);
+    if (const auto *const failure = std::get_if<http::Failure>(&outcome)) {
+        m_onEnd({.execution = execution, .result = internal::toRunFailure(*failure)});
         return;
     }
-    const bool isRejected = status == internal::serviceUnavailable && reply->rawHeader(verdictHeader) == toString(Verdict::notRun).data();
-    if (isRejected) {
+    const auto &response = std::get<http::Response>(outcome);
+    if (internal::isRejected(response)) {
         m_onEnd({.execution = execution, .result = decision::RunFailure::rejected});
         return;
     }
-    m_onEnd({.execution = execution, .result = internal::toRunAnswer(*reply, status)});
+    m_onEnd({.execution = execution, .result = internal::toRunAnswer(response)});
 }
 
 } // namespace egretlatch::daemon
--- a/src/egretlatch/daemon/backend_client.hpp
+++ b/src/egretlatch/daemon/backend_client.hpp
@@ -5,27 +5,35 @@
 #include <map>
 #include <string>
 
-#include <QObject>
+#include <QTimer>
 
-#include <egretlatch/daemon/http_client_pool.hpp>
+#include <egretlatch/core/clock.hpp>
 #include <egretlatch/decision/action.hpp>
 #include <egretlatch/decision/event.hpp>
+#include <egretlatch/http/client_pool.hpp>
+#include <egretlatch/net/poller.hpp>
 
 namespace egretlatch::daemon
 {
 
-/*! @brief Sends runs to the backend server over HTTP. Lives on the backend thread. */
-class BackendClient final : public QObject
+/**
+ * @brief Sends runs to the backend server over HTTP. Lives on the backend thread.
+ *
+ * Used instead of Qt's network access, which reports a reset as an orderly close: part of an answer that ends with its connection
+ * would pass for the whole one. A run is sent at most once.
+ */
+class BackendClient final
 {
 public:
     using EndHandler = std::function<void(decision::RunEnded)>;
 
     /**
      * @brief Creates a client.
-     * @param baseUrl Base URL of the backend server.
+     * @param baseUrl Base URL of the backend server, with scheme http; a host name is resolved once.
+     * @param clock Source of time; must outlive the client.
      * @param onEnd Called once for each run that was started and not aborted, when it has ended or failed.
      */
-    BackendClient(std::string baseUrl, EndHandler onEnd);
+    BackendClient(const std::string &baseUrl, const Clock &clock, EndHandler onEnd);
 
     /**
      * @brief Starts a run.
@@ -40,12 +48,16 @@
     void abort(ExecutionId execution);
 
 private:
-    void handleFinished(ExecutionId execution, QNetworkReply *reply);
+    void handleOutcome(ExecutionId execution, const http::Outcome &outcome);
 
-    std::string m_baseUrl;
+    const Clock &m_clock;
     EndHandler m_onEnd;
-    HttpClientPool m_pool;
-    std::map<ExecutionId, QNetworkReply *> m_running;
+    std::string m_host;
+    std::string m_pathPrefix;
+    net::Poller m_poller;
+    http::ClientPool m_pool;
+    std::map<ExecutionId, http::ClientRequestId> m_running;
+    QTimer m_tickTimer;
 };
 
 } // namespace egretlatch::daemon
--- a/src/egretlatch/daemon/daemon.cpp
+++ b/src/egretlatch/daemon/daemon.cpp
@@ -100,7 +100,7 @@
         m_spanExporter = std::make_unique<SpanExporter>(m_settings.collectorUrl, m_settings.id.value, m_metrics);
     });
     internal::runOn(m_backendWaker, [this] {
-        m_backendClient = std::make_unique<BackendClient>(m_settings.backendUrl, [this](decision::RunEnded ended) {
+        m_backendClient = std::make_unique<BackendClient>(m_settings.backendUrl, m_clock, [this](decision::RunEnded ended) {
             if (!m_eventRings.fromBackend.tryPush(std::move(ended))) {
                 m_metrics.count("events_dropped", "ring-full");
             }
--- a/src/egretlatch/decision/action.hpp
+++ b/src/egretlatch/decision/action.hpp
@@ -77,8 +77,6 @@
     /*! @brief Sent as `Idempotency-Key` if not empty. */
     std::string key;
     account::TraceContext trace;
-    /*! @brief Allows the transport to repeat the request by itself; set only where the kind is declared idempotent. */
-    bool mayRepeat{};
 };
 
 /*! @brief Starts a request at the local backend server. */
--- a/src/egretlatch/decision/serving_handler.cpp
+++ b/src/egretlatch/decision/serving_handler.cpp
@@ -278,7 +278,6 @@
     attempt.started = now;
     --m_waiting;
     const protocol::CallRequest &request = attempt.request;
-    const manifest::KindSpec *const kind = m_context.findKind(request.service, request.kind);
     m_context.metrics.observe("queue_delay", request.service, now - attempt.arrived);
     m_context.actions.emplace_back(StartRun{
         .execution = execution,
@@ -291,8 +290,7 @@
                     .runToken = tokenOf(execution),
                     .account = request.account,
                     .key = request.key,
-                    .trace = attempt.trace,
-                    .mayRepeat = kind != nullptr && kind->idempotent},
+                    .trace = attempt.trace},
     });
 }
 
--- a/src/egretlatch/http/client_connection.hpp
+++ b/src/egretlatch/http/client_connection.hpp
@@ -32,6 +32,8 @@
     /*! @brief Called exactly once, unless the request is cancelled. */
     std::function<void(Outcome)> onResult;
     SteadyTime deadline;
+    /*! @brief False for a HEAD request, whose answer ends with its header. */
+    bool hasAnswerBody{true};
 };
 
 class ClientConnection;
--- a/src/egretlatch/http/reader.cpp
+++ b/src/egretlatch/http/reader.cpp
@@ -129,6 +129,16 @@
     advance();
 }
 
+template<typename Message>
+void Reader<Message>::setBodiesExpected(const bool areExpected)
+{
+    if (areExpected == m_areBodiesExpected) {
+        return;
+    }
+    m_areBodiesExpected = areExpected;
+    startNext();
+}
+
 template<typename Message>
 void Reader<Message>::advance()
 {
@@ -207,6 +217,7 @@
 void Reader<Message>::startNext()
 {
     m_parser = std::make_unique<internal::ParserState<isRequest>>(m_limits);
+    m_parser->skip(!m_areBodiesExpected);
     m_state = ReadState::waiting;
 }
 
--- a/src/egretlatch/http/reader.hpp
+++ b/src/egretlatch/http/reader.hpp
@@ -78,6 +78,12 @@
         m_unparsed.append(bytes);
     }
 
+    /**
+     * @brief Sets whether messages have the body that their header announces; not so the answers to HEAD requests.
+     * @param areExpected False if each message ends with its header; call it between two messages only.
+     */
+    void setBodiesExpected(bool areExpected);
+
     /*! @brief Processes the end of the connection, which may end a message without a length. */
     void finish();
 
@@ -120,6 +126,7 @@
     void startNext();
 
     ReadLimits m_limits;
+    bool m_areBodiesExpected{true};
     std::unique_ptr<internal::ParserState<isRequest>> m_parser;
     QByteArray m_unparsed;
     ReadState m_state{ReadState::waiting};
--- a/test/egretlatch/http/connections.cpp
+++ b/test/egretlatch/http/connections.cpp
@@ -1,17 +1,14 @@
 #include <doctest/doctest.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <fakes/event_loop.hpp>
+#include <fakes/raw_server.hpp>
 
 #include <egretlatch/http/client_pool.hpp>
 #include <egretlatch/http/server.hpp>
 
 using namespace egretlatch;
 using namespace egretlatch::http;
+using fakes::RawServer;
 
 namespace
 {
@@ -25,75 +22,6 @@
     }
 };
 
-// Server on a raw socket, which can also violate the protocol.
-class RawServer
-{
-public:
-    RawServer()
-    {
-        m_listener = ::socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        REQUIRE(::bind(m_listener, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0);
-        REQUIRE(::listen(m_listener, 8) == 0);
-        socklen_t size = sizeof address;
-        ::getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size);
-        m_port = ntohs(address.sin_port);
-    }
-
-    RawServer(const RawServer &) = delete;
-    RawServer &operator=(const RawServer &) = delete;
-
-    ~RawServer()
-    {
-        ::close(m_listener);
-        if (m_connection >= 0) {
-            ::close(m_connection);
-        }
-    }
-
-    [[nodiscard]] net::Endpoint endpoint() const
-    {
-        return {.address = "127.0.0.1", .port = m_port};
-    }
-
-    void accept()
-    {
-        m_connection = ::accept(m_listener, nullptr, nullptr);
-    }
-
-    [[nodiscard]] std::string receive() const
-    {
-        char buffer[4096];
-        const ssize_t count = ::recv(m_connection, buffer, sizeof buffer, 0);
-        return {buffer, static_cast<std::size_t>(std::max<ssize_t>(count, 0))};
-    }
-
-    void send(const std::string &bytes) const
-    {
-        static_cast<void>(::send(m_connection, bytes.data(), bytes.size(), MSG_NOSIGNAL));
-    }
-
-    void finish()
-    {
-        ::shutdown(m_connection, SHUT_WR);
-    }
-
-    void reset()
-    {
-        const linger now{.l_onoff = 1, .l_linger = 0};
-        ::setsockopt(m_connection, SOL_SOCKET, SO_LINGER, &now, sizeof now);
-        ::close(m_connection);
-        m_connection = -1;
-    }
-
-private:
-    int m_listener{-1};
-    int m_connection{-1};
-    std::uint16_t m_port{};
-};
-
 struct Fixture
 {
     Fixture()
--- a/test/egretlatch/net/tcp_stream.cpp
+++ b/test/egretlatch/net/tcp_stream.cpp
@@ -1,12 +1,7 @@
 #include <doctest/doctest.h>
 
-#include <arpa/inet.h>
-#include <linux/filter.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <fakes/event_loop.hpp>
+#include <fakes/raw_server.hpp>
 
 #include <egretlatch/net/tcp_stream.hpp>
 
@@ -15,81 +10,6 @@
 namespace
 {
 
-/*! @brief Remote end of one connection; after dropIncoming() the kernel drops all packets to it, so that no probe is answered. */
-class RemotePeer
-{
-public:
-    RemotePeer()
-    {
-        m_listener = ::socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        REQUIRE(::bind(m_listener, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0);
-        REQUIRE(::listen(m_listener, 1) == 0);
-        socklen_t size = sizeof address;
-        ::getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size);
-        m_port = ntohs(address.sin_port);
-    }
-
-    RemotePeer(const RemotePeer &) = delete;
-    RemotePeer &operator=(const RemotePeer &) = delete;
-
-    ~RemotePeer()
-    {
-        ::close(m_connection);
-        ::close(m_listener);
-    }
-
-    [[nodiscard]] net::Endpoint endpoint() const
-    {
-        return {.address = "127.0.0.1", .port = m_port};
-    }
-
-    void accept()
-    {
-        m_connection = ::accept(m_listener, nullptr, nullptr);
-    }
-
-    /*! @brief Bounds the bytes that the kernel takes for this end, which reads none. */
-    void limitReceiving() const
-    {
-        constexpr int bytes = 4096;
-        REQUIRE(::setsockopt(m_listener, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes) == 0);
-    }
-
-    void send(const std::string &bytes) const
-    {
-        REQUIRE(::send(m_connection, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
-    }
-
-    /*! @brief Ends the sending half in order. */
-    void finish() const
-    {
-        REQUIRE(::shutdown(m_connection, SHUT_WR) == 0);
-    }
-
-    void reset()
-    {
-        const linger now{.l_onoff = 1, .l_linger = 0};
-        REQUIRE(::setsockopt(m_connection, SOL_SOCKET, SO_LINGER, &now, sizeof now) == 0);
-        ::close(m_connection);
-        m_connection = -1;
-    }
-
-    void dropIncoming() const
-    {
-        sock_filter dropAll{.code = BPF_RET | BPF_K, .jt = 0, .jf = 0, .k = 0};
-        const sock_fprog program{.len = 1, .filter = &dropAll};
-        REQUIRE(::setsockopt(m_connection, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program) == 0);
-    }
-
-private:
-    int m_listener{-1};
-    int m_connection{-1};
-    std::uint16_t m_port{};
-};
-
 struct Listener final : net::StreamListener
 {
     void onOpen() override
@@ -137,7 +57,7 @@
     }
 
     net::Poller poller;
-    RemotePeer remotePeer;
+    fakes::RawServer remotePeer;
     Listener listener;
     net::TcpStream stream{poller, listener};
 };
@@ -149,7 +69,7 @@
     // Without the probes, a call that waits for its answer on such a connection would hang.
     fakes::ensureApplication();
     net::Poller poller;
-    RemotePeer remotePeer;
+    fakes::RawServer remotePeer;
     Listener listener;
     net::TcpStream stream{poller, listener};
     REQUIRE(stream.open(remotePeer.endpoint()));
@@ -170,7 +90,7 @@
     constexpr std::chrono::milliseconds lateReading{4000};
     fakes::ensureApplication();
     net::Poller poller;
-    RemotePeer remotePeer;
+    fakes::RawServer remotePeer;
     remotePeer.limitReceiving();
     Listener listener;
     net::TcpStream stream{poller, listener};
