A daemon that is cut off from the others no longer waits for a turn among many

What callers would see: an old configuration for up to 90 s at 750 daemons, at a daemon that reaches the store but no other daemon any more. Cause: a daemon whose confirmation is old draws a turn to read among all daemons while it still counts others as heard; the turn stood when that was no longer so. It takes a confirmation that was older than the latest advert when the cut came; found as the tests of shared reading drew other ages.

Change: a turn among many is drawn anew, within 0.3 s, once nobody is heard.

--- a/src/egretlatch/configuration/confirmation.cpp
+++ b/src/egretlatch/configuration/confirmation.cpp
@@ -79,7 +79,9 @@
 {
     const bool hearsOthers = m_heardAt.has_value() && now - *m_heardAt <= internal::maxAge;
     const bool isTurnOver = m_staleTurn.has_value() && now >= *m_staleTurn + internal::turnLength;
-    if (!m_staleTurn.has_value() || isTurnOver) {
+    // A turn among many was drawn while others were still heard.
+    const bool isTurnTooLate = m_staleTurn.has_value() && !hearsOthers && *m_staleTurn - now > internal::maxTurnDelayAlone;
+    if (!m_staleTurn.has_value() || isTurnOver || isTurnTooLate) {
         const std::chrono::duration<double> spread{static_cast<double>(daemons) / internal::fleetReadsPerSecond};
         m_staleTurn = now + m_random.below(hearsOthers ? std::chrono::duration_cast<Duration>(spread) : Duration{internal::maxTurnDelayAlone});
     }
