A silence of the store no longer hides the next configuration

Cause: a pending long poll counted as a confirmation "as of now" for up to 16 s. One that the store never got looks the same as one that waits. All readers' polls were in step since the last change, so one second caught them all and nobody had a reason to read.

Ruled out: that the store drops polls held over a silence (such plays hold), and that what one daemon reads does not spread (a silence that catches some readers does no harm).

Change: PollSchedule decides the calls, without I/O. Readers' polls end in turn, by the store's clock and their places, 1.2 s apart; a poll is given up for a call that is answered at once when the newest answer known in the fleet is 2.5 to 4 s old. The proofs that adverts carry are that answer, so nothing new goes over the wire; readers get each at once. A poll of a daemon whose reason to read has ended is given up too, and one that stands in the way of a check for contact.

--- a/src/egretlatch/configuration/follower.cpp
+++ b/src/egretlatch/configuration/follower.cpp
@@ -108,6 +108,10 @@
         return;
     }
     m_proof.note(at);
+    // Without this answer, the other readers would take their own polls for lost and check.
+    for (const Peer &reader : m_delegate.readers()) {
+        m_delegate.send(reader, advert(now));
+    }
     if (!m_options.maxProofAge.has_value() || !m_hasAccounts) {
         return;
     }
--- a/src/egretlatch/configuration/follower_delegate.hpp
+++ b/src/egretlatch/configuration/follower_delegate.hpp
@@ -66,6 +66,12 @@
      */
     [[nodiscard]] virtual ReadDuty readDuty() = 0;
 
+    /**
+     * @brief Returns the place of this daemon among the readers, by the current membership.
+     * @return The place.
+     */
+    [[nodiscard]] virtual ReadTurn readTurn() = 0;
+
     /**
      * @brief Lists the daemons that get this one's regular adverts.
      *
@@ -74,6 +80,12 @@
      */
     [[nodiscard]] virtual std::vector<Peer> neighbours() = 0;
 
+    /**
+     * @brief Lists the other daemons that read all the time.
+     * @return The readers of all data centres.
+     */
+    [[nodiscard]] virtual std::vector<Peer> readers() = 0;
+
     /**
      * @brief Lists the daemons that replace this one if it is a reader and no longer confirms.
      * @return The deputies of its data centre; empty if it is no reader.
--- a/src/egretlatch/configuration/fwd.hpp
+++ b/src/egretlatch/configuration/fwd.hpp
@@ -6,8 +6,12 @@
 
 enum class ReadDuty;
 enum class ReadReason;
+enum class ReadCall;
 
 struct Head;
+struct ReadTurn;
+struct PlannedCall;
+struct PollConditions;
 struct Peer;
 struct FollowerOptions;
 struct ReceivedVersion;
@@ -23,6 +27,7 @@
 class Follower;
 class Confirmation;
 class CurrencyProof;
+class PollSchedule;
 class Submission;
 
 } // namespace egretlatch::configuration
--- a/src/egretlatch/configuration/read_duty.hpp
+++ b/src/egretlatch/configuration/read_duty.hpp
@@ -1,6 +1,7 @@
 #ifndef EGRETLATCH_CONFIGURATION_READ_DUTY_HPP
 #define EGRETLATCH_CONFIGURATION_READ_DUTY_HPP
 
+#include <cstddef>
 #include <string_view>
 
 namespace egretlatch::configuration
@@ -16,6 +17,16 @@
     reader,
 };
 
+/*! @brief Place of a reader among all readers, which spreads their calls over time. */
+struct ReadTurn
+{
+    std::size_t index{};
+    /*! @brief Number of readers; zero if the daemon is none. */
+    std::size_t count{};
+
+    friend bool operator==(const ReadTurn &, const ReadTurn &) = default;
+};
+
 /*! @brief Reason for which a daemon reads configurations from the store. */
 enum class ReadReason {
     /*! @brief It does not read. */
--- a/src/egretlatch/decision/configuration_delegate.cpp
+++ b/src/egretlatch/decision/configuration_delegate.cpp
@@ -46,12 +46,22 @@
     return m_roles.own();
 }
 
+configuration::ReadTurn ConfigurationDelegate::readTurn()
+{
+    return m_roles.turn();
+}
+
 std::vector<configuration::Peer> ConfigurationDelegate::neighbours()
 {
     const std::vector<configuration::Peer> &neighbours = m_roles.neighbours();
     return neighbours.empty() ? m_contacts : neighbours;
 }
 
+std::vector<configuration::Peer> ConfigurationDelegate::readers()
+{
+    return m_roles.readers();
+}
+
 std::vector<configuration::Peer> ConfigurationDelegate::deputies()
 {
     return m_roles.deputies();
--- a/src/egretlatch/decision/configuration_delegate.hpp
+++ b/src/egretlatch/decision/configuration_delegate.hpp
@@ -24,7 +24,9 @@
     [[nodiscard]] std::vector<configuration::Peer> peers() const override;
     [[nodiscard]] std::size_t countPeers() const override;
     [[nodiscard]] configuration::ReadDuty readDuty() override;
+    [[nodiscard]] configuration::ReadTurn readTurn() override;
     [[nodiscard]] std::vector<configuration::Peer> neighbours() override;
+    [[nodiscard]] std::vector<configuration::Peer> readers() override;
     [[nodiscard]] std::vector<configuration::Peer> deputies() override;
     void putInForce(std::uint64_t version, const std::shared_ptr<const manifest::Manifest> &manifest, const DaemonId &sourceDaemon) override;
     void count(std::string_view what) override;
--- a/src/egretlatch/decision/configuration_roles.cpp
+++ b/src/egretlatch/decision/configuration_roles.cpp
@@ -1,8 +1,7 @@
 #include <egretlatch/decision/configuration_roles.hpp>
 
 #include <algorithm>
-#include <set>
-#include <string>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -44,6 +43,18 @@
     return m_own;
 }
 
+configuration::ReadTurn ConfigurationRoles::turn()
+{
+    update();
+    return m_turn;
+}
+
+const std::vector<configuration::Peer> &ConfigurationRoles::readers()
+{
+    update();
+    return m_readers;
+}
+
 const std::vector<configuration::Peer> &ConfigurationRoles::deputies()
 {
     update();
@@ -67,33 +78,63 @@
     chooseNeighbours();
 }
 
+std::map<std::string, ConfigurationRoles::Candidates> ConfigurationRoles::candidates() const
+{
+    std::map<std::string, std::vector<std::pair<std::uint64_t, const membership::Member *>>> placed;
+    const auto add = [&placed](const membership::Member &member) {
+        if (internal::mayRead(member)) {
+            placed[member.dataCentre].emplace_back(internal::placeOf(member), &member);
+        }
+    };
+    add(m_roster.self());
+    for (const DaemonId &id : m_roster.participants()) {
+        add(*m_roster.find(id));
+    }
+    std::map<std::string, Candidates> candidates;
+    for (auto &[dataCentre, members] : placed) {
+        std::sort(members.begin(), members.end());
+        Candidates &sorted = candidates[dataCentre];
+        for (const auto &[place, member] : members) {
+            sorted.push_back(member);
+        }
+    }
+    return candidates;
+}
+
 void ConfigurationRoles::chooseReaders()
 {
     m_own = configuration::ReadDuty::none;
+    m_turn = {};
+    m_readers.clear();
     m_deputies.clear();
-    const membership::Member &self = m_roster.self();
-    if (!internal::mayRead(self)) {
+    const std::map<std::string, Candidates> candidates = this->candidates();
+    if (candidates.empty()) {
         return;
     }
-    std::set<std::string> dataCentres{self.dataCentre};
-    std::vector<const membership::Member *> near{&self};
-    for (const DaemonId &id : m_roster.participants()) {
-        const membership::Member *const member = m_roster.find(id);
-        if (!internal::mayRead(*member)) {
-            continue;
-        }
-        dataCentres.insert(member->dataCentre);
-        if (member->dataCentre == self.dataCentre) {
-            near.push_back(member);
+    const std::size_t share = (internal::minReaders + candidates.size() - 1) / candidates.size();
+    const std::size_t readers = std::max(share, internal::minReadersPerDataCentre);
+    const membership::Member &self = m_roster.self();
+    std::size_t dataCentre = 0;
+    for (const auto &[name, members] : candidates) {
+        for (std::size_t place = 0; place < std::min(readers, members.size()); ++place) {
+            if (members[place] == &self) {
+                m_turn = {.index = place * candidates.size() + dataCentre, .count = readers * candidates.size()};
+            } else {
+                m_readers.push_back(peerOf(members[place]->id));
+            }
         }
+        ++dataCentre;
     }
-    std::sort(near.begin(), near.end(), [](const membership::Member *const left, const membership::Member *const right) {
-        return internal::placeOf(*left) < internal::placeOf(*right);
-    });
-    const std::size_t share = (internal::minReaders + dataCentres.size() - 1) / dataCentres.size();
-    const std::size_t readers = std::min(std::max(share, internal::minReadersPerDataCentre), near.size());
+    const auto near = candidates.find(self.dataCentre);
+    if (near != candidates.end()) {
+        chooseOwnDuty(near->second, std::min(readers, near->second.size()));
+    }
+}
+
+void ConfigurationRoles::chooseOwnDuty(const Candidates &near, const std::size_t readers)
+{
     const std::size_t readersAndDeputies = std::min(2 * readers, near.size());
-    const auto place = static_cast<std::size_t>(std::find(near.begin(), near.end(), &self) - near.begin());
+    const auto place = static_cast<std::size_t>(std::find(near.begin(), near.end(), &m_roster.self()) - near.begin());
     if (place >= readersAndDeputies) {
         return;
     }
--- a/src/egretlatch/decision/configuration_roles.hpp
+++ b/src/egretlatch/decision/configuration_roles.hpp
@@ -2,6 +2,8 @@
 #define EGRETLATCH_DECISION_CONFIGURATION_ROLES_HPP
 
 #include <cstdint>
+#include <map>
+#include <string>
 #include <vector>
 
 #include <egretlatch/configuration/follower_delegate.hpp>
@@ -32,6 +34,18 @@
      */
     [[nodiscard]] configuration::ReadDuty own();
 
+    /**
+     * @brief Returns the place of this daemon among the readers of all data centres.
+     * @return The place, counted as if each data centre had as many readers; none if it is no reader.
+     */
+    [[nodiscard]] configuration::ReadTurn turn();
+
+    /**
+     * @brief Lists the other readers of the fleet.
+     * @return Their addresses.
+     */
+    [[nodiscard]] const std::vector<configuration::Peer> &readers();
+
     /**
      * @brief Lists the deputies of this daemon's data centre.
      * @return Their addresses; empty if this daemon is no reader.
@@ -45,8 +59,13 @@
     [[nodiscard]] const std::vector<configuration::Peer> &neighbours();
 
 private:
+    /*! @brief Members of a data centre that may read, the first readers first. */
+    using Candidates = std::vector<const membership::Member *>;
+
     void update();
+    [[nodiscard]] std::map<std::string, Candidates> candidates() const;
     void chooseReaders();
+    void chooseOwnDuty(const Candidates &near, std::size_t readers);
     void chooseNeighbours();
     [[nodiscard]] configuration::Peer peerOf(const DaemonId &id) const;
 
@@ -54,6 +73,8 @@
     std::uint64_t m_version{};
     bool m_isKnown{};
     configuration::ReadDuty m_own{configuration::ReadDuty::none};
+    configuration::ReadTurn m_turn;
+    std::vector<configuration::Peer> m_readers;
     std::vector<configuration::Peer> m_deputies;
     std::vector<configuration::Peer> m_neighbours;
 };
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -75,6 +75,11 @@
     return isContactNeeded ? configuration::ReadReason::contact : reason;
 }
 
+configuration::ReadTurn Core::configurationReadTurn()
+{
+    return m_configurationDelegate->readTurn();
+}
+
 std::optional<Duration> Core::configurationProofAge() const
 {
     return m_configuration->proofAge(m_context->clock.bootNow());
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -82,6 +82,9 @@
      */
     [[nodiscard]] configuration::ReadReason reasonToReadConfiguration();
 
+    /*! @brief Returns the place of this daemon among those that read configurations for the fleet. */
+    [[nodiscard]] configuration::ReadTurn configurationReadTurn();
+
     /**
      * @brief Returns the age of the store's latest confirmation, known here, that no newer configuration was accepted.
      * @return The age; nothing without a confirmation.
--- a/src/egretlatch/sidecar/configuration_feed.cpp
+++ b/src/egretlatch/sidecar/configuration_feed.cpp
@@ -1,6 +1,6 @@
 #include <egretlatch/sidecar/configuration_feed.hpp>
 
-#include <algorithm>
+#include <utility>
 
 namespace egretlatch::sidecar
 {
@@ -8,92 +8,73 @@
 namespace internal
 {
 
-constexpr std::chrono::milliseconds readTimeout{2000};
-// Below the shortest history that the store keeps, 20 s, so that the next call still finds the position it continues from.
-constexpr std::chrono::milliseconds longPollWait{14'000};
-constexpr std::chrono::milliseconds longPollMargin{2000};
-// Time since the last answer up to which the next call continues from its position.
-constexpr std::chrono::milliseconds maxReadingGap{1000};
-constexpr std::chrono::milliseconds minRetryDelay{200};
-// Refused calls are charged and return nothing, so they back off. The limit lets the feed resume within two seconds of the
-// store's recovery.
-constexpr std::chrono::milliseconds maxRetryDelay{1500};
+[[nodiscard]] static http::Request requestOf(const configuration::PlannedCall &planned, const std::uint64_t position)
+{
+    return planned.call == configuration::ReadCall::read ? platform::writeConfigurationRead() : platform::writeConfigurationLongPoll(position, planned.wait);
+}
+
+[[nodiscard]] static std::int64_t millisecondsOf(const std::optional<Duration> age)
+{
+    return age.has_value() ? std::chrono::duration_cast<std::chrono::milliseconds>(*age).count() : -1;
+}
 
 } // namespace internal
 
 ConfigurationFeed::ConfigurationFeed(StoreClient &client, const Clock &clock, RandomSource &random, const Logger &logger, ConfigurationReceivers receivers)
     : m_client{client}
     , m_clock{clock}
-    , m_random{random}
     , m_logger{logger}
     , m_receivers{std::move(receivers)}
-    , m_backoff{internal::minRetryDelay, internal::maxRetryDelay}
+    , m_schedule{random}
 {
 }
 
-void ConfigurationFeed::setReason(const configuration::ReadReason reason, const std::optional<Duration> confirmedAge)
+void ConfigurationFeed::update(const configuration::PollConditions &conditions, const std::optional<Duration> confirmedAge)
 {
-    if (reason == m_reason) {
-        return;
+    if (conditions.reason != m_conditions.reason) {
+        m_logger.info("configuration reading",
+                      {{"reason", configuration::toString(conditions.reason)}, {"confirmedAgeMs", internal::millisecondsOf(confirmedAge)}});
     }
-    m_reason = reason;
-    const auto ageMs = confirmedAge.has_value() ? std::chrono::duration_cast<std::chrono::milliseconds>(*confirmedAge).count() : -1;
-    m_logger.info("configuration reading", {{"reason", configuration::toString(reason)}, {"confirmedAgeMs", ageMs}});
+    m_conditions = conditions;
+    sendNext();
 }
 
-void ConfigurationFeed::tick()
+void ConfigurationFeed::sendNext()
 {
-    const SteadyTime now = m_clock.steadyNow();
-    if (m_reason == configuration::ReadReason::none || m_isCallPending || now < m_nextCall) {
+    const bool wasPending = m_schedule.isPending();
+    const std::optional<configuration::PlannedCall> planned = m_schedule.next(m_conditions, m_clock.steadyNow());
+    if (!planned.has_value()) {
         return;
     }
-    m_isCallPending = true;
-    // After a failed call, or a time without reads, a plain read shows at once whether the store answers and which configuration it
-    // holds; a long poll would show neither until it ends.
-    const bool isContact = m_reason == configuration::ReadReason::contact;
-    const bool isRecent = m_answeredAt.has_value() && now - *m_answeredAt < internal::maxReadingGap;
-    const bool isLongPoll = m_position.has_value() && (isRecent || isContact);
-    if (!isLongPoll) {
-        m_answeredAt.reset();
+    if (wasPending) {
+        m_logger.info("configuration poll given up", {{"newestAnswerMs", internal::millisecondsOf(m_conditions.newestAnswerAge)}});
+        m_client.cancel(m_call);
     }
-    const http::Request request = isLongPoll ? platform::writeConfigurationLongPoll(*m_position, pollTime()) : platform::writeConfigurationRead();
     const BootTime sentAt = m_clock.bootNow();
-    m_client.call(request, isLongPoll ? pollTime() + internal::longPollMargin : internal::readTimeout, [this, sentAt](const http::Outcome &result) {
-        m_isCallPending = false;
+    m_call = m_client.call(internal::requestOf(*planned, m_position), planned->timeout, [this, sentAt](const http::Outcome &result) {
         handleAnswer(result, sentAt);
     });
 }
 
-std::chrono::milliseconds ConfigurationFeed::pollTime() const
-{
-    if (m_reason == configuration::ReadReason::contact) {
-        return std::chrono::milliseconds{0};
-    }
-    return std::min(m_pollLimit.value_or(internal::longPollWait), internal::longPollWait);
-}
-
 void ConfigurationFeed::handleAnswer(const http::Outcome &result, const BootTime sentAt)
 {
     const auto *const answer = std::get_if<http::Response>(&result);
     if (answer == nullptr) {
-        retryLater();
+        m_schedule.noteFailure(m_clock.steadyNow());
         return;
     }
     const Result<platform::ConfigurationPage> page = platform::readConfigurationPage(*answer);
     if (!page.has_value()) {
         if (page.error().code == ErrorCode::notFound) {
-            m_position.reset();
+            m_schedule.notePositionLost();
         }
-        retryLater();
+        m_schedule.noteFailure(m_clock.steadyNow());
         return;
     }
-    m_backoff.reset();
     m_position = page->position;
-    m_answeredAt = m_clock.steadyNow();
+    m_schedule.noteAnswer(page->now, !page->documents.empty(), m_clock.steadyNow());
     passOn(*page, sentAt);
-    // Prevents a busy loop when the store answers at once with an empty page.
-    m_nextCall = page->documents.empty() ? m_clock.steadyNow() + internal::minRetryDelay : m_clock.steadyNow();
-    tick();
+    sendNext();
 }
 
 void ConfigurationFeed::passOn(const platform::ConfigurationPage &page, const BootTime sentAt)
@@ -109,15 +90,4 @@
     }
 }
 
-std::optional<SteadyTime> ConfigurationFeed::confirmedAt() const
-{
-    return m_isCallPending && m_answeredAt.has_value() ? std::optional{m_clock.steadyNow()} : m_answeredAt;
-}
-
-void ConfigurationFeed::retryLater()
-{
-    m_answeredAt.reset();
-    m_nextCall = m_clock.steadyNow() + m_backoff.next(m_random);
-}
-
 } // namespace egretlatch::sidecar
--- a/src/egretlatch/sidecar/sidecar.hpp
+++ b/src/egretlatch/sidecar/sidecar.hpp
@@ -88,6 +88,7 @@
     [[nodiscard]] http::Response metricsPage();
     [[nodiscard]] bool handleConfiguration(const QByteArray &document);
     void applyConfiguration();
+    [[nodiscard]] std::optional<std::chrono::milliseconds> pollLimit() const;
     void beginStop(std::string_view reason);
     void tickShutdown();
     void stop(std::string_view reason);
--- a/src/egretlatch/sidecar/sidecar_configuration.cpp
+++ b/src/egretlatch/sidecar/sidecar_configuration.cpp
@@ -19,13 +19,26 @@
 
 void Sidecar::followConfiguration()
 {
-    m_feed.setReason(m_core->reasonToReadConfiguration(), m_core->configurationConfirmedAge());
-    m_feed.tick();
+    const configuration::PollConditions conditions{
+        .reason = m_core->reasonToReadConfiguration(),
+        .turn = m_core->configurationReadTurn(),
+        // A proof stands for an answer of the store, also one that another daemon received.
+        .newestAnswerAge = m_core->configurationProofAge(),
+        .pollLimit = pollLimit(),
+    };
+    m_feed.update(conditions, m_core->configurationConfirmedAge());
     if (const std::optional<SteadyTime> confirmedAt = m_feed.confirmedAt()) {
         post(decision::ConfigurationConfirmed{.at = *confirmedAt});
     }
 }
 
+std::optional<std::chrono::milliseconds> Sidecar::pollLimit() const
+{
+    // A long poll proves the age of the configuration only when it ends.
+    const bool needsProof = m_bounds.isWithdrawalStrict && m_core->manifest() != nullptr && !m_core->manifest()->accounts().empty();
+    return needsProof ? std::optional{m_bounds.withdrawal * internal::proofPollPercent / internal::hundredPercent} : std::nullopt;
+}
+
 bool Sidecar::handleConfiguration(const QByteArray &document)
 {
     Result<platform::AcceptedConfiguration> accepted = platform::readConfiguration(document, m_bounds.retryRatio * usedShareOfRetries());
@@ -41,9 +54,6 @@
 void Sidecar::applyConfiguration()
 {
     m_inForceSince = m_clock.steadyNow();
-    // A long poll proves the age of the configuration only when it ends.
-    const bool needsProof = m_bounds.isWithdrawalStrict && !m_core->manifest()->accounts().empty();
-    m_feed.limitPollTime(needsProof ? std::optional{m_bounds.withdrawal * internal::proofPollPercent / internal::hundredPercent} : std::nullopt);
     m_frontend.setManifest(m_core->manifest());
 }
 
--- a/src/egretlatch/sidecar/store_client.cpp
+++ b/src/egretlatch/sidecar/store_client.cpp
@@ -67,7 +67,7 @@
     });
 }
 
-void StoreClient::call(const http::Request &request, const std::chrono::milliseconds timeout, AnswerHandler onAnswer)
+http::ClientRequestId StoreClient::call(const http::Request &request, const std::chrono::milliseconds timeout, AnswerHandler onAnswer)
 {
     http::OutgoingRequest outgoing;
     http::Request addressed = request;
@@ -81,7 +81,7 @@
         recordOutcome(result);
         onAnswer(std::move(result));
     };
-    m_pool.send(std::move(outgoing));
+    return m_pool.send(std::move(outgoing));
 }
 
 void StoreClient::recordOutcome(const http::Outcome &result)
--- a/src/egretlatch/sidecar/store_client.hpp
+++ b/src/egretlatch/sidecar/store_client.hpp
@@ -39,9 +39,19 @@
      * @brief Sends an HTTP request with its own timeout, such as a long poll.
      * @param request The HTTP request.
      * @param timeout Time after which it fails as unanswered.
-     * @param onAnswer Receives the outcome; called exactly once.
+     * @param onAnswer Receives the outcome; called exactly once, possibly before this returns, unless the call is cancelled.
+     * @return Identifier for cancel().
      */
-    void call(const http::Request &request, std::chrono::milliseconds timeout, AnswerHandler onAnswer);
+    http::ClientRequestId call(const http::Request &request, std::chrono::milliseconds timeout, AnswerHandler onAnswer);
+
+    /**
+     * @brief Closes the connection of a call; no outcome follows.
+     * @param id The call; ignored if it has ended.
+     */
+    void cancel(http::ClientRequestId id)
+    {
+        m_pool.cancel(id);
+    }
 
     void tick()
     {
--- a/test/egretlatch/configuration/follower.cpp
+++ b/test/egretlatch/configuration/follower.cpp
@@ -51,11 +51,21 @@
         return duty;
     }
 
+    [[nodiscard]] ReadTurn readTurn() override
+    {
+        return {};
+    }
+
     [[nodiscard]] std::vector<Peer> neighbours() override
     {
         return known;
     }
 
+    [[nodiscard]] std::vector<Peer> readers() override
+    {
+        return {};
+    }
+
     [[nodiscard]] std::vector<Peer> deputies() override
     {
         return {};
--- a/test/egretlatch/configuration/shared_reading.cpp
+++ b/test/egretlatch/configuration/shared_reading.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <egretlatch/configuration/follower.hpp>
+#include <egretlatch/configuration/poll_schedule.hpp>
 #include <egretlatch/decision/configuration_roles.hpp>
 
 using namespace egretlatch;
@@ -18,9 +19,11 @@
 
 constexpr std::chrono::milliseconds step{20};
 constexpr std::chrono::milliseconds messageDelay{20};
-constexpr std::chrono::milliseconds retryDelay{1000};
 // Time within which an accepted configuration is in force at all daemons that run and reach the store.
 constexpr std::chrono::milliseconds applyLimit{3000};
+// The same for daemons that have been in touch, with a store that has been sound, for the stability window.
+constexpr std::chrono::milliseconds calmApplyLimit{2000};
+constexpr std::chrono::milliseconds stabilityWindow{3000};
 
 [[nodiscard]] QByteArray makeManifest(const std::uint64_t version)
 {
@@ -62,11 +65,21 @@
         return roles.own();
     }
 
+    [[nodiscard]] ReadTurn readTurn() override
+    {
+        return roles.turn();
+    }
+
     [[nodiscard]] std::vector<Peer> neighbours() override
     {
         return roles.neighbours();
     }
 
+    [[nodiscard]] std::vector<Peer> readers() override
+    {
+        return roles.readers();
+    }
+
     [[nodiscard]] std::vector<Peer> deputies() override
     {
         return roles.deputies();
@@ -97,10 +110,22 @@
     int side{};
 
 private:
-    void readStore(SteadyTime now);
-
-    bool m_isPolling{};
-    SteadyTime m_nextRead;
+    struct Pending
+    {
+        PlannedCall planned;
+        SteadyTime sentAt;
+        bool isLost{};
+    };
+
+    void sendNext(SteadyTime now);
+    void settle(SteadyTime now);
+    void fail(SteadyTime now);
+    [[nodiscard]] bool isDue(SteadyTime now) const;
+
+    PollSchedule m_schedule;
+    std::optional<Pending> m_pending;
+    /*! @brief Newest version that the store returned. */
+    std::uint64_t m_position{};
 };
 
 /*! @brief Daemons in six data centres, the messages between them, and a store. */
@@ -190,6 +215,10 @@
     SteadyTime now{1h};
     std::uint64_t version{1};
     bool isStoreDown{};
+    /*! @brief The store answers nothing, and loses each call that it gets meanwhile. */
+    bool isStoreSilent{};
+    /*! @brief A store that falls silent also loses the calls that it holds. */
+    bool isForgettingPolls{};
     int calls{};
     std::deque<Message> messages;
     std::vector<std::unique_ptr<FleetDaemon>> daemons;
@@ -210,6 +239,7 @@
                                .fanout = 16,
                                .bodyTimeout = 150ms,
                                .endpoint = members[at].endpoint}}
+    , m_schedule{random}
 {
     for (const membership::Member &member : members) {
         roster.merge(member, membership::UpdateSource::rumour, {});
@@ -233,32 +263,64 @@
 void FleetDaemon::tick(const SteadyTime now)
 {
     follower.tick(now);
-    const bool isNeeded = follower.reasonToRead(now, BootTime{now.time_since_epoch()}) != ReadReason::none;
-    m_isPolling = m_isPolling && isNeeded;
-    if (isNeeded) {
-        readStore(now);
+    sendNext(now);
+    settle(now);
+    if (const std::optional<SteadyTime> confirmedAt = m_schedule.confirmedAt(now)) {
+        follower.noteConfirmed(*confirmedAt);
+    }
+}
+
+void FleetDaemon::sendNext(const SteadyTime now)
+{
+    const BootTime bootNow{now.time_since_epoch()};
+    const PollConditions conditions{.reason = follower.reasonToRead(now, bootNow), .turn = readTurn(), .newestAnswerAge = follower.proofAge(bootNow)};
+    if (const std::optional<PlannedCall> planned = m_schedule.next(conditions, now)) {
+        ++fleet.calls;
+        m_pending = {.planned = *planned, .sentAt = now, .isLost = fleet.isStoreSilent};
     }
 }
 
-void FleetDaemon::readStore(const SteadyTime now)
+void FleetDaemon::settle(const SteadyTime now)
 {
+    if (!m_pending.has_value()) {
+        return;
+    }
     if (isRefusedByStore || fleet.isStoreDown) {
-        m_isPolling = false;
-        if (now >= m_nextRead) {
-            ++fleet.calls;
-            m_nextRead = now + retryDelay;
+        fail(now);
+        return;
+    }
+    m_pending->isLost = m_pending->isLost || (fleet.isStoreSilent && (fleet.isForgettingPolls || isDue(now)));
+    if (m_pending->isLost) {
+        if (now - m_pending->sentAt >= m_pending->planned.timeout) {
+            fail(now);
         }
         return;
     }
-    if (!m_isPolling) {
-        ++fleet.calls;
-        m_isPolling = true;
+    if (!isDue(now)) {
+        return;
     }
-    if (fleet.version > inForce) {
-        ++fleet.calls;
+    const BootTime sentAt{m_pending->sentAt.time_since_epoch()};
+    const store::StoreTime storeNow{std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch())};
+    const bool hasDocument = m_pending->planned.call == ReadCall::read || fleet.version > m_position;
+    m_pending.reset();
+    m_position = fleet.version;
+    m_schedule.noteAnswer(storeNow, hasDocument, now);
+    follower.noteStoreClock({.sentAt = sentAt, .now = storeNow});
+    if (hasDocument) {
         follower.handleAccepted(fleet.version, makeManifest(fleet.version), now);
     }
-    follower.noteConfirmed(now);
+    follower.noteProven(storeNow, now);
+}
+
+void FleetDaemon::fail(const SteadyTime now)
+{
+    m_pending.reset();
+    m_schedule.noteFailure(now);
+}
+
+bool FleetDaemon::isDue(const SteadyTime now) const
+{
+    return m_pending->planned.call != ReadCall::longPoll || fleet.version > m_position || now - m_pending->sentAt >= m_pending->planned.wait;
 }
 
 constexpr std::size_t fleetSize = 195;
@@ -340,3 +402,86 @@
     fleet.isStoreDown = false;
     CHECK(fleet.change() <= 1500ms);
 }
+
+TEST_CASE("a configuration is in force in time after a silence of the store at any moment and of any length")
+{
+    // Guards against polls that a silent store lost, and that all daemons wait for while it answers again.
+    constexpr std::size_t smallFleet = 16;
+    const std::vector<std::chrono::milliseconds> lengths{400ms, 1s, 3s, 8s, 17s};
+    for (const bool isForgettingPolls : {false, true}) {
+        for (const std::chrono::milliseconds length : lengths) {
+            for (std::chrono::milliseconds begin{0}; begin < 16s; begin += 700ms) {
+                Fleet fleet{smallFleet};
+                fleet.isForgettingPolls = isForgettingPolls;
+                fleet.run(5s);
+                static_cast<void>(fleet.change());
+                fleet.run(begin);
+                fleet.isStoreSilent = true;
+                fleet.run(length);
+                fleet.isStoreSilent = false;
+                fleet.run(stabilityWindow);
+                CAPTURE(isForgettingPolls);
+                CAPTURE(length.count());
+                CAPTURE(begin.count());
+                CHECK(fleet.change() <= calmApplyLimit);
+            }
+        }
+    }
+}
+
+TEST_CASE("a configuration is in force in time after two silences of the store, one shortly after the other")
+{
+    constexpr std::size_t smallFleet = 16;
+    for (std::chrono::milliseconds pause{200}; pause < 6s; pause += 400ms) {
+        for (std::chrono::milliseconds begin{0}; begin < 16s; begin += 1500ms) {
+            Fleet fleet{smallFleet};
+            fleet.isForgettingPolls = true;
+            fleet.run(5s);
+            static_cast<void>(fleet.change());
+            fleet.run(begin);
+            for (int silence = 0; silence < 2; ++silence) {
+                fleet.isStoreSilent = true;
+                fleet.run(1s);
+                fleet.isStoreSilent = false;
+                fleet.run(silence == 0 ? pause : stabilityWindow);
+            }
+            CAPTURE(pause.count());
+            CAPTURE(begin.count());
+            CHECK(fleet.change() <= calmApplyLimit);
+        }
+    }
+}
+
+TEST_CASE("a configuration is in force in time after a silence of the store in fleets of any size")
+{
+    for (const std::size_t size : {std::size_t{1}, std::size_t{2}, std::size_t{5}, fleetSize}) {
+        for (std::chrono::milliseconds begin{100}; begin < 15s; begin += 3700ms) {
+            Fleet fleet{size};
+            fleet.isForgettingPolls = true;
+            fleet.run(5s);
+            static_cast<void>(fleet.change());
+            fleet.run(begin);
+            fleet.isStoreSilent = true;
+            fleet.run(1s);
+            fleet.isStoreSilent = false;
+            fleet.run(stabilityWindow);
+            CAPTURE(size);
+            CAPTURE(begin.count());
+            CHECK(fleet.change() <= calmApplyLimit);
+        }
+    }
+}
+
+TEST_CASE("readers whose polls end in turn call the store about as often as readers whose polls end together")
+{
+    // Twelve readers with a poll of fourteen seconds each.
+    constexpr int callsInStep = 12 * 60 / 14;
+    for (const std::size_t size : {std::size_t{16}, fleetSize}) {
+        Fleet fleet{size};
+        fleet.run(20s);
+        fleet.calls = 0;
+        fleet.run(60s);
+        MESSAGE("calls in a minute: ", fleet.calls);
+        CHECK(fleet.calls <= callsInStep * 11 / 10);
+    }
+}
