A report without a start no longer counts once the server has reported its start

Cause: a missing start was read as 0, and id and start name an incarnation, so the report was one of a new incarnation that had not left; the server's own reports were then those of the previous one.

Change: such reports and deregistrations are refused with 400 and change nothing once the server has reported its start; a start of 0 or of another type is refused always. An incarnation without a start has left if any of the server's has, for daemons that restarted.

--- a/src/egretlatch/membership/departures.cpp
+++ b/src/egretlatch/membership/departures.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <egretlatch/membership/incarnation_name.hpp>
+
 namespace egretlatch::membership
 {
 
@@ -26,7 +28,10 @@
 
 bool Departures::contains(const std::string &incarnation) const
 {
-    return std::find(m_incarnations.begin(), m_incarnations.end(), incarnation) != m_incarnations.end();
+    const std::optional<std::string_view> prefix = prefixWithoutStart(incarnation);
+    return std::any_of(m_incarnations.begin(), m_incarnations.end(), [&incarnation, &prefix](const std::string &known) {
+        return known == incarnation || (prefix.has_value() && known.starts_with(*prefix));
+    });
 }
 
 } // namespace egretlatch::membership
--- a/src/egretlatch/membership/departures.hpp
+++ b/src/egretlatch/membership/departures.hpp
@@ -25,7 +25,7 @@
 
     /**
      * @brief Checks for the departure of an incarnation.
-     * @param incarnation Name of the incarnation.
+     * @param incarnation Name of the incarnation; one without a start stands for any incarnation of the server.
      * @return True if its departure has been recorded.
      */
     [[nodiscard]] bool contains(const std::string &incarnation) const;
--- a/src/egretlatch/platform/server_report.cpp
+++ b/src/egretlatch/platform/server_report.cpp
@@ -56,6 +56,17 @@
     return text == QLatin1String{"draining"} ? std::optional{ServerReportState::draining} : std::nullopt;
 }
 
+/*! @brief Reads the time of the server's start; 0 if the report has none, nothing if it is no time. */
+[[nodiscard]] static std::optional<std::int64_t> readStart(const QJsonObject &body)
+{
+    const QJsonValue born = body[QLatin1String{"born"}];
+    if (born.isUndefined()) {
+        return 0;
+    }
+    const auto startedAtMs = readInteger(born, maxExactInteger);
+    return startedAtMs == 0 ? std::nullopt : startedAtMs;
+}
+
 [[nodiscard]] static Result<ServerReport> readHeartbeat(ServerReport report, const QJsonObject &body)
 {
     const QJsonObject info = body[QLatin1String{"info"}].toObject();
@@ -71,15 +82,9 @@
     if (report.service.empty() || report.address.empty()) {
         return malformed("a heartbeat without a service or an address");
     }
-    const QJsonValue born = body[QLatin1String{"born"}];
-    const auto startedAtMs = born.isUndefined() ? std::optional<std::int64_t>{0} : readInteger(born, maxExactInteger);
-    if (!startedAtMs.has_value()) {
-        return malformed("a heartbeat whose time of start is no whole number");
-    }
     report.state = *state;
     report.sequence = *sequence;
     report.slots = static_cast<int>(*slots);
-    report.startedAtMs = *startedAtMs;
     const QJsonValue cold = status[QLatin1String{"cold_remaining"}];
     report.coldRemaining = parseDuration(cold.toString().toStdString()).value_or(std::chrono::milliseconds{0});
     return report;
@@ -105,23 +110,28 @@
     if (request.method != "POST") {
         return tl::unexpected{Error{ErrorCode::notFound, "no report"}};
     }
-    ServerReport report;
-    if (const auto id = internal::instanceIdIn(request.target, internal::deregisterSuffix)) {
-        report.instance = *id;
-        report.state = ServerReportState::left;
-        const QJsonObject body = QJsonDocument::fromJson(request.body).object();
-        report.startedAtMs = internal::readInteger(body[QLatin1String{"born"}], internal::maxExactInteger).value_or(0);
-        return report;
-    }
-    const auto id = internal::instanceIdIn(request.target, internal::heartbeatSuffix);
-    if (!id.has_value()) {
+    const auto deregistered = internal::instanceIdIn(request.target, internal::deregisterSuffix);
+    const auto reporting = internal::instanceIdIn(request.target, internal::heartbeatSuffix);
+    if (!deregistered.has_value() && !reporting.has_value()) {
         return tl::unexpected{Error{ErrorCode::notFound, "no report"}};
     }
-    report.instance = *id;
     const QJsonDocument document = QJsonDocument::fromJson(request.body);
-    if (!document.isObject()) {
-        return internal::malformed("a heartbeat that is no JSON object");
+    // Only a deregistration says enough without a body.
+    if (!document.isObject() && (reporting.has_value() || !request.body.isEmpty())) {
+        return internal::malformed("a report that is no JSON object");
+    }
+    const auto startedAtMs = internal::readStart(document.object());
+    if (!startedAtMs.has_value()) {
+        return internal::malformed("a report whose time of start is no whole number above 0");
+    }
+    ServerReport report;
+    report.startedAtMs = *startedAtMs;
+    if (deregistered.has_value()) {
+        report.instance = *deregistered;
+        report.state = ServerReportState::left;
+        return report;
     }
+    report.instance = *reporting;
     return internal::readHeartbeat(std::move(report), document.object());
 }
 
--- a/src/egretlatch/sidecar/report_handler.cpp
+++ b/src/egretlatch/sidecar/report_handler.cpp
@@ -31,6 +31,9 @@
     const std::string previousIncarnation = m_server.incarnationName();
     const ReportEffect effect = effectOf(*report);
     record(*report, effect);
+    if (effect == ReportEffect::ofAnotherWriter) {
+        return {.answer = http::bareResponse(internal::badRequest), .event = std::nullopt};
+    }
     const bool isNewIncarnation = m_server.incarnationName() != previousIncarnation;
     if (isNewIncarnation) {
         m_logger.info("new backend server incarnation", {{"instance", m_server.instance()}, {"born", report->startedAtMs}, {"slots", m_server.slots()}});
@@ -54,6 +57,7 @@
     case ReportEffect::leavingElsewhere:
         return decision::ServerDraining{.instance = m_server.incarnationNameOf(report)};
     case ReportEffect::ofAnotherServer:
+    case ReportEffect::ofAnotherWriter:
     case ReportEffect::late:
         break;
     }
--- a/src/egretlatch/sidecar/server_tracker.cpp
+++ b/src/egretlatch/sidecar/server_tracker.cpp
@@ -1,25 +1,17 @@
 #include <egretlatch/sidecar/server_tracker.hpp>
 
-#include <fmt/format.h>
+#include <egretlatch/membership/incarnation_name.hpp>
 
 namespace egretlatch::sidecar
 {
 
-namespace internal
-{
-
-[[nodiscard]] static std::string nameOf(const std::string &instance, const std::int64_t startedAtMs)
-{
-    return fmt::format("{}#{}", instance, startedAtMs);
-}
-
-} // namespace internal
-
 std::string_view toString(const ReportEffect effect) noexcept
 {
     switch (effect) {
     case ReportEffect::ofAnotherServer:
         return "of-another-server";
+    case ReportEffect::ofAnotherWriter:
+        return "of-another-writer";
     case ReportEffect::leavingElsewhere:
         return "leaving-elsewhere";
     case ReportEffect::late:
@@ -40,6 +32,10 @@
 
 ReportEffect ServerTracker::update(const platform::ServerReport &report)
 {
+    // A server that has reported its start once always does.
+    if (report.startedAtMs == 0 && m_startedAtMs != 0) {
+        return ReportEffect::ofAnotherWriter;
+    }
     const bool isDeregistration = report.state == platform::ServerReportState::left;
     if (isDeregistration) {
         m_isLeaving = m_isLeaving || isCurrent(report);
@@ -69,13 +65,13 @@
 
 std::string ServerTracker::incarnationName() const
 {
-    return internal::nameOf(m_instance, m_startedAtMs);
+    return membership::incarnationName(m_instance, m_startedAtMs);
 }
 
 std::string ServerTracker::incarnationNameOf(const platform::ServerReport &report) const
 {
     const bool isDeregistration = report.state == platform::ServerReportState::left;
-    return isDeregistration && isCurrent(report) ? incarnationName() : internal::nameOf(report.instance, report.startedAtMs);
+    return isDeregistration && isCurrent(report) ? incarnationName() : membership::incarnationName(report.instance, report.startedAtMs);
 }
 
 bool ServerTracker::isCurrent(const platform::ServerReport &deregistration) const
--- a/src/egretlatch/sidecar/server_tracker.hpp
+++ b/src/egretlatch/sidecar/server_tracker.hpp
@@ -14,6 +14,8 @@
 enum class ReportEffect {
     /*! @brief The report names another service or address; nothing changes. */
     ofAnotherServer,
+    /*! @brief The report has no start, though the server reports its start; nothing changes. */
+    ofAnotherWriter,
     /*! @brief Deregistration of an incarnation other than the current one, known or not. */
     leavingElsewhere,
     /*! @brief The report is older than the known state; nothing changes. */
--- a/test/egretlatch/platform/wire.cpp
+++ b/test/egretlatch/platform/wire.cpp
@@ -100,6 +100,11 @@
                                                                                                           {"\"slots\":60", "\"slots\":1.5"},
                                                                                                           {"\"one\"", "7"},
                                                                                                           {"1790000000000", "\"soon\""},
+                                                                                                          {"1790000000000", "0"},
+                                                                                                          {"1790000000000", "-1"},
+                                                                                                          {"1790000000000", "1.5"},
+                                                                                                          {"1790000000000", "null"},
+                                                                                                          {"1790000000000", "\"1790000000000\""},
                                                                                                           {"\"address\"", "\"adress\""}}) {
         CAPTURE(change.first.toStdString());
         CHECK_FALSE(platform::readServerReport(heartbeat(QByteArray{good}.replace(change.first, change.second))).has_value());
@@ -116,6 +121,13 @@
     request.target = "/api/instances/i-1/deregister";
     REQUIRE(platform::readServerReport(request).has_value());
     CHECK((platform::readServerReport(request)->state == platform::ServerReportState::left));
+    for (const char *const spoilt : {"{", "[]", "7", R"({"born":0})", R"({"born":"1790000000000"})", R"({"born":1.5})", R"({"born":null})"}) {
+        CAPTURE(spoilt);
+        request.body = spoilt;
+        CHECK_FALSE(platform::readServerReport(request).has_value());
+    }
+    request.body = R"({"born":1790000000000})";
+    CHECK(platform::readServerReport(request)->startedAtMs == 1790000000000);
     request.target = "/api/instances//deregister";
     CHECK(platform::readServerReport(request).error().code == ErrorCode::notFound);
     request.target = "/api/other";
