Bytes without end from a server take a bounded memory

Each answer might take its 64 MiB, and several did at once; heads, fields, junk, trailers and bytes behind an answer were bounded before.

Answers up to 128 KiB never wait. A paused stream leaves the peer's bytes and its orderly end in the kernel.

--- a/src/egretlatch/cli/main.cpp
+++ b/src/egretlatch/cli/main.cpp
@@ -1,3 +1,5 @@
+#include <malloc.h>
+
 #include <CLI/CLI.hpp>
 
 #include <fmt/format.h>
@@ -99,10 +101,24 @@
     return command;
 }
 
+/*!
+ * @brief Has the memory of long bodies returned to the system as soon as they are freed.
+ *
+ * The C library raises its thresholds with each long block that is freed, and would keep up to 64 MiB from then on.
+ */
+void returnLongBlocks()
+{
+    constexpr int longBlockBytes = 256 * 1024;
+    constexpr int keptBytes = 1024 * 1024;
+    mallopt(M_MMAP_THRESHOLD, longBlockBytes);
+    mallopt(M_TRIM_THRESHOLD, keptBytes);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
+    returnLongBlocks();
     CLI::App app{"Overload control for service call graphs."};
     app.footer(exitCodes);
     app.require_subcommand(1);
--- a/src/egretlatch/http/client_connection.cpp
+++ b/src/egretlatch/http/client_connection.cpp
@@ -137,6 +137,15 @@
     }
     m_reader.feed(bytes);
     handleAnswers();
+    if (m_isBusy) {
+        m_listener.onPartReceived(*this);
+    }
+}
+
+void ClientConnection::setPaused(const bool isPaused)
+{
+    m_isPaused = isPaused;
+    m_stream.setPaused(isPaused);
 }
 
 void ClientConnection::handleAnswers()
@@ -212,6 +221,8 @@
     }
     m_isClosed = true;
     m_stream.close();
+    // A closed connection is destroyed later, and the next one may have received as much by then.
+    m_reader.release();
     m_listener.onClosed(*this);
 }
 
--- a/src/egretlatch/http/client_connection.hpp
+++ b/src/egretlatch/http/client_connection.hpp
@@ -46,6 +46,9 @@
 
     virtual void onIdle(ClientConnection &connection) = 0;
 
+    /*! @brief Called when the connection has received a part of an answer. */
+    virtual void onPartReceived(ClientConnection &connection) = 0;
+
     /*! @brief Called when the connection is closed; it may be destroyed once the call stack has unwound. */
     virtual void onClosed(ClientConnection &connection) = 0;
 };
@@ -94,6 +97,20 @@
 
     void close();
 
+    /*! @brief Stops or resumes reading; the server's answer waits in its own buffers meanwhile. */
+    void setPaused(bool isPaused);
+
+    [[nodiscard]] bool isPaused() const noexcept
+    {
+        return m_isPaused;
+    }
+
+    /*! @brief Returns the number of bytes that the incomplete answer takes. */
+    [[nodiscard]] qsizetype heldBytes() const noexcept
+    {
+        return m_isBusy ? m_reader.heldBytes() : 0;
+    }
+
 private:
     void onOpen() override;
     void onBytes(const QByteArray &bytes) override;
@@ -112,6 +129,7 @@
     bool m_isBusy{};
     bool m_isOpen{};
     bool m_isClosed{};
+    bool m_isPaused{};
     /*! @brief An answer to another request was received, so more may follow and the connection is not reused. */
     bool m_hasForeignAnswer{};
     SteadyTime m_openedAt;
--- a/src/egretlatch/http/client_pool.cpp
+++ b/src/egretlatch/http/client_pool.cpp
@@ -6,6 +6,14 @@
 namespace egretlatch::http
 {
 
+namespace internal
+{
+
+// An answer up to this size is never held up by long ones. All connections of a server together hold some dozen MiB at most so.
+constexpr qsizetype shortAnswerBytes = qsizetype{128} * 1024;
+
+} // namespace internal
+
 ClientPool::ClientPool(net::Poller &poller, const Clock &clock, net::Endpoint endpoint, const ReadLimits &limits)
     : m_poller{poller}
     , m_clock{clock}
@@ -89,6 +97,57 @@
     m_closed.clear();
 }
 
+void ClientPool::limitAnswers(const qsizetype limit, std::function<void(qsizetype)> onPaused)
+{
+    m_answerLimit = limit;
+    m_onPaused = std::move(onPaused);
+}
+
+bool ClientPool::isOverLimit() const
+{
+    qsizetype held = 0;
+    for (const auto &[key, connection] : m_connections) {
+        held += key == m_preferred ? 0 : key->heldBytes();
+    }
+    return held > m_answerLimit.value_or(held);
+}
+
+void ClientPool::onPartReceived(ClientConnection &connection)
+{
+    const bool isShort = connection.heldBytes() <= internal::shortAnswerBytes;
+    if (isShort || &connection == m_preferred || !isOverLimit()) {
+        return;
+    }
+    if (m_preferred == nullptr) {
+        m_preferred = &connection;
+        return;
+    }
+    connection.setPaused(true);
+    m_hasPaused = true;
+    m_onPaused(connection.heldBytes());
+}
+
+void ClientPool::resumeAnswers()
+{
+    if (m_preferred == nullptr) {
+        // The one that has received most ends soonest, and then leaves most room.
+        for (const auto &[key, connection] : m_connections) {
+            const bool isFurther = m_preferred == nullptr || key->heldBytes() > m_preferred->heldBytes();
+            m_preferred = key->isPaused() && isFurther ? key : m_preferred;
+        }
+    }
+    if (m_preferred != nullptr && m_preferred->isPaused()) {
+        m_preferred->setPaused(false);
+    }
+    m_hasPaused = false;
+    for (const auto &[key, connection] : m_connections) {
+        if (key->isPaused() && !isOverLimit()) {
+            key->setPaused(false);
+        }
+        m_hasPaused = m_hasPaused || key->isPaused();
+    }
+}
+
 ClientConnection *ClientPool::takeIdle()
 {
     const SteadyTime now = m_clock.steadyNow();
@@ -106,6 +165,7 @@
 void ClientPool::onIdle(ClientConnection &connection)
 {
     m_idle.push_back(&connection);
+    endAnswer(connection);
     endProbe(connection, true);
 }
 
@@ -118,6 +178,17 @@
         m_closed.push_back(std::move(found->second));
         m_connections.erase(found);
     }
+    endAnswer(connection);
+}
+
+void ClientPool::endAnswer(const ClientConnection &connection)
+{
+    if (m_preferred == &connection) {
+        m_preferred = nullptr;
+    }
+    if (m_hasPaused) {
+        resumeAnswers();
+    }
 }
 
 } // namespace egretlatch::http
--- a/src/egretlatch/http/client_pool.hpp
+++ b/src/egretlatch/http/client_pool.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -59,14 +60,28 @@
     /*! @brief Closes the idle connections, for example when another server takes over the address. */
     void closeIdle();
 
+    /**
+     * @brief Bounds the memory that incomplete answers take together.
+     *
+     * Beyond the limit, connections with long answers are paused, all but one, which may use as much as a single answer may have.
+     * Short answers are never held up.
+     * @param limit Maximum bytes of all incomplete answers but one.
+     * @param onPaused Called with the bytes of a connection's answer so far, each time that one is paused.
+     */
+    void limitAnswers(qsizetype limit, std::function<void(qsizetype)> onPaused);
+
     /*! @brief Enforces timeouts and destroys closed connections; call it a few times per second. */
     void tick();
 
 private:
     void onIdle(ClientConnection &connection) override;
+    void onPartReceived(ClientConnection &connection) override;
     void onClosed(ClientConnection &connection) override;
     void endProbe(const ClientConnection &connection, bool isConnected);
     [[nodiscard]] ClientConnection *takeIdle();
+    [[nodiscard]] bool isOverLimit() const;
+    void resumeAnswers();
+    void endAnswer(const ClientConnection &connection);
 
     net::Poller &m_poller;
     const Clock &m_clock;
@@ -78,6 +93,11 @@
     std::unordered_map<std::uint64_t, ClientConnection *> m_inFlight;
     std::vector<std::unique_ptr<ClientConnection>> m_closed;
     std::uint64_t m_lastRequest{};
+    std::optional<qsizetype> m_answerLimit;
+    std::function<void(qsizetype)> m_onPaused;
+    /*! @brief Connection that goes on beyond the limit; null if there is none. */
+    ClientConnection *m_preferred{};
+    bool m_hasPaused{};
     /*! @brief Connection of the probe in progress; null if there is none. */
     const ClientConnection *m_probe{};
     std::function<void(bool)> m_onProbed;
--- a/src/egretlatch/http/reader.cpp
+++ b/src/egretlatch/http/reader.cpp
@@ -1,5 +1,7 @@
 #include <egretlatch/http/reader.hpp>
 
+#include <algorithm>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 
@@ -11,6 +13,10 @@
 namespace internal
 {
 
+constexpr qsizetype longBodyBytes = qsizetype{2} * 1024 * 1024;
+// Memory that is reserved and not used yet costs nothing.
+constexpr qsizetype longBodyGrowth = 32;
+
 /*!
  * @brief Parser that keeps a message in the project's own types.
  *
@@ -22,6 +28,7 @@
 public:
     explicit ParserState(const ReadLimits &limits)
         : m_maxTrailerBytes{limits.headerBytes}
+        , m_maxBodyBytes{static_cast<qsizetype>(limits.bodyBytes)}
     {
         // The parser's own count admits one byte more than the limit, so it gets the limit unchanged.
         this->header_limit(limits.headerBytes);
@@ -78,11 +85,20 @@
 
     std::size_t on_body_impl(const Text bytes, Code &code) override
     {
+        reserveFor(static_cast<qsizetype>(bytes.size()));
         body.append(bytes.data(), static_cast<qsizetype>(bytes.size()));
         code = {};
         return bytes.size();
     }
 
+    /*! @brief Makes room in one step for a body that has become long: growing doubles it, and holds both copies meanwhile. */
+    void reserveFor(const qsizetype added)
+    {
+        if (body.size() >= longBodyBytes && body.size() + added > body.capacity()) {
+            body.reserve(std::max(std::min(m_maxBodyBytes, body.size() * longBodyGrowth), body.size() + added));
+        }
+    }
+
     void on_chunk_header_impl(std::uint64_t /*size*/, Text /*extensions*/, Code &code) override
     {
         code = {};
@@ -99,6 +115,7 @@
     }
 
     std::size_t m_maxTrailerBytes;
+    qsizetype m_maxBodyBytes;
     bool m_hasHeader{};
 };
 
@@ -139,6 +156,13 @@
     startNext();
 }
 
+template<typename Message>
+void Reader<Message>::release()
+{
+    m_parser->body.clear();
+    m_unparsed.clear();
+}
+
 template<typename Message>
 void Reader<Message>::advance()
 {
@@ -185,6 +209,12 @@
     m_state = isComplete ? ReadState::complete : ReadState::failed;
 }
 
+template<typename Message>
+qsizetype Reader<Message>::heldBytes() const noexcept
+{
+    return m_parser->body.size() + m_unparsed.size();
+}
+
 template<typename Message>
 bool Reader<Message>::expectsContinue() const
 {
--- a/src/egretlatch/http/reader.hpp
+++ b/src/egretlatch/http/reader.hpp
@@ -84,6 +84,9 @@
      */
     void setBodiesExpected(bool areExpected);
 
+    /*! @brief Frees the memory of all bytes received; the reader must not be used afterwards but for its state. */
+    void release();
+
     /*! @brief Processes the end of the connection, which may end a message without a length. */
     void finish();
 
@@ -109,6 +112,9 @@
         return m_unparsed.size();
     }
 
+    /*! @brief Returns the number of bytes that the incomplete message takes, with those that are not parsed yet. */
+    [[nodiscard]] qsizetype heldBytes() const noexcept;
+
     /*! @brief Checks whether the parsed header expects `100 Continue` before the body is sent. */
     [[nodiscard]] bool expectsContinue() const;
 
--- a/src/egretlatch/net/descriptor_set.cpp
+++ b/src/egretlatch/net/descriptor_set.cpp
@@ -18,7 +18,9 @@
 [[nodiscard]] static epoll_event eventOf(const int descriptor, const Interest interest)
 {
     epoll_event event{};
-    event.events = EPOLLRDHUP;
+    if (interest.end) {
+        event.events |= EPOLLRDHUP;
+    }
     if (interest.read) {
         event.events |= EPOLLIN;
     }
--- a/src/egretlatch/net/descriptor_set.hpp
+++ b/src/egretlatch/net/descriptor_set.hpp
@@ -14,6 +14,8 @@
 {
     bool read{};
     bool write{};
+    /*! @brief Watch for the peer's orderly end; a reset is always reported. */
+    bool end{true};
 
     friend bool operator==(const Interest &, const Interest &) = default;
 };
--- a/src/egretlatch/net/tcp_stream.cpp
+++ b/src/egretlatch/net/tcp_stream.cpp
@@ -95,6 +95,12 @@
     updateInterest();
 }
 
+void TcpStream::setPaused(const bool isPaused)
+{
+    m_isPaused = isPaused;
+    updateInterest();
+}
+
 void TcpStream::finishWriting()
 {
     m_isFinishing = true;
@@ -145,7 +151,8 @@
             m_listener.onDrained();
         }
     }
-    if (m_descriptor >= 0 && !m_isReading && (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0U) {
+    const bool isStopped = !m_isReading || m_isPaused;
+    if (m_descriptor >= 0 && isStopped && (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0U) {
         // Reading is stopped, and an end left unread would be reported again in each iteration of the event loop.
         end(StreamEnd::broken);
         return;
@@ -221,8 +228,8 @@
     if (m_descriptor < 0 || m_isConnecting || m_hasEnded) {
         return;
     }
-    const Poller::Interest interest{.read = m_isReading, .write = !m_unsent.isEmpty()};
-    if (interest.read != m_interest.read || interest.write != m_interest.write) {
+    const Poller::Interest interest{.read = m_isReading && !m_isPaused, .write = !m_unsent.isEmpty(), .end = !m_isPaused};
+    if (interest != m_interest) {
         m_interest = interest;
         m_poller.change(m_descriptor, interest);
     }
--- a/src/egretlatch/net/tcp_stream.hpp
+++ b/src/egretlatch/net/tcp_stream.hpp
@@ -86,6 +86,9 @@
     /*! @brief Stops or resumes reading; while stopped, TCP flow control holds the peer back, and its end is reported as `broken`. */
     void setReading(bool isReading);
 
+    /*! @brief Stops or resumes reading; while paused, TCP flow control holds the peer back, and its orderly end waits behind its bytes. */
+    void setPaused(bool isPaused);
+
     /*! @brief Closes the sending half once everything is sent; the peer may go on sending. */
     void finishWriting();
 
@@ -137,6 +140,7 @@
     int m_descriptor{-1};
     bool m_isConnecting{};
     bool m_isReading{true};
+    bool m_isPaused{};
     bool m_hasEnded{};
     /*! @brief Set by an error that only the sending side has seen, as the kernel reports it to the first call alone. */
     bool m_isBroken{};
--- a/src/egretlatch/settings/sidecar_settings.hpp
+++ b/src/egretlatch/settings/sidecar_settings.hpp
@@ -53,6 +53,8 @@
     Policy policy{Policy::adaptive};
     /*! @brief Mechanisms to disable; for experiments only, operators leave it out. */
     DisabledMechanisms disabledMechanisms;
+    /*! @brief Maximum bytes of all incomplete answers of the backend server but one. */
+    std::int64_t answerMemoryBytes{};
     LogLevel logLevel{LogLevel::info};
 
     friend bool operator==(const SidecarSettings &, const SidecarSettings &) = default;
--- a/src/egretlatch/sidecar/backend_runner.hpp
+++ b/src/egretlatch/sidecar/backend_runner.hpp
@@ -49,6 +49,16 @@
         m_pool.closeIdle();
     }
 
+    /**
+     * @brief Bounds the memory that incomplete answers of the server take together; see http::ClientPool::limitAnswers().
+     * @param limit Maximum bytes of all incomplete answers but one.
+     * @param onPaused Called with the bytes of an answer so far, each time that one is held up.
+     */
+    void limitAnswers(const qsizetype limit, std::function<void(qsizetype)> onPaused)
+    {
+        m_pool.limitAnswers(limit, std::move(onPaused));
+    }
+
     void tick()
     {
         m_pool.tick();
--- a/test/egretlatch/net/tcp_stream.cpp
+++ b/test/egretlatch/net/tcp_stream.cpp
@@ -152,3 +152,34 @@
         CHECK(*blocked.listener.ended == net::StreamEnd::finished);
     }
 }
+
+TEST_CASE("a paused stream delivers the peer's bytes and orderly end once it reads on")
+{
+    // Guards against a loss of the rest of an answer that is held up.
+    constexpr qsizetype sentBytes = 100'000;
+    fakes::ensureApplication();
+    net::Poller poller;
+    fakes::RawServer remotePeer;
+    Listener listener;
+    net::TcpStream stream{poller, listener};
+    REQUIRE(stream.open(remotePeer.endpoint()));
+    remotePeer.accept();
+    REQUIRE(fakes::runUntil([&listener] {
+        return listener.isOpen;
+    }));
+    stream.setPaused(true);
+    remotePeer.send(std::string(sentBytes, 'x'));
+    remotePeer.finish();
+    int turns = 0;
+    REQUIRE(fakes::runUntil([&turns] {
+        return ++turns > 5;
+    }));
+    CHECK(listener.received.isEmpty());
+    CHECK_FALSE(listener.ended.has_value());
+    stream.setPaused(false);
+    REQUIRE(fakes::runUntil([&listener] {
+        return listener.ended.has_value();
+    }));
+    CHECK(listener.received.size() == sentBytes);
+    CHECK(*listener.ended == net::StreamEnd::finished);
+}
