A transfer coding other than one chunked is refused

Cause: the parser takes a request with such a coding for one without a body.

Change: a message with a transfer coding is malformed unless it has exactly one, which is `chunked`, and no length beside it: 400, and the connection is closed.

Shown failing before: the new reader test on the reader before (the first spelling is read as complete).

--- a/src/egretlatch/http/reader.cpp
+++ b/src/egretlatch/http/reader.cpp
@@ -75,7 +75,27 @@
     void on_header_impl(Code &code) override
     {
         m_hasHeader = true;
-        code = {};
+        code = hasUnambiguousLength() ? Code{} : make_error_code(beast::error::bad_transfer_encoding);
+    }
+
+    /*!
+     * @brief Checks that nothing but one `chunked`, or a length, says where the body ends.
+     *
+     * The parser takes a request with any other transfer coding for one without a body, and its body for the next request.
+     */
+    [[nodiscard]] bool hasUnambiguousLength() const
+    {
+        const auto isNamed = [](const std::string_view name) {
+            return [name](const Header &header) {
+                return isSameName(header.name, name);
+            };
+        };
+        const auto codings = std::count_if(headers.begin(), headers.end(), isNamed("Transfer-Encoding"));
+        if (codings == 0) {
+            return true;
+        }
+        const bool hasLength = std::any_of(headers.begin(), headers.end(), isNamed("Content-Length"));
+        return codings == 1 && !hasLength && isSameName(*findHeader(headers, "Transfer-Encoding"), "chunked");
     }
 
     void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/, Code &code) override
--- a/test/egretlatch/http/reader.cpp
+++ b/test/egretlatch/http/reader.cpp
@@ -187,3 +187,32 @@
         RC_ASSERT(read == request);
     }));
 }
+
+TEST_CASE("a message whose transfer coding is anything but one chunked is malformed")
+{
+    // Guards against a body that is taken for the next request, and run.
+    const QByteArray smuggled{"POST /launch/ HTTP/1.1\r\nHost: x\r\n\r\n"};
+    for (const char *const fields : {"Transfer-Encoding: identity",
+                                     "Transfer-Encoding: gzip",
+                                     "Transfer-Encoding: xchunked",
+                                     "Transfer-Encoding: chunked, identity",
+                                     "Transfer-Encoding: gzip, chunked",
+                                     "Transfer-Encoding: chunked, chunked",
+                                     "Transfer-Encoding: \"chunked\"",
+                                     "Transfer-Encoding:",
+                                     "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+                                     "Transfer-Encoding: identity\r\nTransfer-Encoding: chunked",
+                                     "transfer-encoding: identity",
+                                     "Transfer-Encoding: chunked\r\nContent-Length: 5",
+                                     "Content-Length: 5\r\nTransfer-Encoding: chunked",
+                                     "Content-Length: 5\r\nTransfer-Encoding: identity"}) {
+        CAPTURE(fields);
+        RequestReader reader{{}};
+        reader.feed(QByteArray{"POST / HTTP/1.1\r\nHost: x\r\n"} + fields + "\r\n\r\n" + smuggled);
+        REQUIRE(reader.state() == ReadState::failed);
+        CHECK(reader.error() == ReadError::malformed);
+    }
+    for (const char *const coding : {"chunked", "Chunked", " chunked "}) {
+        CHECK(readWhole(QByteArray{"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: "} + coding + "\r\n\r\n1\r\na\r\n0\r\n\r\n").body == "a");
+    }
+}
