Kept connections follow the limits in force

Cause: a connection took the limits at its opening.

Change: Server::setLimits() passes them to the open connections; a request that is being read keeps those of its size, and pipelining those of the opening.

Shown failing before: test_a_kept_connection_follows_the_limits_in_force on (413 in place of 200); it holds now, also for a limit that is lowered.

--- a/src/egretlatch/http/reader.cpp
+++ b/src/egretlatch/http/reader.cpp
@@ -166,6 +166,15 @@
     advance();
 }
 
+template<typename Message>
+void Reader<Message>::setLimits(const ReadLimits limits)
+{
+    m_limits = limits;
+    if (m_state == ReadState::waiting) {
+        startNext();
+    }
+}
+
 template<typename Message>
 void Reader<Message>::setBodiesExpected(const bool areExpected)
 {
--- a/src/egretlatch/http/reader.hpp
+++ b/src/egretlatch/http/reader.hpp
@@ -78,6 +78,12 @@
         m_unparsed.append(bytes);
     }
 
+    /**
+     * @brief Sets the limits from the next message on, or from the present one if nothing of it has been parsed.
+     * @param limits The limits.
+     */
+    void setLimits(ReadLimits limits);
+
     /**
      * @brief Sets whether messages have the body that their header announces; not so the answers to HEAD requests.
      * @param areExpected False if each message ends with its header; call it between two messages only.
--- a/src/egretlatch/http/server.cpp
+++ b/src/egretlatch/http/server.cpp
@@ -24,6 +24,9 @@
 void Server::setLimits(const ServerLimits &limits)
 {
     m_limits = limits;
+    for (const auto &[key, connection] : m_connections) {
+        connection->setLimits(limits);
+    }
 }
 
 void Server::answer(const ExchangeId exchange, Response response)
--- a/src/egretlatch/http/server.hpp
+++ b/src/egretlatch/http/server.hpp
@@ -39,7 +39,7 @@
     [[nodiscard]] Result<void> listen(const net::Endpoint &endpoint);
 
     /**
-     * @brief Sets the limits of new connections; open connections keep theirs.
+     * @brief Sets the limits, also of open connections; a request that is being read keeps those of its size.
      * @param limits The limits.
      */
     void setLimits(const ServerLimits &limits);
--- a/src/egretlatch/http/server_connection.cpp
+++ b/src/egretlatch/http/server_connection.cpp
@@ -60,6 +60,14 @@
     m_stream.adopt(descriptor);
 }
 
+void ServerConnection::setLimits(const ServerLimits &limits)
+{
+    const PipelineLimits pipeline = m_limits.pipeline;
+    m_limits = limits;
+    m_limits.pipeline = pipeline;
+    m_reader.setLimits(limits.read);
+}
+
 void ServerConnection::onBytes(const QByteArray &bytes)
 {
     if (m_ignoresRequests) {
--- a/src/egretlatch/http/server_connection.hpp
+++ b/src/egretlatch/http/server_connection.hpp
@@ -108,6 +108,12 @@
      */
     ServerConnection(net::Poller &poller, ServerConnectionListener &listener, int descriptor, const ServerLimits &limits, const Clock &clock);
 
+    /**
+     * @brief Sets the limits; a request that is being read keeps those of its size.
+     * @param limits The limits; those of pipelining hold for the next connection.
+     */
+    void setLimits(const ServerLimits &limits);
+
     /**
      * @brief Answers a request in progress; the answer is sent after those of all earlier requests.
      * @param exchange The request.
--- a/test/processes/test_sidecar.py
+++ b/test/processes/test_sidecar.py
@@ -46,6 +46,32 @@
         self.assertEqual(200, (await Client(self.fleet.vms[0].callers).send("n-1", HOST, "/fresh/")).status)
         self.assertIn("configuration not taken", self.fleet.log(self.fleet.vms[0]))
 
+    async def test_a_kept_connection_follows_the_limits_in_force(self):
+        # Guards against 413 for a body that the configuration has allowed for long.
+        limits = {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout": "3000ms", "idle_timeout": "15000ms"}
+        self.fleet.store.put_configuration(configuration(2, routes(), SERVICES, limits))
+        await asyncio.sleep(1)
+        client = Client(self.fleet.vms[0].callers)
+        self.assertEqual(200, (await client.send("n-1", HOST, "/lookup/", "POST", b"x")).status)
+        self.fleet.store.put_configuration(configuration(3, routes(), SERVICES, {**limits, "max_body_bytes": 1048576}))
+        await asyncio.sleep(1)
+        self.assertEqual(200, (await client.send("n-2", HOST, "/lookup/", "POST", b"x" * 200_000)).status)
+        self.fleet.store.put_configuration(configuration(4, routes(), SERVICES, {**limits, "max_body_bytes": 1000}))
+        await asyncio.sleep(1)
+        self.assertEqual(413, (await client.send("n-3", HOST, "/lookup/", "POST", b"x" * 2000)).status)
+
+    async def test_a_route_may_have_a_timeout_of_hours(self):
+        # Guards against a configuration that is in force nowhere for one long timeout.
+        self.fleet.store.put_configuration(configuration(2, routes(**spec("fresh", "log", timeout=4 * 3_600_000)), SERVICES))
+        await asyncio.sleep(1)
+        self.assertEqual(200, (await Client(self.fleet.vms[0].callers).send("n-1", HOST, "/fresh/")).status)
+
+    async def test_a_configuration_that_cannot_be_used_is_named_with_its_field_in_the_log(self):
+        self.fleet.store.put_configuration(configuration(2, routes(**spec("fresh", "log", timeout=0)), SERVICES))
+        await asyncio.sleep(1)
+        lines = [line for line in self.fleet.log(self.fleet.vms[0]).splitlines() if "configuration not usable" in line]
+        self.assertTrue(any("deadlineMs" in line and '"version":"2"' in line for line in lines), lines)
+
     async def test_a_request_that_lasts_past_its_route_gets_its_final_answer_then(self):
         self.fleet.store.put_configuration(configuration(2, routes(**spec("read", "roster", timeout=300)), SERVICES))
         await asyncio.sleep(1)
