A timeout above ten minutes is served, and a configuration that cannot be used is named

Cause: the manifest's range for deadlines; the follower counted the refusal in a metric and named neither version nor field.

The sidecar logs `configuration not usable` with version, field and range for each problem, and counts configurations_unusable by document or manifest.

--- a/src/egretlatch/manifest/parse_manifest.cpp
+++ b/src/egretlatch/manifest/parse_manifest.cpp
@@ -22,7 +22,8 @@
 constexpr std::size_t keyDigestLength = 64;
 constexpr Range<std::int64_t> priorityRange{.min = 0, .max = 9};
 constexpr Range<double> worthRange{.min = 0.0, .max = 1e6};
-constexpr Range<std::int64_t> deadlineRange{.min = 1, .max = 600'000};
+// A day; streams and downloads may be allowed hours.
+constexpr Range<std::int64_t> deadlineRange{.min = 1, .max = 86'400'000};
 constexpr Range<std::int64_t> costRange{.min = 1, .max = 600'000};
 constexpr Range<std::int64_t> retryBudgetRange{.min = 0, .max = 32};
 constexpr Range<std::int64_t> countRange{.min = 1, .max = 64};
--- a/src/egretlatch/sidecar/sidecar.hpp
+++ b/src/egretlatch/sidecar/sidecar.hpp
@@ -87,6 +87,7 @@
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] http::Response metricsPage();
     [[nodiscard]] bool handleConfiguration(const QByteArray &document);
+    void reportUnusable(std::uint64_t version, const QByteArray &manifest);
     void applyConfiguration();
     [[nodiscard]] std::optional<std::chrono::milliseconds> pollLimit() const;
     void beginStop(std::string_view reason);
--- a/src/egretlatch/sidecar/sidecar_configuration.cpp
+++ b/src/egretlatch/sidecar/sidecar_configuration.cpp
@@ -2,7 +2,9 @@
 
 #include <egretlatch/sidecar/sidecar.hpp>
 
+#include <egretlatch/manifest/manifest.hpp>
 #include <egretlatch/platform/configuration_document.hpp>
+#include <egretlatch/settings/problem.hpp>
 
 namespace egretlatch::sidecar
 {
@@ -43,12 +45,31 @@
 {
     Result<platform::AcceptedConfiguration> accepted = platform::readConfiguration(document, m_bounds.retryRatio * usedShareOfRetries());
     if (!accepted.has_value()) {
+        m_metrics.count("configurations_unusable", "document");
         m_logger.warning("configuration not taken", {{"reason", accepted.error().message}});
         return false;
     }
     const std::uint64_t version = accepted->version;
+    const QByteArray manifest = accepted->manifest;
     post(decision::ManifestAccepted{.version = version, .document = std::move(accepted->manifest)});
-    return m_core->manifestVersion() >= version;
+    const bool isInForce = m_core->manifestVersion() >= version;
+    if (!isInForce) {
+        reportUnusable(version, manifest);
+    }
+    return isInForce;
+}
+
+void Sidecar::reportUnusable(const std::uint64_t version, const QByteArray &manifest)
+{
+    m_metrics.count("configurations_unusable", "manifest");
+    const tl::expected<manifest::ParsedManifest, settings::Problems> parsed = manifest::parseManifest(manifest);
+    if (parsed.has_value()) {
+        m_logger.warning("configuration not usable", {{"version", version}, {"reason", "not taken"}});
+        return;
+    }
+    for (const settings::Problem &problem : parsed.error()) {
+        m_logger.warning("configuration not usable", {{"version", version}, {"reason", settings::toLine("configuration", problem)}});
+    }
 }
 
 void Sidecar::applyConfiguration()
