--- a/test/processes/test_sidecar.py
+++ b/test/processes/test_sidecar.py
@@ -67,10 +67,11 @@
         self.assertEqual(200, (await Client(self.fleet.vms[0].callers).send("n-1", HOST, "/fresh/")).status)
 
     async def test_a_configuration_that_cannot_be_used_is_named_with_its_field_in_the_log(self):
-        self.fleet.store.put_configuration(configuration(2, routes(**spec("fresh", "log", timeout=0)), SERVICES))
+        limits = {"max_header_bytes": 16 * 1024 * 1024, "max_body_bytes": 1048576, "header_timeout": "3000ms", "idle_timeout": "15000ms"}
+        self.fleet.store.put_configuration(configuration(2, routes(), SERVICES, limits))
         await asyncio.sleep(1)
         lines = [line for line in self.fleet.log(self.fleet.vms[0]).splitlines() if "configuration not usable" in line]
-        self.assertTrue(any("deadlineMs" in line and '"version":"2"' in line for line in lines), lines)
+        self.assertTrue(any("headerBytes" in line and '"version":"2"' in line for line in lines), lines)
 
     async def test_a_request_that_lasts_past_its_route_gets_its_final_answer_then(self):
         self.fleet.store.put_configuration(configuration(2, routes(**spec("read", "roster", timeout=300)), SERVICES))
