--- a/src/egretlatch/settings/sidecar_settings.cpp
+++ b/src/egretlatch/settings/sidecar_settings.cpp
@@ -14,7 +14,7 @@
 {
 
 constexpr Range<std::int64_t> sidecarPortRange{.min = 1, .max = 65535};
-constexpr std::int64_t mebibyte = 1024 * 1024;
+constexpr std::int64_t mebibyte = 1024LL * 1024;
 constexpr Range<std::int64_t> answerMemoryRange{.min = mebibyte, .max = 1024 * mebibyte};
 constexpr std::int64_t defaultAnswerMemory = 8 * mebibyte;
 
