The poll after a configuration follows the limits that it brings

Found by test_accounts (503 for a valid key, once in the suite, beside other plays): the feed sent the next poll right after an answer with the conditions of before it, so the poll after the first configuration with client accounts was not limited, and that daemon brought no proof for up to four seconds. The conditions are taken anew after each answer now.

--- a/src/egretlatch/sidecar/configuration_feed.cpp
+++ b/src/egretlatch/sidecar/configuration_feed.cpp
@@ -74,7 +74,7 @@
     m_position = page->position;
     m_schedule.noteAnswer(page->now, !page->documents.empty(), m_clock.steadyNow());
     passOn(*page, sentAt);
-    sendNext();
+    m_receivers.onAnswered();
 }
 
 void ConfigurationFeed::passOn(const platform::ConfigurationPage &page, const BootTime sentAt)
--- a/src/egretlatch/sidecar/configuration_feed.hpp
+++ b/src/egretlatch/sidecar/configuration_feed.hpp
@@ -23,6 +23,8 @@
     std::function<void(const store::ClockReading &reading)> onClock;
     /*! @brief Receives each time of the store's clock up to which no newer document was accepted than those received. */
     std::function<void(store::StoreTime at)> onProof;
+    /*! @brief Called when an answer has been passed on; calls ConfigurationFeed::update() with the conditions that it has changed. */
+    std::function<void()> onAnswered;
 };
 
 /**
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -82,6 +82,10 @@
               .onProof =
                   [this](const store::StoreTime at) {
                       post(decision::ConfigurationProven{.at = at});
+                  },
+              .onAnswered =
+                  [this] {
+                      followConfiguration();
                   }}}
     , m_backend{m_poller,
                 m_clock,
