--- a/src/egretlatch/configuration/poll_schedule.hpp
+++ b/src/egretlatch/configuration/poll_schedule.hpp
@@ -33,7 +33,7 @@
     friend bool operator==(const PlannedCall &, const PlannedCall &) = default;
 };
 
-/*! @brief What the schedule of a daemon's calls depends on. */
+/*! @brief Conditions that decide the next call. */
 struct PollConditions
 {
     ReadReason reason{ReadReason::none};
--- a/src/egretlatch/http/answer_pairing.hpp
+++ b/src/egretlatch/http/answer_pairing.hpp
@@ -4,7 +4,7 @@
 namespace egretlatch::http
 {
 
-/*! @brief What an answer says about the request that it belongs to. */
+/*! @brief Relation of an answer to the request that waits for one. */
 enum class AnswerPairing {
     /*! @brief It is a late answer to an earlier request. */
     other,
