A sound request is tried, not refused, after servers that fell silent left it unanswered

Cause: a run without an answer at a server that ended counted like one whose connection the crash broke. Several servers that fall silent by themselves leave the same content unanswered at each, and three of them refused it. Ruled out as a way: telling a culprit from a victim by the moments of the silences, since one request sent to all servers at once has the same ones.

Changed: runs that were only unanswered, or lost at a server that had been silent for longer than two announcements, put a content on trial; trials decide, and the second that fails refuses it (one may meet a server that is silent by itself). The news of such crashes has a prefix of its own, which daemons before this commit ignore.

--- a/src/egretlatch/admission/crash_suspects.cpp
+++ b/src/egretlatch/admission/crash_suspects.cpp
@@ -1,6 +1,7 @@
 #include <egretlatch/admission/crash_suspects.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace egretlatch::admission
 {
@@ -10,6 +11,8 @@
 
 // Required limit: a request may reach servers until it has crashed the third one.
 constexpr int crashesToQuarantine = 3;
+// Of a request whose other crashes left it unanswered only, two trials decide: one may meet a server that is silent by itself.
+constexpr int brokenToQuarantine = 2;
 // Holds the requests of 68 crashes, at 60 lost requests for each crash.
 constexpr std::size_t maxSuspects = 4096;
 // A caller is a service and a client account; content that more of them send is judged by these.
@@ -18,6 +21,16 @@
 } // namespace internal
 
 void CrashSuspects::noteCrash(const std::string &crash, const std::vector<RequestIdentity> &running, const SteadyTime now)
+{
+    note(crash, running, true, now);
+}
+
+void CrashSuspects::noteUnanswered(const std::string &crash, const std::vector<RequestIdentity> &unanswered, const SteadyTime now)
+{
+    note(crash, unanswered, false, now);
+}
+
+void CrashSuspects::note(const std::string &crash, const std::vector<RequestIdentity> &running, const bool isBroken, const SteadyTime now)
 {
     expire(now);
     // A crash under a request that crashes every server says nothing about the others that ran there.
@@ -37,7 +50,8 @@
         if (caller.clearedUntil > now) {
             continue;
         }
-        caller.crashes.insert(crash);
+        bool &hasBroken = caller.crashes[crash];
+        hasBroken = hasBroken || isBroken;
         caller.hasRunWell = false;
         suspect.last = now;
     }
@@ -85,7 +99,8 @@
         return evidence.crashes > 0 ? Suspicion::suspect : Suspicion::none;
     }
     const bool isDecisive = evidence.ownCrashes >= internal::crashesToQuarantine || evidence.callers > 1;
-    return isDecisive ? Suspicion::quarantined : Suspicion::onTrial;
+    const bool isShown = evidence.broken >= internal::brokenToQuarantine;
+    return isDecisive && isShown ? Suspicion::quarantined : Suspicion::onTrial;
 }
 
 CrashEvidence CrashSuspects::evidenceAgainst(const RequestIdentity &request, const SteadyTime now) const
@@ -103,30 +118,64 @@
         return item.second.hasRunWell;
     });
     std::map<std::string, int> callersByCrash;
+    std::set<std::string> broken;
     for (const auto &[hash, caller] : suspect->callers) {
-        for (const std::string &crash : caller.crashes) {
-            callersByCrash[crash] += hash == request.caller || !runsWellForAny ? 1 : 0;
+        if (hash != request.caller && runsWellForAny) {
+            continue;
+        }
+        for (const auto &[crash, isBroken] : caller.crashes) {
+            ++callersByCrash[crash];
+            if (isBroken) {
+                broken.insert(crash);
+            }
         }
     }
-    std::erase_if(callersByCrash, [](const auto &item) {
-        return item.second == 0;
-    });
     // A caller that was only running beside another one with the same content shows nothing about its own requests.
     const auto isAlone = [&callersByCrash](const std::string &crash) {
         const auto found = callersByCrash.find(crash);
         return found != callersByCrash.end() && found->second == 1;
     };
     const auto callers = std::count_if(suspect->callers.begin(), suspect->callers.end(), [&isAlone](const auto &item) {
-        return std::any_of(item.second.crashes.begin(), item.second.crashes.end(), isAlone);
+        return std::any_of(item.second.crashes.begin(), item.second.crashes.end(), [&isAlone](const auto &crash) {
+            return isAlone(crash.first);
+        });
     });
     return {
         .crashes = static_cast<int>(callersByCrash.size()),
+        .broken = static_cast<int>(broken.size()),
         .ownCrashes = isKnown ? static_cast<int>(own->second.crashes.size()) : 0,
         .callers = static_cast<int>(callers),
         .sinceLast = now - suspect->last,
     };
 }
 
+std::vector<KnownCrash> CrashSuspects::crashesOf(const RequestFingerprint content, const SteadyTime now) const
+{
+    std::vector<KnownCrash> known;
+    const Suspect *const suspect = find(content, now);
+    if (suspect == nullptr) {
+        return known;
+    }
+    for (const auto &[hash, caller] : suspect->callers) {
+        for (const auto &[crash, isBroken] : caller.crashes) {
+            known.push_back({.caller = hash, .crash = crash, .isBroken = isBroken});
+        }
+    }
+    return known;
+}
+
+int CrashSuspects::crashesAt(const RequestFingerprint content, const DaemonId &daemon, const SteadyTime now) const
+{
+    const std::string prefix = daemon.value + '/';
+    std::set<std::string> crashes;
+    for (KnownCrash &known : crashesOf(content, now)) {
+        if (known.crash.starts_with(prefix)) {
+            crashes.insert(std::move(known.crash));
+        }
+    }
+    return static_cast<int>(crashes.size());
+}
+
 void CrashSuspects::expire(const SteadyTime now)
 {
     std::erase_if(m_suspects, [this, now](const auto &item) {
--- a/src/egretlatch/admission/crash_suspects.hpp
+++ b/src/egretlatch/admission/crash_suspects.hpp
@@ -4,12 +4,12 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 #include <egretlatch/admission/request_identity.hpp>
 #include <egretlatch/core/clock.hpp>
+#include <egretlatch/core/ids.hpp>
 
 namespace egretlatch::admission
 {
@@ -30,6 +30,8 @@
 {
     /*! @brief Crashes at which the content was running. */
     int crashes{};
+    /*! @brief Those that broke a run of the content, or left one on trial without an answer. */
+    int broken{};
     /*! @brief Those at which this caller's request was running. */
     int ownCrashes{};
     /*! @brief Callers that were the only one to run the content at a crash. */
@@ -40,6 +42,18 @@
     friend bool operator==(const CrashEvidence &, const CrashEvidence &) = default;
 };
 
+/*! @brief Crash at which requests of a caller were running. */
+struct KnownCrash
+{
+    /*! @brief Hash of the caller, as in RequestIdentity. */
+    std::uint64_t caller{};
+    std::string crash;
+    /*! @brief Set if the crash broke a run of the caller, or left one on trial without an answer. */
+    bool isBroken{};
+
+    friend bool operator==(const KnownCrash &, const KnownCrash &) = default;
+};
+
 /**
  * @brief Detects requests that crash every backend server that runs them.
  *
@@ -49,18 +63,29 @@
  * content has run well for one caller, each other caller is judged by its own crashes: the content alone is then not the
  * cause. A request that succeeds is cleared, so a request that only ran at the same time as the culprit is normally not
  * refused.
+ *
+ * Servers may fall silent by themselves, several at once, and leave the same requests unanswered. So crashes under which the
+ * runs of a content were only unanswered put it on trial, and its trials decide.
  */
 class CrashSuspects
 {
 public:
     /**
-     * @brief Records a crash.
-     * @param crash Identifier of the crash; a known one is not counted again.
-     * @param running Requests that were running at the server.
+     * @brief Records a crash, and requests whose runs it broke.
+     * @param crash Identifier of the crash, `DAEMON/...`; a known one is not counted again.
+     * @param running Requests that were running at the server, or one that was on trial there.
      * @param now Current time.
      */
     void noteCrash(const std::string &crash, const std::vector<RequestIdentity> &running, SteadyTime now);
 
+    /**
+     * @brief Records a crash, and requests that were only unanswered when it was noticed.
+     * @param crash Identifier of the crash, as for noteCrash().
+     * @param unanswered The requests.
+     * @param now Current time.
+     */
+    void noteUnanswered(const std::string &crash, const std::vector<RequestIdentity> &unanswered, SteadyTime now);
+
     /**
      * @brief Clears a request that succeeded.
      * @param request The request.
@@ -96,6 +121,22 @@
      */
     [[nodiscard]] CrashEvidence evidenceAgainst(const RequestIdentity &request, SteadyTime now) const;
 
+    /**
+     * @brief Returns the crashes at which a content was running.
+     * @param content The content.
+     * @param now Current time.
+     * @return The crashes, with each caller whose requests were running then.
+     */
+    [[nodiscard]] std::vector<KnownCrash> crashesOf(RequestFingerprint content, SteadyTime now) const;
+
+    /**
+     * @brief Counts the crashes beside a daemon at which a content was running.
+     * @param content The content.
+     * @param daemon The daemon.
+     * @param now Current time.
+     */
+    [[nodiscard]] int crashesAt(RequestFingerprint content, const DaemonId &daemon, SteadyTime now) const;
+
     /**
      * @brief Removes evidence that no longer counts.
      * @param now Current time.
@@ -126,7 +167,8 @@
 private:
     struct Caller
     {
-        std::set<std::string> crashes;
+        /*! @brief Crashes by their identifiers; true for those that broke a run of the caller. */
+        std::map<std::string, bool> crashes;
         /*! @brief Set while the caller's last known run of the content was a success. */
         bool hasRunWell{};
         /*! @brief Crashes reported before this time are older than a success that another daemon reported. */
@@ -139,6 +181,7 @@
         SteadyTime last;
     };
 
+    void note(const std::string &crash, const std::vector<RequestIdentity> &running, bool isBroken, SteadyTime now);
     [[nodiscard]] const Suspect *find(RequestFingerprint content, SteadyTime now) const;
     [[nodiscard]] bool isAnyQuarantined(const std::vector<RequestIdentity> &requests, SteadyTime now) const;
     void evictLeastSuspect();
--- a/src/egretlatch/decision/crash_detector.cpp
+++ b/src/egretlatch/decision/crash_detector.cpp
@@ -12,6 +12,8 @@
 constexpr std::chrono::seconds maxConnectFailureDelay{2};
 // Announcements may arrive some seconds late: one that was sent before a crash does not show that the server runs.
 constexpr std::chrono::seconds maxAnnouncementDelay{10};
+// A server announces itself about every 1.5 seconds. One that has been silent for two such times did not end by what it ran last.
+constexpr std::chrono::milliseconds maxSilenceBeforeCrash{3500};
 // More runs than any server has slots; the oldest are forgotten first.
 constexpr std::size_t maxUnansweredRuns = 1024;
 
@@ -19,7 +21,13 @@
 
 void CrashDetector::noteLostRun(const admission::RequestIdentity &request, const SteadyTime now)
 {
-    add({.endedAt = now, .request = request, .isLost = true});
+    const bool isSilent = m_lastSign.has_value() && now - *m_lastSign > internal::maxSilenceBeforeCrash;
+    add({.endedAt = now, .request = request, .isLost = true, .isBroken = !isSilent});
+}
+
+void CrashDetector::noteLostTrial(const admission::RequestIdentity &request, const SteadyTime now)
+{
+    add({.endedAt = now, .request = request, .isLost = true, .isBroken = true});
 }
 
 void CrashDetector::noteAbandonedRun(const admission::RequestIdentity &request, const SteadyTime now)
@@ -27,33 +35,39 @@
     add({.endedAt = now, .request = request, .isLost = false});
 }
 
-void CrashDetector::noteAnswer(const SteadyTime startedAt)
+void CrashDetector::noteAnswer(const SteadyTime startedAt, const SteadyTime now)
 {
-    while (!m_runs.empty() && m_runs.front().endedAt < startedAt) {
-        m_runs.pop_front();
-    }
+    m_lastSign = now;
+    forgetBefore(startedAt);
 }
 
 void CrashDetector::noteAnnouncement(const SteadyTime now)
 {
-    noteAnswer(now - internal::maxAnnouncementDelay);
+    m_lastSign = now;
+    forgetBefore(now - internal::maxAnnouncementDelay);
+}
+
+void CrashDetector::forgetBefore(const SteadyTime time)
+{
+    while (!m_runs.empty() && m_runs.front().endedAt < time) {
+        m_runs.pop_front();
+    }
 }
 
-std::vector<admission::RequestIdentity> CrashDetector::noteConnectFailure(const SteadyTime now)
+CrashedRuns CrashDetector::noteConnectFailure(const SteadyTime now)
 {
     // A server also refuses connections while it has too many, so only connections that broke just before make it a crash.
     const bool hasJustLost = std::any_of(m_runs.begin(), m_runs.end(), [now](const UnansweredRun &run) {
         return run.isLost && now - run.endedAt <= internal::maxConnectFailureDelay;
     });
-    return hasJustLost ? noteEnd() : std::vector<admission::RequestIdentity>{};
+    return hasJustLost ? noteEnd() : CrashedRuns{};
 }
 
-std::vector<admission::RequestIdentity> CrashDetector::noteEnd()
+CrashedRuns CrashDetector::noteEnd()
 {
-    std::vector<admission::RequestIdentity> running;
-    running.reserve(m_runs.size());
+    CrashedRuns running;
     for (const UnansweredRun &run : m_runs) {
-        running.push_back(run.request);
+        (run.isBroken ? running.broken : running.unanswered).push_back(run.request);
     }
     noteDeparture();
     return running;
--- a/src/egretlatch/decision/crash_report.cpp
+++ b/src/egretlatch/decision/crash_report.cpp
@@ -13,6 +13,7 @@
 
 // Daemons of a release before these identities read other prefixes, and ignore what they cannot match.
 constexpr std::string_view crashPrefix = "ended";
+constexpr std::string_view unansweredPrefix = "silent";
 constexpr std::string_view successPrefix = "ran";
 // Every daemon has the report within seconds. One that starts later takes a bystander for a suspect, which does no harm alone.
 constexpr std::chrono::seconds successReportLifetime{30};
@@ -27,22 +28,37 @@
             }};
 }
 
+[[nodiscard]] static std::vector<std::vector<admission::RequestIdentity>> partsOf(const std::vector<admission::RequestIdentity> &requests)
+{
+    std::vector<std::vector<admission::RequestIdentity>> parts;
+    for (std::size_t first = 0; first < requests.size(); first += admission::maxIdentitiesPerMessage) {
+        const std::size_t last = std::min(first + admission::maxIdentitiesPerMessage, requests.size());
+        parts.emplace_back(requests.begin() + static_cast<std::ptrdiff_t>(first), requests.begin() + static_cast<std::ptrdiff_t>(last));
+    }
+    return parts;
+}
+
+/*! @brief Returns the identifier of the crash that a report is about: its key without the prefix and the number of the report. */
+[[nodiscard]] static std::string crashOf(const std::string &key)
+{
+    const std::size_t begin = key.find('/') + 1;
+    return key.substr(begin, key.rfind('/') - begin);
+}
+
 } // namespace internal
 
-std::vector<CrashReport> CrashReport::forCrash(const DaemonId &daemon,
-                                               const Incarnation incarnation,
-                                               const std::uint64_t number,
-                                               const std::size_t reported,
-                                               const std::vector<admission::RequestIdentity> &running)
+std::vector<CrashReport>
+CrashReport::forCrash(const DaemonId &daemon, const Incarnation incarnation, const std::uint64_t number, const std::size_t reported, const CrashedRuns &running)
 {
     std::vector<CrashReport> reports;
-    for (std::size_t first = 0; first < running.size(); first += admission::maxIdentitiesPerMessage) {
-        const std::size_t last = std::min(first + admission::maxIdentitiesPerMessage, running.size());
-        const std::vector<admission::RequestIdentity> part{running.begin() + static_cast<std::ptrdiff_t>(first),
-                                                           running.begin() + static_cast<std::ptrdiff_t>(last)};
-        const std::string key = fmt::format("{}/{}/{:x}/{}/{}", internal::crashPrefix, daemon.value, incarnation.value, number, reported + reports.size());
-        reports.push_back(internal::makeReport(key, part, admission::CrashSuspects::crashLifetime));
-    }
+    const auto add = [&](const std::string_view prefix, const std::vector<admission::RequestIdentity> &requests) {
+        for (const std::vector<admission::RequestIdentity> &part : internal::partsOf(requests)) {
+            const std::string key = fmt::format("{}/{}/{:x}/{}/{}", prefix, daemon.value, incarnation.value, number, reported + reports.size());
+            reports.push_back(internal::makeReport(key, part, admission::CrashSuspects::crashLifetime));
+        }
+    };
+    add(internal::crashPrefix, running.broken);
+    add(internal::unansweredPrefix, running.unanswered);
     return reports;
 }
 
@@ -55,14 +71,23 @@
         fmt::format("{}/{}/{:x}/{}", internal::successPrefix, daemon.value, incarnation.value, number), requests, internal::successReportLifetime);
 }
 
+bool CrashReport::isOfSuccess() const
+{
+    return rumour.key.key.starts_with(internal::successPrefix);
+}
+
 void CrashReport::apply(admission::CrashSuspects &suspects, const SteadyTime now) const
 {
     const std::string &key = rumour.key.key;
     if (key.starts_with(internal::crashPrefix)) {
-        suspects.noteCrash(key.substr(0, key.rfind('/')), requests(), now);
+        suspects.noteCrash(internal::crashOf(key), requests(), now);
+        return;
+    }
+    if (key.starts_with(internal::unansweredPrefix)) {
+        suspects.noteUnanswered(internal::crashOf(key), requests(), now);
         return;
     }
-    if (!key.starts_with(internal::successPrefix)) {
+    if (!isOfSuccess()) {
         return;
     }
     for (const admission::RequestIdentity &request : requests()) {
--- a/src/egretlatch/decision/crash_report.hpp
+++ b/src/egretlatch/decision/crash_report.hpp
@@ -7,6 +7,7 @@
 #include <egretlatch/admission/crash_suspects.hpp>
 #include <egretlatch/admission/request_identity.hpp>
 #include <egretlatch/core/ids.hpp>
+#include <egretlatch/decision/crash_detector.hpp>
 #include <egretlatch/membership/rumour.hpp>
 
 namespace egretlatch::decision
@@ -26,8 +27,8 @@
      * @param running Requests that were running at the server.
      * @return The reports, which count as one crash.
      */
-    [[nodiscard]] static std::vector<CrashReport> forCrash(
-        const DaemonId &daemon, Incarnation incarnation, std::uint64_t number, std::size_t reported, const std::vector<admission::RequestIdentity> &running);
+    [[nodiscard]] static std::vector<CrashReport>
+    forCrash(const DaemonId &daemon, Incarnation incarnation, std::uint64_t number, std::size_t reported, const CrashedRuns &running);
 
     /**
      * @brief Builds the report of suspect requests that ran without a crash.
@@ -46,6 +47,9 @@
         return admission::identitiesFrom(rumour.payload);
     }
 
+    /*! @brief Checks whether the requests ran well; else they were running at a crash. */
+    [[nodiscard]] bool isOfSuccess() const;
+
     /**
      * @brief Applies the report to the known suspects.
      * @param suspects The suspects to update.
--- a/src/egretlatch/decision/entry_answers.cpp
+++ b/src/egretlatch/decision/entry_answers.cpp
@@ -24,7 +24,7 @@
     answer.service = pending.call.service;
     answer.kind = pending.call.kind;
     if (pending.isTrial) {
-        m_trials.erase(identityOf(pending).content);
+        endTrial(pending, answer, now);
     }
     if (pending.holdsKey) {
         releaseKey(pending, answer);
--- a/src/egretlatch/decision/entry_handler.hpp
+++ b/src/egretlatch/decision/entry_handler.hpp
@@ -224,6 +224,7 @@
     [[nodiscard]] admission::RequestIdentity identityOf(const Pending &pending) const;
     void finishQuarantined(Pending pending, std::chrono::milliseconds retryAfter, SteadyTime now);
     [[nodiscard]] bool beginTrial(Pending &pending);
+    void endTrial(const Pending &pending, const CallerAnswer &answer, SteadyTime now);
     [[nodiscard]] std::optional<DaemonId> findTrialServer(const Pending &pending) const;
     void admit(Pending pending, SteadyTime now);
     void findOwner(Pending pending, const std::optional<InnerContext> &inner, SteadyTime now);
--- a/src/egretlatch/decision/serving_handler.hpp
+++ b/src/egretlatch/decision/serving_handler.hpp
@@ -184,6 +184,7 @@
     void noteServerAnnounced(SteadyTime now)
     {
         m_crashDetector.noteAnnouncement(now);
+        m_hasUnansweredTrial = false;
     }
 
     /**
@@ -296,11 +297,12 @@
     void abandonExpired(SteadyTime now);
     void abandon(ExecutionId execution, account::RefusalReason reason, SteadyTime now);
     void recordOutcome(const Attempt &attempt, const RunEnded &ended, SteadyTime now);
-    void recordCrash(const std::vector<admission::RequestIdentity> &running);
-    void reportRunning(CrashInProgress &crash, const std::vector<admission::RequestIdentity> &running);
+    void recordCrash(const CrashedRuns &running);
+    void reportRunning(CrashInProgress &crash, const CrashedRuns &running);
     void clearIfSuspect(const Attempt &attempt, SteadyTime now);
     void detectCrash(Attempt &attempt, const RunEnded &ended, SteadyTime now);
     void noteNotice(const Attempt &attempt, const ServerNotice &notice, SteadyTime now);
+    void noteLost(const Attempt &attempt, SteadyTime now);
     void noteUnanswered(const Attempt &attempt, SteadyTime now);
     [[nodiscard]] std::vector<admission::RequestIdentity> takeRunsUnderWay();
     [[nodiscard]] admission::Suspicion suspicionOf(const DaemonId &from, const protocol::CallRequest &request, SteadyTime now) const;
@@ -320,6 +322,8 @@
     NamedLimit m_namedLimit;
     /*! @brief Time from which runs are started at the present instance of the backend server. */
     SteadyTime m_serverSince;
+    /*! @brief Set from an unanswered trial until the server shows that it lives. */
+    bool m_hasUnansweredTrial{};
     std::optional<CrashInProgress> m_crash;
     std::vector<CrashReport> m_crashReports;
     /*! @brief Suspect requests that ran without a crash and have not been reported. */
--- a/src/egretlatch/decision/serving_runs.cpp
+++ b/src/egretlatch/decision/serving_runs.cpp
@@ -113,7 +113,8 @@
 void ServingHandler::detectCrash(Attempt &attempt, const RunEnded &ended, const SteadyTime now)
 {
     if (const auto *const answer = std::get_if<RunAnswer>(&ended.result)) {
-        m_crashDetector.noteAnswer(*attempt.started);
+        m_crashDetector.noteAnswer(*attempt.started, now);
+        m_hasUnansweredTrial = false;
         m_crash.reset();
         // A server may fail a request before it runs it, which does not show that it survives it.
         if (answer->status < internal::firstServerError) {
@@ -123,9 +124,7 @@
     }
     switch (std::get<RunFailure>(ended.result)) {
     case RunFailure::lost:
-        if (!attempt.isInCrashReport) {
-            m_crashDetector.noteLostRun(identityOf(attempt), now);
-        }
+        noteLost(attempt, now);
         return;
     case RunFailure::notConnected:
         noteServerUnreachable(now);
@@ -135,8 +134,22 @@
     }
 }
 
+void ServingHandler::noteLost(const Attempt &attempt, const SteadyTime now)
+{
+    if (attempt.isInCrashReport) {
+        return;
+    }
+    if (attempt.isTrial) {
+        m_crashDetector.noteLostTrial(identityOf(attempt), now);
+    } else {
+        m_crashDetector.noteLostRun(identityOf(attempt), now);
+    }
+}
+
 void ServingHandler::noteServerReplaced(const SteadyTime now)
 {
+    m_crashDetector.noteInstance(now);
+    m_hasUnansweredTrial = false;
     m_performanceMeter.clear();
     m_serverSince = now;
     m_namedLimit.reset();
@@ -185,8 +198,9 @@
             .reason = quarantineRule,
             .elapsed = now - attempt.arrived,
         });
+        m_hasUnansweredTrial = true;
         CrashInProgress crash{.number = ++m_lastCrashReport};
-        reportRunning(crash, {request});
+        reportRunning(crash, {.broken = {request}, .unanswered = {}});
         return;
     }
     m_crashDetector.noteAbandonedRun(request, now);
@@ -231,9 +245,9 @@
         m_crash.reset();
         return;
     }
-    std::vector<admission::RequestIdentity> running = m_crashDetector.noteEnd();
+    CrashedRuns running = m_crashDetector.noteEnd();
     const std::vector<admission::RequestIdentity> underWay = takeRunsUnderWay();
-    running.insert(running.end(), underWay.begin(), underWay.end());
+    running.unanswered.insert(running.unanswered.end(), underWay.begin(), underWay.end());
     recordCrash(running);
     m_crash.reset();
 }
@@ -251,9 +265,9 @@
     return running;
 }
 
-void ServingHandler::recordCrash(const std::vector<admission::RequestIdentity> &running)
+void ServingHandler::recordCrash(const CrashedRuns &running)
 {
-    if (running.empty()) {
+    if (running.isEmpty()) {
         return;
     }
     // The runs of one crash end one after another. Reported as crashes of their own, they would count several times, and hide
@@ -267,7 +281,7 @@
     reportRunning(*m_crash, running);
 }
 
-void ServingHandler::reportRunning(CrashInProgress &crash, const std::vector<admission::RequestIdentity> &running)
+void ServingHandler::reportRunning(CrashInProgress &crash, const CrashedRuns &running)
 {
     for (CrashReport &report : CrashReport::forCrash(m_context.self, m_context.incarnation, crash.number, crash.reports, running)) {
         m_crashReports.push_back(std::move(report));
@@ -312,7 +326,8 @@
     const bool isUnderWay = std::any_of(m_attempts.begin(), m_attempts.end(), [this, content](const auto &item) {
         return identityOf(item.second).content == content;
     });
-    return isUnderWay ? std::optional<std::chrono::milliseconds>{retryAfterTrial} : std::nullopt;
+    // A server that is silent would leave each further trial unanswered, whatever the request does to it.
+    return isUnderWay || m_hasUnansweredTrial ? std::optional<std::chrono::milliseconds>{retryAfterTrial} : std::nullopt;
 }
 
 admission::RequestIdentity ServingHandler::identityOf(const Attempt &attempt) const
--- a/test/egretlatch/admission/crash_suspects.cpp
+++ b/test/egretlatch/admission/crash_suspects.cpp
@@ -129,6 +129,31 @@
     CHECK(suspects.evidenceAgainst(culprit, start).crashes == 6);
 }
 
+TEST_CASE("crashes that only left a request unanswered put it on trial, and one good run ends that")
+{
+    // Guards against a sound request that is refused for minutes since all servers of its service fell silent at once.
+    CrashSuspects suspects;
+    for (const std::string server : {"a", "b", "c", "d"}) {
+        suspects.noteUnanswered(server + "/1", {bystander}, start);
+    }
+    CHECK(suspects.suspicionOf(bystander, start) == Suspicion::onTrial);
+    CHECK(suspects.noteSuccess(bystander, start));
+    CHECK(suspects.suspicionOf(bystander, start) == Suspicion::none);
+}
+
+TEST_CASE("a request that leaves two trials unanswered is refused")
+{
+    // Guards against a request that silences each server that runs it.
+    CrashSuspects suspects;
+    for (const std::string server : {"a", "b", "c"}) {
+        suspects.noteUnanswered(server + "/1", {culprit}, start);
+    }
+    crash(suspects, "d", {culprit});
+    CHECK(suspects.suspicionOf(culprit, start) == Suspicion::onTrial);
+    crash(suspects, "e", {culprit});
+    CHECK(isQuarantined(suspects, culprit));
+}
+
 TEST_CASE("when there are too many suspects, those with the fewest crashes are forgotten first")
 {
     CrashSuspects suspects;
--- a/test/processes/test_crashing_requests.py
+++ b/test/processes/test_crashing_requests.py
@@ -128,6 +128,30 @@
         await self.send_poison(self.entries("roster", "history", "log"), 0.3)
         self.expect_bound()
 
+    async def test_a_sound_request_is_served_after_all_servers_were_silent_at_once(self):
+        # Guards against a request that is refused for minutes since servers that fell silent by themselves left it unanswered.
+        servers = self.fleet.servers("roster")
+        for server in servers:
+            server.fault = Fault(down=6, ends_silent=True)
+        client = self.entries("history")[0].callers
+        calls = []
+
+        async def send_all(seconds):
+            began = time.monotonic()
+            while time.monotonic() - began < seconds:
+                calls.append(asyncio.ensure_future(Client(client).send(f"s-{len(calls)}", HOST, "/read/today", timeout=CALLER_TIMEOUT)))
+                await asyncio.sleep(0.02)
+
+        await send_all(1)
+        silences = [asyncio.ensure_future(server.crash()) for server in servers]
+        await send_all(6)
+        await asyncio.gather(*silences)
+        await send_all(4)
+        first = len(calls)
+        await send_all(3)
+        statuses = [answer.status for answer in await asyncio.gather(*calls[first:])]
+        self.assertGreaterEqual(statuses.count(200), 0.98 * len(statuses), statuses)
+
     async def test_the_same_bytes_of_another_service_that_run_well(self):
         # Guards against sound requests refused because the same bytes crash servers when they come from another service.
         self.set_fault(crash_caller="history")
