What is known of requests that crash servers outlasts the loss of all daemons

Cause: the evidence was kept by the daemons alone, as rumours; after the loss of all of them counting began anew.

Changed: evidence of two crashes or more is a row in the store, saved by the daemons beside the crashed servers and read by a daemon that starts (SuspectRecord). Weighed: a row for each crash (each names all requests that ran there: up to 60 rows), rows removed once the request has run well (nobody knows all of them, and the daemon that saved one may be gone). So what is read puts a request on trial at most: it holds for a while after a good run, and a trial that fails is decisive. Rows expire after ten minutes; the removal is that of departures, now one class for both (store::ExpiredRows), whose tests are unchanged.

Price: one read a start that is not the first of the fleet, after that of departures; one write for a content at its second and third crash.

--- a/src/egretlatch/daemon/server_log.cpp
+++ b/src/egretlatch/daemon/server_log.cpp
@@ -16,9 +16,14 @@
                        {{"content", fmt::format("{:016x}", quarantined->request.content)},
                         {"caller", fmt::format("{:016x}", quarantined->request.caller)},
                         {"crashes", quarantined->evidence.crashes},
+                        {"broken", quarantined->evidence.broken},
                         {"callers", quarantined->evidence.callers}});
         return true;
     }
+    if (const auto *const read = std::get_if<decision::SuspectRead>(&action)) {
+        logger.info("suspect request known from before", {{"content", fmt::format("{:016x}", read->content)}, {"crashes", read->crashes}});
+        return true;
+    }
     if (const auto *const limit = std::get_if<decision::ServerLimitChanged>(&action)) {
         logger.info("server limit", {{"perSecond", limit->perSecond.has_value() ? fmt::format("{}", *limit->perSecond) : std::string{"none"}}});
         return true;
--- a/src/egretlatch/decision/action.hpp
+++ b/src/egretlatch/decision/action.hpp
@@ -147,6 +147,14 @@
     admission::CrashEvidence evidence;
 };
 
+/*! @brief Logs a suspect request of before this daemon's start, as read from the store. */
+struct SuspectRead
+{
+    admission::RequestFingerprint content{};
+    /*! @brief Crashes known of it, each counted for each caller. */
+    std::size_t crashes{};
+};
+
 /*! @brief Reports that the local backend server has begun, or ceased, to name a rate limit. */
 struct ServerLimitChanged
 {
@@ -270,6 +278,7 @@
                             RequestQuarantined,
                             CrashReportDropped,
                             SuspectsForgotten,
+                            SuspectRead,
                             ServerLimitChanged,
                             ServerLeavingNoticed,
                             DepartureReported,
--- a/src/egretlatch/decision/core.cpp
+++ b/src/egretlatch/decision/core.cpp
@@ -251,6 +251,11 @@
         handleDepartureReply(answered.outcome, now);
         return;
     }
+    if (m_suspectRequest == answered.id) {
+        m_suspectRequest.reset();
+        handleSuspectReply(answered.outcome, now);
+        return;
+    }
     if (!m_configuration->handleOutcome(answered.id, answered.outcome, now) && !m_entry->handlePlatform(answered, now)) {
         m_context->metrics.count("messages_dropped", "late-platform-answer");
     }
--- a/src/egretlatch/decision/core.hpp
+++ b/src/egretlatch/decision/core.hpp
@@ -14,6 +14,7 @@
 #include <egretlatch/decision/entry_handler.hpp>
 #include <egretlatch/decision/event.hpp>
 #include <egretlatch/decision/serving_handler.hpp>
+#include <egretlatch/decision/suspect_record.hpp>
 #include <egretlatch/membership/contact_book.hpp>
 #include <egretlatch/membership/departure_record.hpp>
 #include <egretlatch/membership/departures.hpp>
@@ -166,7 +167,10 @@
     void spreadCrashReports(SteadyTime now);
     void spreadCrashReport(const CrashReport &report, SteadyTime now);
     void applyCrashReport(const CrashReport &report, SteadyTime now);
+    void saveSuspects(const std::vector<admission::RequestIdentity> &requests, SteadyTime now);
+    void handleSuspectReply(const store::Outcome &outcome, SteadyTime now);
     void tickSuspects(SteadyTime now);
+    void tickSuspectRecord(SteadyTime now);
     void tickFleet(SteadyTime now);
     void tickContacts(SteadyTime now);
     void tickServer(SteadyTime now);
@@ -194,6 +198,9 @@
     /*! @brief Null if departures are not kept in the store. */
     std::unique_ptr<membership::DepartureRecord> m_departureRecord;
     std::optional<store::RequestId> m_departureRequest;
+    /*! @brief Null if suspect requests are not kept in the store. */
+    std::unique_ptr<SuspectRecord> m_suspectRecord;
+    std::optional<store::RequestId> m_suspectRequest;
     /*! @brief Latest announcement received while departures of before this daemon's start are not known. */
     std::optional<ServerAnnounced> m_heldAnnouncement;
     /*! @brief Last announcement of the backend server; empty if there is no server. */
@@ -283,6 +290,13 @@
      */
     CoreBuilder &keepDepartures(bool isFirstStart);
 
+    /**
+     * @brief Keeps the evidence against requests that crash backend servers in the store.
+     * @param isFirstStart True if the fleet starts for the first time, so that there is none.
+     * @return This builder.
+     */
+    CoreBuilder &keepSuspects(bool isFirstStart);
+
     /**
      * @brief Sets the rules for calls of client accounts.
      * @param rules The rules.
@@ -358,6 +372,8 @@
     bool m_receivesManifests{};
     /*! @brief Nothing if departures are not kept in the store. */
     std::optional<bool> m_isFirstStart;
+    /*! @brief Nothing if suspect requests are not kept in the store. */
+    std::optional<bool> m_isFirstStartOfSuspects;
     AccountRules m_accountRules;
     EntryRules m_entryRules;
     DrainTimes m_drainTimes;
--- a/src/egretlatch/decision/core_builder.cpp
+++ b/src/egretlatch/decision/core_builder.cpp
@@ -81,6 +81,12 @@
     return *this;
 }
 
+CoreBuilder &CoreBuilder::keepSuspects(const bool isFirstStart)
+{
+    m_isFirstStartOfSuspects = isFirstStart;
+    return *this;
+}
+
 CoreBuilder &CoreBuilder::setAccountRules(const AccountRules &rules)
 {
     m_accountRules = rules;
@@ -200,6 +206,9 @@
     if (m_isFirstStart.has_value()) {
         core->m_departureRecord = std::make_unique<membership::DepartureRecord>(m_self.id, *m_isFirstStart, *core->m_gossipRandom);
     }
+    if (m_isFirstStartOfSuspects.has_value()) {
+        core->m_suspectRecord = std::make_unique<SuspectRecord>(*m_isFirstStartOfSuspects, *core->m_gossipRandom);
+    }
     core->m_gossip = std::make_unique<membership::Gossip>(core->m_context->roster, *core->m_gossipRandom, m_metrics, std::move(m_contacts));
     return core;
 }
--- a/src/egretlatch/decision/fwd.hpp
+++ b/src/egretlatch/decision/fwd.hpp
@@ -13,6 +13,9 @@
 struct RefusalRecord;
 struct PeerCall;
 struct CoreContext;
+struct CrashedRuns;
+struct CrashReport;
+struct RecordedSuspect;
 struct ServerNotice;
 
 enum class Delivery;
@@ -23,6 +26,8 @@
 class QuotaHandler;
 class NamedLimit;
 class ServingHandler;
+class CrashDetector;
+class SuspectRecord;
 class ConfigurationRoles;
 class Core;
 class CoreBuilder;
--- a/src/egretlatch/membership/departure_record.cpp
+++ b/src/egretlatch/membership/departure_record.cpp
@@ -1,7 +1,6 @@
 #include <egretlatch/membership/departure_record.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 #include <fmt/format.h>
@@ -22,32 +21,11 @@
 constexpr int maxRowsOfDaemon = 64;
 // Departures that wait while the store is away; one beyond it is reported again by its server.
 constexpr std::size_t maxUnsaved = 64;
-// Each departure adds a row, and every eighth looks for this many expired ones: fewer rows are added than can be removed.
-constexpr int expiredRowsPerScan = 32;
-constexpr std::uint64_t savesPerCleanUp = 8;
 
-[[nodiscard]] static std::string hashText(const std::uint64_t hash)
-{
-    return fmt::format("{:016x}", hash);
-}
-
-// The hash spreads the rows evenly over the range of keys, so that a scan from a random key finds any of them.
 [[nodiscard]] static std::string prefixOf(const DaemonId &daemon)
 {
-    return fmt::format("{}{}/{}/", tablePrefix, hashText(XXH64(daemon.value.data(), daemon.value.size(), 0)), daemon.value);
-}
-
-[[nodiscard]] static std::chrono::milliseconds sinceEpoch(const WallTime time)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch());
-}
-
-[[nodiscard]] static bool isExpired(const store::Row &row, const WallTime wallNow)
-{
-    std::int64_t savedAtMs = 0;
-    const char *const end = row.value.data() + row.value.size();
-    const bool isReadable = std::from_chars(row.value.data(), end, savedAtMs).ec == std::errc{};
-    return !isReadable || sinceEpoch(wallNow) - std::chrono::milliseconds{savedAtMs} > rowLifetime;
+    const std::uint64_t hash = XXH64(daemon.value.data(), daemon.value.size(), 0);
+    return fmt::format("{}{}/{}/", tablePrefix, store::ExpiredRows::hashText(hash), daemon.value);
 }
 
 } // namespace internal
@@ -57,6 +35,7 @@
     , m_random{random}
     , m_backoff{internal::minRetryInterval, internal::maxRetryInterval}
     , m_isRead{isFirstStart}
+    , m_expiredRows{std::string{internal::tablePrefix}, internal::rowLifetime, random}
 {
 }
 
@@ -73,15 +52,11 @@
         m_step = Step::save;
         return saveRequest(wallNow);
     }
-    if (!m_expired.empty()) {
-        m_step = Step::removeExpired;
-        return removeRequest();
+    std::optional<store::Request> cleanUp = m_expiredRows.next();
+    if (cleanUp.has_value()) {
+        m_step = Step::cleanUp;
     }
-    if (std::exchange(m_isCleanUpDue, false)) {
-        m_step = Step::findExpired;
-        return findRequest();
-    }
-    return std::nullopt;
+    return cleanUp;
 }
 
 DepartureRecord::Effects DepartureRecord::handleOutcome(const store::Outcome &outcome, const SteadyTime now, const WallTime wallNow)
@@ -101,8 +76,8 @@
         handleSaved(effects);
     } else if (step == Step::read && rows != nullptr) {
         handleRead(*rows, effects);
-    } else if (step == Step::findExpired && rows != nullptr) {
-        handleFound(*rows, wallNow);
+    } else if (step == Step::cleanUp) {
+        m_expiredRows.handleReply(*outcome, wallNow);
     }
     return effects;
 }
@@ -117,25 +92,7 @@
 
 store::Request DepartureRecord::saveRequest(const WallTime wallNow) const
 {
-    const std::string value = std::to_string(internal::sinceEpoch(wallNow).count());
-    return store::TableWrite{.conditions = {}, .writes = {{.key = m_prefix + m_unsaved.front(), .value = value}}};
-}
-
-store::Request DepartureRecord::findRequest()
-{
-    const std::string start = fmt::format("{}{}", internal::tablePrefix, internal::hashText(m_random.next()));
-    return store::TableScan{.prefix = std::string{internal::tablePrefix}, .after = start, .limit = internal::expiredRowsPerScan};
-}
-
-store::Request DepartureRecord::removeRequest()
-{
-    store::TableWrite removal;
-    for (const store::Row &row : m_expired) {
-        removal.conditions.push_back({.key = row.key, .version = row.version});
-        removal.writes.push_back({.key = row.key, .value = std::nullopt});
-    }
-    m_expired.clear();
-    return removal;
+    return store::TableWrite{.conditions = {}, .writes = {{.key = m_prefix + m_unsaved.front(), .value = store::ExpiredRows::stamp(wallNow)}}};
 }
 
 void DepartureRecord::handleRead(const store::RowsReply &reply, Effects &effects)
@@ -154,16 +111,7 @@
     effects.saved = m_unsaved.front();
     m_unsaved.pop_front();
     m_saved.note(*effects.saved);
-    m_isCleanUpDue = m_random.below(internal::savesPerCleanUp) == 0;
-}
-
-void DepartureRecord::handleFound(const store::RowsReply &reply, const WallTime wallNow)
-{
-    for (const store::Row &row : reply.rows) {
-        if (internal::isExpired(row, wallNow)) {
-            m_expired.push_back(row);
-        }
-    }
+    m_expiredRows.noteSaved();
 }
 
 } // namespace egretlatch::membership
--- a/src/egretlatch/membership/departure_record.hpp
+++ b/src/egretlatch/membership/departure_record.hpp
@@ -11,6 +11,7 @@
 #include <egretlatch/core/random_source.hpp>
 #include <egretlatch/membership/departures.hpp>
 #include <egretlatch/store/backoff.hpp>
+#include <egretlatch/store/expired_rows.hpp>
 #include <egretlatch/store/requests.hpp>
 
 namespace egretlatch::membership
@@ -84,6 +85,12 @@
         m_isLearnedFromPeer = true;
     }
 
+    /*! @brief Checks whether the store has been read. */
+    [[nodiscard]] bool isRead() const noexcept
+    {
+        return m_isRead;
+    }
+
     /*! @brief Checks whether the departures of before this daemon's start are known. */
     [[nodiscard]] bool knowsEarlier() const noexcept
     {
@@ -96,16 +103,12 @@
         none,
         read,
         save,
-        findExpired,
-        removeExpired,
+        cleanUp,
     };
 
     [[nodiscard]] store::Request saveRequest(WallTime wallNow) const;
-    [[nodiscard]] store::Request findRequest();
-    [[nodiscard]] store::Request removeRequest();
     void handleRead(const store::RowsReply &reply, Effects &effects);
     void handleSaved(Effects &effects);
-    void handleFound(const store::RowsReply &reply, WallTime wallNow);
 
     std::string m_prefix;
     RandomSource &m_random;
@@ -117,9 +120,7 @@
     /*! @brief Departures that are not saved yet, oldest first. */
     std::deque<std::string> m_unsaved;
     Departures m_saved;
-    bool m_isCleanUpDue{};
-    /*! @brief Expired rows that are to be removed. */
-    std::vector<store::Row> m_expired;
+    store::ExpiredRows m_expiredRows;
 };
 
 } // namespace egretlatch::membership
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -181,6 +181,7 @@
     builder.followPlatform();
     builder.setConfigurationFeed();
     builder.keepDepartures(m_settings.isFirstStart);
+    builder.keepSuspects(m_settings.isFirstStart);
     builder.setUnownedKeys(retry::UnownedKeys::notNeeded);
     builder.setDelivery(decision::Delivery::oneIncarnation);
     builder.allowIncarnationRaise();
--- a/src/egretlatch/store/fwd.hpp
+++ b/src/egretlatch/store/fwd.hpp
@@ -17,6 +17,7 @@
 struct StoreClock;
 struct ClockReading;
 class Backoff;
+class ExpiredRows;
 class IdentifiedWrite;
 class RateLimiter;
 
--- a/test/processes/test_crashing_requests.py
+++ b/test/processes/test_crashing_requests.py
@@ -128,6 +128,27 @@
         await self.send_poison(self.entries("roster", "history", "log"), 0.3)
         self.expect_bound()
 
+    async def test_all_daemons_are_killed_twice_after_the_third_crash(self):
+        # Guards against a request that has its crashes anew after each loss of all daemons.
+        self.set_fault()
+
+        async def restart_all():
+            for vm in self.fleet.vms:
+                vm.process.send_signal(signal.SIGKILL)
+            for vm in self.fleet.vms:
+                vm.process.wait()
+                self.fleet.start_daemon(vm)
+            self.assertTrue(await self.fleet.ready())
+
+        for number in range(3):
+            if number > 0:
+                await restart_all()
+            for turn in range(5):
+                vm = self.entries("history", "log")[turn % 4]
+                await Client(vm.callers).send(f"p-{number}-{turn}", HOST, "/read/poison", timeout=CALLER_TIMEOUT)
+                await asyncio.sleep(2.2)
+        self.expect_bound()
+
     async def test_a_sound_request_is_served_after_all_servers_were_silent_at_once(self):
         # Guards against a request that is refused for minutes since servers that fell silent by themselves left it unanswered.
         servers = self.fleet.servers("roster")
