Long bodies pass through a daemon where they are

Cause: each hop copied a body from the reader into the protobuf message, from there into its bytes, into the frame, and into the bytes to be sent; and back. Answers to a daemon with 32 MiB unsent were dropped (their callers waited until their deadlines).

Changed: a body from 64 KiB on is shared. It stands last in the encoded message, in a second part that protobuf merges with the first, so daemons before this commit read it, and their messages are read as before. A long frame is received where it stays; what is to be sent is a queue of pieces. The serving daemon holds no long body once its run has begun. Answers are never dropped for unsent bytes; in their place the server's further long answers wait while a whole body waits for other daemons. Callers that read on are no longer dropped for memory as if they paused (up to twice the limit).

Weighed: bodies in pieces over both hops with backpressure: no hop holds a whole body, but a request that moves on or is sent again needs it, and what has been passed on proves no "not run"; not built. Shared ones, built, keep both.

--- a/src/egretlatch/decision/serving_handler.cpp
+++ b/src/egretlatch/decision/serving_handler.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <egretlatch/core/message_bytes.hpp>
 #include <egretlatch/retry/verdict_rules.hpp>
 
 namespace egretlatch::decision
@@ -292,6 +293,10 @@
                     .key = request.key,
                     .trace = attempt.trace},
     });
+    if (isLongBody(request.body)) {
+        attempt.identity = identityOf(attempt);
+        attempt.request.body.clear();
+    }
 }
 
 void ServingHandler::abandonExpired(const SteadyTime now)
--- a/src/egretlatch/decision/serving_handler.hpp
+++ b/src/egretlatch/decision/serving_handler.hpp
@@ -261,6 +261,8 @@
         SteadyTime arrived;
         SteadyTime deadline;
         std::optional<SteadyTime> started;
+        /*! @brief Identity of a request whose long body is no longer held; empty for others. */
+        std::optional<admission::RequestIdentity> identity;
         int attemptsLeft{};
         int openInnerCalls{};
         SteadyTime innerWaitSince;
--- a/src/egretlatch/decision/serving_runs.cpp
+++ b/src/egretlatch/decision/serving_runs.cpp
@@ -332,7 +332,7 @@
 
 admission::RequestIdentity ServingHandler::identityOf(const Attempt &attempt) const
 {
-    return m_context.identityOf(std::get<DaemonId>(attempt.origin), attempt.request);
+    return attempt.identity.has_value() ? *attempt.identity : m_context.identityOf(std::get<DaemonId>(attempt.origin), attempt.request);
 }
 
 } // namespace egretlatch::decision
--- a/src/egretlatch/http/client_connection.cpp
+++ b/src/egretlatch/http/client_connection.cpp
@@ -124,8 +124,9 @@
     // A server may read a long body late while it is at work on it; the deadline of the request bounds that.
     m_stream.setPatience(m_outgoing.bytes.size() > internal::maxBytesInWindow);
     m_reader.setBodiesExpected(m_outgoing.hasAnswerBody);
-    m_stream.write(m_outgoing.bytes);
-    m_outgoing.bytes.clear();
+    m_stream.write(m_outgoing.bytes.head);
+    m_stream.write(m_outgoing.bytes.body);
+    m_outgoing.bytes = {};
 }
 
 void ClientConnection::onBytes(const QByteArray &bytes)
--- a/src/egretlatch/http/client_connection.hpp
+++ b/src/egretlatch/http/client_connection.hpp
@@ -27,7 +27,7 @@
 /*! @brief Request to be sent. */
 struct OutgoingRequest
 {
-    QByteArray bytes;
+    MessageBytes bytes;
     /*! @brief Pairs an answer. After an unnamed one the connection is not reused: a second copy would pass for the next answer. */
     std::function<AnswerPairing(const Response &)> pair;
     /*! @brief Called exactly once, unless the request is cancelled. */
--- a/src/egretlatch/http/client_pool.cpp
+++ b/src/egretlatch/http/client_pool.cpp
@@ -94,32 +94,49 @@
     for (ClientConnection *const connection : all) {
         connection->checkTimeouts();
     }
+    // The receivers of answers may have taken some.
+    if (m_hasPaused) {
+        resumeAnswers();
+    }
     m_closed.clear();
 }
 
-void ClientPool::limitAnswers(const qsizetype limit, std::function<void(qsizetype)> onPaused)
+void ClientPool::limitAnswers(const qsizetype limit, std::function<qsizetype()> waitingBytes, std::function<void(qsizetype)> onPaused)
 {
     m_answerLimit = limit;
+    m_waitingBytes = std::move(waitingBytes);
     m_onPaused = std::move(onPaused);
 }
 
 bool ClientPool::isOverLimit() const
 {
-    qsizetype held = 0;
+    if (!m_answerLimit.has_value()) {
+        return false;
+    }
+    qsizetype held = m_waitingBytes();
     for (const auto &[key, connection] : m_connections) {
         held += key == m_preferred ? 0 : key->heldBytes();
     }
-    return held > m_answerLimit.value_or(held);
+    return held > *m_answerLimit;
+}
+
+bool ClientPool::mayReceivePreferred() const
+{
+    return !m_answerLimit.has_value() || m_waitingBytes() <= static_cast<qsizetype>(m_limits.bodyBytes);
+}
+
+bool ClientPool::mustPause(ClientConnection &connection)
+{
+    if (m_preferred == nullptr && isOverLimit()) {
+        m_preferred = &connection;
+    }
+    return &connection == m_preferred ? !mayReceivePreferred() : isOverLimit();
 }
 
 void ClientPool::onPartReceived(ClientConnection &connection)
 {
     const bool isShort = connection.heldBytes() <= internal::shortAnswerBytes;
-    if (isShort || &connection == m_preferred || !isOverLimit()) {
-        return;
-    }
-    if (m_preferred == nullptr) {
-        m_preferred = &connection;
+    if (isShort || !mustPause(connection)) {
         return;
     }
     connection.setPaused(true);
@@ -136,12 +153,12 @@
             m_preferred = key->isPaused() && isFurther ? key : m_preferred;
         }
     }
-    if (m_preferred != nullptr && m_preferred->isPaused()) {
+    if (m_preferred != nullptr && m_preferred->isPaused() && mayReceivePreferred()) {
         m_preferred->setPaused(false);
     }
     m_hasPaused = false;
     for (const auto &[key, connection] : m_connections) {
-        if (key->isPaused() && !isOverLimit()) {
+        if (key != m_preferred && key->isPaused() && !isOverLimit()) {
             key->setPaused(false);
         }
         m_hasPaused = m_hasPaused || key->isPaused();
--- a/src/egretlatch/http/client_pool.hpp
+++ b/src/egretlatch/http/client_pool.hpp
@@ -61,14 +61,15 @@
     void closeIdle();
 
     /**
-     * @brief Bounds the memory that incomplete answers take together.
+     * @brief Bounds the memory that incomplete answers take together, and those that wait for their receivers.
      *
      * Beyond the limit, connections with long answers are paused, all but one, which may use as much as a single answer may have.
-     * Short answers are never held up.
-     * @param limit Maximum bytes of all incomplete answers but one.
+     * That one waits, too, while as much as a whole answer waits for the receivers. Short answers are never held up.
+     * @param limit Maximum bytes of all incomplete answers but one, and of those that wait.
+     * @param waitingBytes Returns the bytes of complete answers that wait for their receivers.
      * @param onPaused Called with the bytes of a connection's answer so far, each time that one is paused.
      */
-    void limitAnswers(qsizetype limit, std::function<void(qsizetype)> onPaused);
+    void limitAnswers(qsizetype limit, std::function<qsizetype()> waitingBytes, std::function<void(qsizetype)> onPaused);
 
     /*! @brief Enforces timeouts and destroys closed connections; call it a few times per second. */
     void tick();
@@ -80,6 +81,8 @@
     void endProbe(const ClientConnection &connection, bool isConnected);
     [[nodiscard]] ClientConnection *takeIdle();
     [[nodiscard]] bool isOverLimit() const;
+    [[nodiscard]] bool mayReceivePreferred() const;
+    [[nodiscard]] bool mustPause(ClientConnection &connection);
     void resumeAnswers();
     void endAnswer(const ClientConnection &connection);
 
@@ -94,6 +97,7 @@
     std::vector<std::unique_ptr<ClientConnection>> m_closed;
     std::uint64_t m_lastRequest{};
     std::optional<qsizetype> m_answerLimit;
+    std::function<qsizetype()> m_waitingBytes;
     std::function<void(qsizetype)> m_onPaused;
     /*! @brief Connection that goes on beyond the limit; null if there is none. */
     ClientConnection *m_preferred{};
--- a/src/egretlatch/http/message.cpp
+++ b/src/egretlatch/http/message.cpp
@@ -28,7 +28,7 @@
     append(bytes, "\r\n");
 }
 
-static void appendHeadersAndBody(QByteArray &bytes, const Headers &headers, const bool keepsConnection, const QByteArray &body)
+[[nodiscard]] static MessageBytes withHeadersAndBody(QByteArray bytes, const Headers &headers, const bool keepsConnection, const QByteArray &body)
 {
     for (const Header &header : headers) {
         if (!isConnectionHeader(header.name)) {
@@ -39,7 +39,11 @@
         appendField(bytes, "Connection", "close");
     }
     append(bytes, "\r\n");
+    if (isLongBody(body)) {
+        return {.head = std::move(bytes), .body = body};
+    }
     bytes.append(body);
+    return {.head = std::move(bytes), .body = {}};
 }
 
 [[nodiscard]] static bool isNamedBy(const std::string &list, const std::string_view name)
@@ -107,7 +111,7 @@
     return forwarded;
 }
 
-QByteArray encode(const Request &request)
+MessageBytes encode(const Request &request)
 {
     QByteArray bytes;
     internal::append(bytes, request.method);
@@ -118,11 +122,10 @@
     if (mayHaveBody || !request.body.isEmpty()) {
         internal::appendField(bytes, "Content-Length", std::to_string(request.body.size()));
     }
-    internal::appendHeadersAndBody(bytes, request.headers, request.keepsConnection, request.body);
-    return bytes;
+    return internal::withHeadersAndBody(std::move(bytes), request.headers, request.keepsConnection, request.body);
 }
 
-QByteArray encode(const Response &response)
+MessageBytes encode(const Response &response)
 {
     QByteArray bytes;
     internal::append(bytes, "HTTP/1.1 ");
@@ -136,8 +139,7 @@
     if (response.status != noContent && response.status != notModified) {
         internal::appendField(bytes, "Content-Length", std::to_string(response.body.size()));
     }
-    internal::appendHeadersAndBody(bytes, response.headers, response.keepsConnection, response.body);
-    return bytes;
+    return internal::withHeadersAndBody(std::move(bytes), response.headers, response.keepsConnection, response.body);
 }
 
 } // namespace egretlatch::http
--- a/src/egretlatch/http/message.hpp
+++ b/src/egretlatch/http/message.hpp
@@ -7,6 +7,7 @@
 #include <QByteArray>
 
 #include <egretlatch/core/header.hpp>
+#include <egretlatch/core/message_bytes.hpp>
 
 namespace egretlatch::http
 {
@@ -75,13 +76,13 @@
  * @brief Serializes a request with a `Content-Length`, which is omitted for an empty GET, HEAD or DELETE.
  * @param request The request; framing fields among its headers are omitted.
  */
-[[nodiscard]] QByteArray encode(const Request &request);
+[[nodiscard]] MessageBytes encode(const Request &request);
 
 /**
  * @brief Serializes a response with a `Content-Length`, which is omitted for statuses 204 and 304.
  * @param response The response; framing fields among its headers are omitted.
  */
-[[nodiscard]] QByteArray encode(const Response &response);
+[[nodiscard]] MessageBytes encode(const Response &response);
 
 } // namespace egretlatch::http
 
--- a/src/egretlatch/http/server.cpp
+++ b/src/egretlatch/http/server.cpp
@@ -5,6 +5,16 @@
 namespace egretlatch::http
 {
 
+namespace internal
+{
+
+// Time without progress from which a caller counts as paused when too many bytes are held: more than two ticks.
+constexpr std::chrono::milliseconds pauseTime{250};
+// Multiple of the limit of held bytes beyond which callers that take some, however few, are dropped, too.
+constexpr int hardLimitFactor = 2;
+
+} // namespace internal
+
 Server::Server(net::Poller &poller, const Clock &clock, RequestHandler onRequest, AbandonedHandler onAbandoned)
     : m_poller{poller}
     , m_clock{clock}
@@ -105,8 +115,11 @@
     std::sort(holding.begin(), holding.end(), [](const ServerConnection *const left, const ServerConnection *const right) {
         return left->lastProgress() < right->lastProgress();
     });
+    const SteadyTime now = m_clock.steadyNow();
     for (ServerConnection *const connection : holding) {
-        if (held <= m_heldLimit) {
+        // Callers that read on free the memory by themselves.
+        const bool isPaused = now - connection->lastProgress() >= internal::pauseTime;
+        if (held <= (isPaused ? m_heldLimit : m_heldLimit * internal::hardLimitFactor)) {
             break;
         }
         held -= connection->heldBytes();
--- a/src/egretlatch/http/server_connection.cpp
+++ b/src/egretlatch/http/server_connection.cpp
@@ -188,7 +188,9 @@
 
 void ServerConnection::write(const Response &response)
 {
-    m_stream.write(encode(response));
+    const MessageBytes bytes = encode(response);
+    m_stream.write(bytes.head);
+    m_stream.write(bytes.body);
     if (m_stream.unsentBytes() > 0) {
         // The caller may pause for longer than the kernel waits; checkDelivery() finds one that is gone.
         m_stream.setPatience(true);
--- a/src/egretlatch/net/fwd.hpp
+++ b/src/egretlatch/net/fwd.hpp
@@ -11,6 +11,7 @@
 class DescriptorSet;
 class EventDispatcher;
 class Poller;
+class SendQueue;
 class TcpStream;
 class TcpAcceptor;
 
--- a/src/egretlatch/net/tcp_stream.cpp
+++ b/src/egretlatch/net/tcp_stream.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <cerrno>
 #include <chrono>
+#include <string_view>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -199,14 +200,15 @@
 void TcpStream::flush()
 {
     while (!m_unsent.isEmpty()) {
-        const ssize_t count = ::send(m_descriptor, m_unsent.constData(), static_cast<std::size_t>(m_unsent.size()), MSG_NOSIGNAL);
+        const std::string_view bytes = m_unsent.front();
+        const ssize_t count = ::send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
         if (count < 0) {
             if (errno != EAGAIN && errno != EINTR) {
                 handleSendError(errno);
             }
             break;
         }
-        m_unsent.remove(0, static_cast<qsizetype>(count));
+        m_unsent.consume(static_cast<qsizetype>(count));
     }
     if (m_unsent.isEmpty() && m_isFinishing) {
         ::shutdown(m_descriptor, SHUT_WR);
--- a/src/egretlatch/net/tcp_stream.hpp
+++ b/src/egretlatch/net/tcp_stream.hpp
@@ -7,6 +7,7 @@
 
 #include <egretlatch/net/endpoint.hpp>
 #include <egretlatch/net/poller.hpp>
+#include <egretlatch/net/send_queue.hpp>
 
 namespace egretlatch::net
 {
@@ -79,7 +80,7 @@
 
     /**
      * @brief Sends bytes, immediately or as soon as the peer accepts them.
-     * @param bytes The bytes.
+     * @param bytes The bytes; long ones are shared, not copied.
      */
     void write(const QByteArray &bytes);
 
@@ -147,7 +148,7 @@
     bool m_isFinishing{};
     bool m_isPatient{};
     Poller::Interest m_interest;
-    QByteArray m_unsent;
+    SendQueue m_unsent;
 };
 
 } // namespace egretlatch::net
--- a/src/egretlatch/peer/frame_reader.hpp
+++ b/src/egretlatch/peer/frame_reader.hpp
@@ -6,6 +6,8 @@
 
 #include <QByteArray>
 
+#include <egretlatch/core/message_bytes.hpp>
+
 namespace egretlatch::peer
 {
 
@@ -19,6 +21,13 @@
  */
 [[nodiscard]] QByteArray encodeFrame(std::string_view message);
 
+/**
+ * @brief Encodes a message in two pieces as a frame.
+ * @param message The message.
+ * @return Bytes of the frame; its long body is shared.
+ */
+[[nodiscard]] MessageBytes encodeSplitFrame(const MessageBytes &message);
+
 /*! @brief Splits a stream of bytes into frames. */
 class FrameReader
 {
@@ -42,8 +51,14 @@
     }
 
 private:
+    [[nodiscard]] std::optional<QByteArray> takeLong();
+
     QByteArray m_buffer;
     qsizetype m_readOffset{};
+    /*! @brief Message of a frame that is long and incomplete, received where it stays; its length is `m_longLength`. */
+    QByteArray m_long;
+    /*! @brief Length of that message; zero if there is none. */
+    qsizetype m_longLength{};
     bool m_isMalformed{};
 };
 
--- a/src/egretlatch/peer/inbound_connection.cpp
+++ b/src/egretlatch/peer/inbound_connection.cpp
@@ -1,5 +1,7 @@
 #include <egretlatch/peer/inbound_connection.hpp>
 
+#include <utility>
+
 namespace egretlatch::peer
 {
 
@@ -21,19 +23,26 @@
     m_stream.adopt(descriptor);
 }
 
-bool InboundConnection::send(const QByteArray &frame)
+bool InboundConnection::send(const MessageBytes &frame)
 {
-    if (!m_stream.isOpen() || m_stream.unsentBytes() >= internal::maxUnsentBytes) {
-        return false;
-    }
-    m_stream.write(frame);
-    return true;
+    return m_stream.unsentBytes() < internal::maxUnsentBytes && write(frame);
 }
 
-bool InboundConnection::sendAnswer(const QByteArray &frame)
+bool InboundConnection::sendAnswer(const MessageBytes &frame)
 {
+    // A finished answer is owed, however much waits before it.
     m_hasSentAnswer = true;
-    return send(frame);
+    return write(frame);
+}
+
+bool InboundConnection::write(const MessageBytes &frame)
+{
+    if (!m_stream.isOpen()) {
+        return false;
+    }
+    m_stream.write(frame.head);
+    m_stream.write(frame.body);
+    return true;
 }
 
 bool InboundConnection::owesAnswer()
@@ -54,12 +63,12 @@
 void InboundConnection::onBytes(const QByteArray &bytes)
 {
     m_frames.add(bytes);
-    while (const std::optional<QByteArray> message = m_frames.next()) {
+    while (std::optional<QByteArray> message = m_frames.next()) {
         if (message->isEmpty()) {
             // An empty frame is a keepalive request, and is answered by another one.
-            static_cast<void>(send(encodeFrame({})));
+            static_cast<void>(send({.head = encodeFrame({}), .body = {}}));
         } else {
-            m_listener.onMessage(*this, *message);
+            m_listener.onMessage(*this, std::move(*message));
         }
     }
     if (m_frames.isMalformed()) {
--- a/src/egretlatch/peer/inbound_connection.hpp
+++ b/src/egretlatch/peer/inbound_connection.hpp
@@ -23,7 +23,7 @@
      * @param connection Connection that it arrived on.
      * @param message Encoded message.
      */
-    virtual void onMessage(InboundConnection &connection, const QByteArray &message) = 0;
+    virtual void onMessage(InboundConnection &connection, QByteArray message) = 0;
 
     /**
      * @brief Handles the end of the connection; may destroy it.
@@ -47,17 +47,17 @@
 
     /**
      * @brief Sends a message.
-     * @param frame Message encoded by encodeFrame().
+     * @param frame Message encoded by encodeSplitFrame().
      * @return False if the remote end no longer reads or has closed the connection.
      */
-    [[nodiscard]] bool send(const QByteArray &frame);
+    [[nodiscard]] bool send(const MessageBytes &frame);
 
     /**
      * @brief Sends the answer to a call.
-     * @param frame Message encoded by encodeFrame().
+     * @param frame Message encoded by encodeSplitFrame().
      * @return False if the remote end no longer reads or has closed the connection.
      */
-    [[nodiscard]] bool sendAnswer(const QByteArray &frame);
+    [[nodiscard]] bool sendAnswer(const MessageBytes &frame);
 
     /**
      * @brief Checks whether the remote end has not received an answer that was sent, and its machine is alive.
@@ -65,6 +65,12 @@
      */
     [[nodiscard]] bool owesAnswer();
 
+    /*! @brief Returns the bytes that the remote end has not taken. */
+    [[nodiscard]] qsizetype unsentBytes() const noexcept
+    {
+        return m_stream.unsentBytes();
+    }
+
     [[nodiscard]] std::uint64_t number() const noexcept
     {
         return m_number;
@@ -90,6 +96,7 @@
     void onOpen() override;
     void onBytes(const QByteArray &bytes) override;
     void onEnd(net::StreamEnd end) override;
+    [[nodiscard]] bool write(const MessageBytes &frame);
 
     InboundConnectionListener &m_listener;
     std::uint64_t m_number;
--- a/src/egretlatch/peer/message_rules.cpp
+++ b/src/egretlatch/peer/message_rules.cpp
@@ -1,7 +1,6 @@
 #include <egretlatch/peer/message_rules.hpp>
 
 #include <egretlatch/membership/gossip_message.hpp>
-#include <egretlatch/protocol/codec.hpp>
 
 namespace egretlatch::peer
 {
@@ -16,13 +15,12 @@
     return isReply ? std::optional{gossip->receiver} : std::nullopt;
 }
 
-Result<protocol::Envelope> decodeAndCountFailure(const std::string_view bytes, account::MetricsSink &metrics)
+Result<protocol::Envelope> countFailure(Result<protocol::Envelope> decoded, account::MetricsSink &metrics)
 {
-    Result<protocol::Envelope> envelope = protocol::decode(bytes);
-    if (!envelope.has_value()) {
-        metrics.count("messages_dropped", envelope.error().code == ErrorCode::wrongVersion ? "wrong-version" : "malformed");
+    if (!decoded.has_value()) {
+        metrics.count("messages_dropped", decoded.error().code == ErrorCode::wrongVersion ? "wrong-version" : "malformed");
     }
-    return envelope;
+    return decoded;
 }
 
 } // namespace egretlatch::peer
--- a/src/egretlatch/peer/message_rules.hpp
+++ b/src/egretlatch/peer/message_rules.hpp
@@ -2,7 +2,6 @@
 #define EGRETLATCH_PEER_MESSAGE_RULES_HPP
 
 #include <optional>
-#include <string_view>
 
 #include <egretlatch/account/metrics_sink.hpp>
 #include <egretlatch/core/error.hpp>
@@ -20,12 +19,12 @@
 [[nodiscard]] std::optional<Incarnation> requesterIncarnation(const protocol::Message &message);
 
 /**
- * @brief Decodes a message, and counts one that cannot be decoded as dropped.
- * @param bytes Encoded message.
+ * @brief Counts a message that could not be decoded as dropped.
+ * @param decoded Result of the decoding.
  * @param metrics Receives the count of dropped messages.
- * @return The message with its sender; `malformed` or `wrongVersion` otherwise.
+ * @return The result, unchanged.
  */
-[[nodiscard]] Result<protocol::Envelope> decodeAndCountFailure(std::string_view bytes, account::MetricsSink &metrics);
+[[nodiscard]] Result<protocol::Envelope> countFailure(Result<protocol::Envelope> decoded, account::MetricsSink &metrics);
 
 } // namespace egretlatch::peer
 
--- a/src/egretlatch/peer/peer_exchange.cpp
+++ b/src/egretlatch/peer/peer_exchange.cpp
@@ -207,7 +207,7 @@
 
 void PeerExchange::handleMessage(const std::string_view bytes, const std::string *const routingId, PeerLink *const link)
 {
-    Result<protocol::Envelope> envelope = decodeAndCountFailure(bytes, m_metrics);
+    Result<protocol::Envelope> envelope = countFailure(protocol::decode(bytes), m_metrics);
     if (!envelope.has_value()) {
         return;
     }
--- a/src/egretlatch/peer/stream_exchange.cpp
+++ b/src/egretlatch/peer/stream_exchange.cpp
@@ -1,6 +1,8 @@
 #include <egretlatch/peer/stream_exchange.hpp>
 
 #include <algorithm>
+#include <numeric>
+#include <utility>
 #include <vector>
 
 #include <egretlatch/peer/message_rules.hpp>
@@ -79,6 +81,13 @@
     });
 }
 
+qsizetype StreamExchange::unsentReplyBytes() const
+{
+    return std::accumulate(m_inboundConnections.begin(), m_inboundConnections.end(), qsizetype{}, [](const qsizetype sum, const auto &entry) {
+        return sum + entry.second->unsentBytes();
+    });
+}
+
 void StreamExchange::tick()
 {
     const SteadyTime now = m_clock.steadyNow();
@@ -111,9 +120,9 @@
     }
 }
 
-void StreamExchange::onMessage(StreamLink &link, const QByteArray &message)
+void StreamExchange::onMessage(StreamLink &link, QByteArray message)
 {
-    Result<protocol::Envelope> envelope = decode(message);
+    Result<protocol::Envelope> envelope = countFailure(protocol::decodeShared(std::move(message)), m_metrics);
     if (!envelope.has_value()) {
         return;
     }
@@ -152,10 +161,10 @@
     m_callback(decision::PeerLost{.daemon = link.daemon(), .wasConnected = wasOpen});
 }
 
-void StreamExchange::onMessage(InboundConnection &connection, const QByteArray &message)
+void StreamExchange::onMessage(InboundConnection &connection, QByteArray message)
 {
     connection.noteUse(m_clock.steadyNow());
-    Result<protocol::Envelope> envelope = decode(message);
+    Result<protocol::Envelope> envelope = countFailure(protocol::decodeShared(std::move(message)), m_metrics);
     if (!envelope.has_value()) {
         return;
     }
@@ -180,11 +189,6 @@
     m_inboundConnections.erase(number);
 }
 
-Result<protocol::Envelope> StreamExchange::decode(const QByteArray &message)
-{
-    return decodeAndCountFailure({message.constData(), static_cast<std::size_t>(message.size())}, m_metrics);
-}
-
 bool StreamExchange::checkSender(const InboundConnection &connection, const Sender &sender)
 {
     const auto known = m_senderByConnection.find(connection.number());
@@ -225,7 +229,7 @@
     }
     InboundConnection &connection = *m_inboundConnections.at(number->second);
     const bool isAnswer = std::holds_alternative<protocol::CallAnswer>(action.message);
-    const QByteArray reply = frame(action.message);
+    const MessageBytes reply = frame(action.message);
     if (!(isAnswer ? connection.sendAnswer(reply) : connection.send(reply))) {
         m_metrics.count("messages_dropped", "send-failed");
     }
@@ -276,11 +280,11 @@
     return true;
 }
 
-QByteArray StreamExchange::frame(const protocol::Message &message)
+MessageBytes StreamExchange::frame(const protocol::Message &message)
 {
-    const std::string bytes = protocol::encode({.sender = m_self, .incarnation = m_incarnation, .message = message});
-    m_gossipTraffic.countSent(message, bytes.size());
-    return encodeFrame(bytes);
+    const MessageBytes bytes = protocol::encodeSplit({.sender = m_self, .incarnation = m_incarnation, .message = message});
+    m_gossipTraffic.countSent(message, static_cast<std::size_t>(bytes.size()));
+    return encodeSplitFrame(bytes);
 }
 
 } // namespace egretlatch::peer
--- a/src/egretlatch/peer/stream_exchange.hpp
+++ b/src/egretlatch/peer/stream_exchange.hpp
@@ -68,6 +68,9 @@
     /*! @brief Checks whether a live daemon has not received an answer that was sent to it; for a process that is about to end. */
     [[nodiscard]] bool owesAnswers();
 
+    /*! @brief Returns the bytes of answers and other replies that their receivers have not taken. */
+    [[nodiscard]] qsizetype unsentReplyBytes() const;
+
     /*! @brief Closes unused and unresponsive connections; to be called several times a second. */
     void tick();
 
@@ -75,11 +78,10 @@
     /*! @brief Opener of a connection: a daemon and its incarnation. */
     using Sender = std::pair<DaemonId, Incarnation>;
 
-    void onMessage(StreamLink &link, const QByteArray &message) override;
+    void onMessage(StreamLink &link, QByteArray message) override;
     void onLinkEnded(StreamLink &link, bool wasOpen) override;
-    void onMessage(InboundConnection &connection, const QByteArray &message) override;
+    void onMessage(InboundConnection &connection, QByteArray message) override;
     void onInboundConnectionEnded(InboundConnection &connection) override;
-    [[nodiscard]] Result<protocol::Envelope> decode(const QByteArray &message);
     [[nodiscard]] bool checkSender(const InboundConnection &connection, const Sender &sender);
     void sendByLink(const decision::SendToPeer &action);
     void sendReply(const decision::SendToPeer &action, Incarnation receiverIncarnation);
@@ -87,7 +89,7 @@
     [[nodiscard]] bool evictLeastRecentlyUsed();
     void endLink(const DaemonId &daemon, bool wasOpen);
     [[nodiscard]] std::vector<DaemonId> linkedDaemons() const;
-    [[nodiscard]] QByteArray frame(const protocol::Message &message);
+    [[nodiscard]] MessageBytes frame(const protocol::Message &message);
 
     net::Poller &m_poller;
     const Clock &m_clock;
--- a/src/egretlatch/peer/stream_link.cpp
+++ b/src/egretlatch/peer/stream_link.cpp
@@ -1,5 +1,7 @@
 #include <egretlatch/peer/stream_link.hpp>
 
+#include <utility>
+
 namespace egretlatch::peer
 {
 
@@ -51,10 +53,16 @@
         m_pending.push_back(std::move(message));
         return true;
     }
-    m_stream.write(message.frame);
+    write(message);
     return true;
 }
 
+void StreamLink::write(const PendingFrame &message)
+{
+    m_stream.write(message.frame.head);
+    m_stream.write(message.frame.body);
+}
+
 void StreamLink::tick(const SteadyTime now)
 {
     if (m_hasEnded) {
@@ -123,7 +131,7 @@
     std::deque<PendingFrame> pending;
     pending.swap(m_pending);
     for (const PendingFrame &message : pending) {
-        m_stream.write(message.frame);
+        write(message);
     }
 }
 
@@ -133,9 +141,9 @@
     m_awaitingSince = m_unanswered > 0 ? std::optional{now} : std::nullopt;
     m_lastUse = m_unanswered > 0 ? now : m_lastUse;
     m_frames.add(bytes);
-    while (const std::optional<QByteArray> message = m_frames.next()) {
+    while (std::optional<QByteArray> message = m_frames.next()) {
         if (!message->isEmpty()) {
-            m_listener.onMessage(*this, *message);
+            m_listener.onMessage(*this, std::move(*message));
         }
         if (m_hasEnded) {
             return;
--- a/src/egretlatch/peer/stream_link.hpp
+++ b/src/egretlatch/peer/stream_link.hpp
@@ -27,7 +27,7 @@
      * @param link Link that it arrived on.
      * @param message Encoded message.
      */
-    virtual void onMessage(StreamLink &link, const QByteArray &message) = 0;
+    virtual void onMessage(StreamLink &link, QByteArray message) = 0;
 
     /**
      * @brief Handles the end of a link, which must outlive the call.
@@ -51,7 +51,7 @@
     /*! @brief Message queued until the connection is open. */
     struct PendingFrame
     {
-        QByteArray frame;
+        MessageBytes frame;
         /*! @brief Set for a request, which must be reported if it is not sent. */
         std::optional<CallId> call;
     };
@@ -134,6 +134,7 @@
     void onOpen() override;
     void onBytes(const QByteArray &bytes) override;
     void onEnd(net::StreamEnd end) override;
+    void write(const PendingFrame &message);
     void end();
 
     const Clock &m_clock;
--- a/src/egretlatch/protocol/call_codec.cpp
+++ b/src/egretlatch/protocol/call_codec.cpp
@@ -6,6 +6,8 @@
 
 #include <fmt/format.h>
 
+#include <egretlatch/core/message_bytes.hpp>
+
 namespace egretlatch::protocol::internal
 {
 
@@ -18,7 +20,9 @@
     wire.set_method(request.method);
     wire.set_path(request.path);
     writeHeaders(request.headers, wire);
-    wire.set_body(toBytes(request.body));
+    if (!isLongBody(request.body)) {
+        wire.set_body(toBytes(request.body));
+    }
     wire.set_key(request.key);
     wire.set_account(request.account);
     wire.set_request_name(request.requestName);
@@ -200,7 +204,9 @@
     wire.set_verdict(toWire(answer.verdict));
     wire.set_status(answer.status);
     writeHeaders(answer.headers, wire);
-    wire.set_body(toBytes(answer.body));
+    if (!isLongBody(answer.body)) {
+        wire.set_body(toBytes(answer.body));
+    }
     if (answer.refusal.has_value()) {
         write(*answer.refusal, *wire.mutable_refusal());
     }
--- a/src/egretlatch/protocol/codec.cpp
+++ b/src/egretlatch/protocol/codec.cpp
@@ -7,6 +7,7 @@
 #include <google/protobuf/stubs/logging.h>
 
 #include <egretlatch/protocol/codec_parts.hpp>
+#include <egretlatch/protocol/long_body.hpp>
 
 namespace egretlatch::protocol
 {
@@ -140,16 +141,46 @@
     return tl::unexpected{Error{ErrorCode::malformed, "envelope without a known message"}};
 }
 
-} // namespace internal
-
-std::string encode(const Envelope &envelope)
+/*! @brief Encodes all of a message but its long body, which has to follow. */
+[[nodiscard]] static std::string encodeHead(const Envelope &envelope)
 {
     wire::Envelope wire;
     wire.set_protocol_version(protocolVersion);
     wire.set_sender(envelope.sender.value);
     wire.set_sender_incarnation(envelope.incarnation.value);
-    std::visit(internal::MessageWriter{wire}, envelope.message);
-    return wire.SerializeAsString();
+    std::visit(MessageWriter{wire}, envelope.message);
+    std::string bytes = wire.SerializeAsString();
+    if (const QByteArray *const body = longBodyOf(envelope.message)) {
+        appendLongBodyPrefix(envelope.message, *body, bytes);
+    }
+    return bytes;
+}
+
+[[nodiscard]] static QByteArray *bodyOf(Message &message)
+{
+    if (auto *const request = std::get_if<CallRequest>(&message)) {
+        return &request->body;
+    }
+    auto *const answer = std::get_if<CallAnswer>(&message);
+    return answer == nullptr ? nullptr : &answer->body;
+}
+
+} // namespace internal
+
+std::string encode(const Envelope &envelope)
+{
+    std::string bytes = internal::encodeHead(envelope);
+    if (const QByteArray *const body = internal::longBodyOf(envelope.message)) {
+        bytes.append(body->constData(), static_cast<std::size_t>(body->size()));
+    }
+    return bytes;
+}
+
+MessageBytes encodeSplit(const Envelope &envelope)
+{
+    const std::string head = internal::encodeHead(envelope);
+    const QByteArray *const body = internal::longBodyOf(envelope.message);
+    return {.head = QByteArray{head.data(), static_cast<qsizetype>(head.size())}, .body = body == nullptr ? QByteArray{} : *body};
 }
 
 Result<Envelope> decode(const std::string_view bytes)
@@ -172,4 +203,22 @@
     return Envelope{.sender = {wire.sender()}, .incarnation = {wire.sender_incarnation()}, .message = std::move(*message)};
 }
 
+Result<Envelope> decodeShared(QByteArray bytes)
+{
+    const std::string_view all{bytes.constData(), static_cast<std::size_t>(bytes.size())};
+    const std::optional<internal::LongBodyPosition> position = internal::findLongBody(all);
+    if (!position.has_value()) {
+        return decode(all);
+    }
+    Result<Envelope> envelope = decode(all.substr(0, position->field));
+    QByteArray *const body = envelope.has_value() ? internal::bodyOf(envelope->message) : nullptr;
+    if (body == nullptr) {
+        return decode(all);
+    }
+    // Removing from the front moves no byte.
+    bytes.remove(0, static_cast<qsizetype>(position->body));
+    *body = std::move(bytes);
+    return envelope;
+}
+
 } // namespace egretlatch::protocol
--- a/src/egretlatch/protocol/codec.hpp
+++ b/src/egretlatch/protocol/codec.hpp
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include <egretlatch/core/error.hpp>
+#include <egretlatch/core/message_bytes.hpp>
 #include <egretlatch/protocol/messages.hpp>
 
 namespace egretlatch::protocol
@@ -21,6 +22,13 @@
  */
 [[nodiscard]] std::string encode(const Envelope &envelope);
 
+/**
+ * @brief Encodes a message in two pieces, so that a long body is not copied.
+ * @param envelope Message with its sender.
+ * @return The bytes of encode(); the long body of a call or an answer is shared.
+ */
+[[nodiscard]] MessageBytes encodeSplit(const Envelope &envelope);
+
 /**
  * @brief Decodes a message.
  * @param bytes Untrusted bytes received from another daemon.
@@ -28,6 +36,13 @@
  */
 [[nodiscard]] Result<Envelope> decode(std::string_view bytes);
 
+/**
+ * @brief Decodes a message whose long body stays where it is.
+ * @param bytes Untrusted bytes received from another daemon; not copied if nobody else holds them.
+ * @return The message; `malformed` or `wrongVersion` otherwise.
+ */
+[[nodiscard]] Result<Envelope> decodeShared(QByteArray bytes);
+
 } // namespace egretlatch::protocol
 
 #endif
--- a/src/egretlatch/sidecar/backend_runner.hpp
+++ b/src/egretlatch/sidecar/backend_runner.hpp
@@ -54,9 +54,9 @@
      * @param limit Maximum bytes of all incomplete answers but one.
      * @param onPaused Called with the bytes of an answer so far, each time that one is held up.
      */
-    void limitAnswers(const qsizetype limit, std::function<void(qsizetype)> onPaused)
+    void limitAnswers(const qsizetype limit, std::function<qsizetype()> waitingBytes, std::function<void(qsizetype)> onPaused)
     {
-        m_pool.limitAnswers(limit, std::move(onPaused));
+        m_pool.limitAnswers(limit, std::move(waitingBytes), std::move(onPaused));
     }
 
     void tick()
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -143,10 +143,15 @@
     m_poller.setExceptionReporter([this](const int descriptor, const std::string_view reason) {
         reportException(fmt::format("descriptor {}", descriptor), reason);
     });
-    m_backend.limitAnswers(static_cast<qsizetype>(m_settings.answerMemoryBytes), [this](const qsizetype received) {
-        m_metrics.count("answers_held_up", "memory");
-        m_logger.warning("answer held up", {{"received", received}, {"answerMemoryBytes", m_settings.answerMemoryBytes}});
-    });
+    m_backend.limitAnswers(
+        static_cast<qsizetype>(m_settings.answerMemoryBytes),
+        [this] {
+            return m_peers.unsentReplyBytes();
+        },
+        [this](const qsizetype received) {
+            m_metrics.count("answers_held_up", "memory");
+            m_logger.warning("answer held up", {{"received", received}, {"answerMemoryBytes", m_settings.answerMemoryBytes}});
+        });
     m_frontend.server().setDropHandler([this](const http::DropReason reason, const qsizetype undelivered) {
         m_metrics.count("answers_undelivered", http::toString(reason));
         m_logger.warning("answer not delivered", {{"reason", http::toString(reason)}, {"bytes", undelivered}});
--- a/test/egretlatch/http/connections.cpp
+++ b/test/egretlatch/http/connections.cpp
@@ -162,7 +162,7 @@
     ClientPool pool{poller, clock, nowhere, {}};
     std::optional<Outcome> outcome;
     OutgoingRequest outgoing;
-    outgoing.bytes = "GET / HTTP/1.1\r\n\r\n";
+    outgoing.bytes = {.head = "GET / HTTP/1.1\r\n\r\n", .body = {}};
     outgoing.pair = [](const Response & /*response*/) {
         return AnswerPairing::own;
     };
--- a/test/egretlatch/http/reader.cpp
+++ b/test/egretlatch/http/reader.cpp
@@ -180,7 +180,7 @@
         request.target = "/x/";
         request.headers = {{.name = "Host", .value = "h"}, {.name = "X-Request-Id", .value = "1"}};
         request.body = QByteArray::fromStdString(body);
-        Request read = readWhole(encode(request));
+        Request read = readWhole(encode(request).joined());
         std::erase_if(read.headers, [](const Header &header) {
             return isConnectionHeader(header.name);
         });
--- a/test/egretlatch/peer/frame_reader.cpp
+++ b/test/egretlatch/peer/frame_reader.cpp
@@ -31,6 +31,25 @@
     }));
 }
 
+TEST_CASE("long messages are read complete and in order among short ones, however their bytes are split")
+{
+    const QByteArray longMessage(3 * longBodyBytes + 1, 'l');
+    const MessageBytes inTwoPieces{.head = "head", .body = QByteArray(longBodyBytes, 'b')};
+    QByteArray stream = peer::encodeFrame("first") + peer::encodeFrame(longMessage.toStdString()) + peer::encodeSplitFrame(inTwoPieces).joined()
+        + peer::encodeFrame(std::string_view{}) + peer::encodeFrame("last");
+    for (const qsizetype cut : {qsizetype{1}, qsizetype{7}, qsizetype{1000}, longBodyBytes, stream.size()}) {
+        peer::FrameReader reader;
+        std::vector<QByteArray> found;
+        for (qsizetype begin = 0; begin < stream.size(); begin += cut) {
+            reader.add(stream.mid(begin, cut));
+            while (std::optional<QByteArray> message = reader.next()) {
+                found.push_back(std::move(*message));
+            }
+        }
+        CHECK(found == std::vector<QByteArray>{"first", longMessage, inTwoPieces.joined(), "", "last"});
+    }
+}
+
 TEST_CASE("a length above the limit ends the reading")
 {
     // The first bytes of another kind of client, such as an HTTP client, decode as a length of a gigabyte. Waiting for that
--- a/test/egretlatch/protocol/codec.cpp
+++ b/test/egretlatch/protocol/codec.cpp
@@ -132,6 +132,57 @@
     }
 }
 
+TEST_CASE("a message with a long body is unchanged after encoding and decoding, in one piece and in two")
+{
+    for (const qsizetype size : {longBodyBytes - 1, longBodyBytes, 40 * longBodyBytes}) {
+        CallRequest request = someRequest();
+        request.body = QByteArray(size, 'r');
+        CallAnswer answer = someAnswer();
+        answer.body = QByteArray(size, 'a');
+        for (const Message &message : {Message{request}, Message{answer}}) {
+            const Envelope envelope{.sender = {"daemon"}, .incarnation = {5}, .message = message};
+            const std::string whole = encode(envelope);
+            const MessageBytes split = encodeSplit(envelope);
+            CHECK(split.joined().toStdString() == whole);
+            CHECK(split.body.isEmpty() == (size < longBodyBytes));
+            CHECK(decode(whole) == envelope);
+            CHECK(decodeShared(QByteArray::fromStdString(whole)) == envelope);
+        }
+    }
+}
+
+TEST_CASE("a long body takes no memory of its own when it is decoded")
+{
+    CallAnswer answer = someAnswer();
+    answer.body = QByteArray(longBodyBytes, 'a');
+    QByteArray bytes = encodeSplit({.sender = {"daemon"}, .incarnation = {5}, .message = answer}).joined();
+    const char *const begin = bytes.constData();
+    const char *const end = begin + bytes.size();
+    const Result<Envelope> decoded = decodeShared(std::move(bytes));
+    REQUIRE(decoded.has_value());
+    const char *const body = std::get<CallAnswer>(decoded->message).body.constData();
+    CHECK(body > begin);
+    CHECK(body < end);
+}
+
+TEST_CASE("a message with a long body that is cut or changed is decoded as a whole or not at all")
+{
+    CHECK(rc::check("any cut and any changed byte of the part before the body", [] {
+        CallRequest request = someRequest();
+        request.body = QByteArray(longBodyBytes, 'r');
+        const Envelope envelope{.sender = {"daemon"}, .incarnation = {5}, .message = request};
+        const MessageBytes split = encodeSplit(envelope);
+        QByteArray bytes = split.joined();
+        const auto position = *rc::gen::inRange<qsizetype>(0, split.head.size());
+        bytes[position] = static_cast<char>(*rc::gen::arbitrary<std::uint8_t>());
+        bytes.truncate(bytes.size() - *rc::gen::inRange<qsizetype>(0, 3));
+        const Result<Envelope> shared = decodeShared(bytes);
+        const Result<Envelope> copied = decode(std::string_view{bytes.constData(), static_cast<std::size_t>(bytes.size())});
+        RC_ASSERT(shared.has_value() == copied.has_value());
+        RC_ASSERT(!shared.has_value() || *shared == *copied);
+    }));
+}
+
 TEST_CASE("bytes that are not an envelope are malformed")
 {
     CHECK(decode("").error().code == ErrorCode::wrongVersion);
--- a/test/fuzz/main.cpp
+++ b/test/fuzz/main.cpp
@@ -111,7 +111,7 @@
 
 void readMessage(const std::string &input, fuzz::Mutator & /*mutator*/)
 {
-    const auto envelope = protocol::decode(input);
+    const auto envelope = protocol::decodeShared(QByteArray::fromStdString(input));
     if (envelope.has_value()) {
         static_cast<void>(protocol::encode(*envelope));
     }
--- a/test/processes/test_endless_answers.py
+++ b/test/processes/test_endless_answers.py
@@ -6,11 +6,10 @@
 import unittest.mock
 
 from fleet_case import HOST, FleetCase
-from support import BUILD
+from memory import MIB, own_share, resident
 
 from fleet.client import Client
 
-MIB = 1024 * 1024
 CALLS = 12
 # Of the largest daemon, above what it uses idle.
 MEMORY_BYTES = 80 * MIB
@@ -80,16 +79,6 @@
             self.sending -= 1
 
 
-def own_share():
-    """Returns the share of its memory that is the daemon's own: the address sanitizer's shadow adds an eighth."""
-    return 8 / 9 if b"__asan_init" in (BUILD / "egretlatch").read_bytes() else 1
-
-
-def resident(process):
-    with open(f"/proc/{process.pid}/status", encoding="ascii") as status:
-        return next(int(line.split()[1]) * 1024 for line in status if line.startswith("VmHWM"))
-
-
 class EndlessAnswers(FleetCase):
     async def asyncSetUp(self):
         # Freed memory that the address sanitizer keeps back is not the daemon's.
