Long requests of callers share a budget, as long answers of a server do

Cause: nothing bounded what callers send at once; and a link to a daemon took no message while more than 8 MiB were unsent on it, so behind one long request every other call to that daemon moved on or was refused.

Changed: net::ReadBudget, taken out of http::ClientPool, bounds incomplete messages together with complete ones that are still held; the server for callers uses it too (requestMemoryBytes, 8 MiB by default, all but one; no other long one is read while 64 MiB of long ones are being worked on). A caller that is held up is not charged with the time. A link takes messages behind one of any allowed length.

--- a/src/egretlatch/http/client_connection.hpp
+++ b/src/egretlatch/http/client_connection.hpp
@@ -7,6 +7,7 @@
 #include <egretlatch/core/clock.hpp>
 #include <egretlatch/http/answer_pairing.hpp>
 #include <egretlatch/http/reader.hpp>
+#include <egretlatch/net/read_budget.hpp>
 #include <egretlatch/net/tcp_stream.hpp>
 
 namespace egretlatch::http
@@ -55,7 +56,7 @@
 };
 
 /*! @brief Connection to a server that carries one request at a time. */
-class ClientConnection final : private net::StreamListener
+class ClientConnection final : public net::BudgetedReader, private net::StreamListener
 {
 public:
     ClientConnection(net::Poller &poller, ClientConnectionListener &listener, const Clock &clock, const ReadLimits &limits);
@@ -98,16 +99,14 @@
 
     void close();
 
-    /*! @brief Stops or resumes reading; the server's answer waits in its own buffers meanwhile. */
-    void setPaused(bool isPaused);
+    void setPaused(bool isPaused) override;
 
-    [[nodiscard]] bool isPaused() const noexcept
+    [[nodiscard]] bool isPaused() const override
     {
         return m_isPaused;
     }
 
-    /*! @brief Returns the number of bytes that the incomplete answer takes. */
-    [[nodiscard]] qsizetype heldBytes() const noexcept
+    [[nodiscard]] qsizetype receivedBytes() const override
     {
         return m_isBusy ? m_reader.heldBytes() : 0;
     }
--- a/src/egretlatch/http/client_pool.cpp
+++ b/src/egretlatch/http/client_pool.cpp
@@ -6,14 +6,6 @@
 namespace egretlatch::http
 {
 
-namespace internal
-{
-
-// An answer up to this size is never held up by long ones. All connections of a server together hold some dozen MiB at most so.
-constexpr qsizetype shortAnswerBytes = qsizetype{128} * 1024;
-
-} // namespace internal
-
 ClientPool::ClientPool(net::Poller &poller, const Clock &clock, net::Endpoint endpoint, const ReadLimits &limits)
     : m_poller{poller}
     , m_clock{clock}
@@ -94,75 +86,23 @@
     for (ClientConnection *const connection : all) {
         connection->checkTimeouts();
     }
-    // The receivers of answers may have taken some.
-    if (m_hasPaused) {
-        resumeAnswers();
-    }
+    m_budget.resume();
     m_closed.clear();
 }
 
 void ClientPool::limitAnswers(const qsizetype limit, std::function<qsizetype()> waitingBytes, std::function<void(qsizetype)> onPaused)
 {
-    m_answerLimit = limit;
-    m_waitingBytes = std::move(waitingBytes);
-    m_onPaused = std::move(onPaused);
-}
-
-bool ClientPool::isOverLimit() const
-{
-    if (!m_answerLimit.has_value()) {
-        return false;
-    }
-    qsizetype held = m_waitingBytes();
-    for (const auto &[key, connection] : m_connections) {
-        held += key == m_preferred ? 0 : key->heldBytes();
-    }
-    return held > *m_answerLimit;
-}
-
-bool ClientPool::mayReceivePreferred() const
-{
-    return !m_answerLimit.has_value() || m_waitingBytes() <= static_cast<qsizetype>(m_limits.bodyBytes);
-}
-
-bool ClientPool::mustPause(ClientConnection &connection)
-{
-    if (m_preferred == nullptr && isOverLimit()) {
-        m_preferred = &connection;
-    }
-    return &connection == m_preferred ? !mayReceivePreferred() : isOverLimit();
+    m_budget.setLimits({
+        .bytes = limit,
+        .completeBytes = static_cast<qsizetype>(m_limits.bodyBytes),
+        .complete = std::move(waitingBytes),
+        .onPaused = std::move(onPaused),
+    });
 }
 
 void ClientPool::onPartReceived(ClientConnection &connection)
 {
-    const bool isShort = connection.heldBytes() <= internal::shortAnswerBytes;
-    if (isShort || !mustPause(connection)) {
-        return;
-    }
-    connection.setPaused(true);
-    m_hasPaused = true;
-    m_onPaused(connection.heldBytes());
-}
-
-void ClientPool::resumeAnswers()
-{
-    if (m_preferred == nullptr) {
-        // The one that has received most ends soonest, and then leaves most room.
-        for (const auto &[key, connection] : m_connections) {
-            const bool isFurther = m_preferred == nullptr || key->heldBytes() > m_preferred->heldBytes();
-            m_preferred = key->isPaused() && isFurther ? key : m_preferred;
-        }
-    }
-    if (m_preferred != nullptr && m_preferred->isPaused() && mayReceivePreferred()) {
-        m_preferred->setPaused(false);
-    }
-    m_hasPaused = false;
-    for (const auto &[key, connection] : m_connections) {
-        if (key != m_preferred && key->isPaused() && !isOverLimit()) {
-            key->setPaused(false);
-        }
-        m_hasPaused = m_hasPaused || key->isPaused();
-    }
+    m_budget.noteReceived(connection);
 }
 
 ClientConnection *ClientPool::takeIdle()
@@ -182,7 +122,7 @@
 void ClientPool::onIdle(ClientConnection &connection)
 {
     m_idle.push_back(&connection);
-    endAnswer(connection);
+    m_budget.noteEnded(connection);
     endProbe(connection, true);
 }
 
@@ -195,17 +135,7 @@
         m_closed.push_back(std::move(found->second));
         m_connections.erase(found);
     }
-    endAnswer(connection);
-}
-
-void ClientPool::endAnswer(const ClientConnection &connection)
-{
-    if (m_preferred == &connection) {
-        m_preferred = nullptr;
-    }
-    if (m_hasPaused) {
-        resumeAnswers();
-    }
+    m_budget.noteEnded(connection);
 }
 
 } // namespace egretlatch::http
--- a/src/egretlatch/http/client_pool.hpp
+++ b/src/egretlatch/http/client_pool.hpp
@@ -61,10 +61,7 @@
     void closeIdle();
 
     /**
-     * @brief Bounds the memory that incomplete answers take together, and those that wait for their receivers.
-     *
-     * Beyond the limit, connections with long answers are paused, all but one, which may use as much as a single answer may have.
-     * That one waits, too, while as much as a whole answer waits for the receivers. Short answers are never held up.
+     * @brief Bounds the memory that incomplete answers take together, and those that wait for their receivers; see net::ReadBudget.
      * @param limit Maximum bytes of all incomplete answers but one, and of those that wait.
      * @param waitingBytes Returns the bytes of complete answers that wait for their receivers.
      * @param onPaused Called with the bytes of a connection's answer so far, each time that one is paused.
@@ -80,11 +77,6 @@
     void onClosed(ClientConnection &connection) override;
     void endProbe(const ClientConnection &connection, bool isConnected);
     [[nodiscard]] ClientConnection *takeIdle();
-    [[nodiscard]] bool isOverLimit() const;
-    [[nodiscard]] bool mayReceivePreferred() const;
-    [[nodiscard]] bool mustPause(ClientConnection &connection);
-    void resumeAnswers();
-    void endAnswer(const ClientConnection &connection);
 
     net::Poller &m_poller;
     const Clock &m_clock;
@@ -96,12 +88,7 @@
     std::unordered_map<std::uint64_t, ClientConnection *> m_inFlight;
     std::vector<std::unique_ptr<ClientConnection>> m_closed;
     std::uint64_t m_lastRequest{};
-    std::optional<qsizetype> m_answerLimit;
-    std::function<qsizetype()> m_waitingBytes;
-    std::function<void(qsizetype)> m_onPaused;
-    /*! @brief Connection that goes on beyond the limit; null if there is none. */
-    ClientConnection *m_preferred{};
-    bool m_hasPaused{};
+    net::ReadBudget m_budget;
     /*! @brief Connection of the probe in progress; null if there is none. */
     const ClientConnection *m_probe{};
     std::function<void(bool)> m_onProbed;
--- a/src/egretlatch/http/server.cpp
+++ b/src/egretlatch/http/server.cpp
@@ -1,6 +1,7 @@
 #include <egretlatch/http/server.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace egretlatch::http
 {
@@ -12,6 +13,8 @@
 constexpr std::chrono::milliseconds pauseTime{250};
 // Multiple of the limit of held bytes beyond which callers that take some, however few, are dropped, too.
 constexpr int hardLimitFactor = 2;
+// Bytes of long requests without an answer beyond which no further long one is read: as many as one of the largest usual body.
+constexpr qsizetype maxLongRequestBytes = qsizetype{64} * 1024 * 1024;
 
 } // namespace internal
 
@@ -47,6 +50,7 @@
     }
     ServerConnection *const connection = found->second;
     m_unanswered.erase(found);
+    noteRequestEnded(exchange);
     try {
         connection->answer(exchange, std::move(response));
     } catch (...) {
@@ -96,9 +100,39 @@
         connection->checkTimeouts();
     }
     limitHeldBytes();
+    m_requestBudget.resume();
     m_closed.clear();
 }
 
+void Server::limitRequests(const qsizetype limit, std::function<void(qsizetype)> onPaused)
+{
+    m_requestBudget.setLimits({
+        .bytes = limit,
+        .completeBytes = internal::maxLongRequestBytes,
+        .complete =
+            [this] {
+                return m_longRequestBytes;
+            },
+        .onPaused = std::move(onPaused),
+    });
+}
+
+void Server::onPartReceived(ServerConnection &connection)
+{
+    m_requestBudget.noteReceived(connection);
+}
+
+void Server::noteRequestEnded(const ExchangeId exchange)
+{
+    const auto found = m_longRequests.find(exchange);
+    if (found == m_longRequests.end()) {
+        return;
+    }
+    m_longRequestBytes -= found->second;
+    m_longRequests.erase(found);
+    m_requestBudget.resume();
+}
+
 void Server::limitHeldBytes()
 {
     qsizetype held = 0;
@@ -146,17 +180,23 @@
 {
     ++m_lastExchange.value;
     m_unanswered.emplace(m_lastExchange, &connection);
+    m_requestBudget.noteEnded(connection);
     return m_lastExchange;
 }
 
 void Server::onRequest(const ExchangeId exchange, Request request, const SteadyTime readAt)
 {
+    if (isLongBody(request.body)) {
+        m_longRequests.emplace(exchange, request.body.size());
+        m_longRequestBytes += request.body.size();
+    }
     m_onRequest(exchange, std::move(request), readAt);
 }
 
 void Server::onAbandoned(const ExchangeId exchange)
 {
     m_unanswered.erase(exchange);
+    noteRequestEnded(exchange);
     m_onAbandoned(exchange);
 }
 
@@ -169,6 +209,7 @@
 
 void Server::onClosed(ServerConnection &connection)
 {
+    m_requestBudget.noteEnded(connection);
     const auto found = m_connections.find(&connection);
     if (found != m_connections.end()) {
         m_closed.push_back(std::move(found->second));
--- a/src/egretlatch/http/server.hpp
+++ b/src/egretlatch/http/server.hpp
@@ -71,6 +71,13 @@
         m_heldLimit = bytes;
     }
 
+    /**
+     * @brief Bounds the memory that requests take together, incomplete ones and those without an answer; see net::ReadBudget.
+     * @param limit Maximum bytes of all incomplete requests but one, and of long ones without an answer.
+     * @param onPaused Called with the bytes of a connection's request so far, each time that one is paused.
+     */
+    void limitRequests(qsizetype limit, std::function<void(qsizetype)> onPaused);
+
     /**
      * @brief Sends an answer; ignored if the caller has disconnected.
      * @param exchange The request.
@@ -100,10 +107,12 @@
     [[nodiscard]] bool mayOverlap(const Request &request) const override;
     [[nodiscard]] ExchangeId begin(ServerConnection &connection) override;
     void onRequest(ExchangeId exchange, Request request, SteadyTime readAt) override;
+    void onPartReceived(ServerConnection &connection) override;
     void onAbandoned(ExchangeId exchange) override;
     void onDropped(DropReason reason, qsizetype undelivered) override;
     void onClosed(ServerConnection &connection) override;
     void limitHeldBytes();
+    void noteRequestEnded(ExchangeId exchange);
     void accept(int descriptor);
 
     net::Poller &m_poller;
@@ -116,6 +125,11 @@
     ServerLimits m_limits;
     std::unordered_map<ServerConnection *, std::unique_ptr<ServerConnection>> m_connections;
     std::unordered_map<ExchangeId, ServerConnection *> m_unanswered;
+    net::ReadBudget m_requestBudget;
+    /*! @brief Sizes of the long bodies of requests without an answer. */
+    std::unordered_map<ExchangeId, qsizetype> m_longRequests;
+    /*! @brief Sum of these sizes. */
+    qsizetype m_longRequestBytes{};
     /*! @brief Closed connections; destroyed in tick(), since one of their functions may still be on the call stack. */
     std::vector<std::unique_ptr<ServerConnection>> m_closed;
     ExchangeId m_lastExchange;
--- a/src/egretlatch/http/server_connection.cpp
+++ b/src/egretlatch/http/server_connection.cpp
@@ -80,6 +80,17 @@
     }
     m_reader.append(bytes);
     proceed();
+    if (!m_isClosed) {
+        m_listener.onPartReceived(*this);
+    }
+}
+
+void ServerConnection::setPaused(const bool isPaused)
+{
+    m_isPaused = isPaused;
+    m_stream.setPaused(isPaused);
+    // The caller had no part in the time for which its request was not read.
+    m_phaseStart = m_clock.steadyNow();
 }
 
 void ServerConnection::proceed()
@@ -239,7 +250,7 @@
         return;
     }
     const Duration waited = m_clock.steadyNow() - m_phaseStart;
-    if (m_ignoresRequests || m_waiting.has_value()) {
+    if (m_ignoresRequests || m_waiting.has_value() || m_isPaused) {
         return;
     }
     if (m_reader.state() == ReadState::waiting) {
--- a/src/egretlatch/http/server_connection.hpp
+++ b/src/egretlatch/http/server_connection.hpp
@@ -9,6 +9,7 @@
 #include <egretlatch/core/ids.hpp>
 #include <egretlatch/http/answer_queue.hpp>
 #include <egretlatch/http/reader.hpp>
+#include <egretlatch/net/read_budget.hpp>
 #include <egretlatch/net/tcp_stream.hpp>
 
 namespace egretlatch::http
@@ -74,6 +75,9 @@
      */
     virtual void onRequest(ExchangeId exchange, Request request, SteadyTime readAt) = 0;
 
+    /*! @brief Called when the connection has received bytes. */
+    virtual void onPartReceived(ServerConnection &connection) = 0;
+
     /*! @brief Called when the caller disconnected before a request was answered, or will not receive the answer. */
     virtual void onAbandoned(ExchangeId exchange) = 0;
 
@@ -95,7 +99,7 @@
  * caller that closes only its sending half is treated as disconnected, since it cannot be told from one that has closed
  * both. Requests that follow the request or the answer that ends the connection are never run: the caller resends them.
  */
-class ServerConnection final : private net::StreamListener
+class ServerConnection final : public net::BudgetedReader, private net::StreamListener
 {
 public:
     /**
@@ -136,6 +140,18 @@
      */
     void drop(DropReason reason);
 
+    [[nodiscard]] qsizetype receivedBytes() const override
+    {
+        return m_isClosed ? 0 : m_reader.heldBytes();
+    }
+
+    [[nodiscard]] bool isPaused() const override
+    {
+        return m_isPaused;
+    }
+
+    void setPaused(bool isPaused) override;
+
     /*! @brief Returns the bytes of answers that are held here because the caller does not take them. */
     [[nodiscard]] qsizetype heldBytes() const noexcept
     {
@@ -210,6 +226,7 @@
     qsizetype m_undelivered{};
     /*! @brief Time at which that number last changed. */
     SteadyTime m_lastProgress;
+    bool m_isPaused{};
     bool m_isClosed{};
     bool m_hasSentContinue{};
 };
--- a/src/egretlatch/peer/stream_link.cpp
+++ b/src/egretlatch/peer/stream_link.cpp
@@ -9,9 +9,9 @@
 {
 
 constexpr std::size_t maxPendingMessages = 1000;
-// Limits the bytes that the remote end has not read yet; beyond it the remote end is stalled, and further messages would arrive
-// too late.
-constexpr qsizetype maxUnsentBytes = qsizetype{8} * 1024 * 1024;
+// Limits the bytes that the remote end has not read yet, beside one long message; beyond it the remote end is stalled, and further
+// messages would arrive too late.
+constexpr qsizetype maxUnsentBytes = maxFrameBytes + qsizetype{8} * 1024 * 1024;
 // A connection across a region opens within 100 ms, or in little more than 1 s if a packet is lost.
 constexpr std::chrono::milliseconds connectTimeout{2000};
 // Answers take some hundreds of milliseconds; a keepalive in between costs two small messages.
--- a/src/egretlatch/settings/sidecar_settings.cpp
+++ b/src/egretlatch/settings/sidecar_settings.cpp
@@ -15,8 +15,8 @@
 
 constexpr Range<std::int64_t> sidecarPortRange{.min = 1, .max = 65535};
 constexpr std::int64_t mebibyte = 1024LL * 1024;
-constexpr Range<std::int64_t> answerMemoryRange{.min = mebibyte, .max = 1024 * mebibyte};
-constexpr std::int64_t defaultAnswerMemory = 8 * mebibyte;
+constexpr Range<std::int64_t> memoryRange{.min = mebibyte, .max = 1024 * mebibyte};
+constexpr std::int64_t defaultMemory = 8 * mebibyte;
 
 [[nodiscard]] static net::Endpoint readEndpoint(JsonObjectReader &reader, const std::string &key)
 {
@@ -107,7 +107,8 @@
     settings.boundEntries = internal::readBoundEntries(reader, problems);
     settings.policy = readPolicy(reader);
     settings.disabledMechanisms = internal::readDisabledMechanisms(reader);
-    settings.answerMemoryBytes = reader.integer("answerMemoryBytes", internal::answerMemoryRange, internal::defaultAnswerMemory);
+    settings.answerMemoryBytes = reader.integer("answerMemoryBytes", internal::memoryRange, internal::defaultMemory);
+    settings.requestMemoryBytes = reader.integer("requestMemoryBytes", internal::memoryRange, internal::defaultMemory);
     settings.logLevel = readLogLevel(reader);
     if (hasError(problems)) {
         return tl::unexpected{problems};
--- a/src/egretlatch/settings/sidecar_settings.hpp
+++ b/src/egretlatch/settings/sidecar_settings.hpp
@@ -55,6 +55,8 @@
     DisabledMechanisms disabledMechanisms;
     /*! @brief Maximum bytes of all incomplete answers of the backend server but one. */
     std::int64_t answerMemoryBytes{};
+    /*! @brief Maximum memory in bytes of incomplete requests of callers but one, and of long ones without an answer. */
+    std::int64_t requestMemoryBytes{};
     LogLevel logLevel{LogLevel::info};
 
     friend bool operator==(const SidecarSettings &, const SidecarSettings &) = default;
--- a/src/egretlatch/sidecar/sidecar.cpp
+++ b/src/egretlatch/sidecar/sidecar.cpp
@@ -152,6 +152,10 @@
             m_metrics.count("answers_held_up", "memory");
             m_logger.warning("answer held up", {{"received", received}, {"answerMemoryBytes", m_settings.answerMemoryBytes}});
         });
+    m_frontend.server().limitRequests(static_cast<qsizetype>(m_settings.requestMemoryBytes), [this](const qsizetype received) {
+        m_metrics.count("requests_held_up", "memory");
+        m_logger.warning("request held up", {{"received", received}, {"requestMemoryBytes", m_settings.requestMemoryBytes}});
+    });
     m_frontend.server().setDropHandler([this](const http::DropReason reason, const qsizetype undelivered) {
         m_metrics.count("answers_undelivered", http::toString(reason));
         m_logger.warning("answer not delivered", {{"reason", http::toString(reason)}, {"bytes", undelivered}});
