The test of a configuration that cannot be used looks at each daemon at the time that is due

Readers of the store have it at once, others when they read it for themselves or another daemon sends it; the platform allows two seconds (config_apply). So the check of one VM after one second was a race, not a fault of the daemon.

--- a/test/processes/test_sidecar.py
+++ b/test/processes/test_sidecar.py
@@ -15,6 +15,9 @@
 from fleet.fleet import configuration
 from fleet.server import Fault, post
 
+# Time from the store's acknowledgement of a configuration to its effect at each daemon.
+CONFIG_APPLY_SECONDS = 2
+
 
 class Sidecar(FleetCase):
     async def test_a_request_comes_back_whole_and_signed_with_its_inner_call(self):
@@ -69,9 +72,10 @@
     async def test_a_configuration_that_cannot_be_used_is_named_with_its_field_in_the_log(self):
         limits = {"max_header_bytes": 16 * 1024 * 1024, "max_body_bytes": 1048576, "header_timeout": "3000ms", "idle_timeout": "15000ms"}
         self.fleet.store.put_configuration(configuration(2, routes(), SERVICES, limits))
-        await asyncio.sleep(1)
-        lines = [line for line in self.fleet.log(self.fleet.vms[0]).splitlines() if "configuration not usable" in line]
-        self.assertTrue(any("headerBytes" in line and '"version":"2"' in line for line in lines), lines)
+        await asyncio.sleep(CONFIG_APPLY_SECONDS)
+        for vm in self.fleet.vms:
+            lines = [line for line in self.fleet.log(vm).splitlines() if "configuration not usable" in line]
+            self.assertTrue(any("headerBytes" in line and '"version":"2"' in line for line in lines), vm.name)
 
     async def test_a_request_that_lasts_past_its_route_gets_its_final_answer_then(self):
         self.fleet.store.put_configuration(configuration(2, routes(**spec("read", "roster", timeout=300)), SERVICES))
