The soak silences services, reports in servers' names and sends long bodies

Seeds of before play as they did (--long 0; a generator of their own). Not drawn: bytes without end, resets on the daemon's side midway (links to servers are reset, as before).

--- a/standin/fleet/server.py
+++ b/standin/fleet/server.py
@@ -291,11 +291,12 @@
         """Sends a heartbeat with a sequence number from before the server announced that it leaves, as if delayed in the network."""
         return await self.send_heartbeat(control, "ready", max(self.sequence - 1, 0))
 
-    async def send_heartbeat(self, control, state, sequence):
+    async def send_heartbeat(self, control, state, sequence, without=()):
         body = {"address": self.announced, "born": self.started_ms,
                 "info": {"service": self.service, "version": "v1", "zone": "z1", "slots": self.slots},
                 "status": {"state": state, "seq": sequence, "cold_remaining": "0ms"}}
-        return await post(control, f"/api/instances/{self.instance}/heartbeat", json.dumps(body).encode())
+        sent = {name: value for name, value in body.items() if name not in without}
+        return await post(control, f"/api/instances/{self.instance}/heartbeat", json.dumps(sent).encode())
 
     async def deregister(self, control):
         """Deregisters the server; returns the status of the acknowledgement, or None."""
--- a/standin/fleet/soak.py
+++ b/standin/fleet/soak.py
@@ -19,6 +19,7 @@
 from .ports import free_ports
 from .record import Attempt, Record
 from .review_faults import EXPORT, EXPORT_BYTES, ReviewFaults
+from .second_review_faults import SecondReviewFaults
 from .server import Fault
 
 HOST = "soak.example"
@@ -79,10 +80,10 @@
         return f"{method}, daemon killed: {self.restart or 'no'}, late heartbeat at step {self.late_at}"
 
 
-class Soak(ReviewFaults, FaultySoak):
+class Soak(ReviewFaults, SecondReviewFaults, FaultySoak):
     """Runs one soak: `daemons` per service, `seconds` of faults, every choice drawn from the seed."""
 
-    def __init__(self, binary, seed, seconds=20.0, daemons=3, clients=24, pipelining=4, leaves_around_restarts=True, pausing=4):
+    def __init__(self, binary, seed, seconds=20.0, daemons=3, clients=24, pipelining=4, leaves_around_restarts=True, pausing=4, long=2):
         record = Record(float(BOUNDS["retry_budget_ratio"]), float(BOUNDS["budget_slack"]), DRAIN)
         super().__init__(seed, seconds, record, GRACE)
         self.clients = clients
@@ -95,6 +96,9 @@
         self.pausing = pausing
         self.review = random.Random(f"{seed}/review")
         self.is_all_lost = False
+        # Clients with long bodies; with them come the faults of SecondReviewFaults.
+        self.long = long
+        self.second = random.Random(f"{seed}/second")
         self.host = HOST
         kinds = {**KINDS, EXPORT: {"work": 0.02, "answer_bytes": EXPORT_BYTES}}
         self.fleet = FaultyFleet(binary, services, kinds, heartbeat=0.3, bounds=BOUNDS, seed=seed)
@@ -125,6 +129,7 @@
             clients = [asyncio.ensure_future(self.client(number)) for number in range(self.clients)]
             clients += [asyncio.ensure_future(self.pipelining_client(number)) for number in range(self.pipelining)]
             clients += [asyncio.ensure_future(self.pausing_client(random.Random(f"{self.seed}/pausing/{number}"))) for number in range(self.pausing)]
+            clients += [asyncio.ensure_future(self.long_client(random.Random(f"{self.seed}/long/{number}"))) for number in range(self.long)]
             watcher = asyncio.ensure_future(self.watch_exits())
             await self.inject_faults(self.faults())
             self.heal()
@@ -251,7 +256,8 @@
     def faults(self):
         return [self.kill, self.kill, self.pause, self.end_and_start, self.end_and_start, self.reload, self.server_fails, self.server_fails,
                 self.server_crashes, self.server_leaves, self.server_leaves, self.link_fails, self.link_fails, self.link_fails,
-                self.store_fails, self.configure, self.configure] + (self.review_faults() if self.pausing else [])
+                self.store_fails, self.configure, self.configure,
+                *(self.review_faults() if self.pausing else []), *(self.second_review_faults() if self.long else [])]
 
     def heal(self):
         self.fleet.store.fault = None
--- a/test/processes/test_soak.py
+++ b/test/processes/test_soak.py
@@ -25,6 +25,7 @@
 
 # Seeds with the faults of the review: all daemons lost after a departure, late reports, false health, spoilt trailers, pauses.
 REVIEW_SEEDS = (1, 2)
+SECOND_REVIEW_SEEDS = (9000, 9100)
 
 KEYS_SEEDS = {1: "paused daemons and all others hold each other for gone for good"}
 
@@ -301,12 +302,17 @@
 class ShortRun(unittest.TestCase):
     def test_known_seeds_violate_no_invariant(self):
         for seed, cause in SEEDS.items():
-            result = asyncio.run(Soak(str(BUILD / "egretlatch"), seed, seconds=6.0, daemons=2, clients=8, pausing=0).play())
+            result = asyncio.run(Soak(str(BUILD / "egretlatch"), seed, seconds=6.0, daemons=2, clients=8, pausing=0, long=0).play())
             self.assertEqual([], result["broken"], f"seed {seed} ({cause}):\n" + "\n".join(result["story"]))
 
     def test_the_loss_of_all_daemons_and_callers_that_pause_violate_no_invariant(self):
         for seed in REVIEW_SEEDS:
-            result = asyncio.run(Soak(str(BUILD / "egretlatch"), seed, seconds=8.0, daemons=2, clients=8, pausing=4).play())
+            result = asyncio.run(Soak(str(BUILD / "egretlatch"), seed, seconds=8.0, daemons=2, clients=8, pausing=4, long=0).play())
+            self.assertEqual([], result["broken"], f"seed {seed}:\n" + "\n".join(result["story"]))
+
+    def test_silent_services_foreign_reports_and_long_bodies_violate_no_invariant(self):
+        for seed in SECOND_REVIEW_SEEDS:
+            result = asyncio.run(Soak(str(BUILD / "egretlatch"), seed, seconds=8.0, daemons=2, clients=8, pausing=0, long=2).play())
             self.assertEqual([], result["broken"], f"seed {seed}:\n" + "\n".join(result["story"]))
 
     def test_known_seeds_of_daemons_with_keys_violate_no_invariant(self):
