--- a/test/processes/test_soak.py
+++ b/test/processes/test_soak.py
@@ -25,6 +25,7 @@
 
 # Seeds with the faults of the review: all daemons lost after a departure, late reports, false health, spoilt trailers, pauses.
 REVIEW_SEEDS = (1, 2)
+# Seeds with those of the second: silent services, reports of other writers, long bodies.
 SECOND_REVIEW_SEEDS = (9000, 9100)
 
 KEYS_SEEDS = {1: "paused daemons and all others hold each other for gone for good"}
