The tests of long bodies measure the daemon, not the sanitizer

Cause: the address sanitizer keeps freed memory back, 256 MB of it; test_endless_answers and test_paused_callers had turned that off, each by itself. Bounds unchanged; the setting now stands once, for all three.

--- a/test/processes/memory.py
+++ b/test/processes/memory.py
@@ -1,10 +1,18 @@
 """Memory of daemon processes."""
 
+import os
+import unittest.mock
+
 from support import BUILD
 
 MIB = 1024 * 1024
 
 
+def without_quarantine():
+    """Returns a context in which daemons start whose address sanitizer, if they have one, keeps back no freed memory: it is not theirs."""
+    return unittest.mock.patch.dict(os.environ, {"ASAN_OPTIONS": "quarantine_size_mb=1"})
+
+
 def own_share():
     """Returns the share of its memory that is the daemon's own: the address sanitizer's shadow adds an eighth."""
     return 8 / 9 if b"__asan_init" in (BUILD / "egretlatch").read_bytes() else 1
--- a/test/processes/test_endless_answers.py
+++ b/test/processes/test_endless_answers.py
@@ -1,12 +1,10 @@
 """Servers in trouble that send bytes without end, in a head or a body, with real daemon processes."""
 
 import asyncio
-import os
 import unittest
-import unittest.mock
 
 from fleet_case import HOST, FleetCase
-from memory import MIB, own_share, resident
+from memory import MIB, own_share, resident, without_quarantine
 
 from fleet.client import Client
 
@@ -81,8 +79,7 @@
 
 class EndlessAnswers(FleetCase):
     async def asyncSetUp(self):
-        # Freed memory that the address sanitizer keeps back is not the daemon's.
-        with unittest.mock.patch.dict(os.environ, {"ASAN_OPTIONS": "quarantine_size_mb=1"}):
+        with without_quarantine():
             await super().asyncSetUp()
         self.endless = []
         for vm in self.fleet.vms:
--- a/test/processes/test_long_bodies.py
+++ b/test/processes/test_long_bodies.py
@@ -4,7 +4,7 @@
 import unittest
 
 from fleet_case import HOST, SERVICES, FleetCase, routes, spec
-from memory import MIB, own_share, resident
+from memory import MIB, own_share, resident, without_quarantine
 
 from fleet import wire
 from fleet.client import Client
@@ -43,7 +43,8 @@
 
 class LongBodies(FleetCase):
     async def asyncSetUp(self):
-        await super().asyncSetUp()
+        with without_quarantine():
+            await super().asyncSetUp()
         long = {"timeout": int(TIMEOUT_SECONDS * 1000), "priority": 0}
         self.fleet.store.put_configuration(configuration(2, routes(**spec("read", "roster", **long), **spec("entry", "log", kind="non_idempotent", **long)),
                                                          SERVICES, LIMITS))
--- a/test/processes/test_paused_callers.py
+++ b/test/processes/test_paused_callers.py
@@ -1,14 +1,13 @@
 """Callers, and daemons in the place of callers, that pause in the middle of an answer, with real daemon processes."""
 
 import asyncio
-import os
 import signal
 import socket
 import unittest
-import unittest.mock
 import urllib.request
 
 from fleet_case import HOST, KINDS, SERVICES, FleetCase, routes, spec
+from memory import without_quarantine
 
 from fleet.fleet import configuration
 
@@ -65,8 +64,7 @@
     bounds = {"grace": f"{GRACE_SECONDS}s", "drain": "1s", "retry_budget_ratio": "0.2", "budget_slack": "1000"}
 
     async def asyncSetUp(self):
-        # Freed memory that the address sanitizer keeps back is not the daemon's.
-        with unittest.mock.patch.dict(os.environ, {"ASAN_OPTIONS": "quarantine_size_mb=1"}):
+        with without_quarantine():
             await super().asyncSetUp()
         self.fleet.store.put_configuration(configuration(2, routes(**spec("export", "log", kind="download", timeout=20000, target=5000)),
                                                          SERVICES))
